--- /dev/null
+++ b/src/base/gr_str.h
@@ -0,0 +1,106 @@
+/* Length-counted strings: borrowed views, fixed-capacity names and growable buffers. */
+#pragma once
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/* Borrowed bytes. Not terminated; the owner outlives the view. */
+typedef struct {
+  const char *data;
+  size_t len;
+} GrStr;
+
+#define GR_STR(literal) ((GrStr){ (literal), sizeof (literal) - 1 })
+/* Arguments for the "%.*s" conversion. */
+#define GR_STR_ARG(s) ((int) (s).len), ((s).data ? (s).data : "")
+
+/* Bytes a name can hold: ids of VMs, keys, teams, kinds, jobs and tasks. */
+#define GR_NAME_MAX 63
+
+/* A short string by value. It needs no release and can be copied with '='. */
+typedef struct {
+  uint8_t len;
+  char data[GR_NAME_MAX];
+} GrName;
+
+#define GR_NAME_ARG(n) ((int) (n).len), ((n).data)
+
+GrStr gr_str_from_c (const char *text);
+bool gr_str_equal (GrStr a, GrStr b);
+bool gr_str_starts_with (GrStr s, GrStr prefix);
+int gr_str_compare (GrStr a, GrStr b);
+/* Parses a whole decimal string; false if it is empty, malformed or out of range. */
+bool gr_str_to_int64 (GrStr s, int64_t *value);
+
+/* False, leaving *name empty, if the string does not fit into GR_NAME_MAX bytes. */
+bool gr_name_set (GrName *name, GrStr s);
+/* As gr_name_set, for text known to fit; longer text is truncated. */
+GrName gr_name (const char *text);
+GrName gr_name_format (const char *format, ...) __attribute__ ((format (printf, 1, 2)));
+GrStr gr_name_str (const GrName *name);
+bool gr_name_equal (const GrName *a, const GrName *b);
+int gr_name_compare (const GrName *a, const GrName *b);
+/* xxh64 of the bytes with the given seed. */
+uint64_t gr_name_hash (const GrName *name, uint64_t seed);
+
+/* Growable byte buffer, terminated by a zero byte that is not counted. */
+typedef struct {
+  char *data;
+  size_t len;
+  size_t capacity;
+} GrBuf;
+
+void gr_buf_append (GrBuf *buf, const void *data, size_t len);
+void gr_buf_append_str (GrBuf *buf, GrStr s);
+void gr_buf_printf (GrBuf *buf, const char *format, ...) __attribute__ ((format (printf, 2, 3)));
+/* Drops the first len bytes. */
+void gr_buf_consume (GrBuf *buf, size_t len);
+GrStr gr_buf_str (const GrBuf *buf);
+void gr_buf_clear (GrBuf *buf);
+
+/* Copies bytes to the heap with a terminating zero; release with free(). */
+char *gr_str_dup (GrStr s);
+
+/* Allocation that ends the process when memory is exhausted. */
+void *gr_calloc (size_t count, size_t size);
+void *gr_realloc (void *ptr, size_t size);
+
+/* Typed growable list: GR_LIST (Type) items; gr_list_push (&items, value). */
+#define GR_LIST(Type)                                                                              \
+  struct {                                                                                         \
+    Type *items;                                                                                   \
+    size_t count;                                                                                  \
+    size_t capacity;                                                                               \
+  }
+
+#define gr_list_push(list, ...)                                                                    \
+  do {                                                                                             \
+    if ((list)->count == (list)->capacity) {                                                       \
+      (list)->capacity = (list)->capacity ? (list)->capacity * 2 : 8;                              \
+      (list)->items = gr_realloc_items ((list)->items, (list)->capacity, sizeof *(list)->items);   \
+    }                                                                                              \
+    (list)->items[(list)->count++] = (__VA_ARGS__);                                                \
+  } while (0)
+
+#define gr_list_reset(list) ((list)->count = 0)
+
+#define gr_list_clear(list)                                                                        \
+  do {                                                                                             \
+    free ((list)->items);                                                                          \
+    memset ((list), 0, sizeof *(list));                                                            \
+  } while (0)
+
+/* Removes item i by moving the last item into its place. */
+#define gr_list_swap_remove(list, i) ((list)->items[(i)] = (list)->items[--(list)->count])
+
+void *gr_realloc_items (void *items, size_t count, size_t size);
+
+#ifdef __cplusplus
+}
+#endif
--- /dev/null
+++ b/tests/test_base.c
@@ -0,0 +1,155 @@
+/* Base library: strings, errors, options, events. Guards against truncated or unchecked input. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+
+#include <cmocka.h>
+
+#include "base/gr_log.h"
+#include "base/gr_metric.h"
+#include "base/gr_opt.h"
+
+static void
+int64_parsing_refuses_malformed_text (void **state)
+{
+  (void) state;
+  static const struct {
+    const char *text;
+    bool ok;
+    int64_t value;
+  } cases[] = {
+    { "0", true, 0 },
+    { "-7", true, -7 },
+    { "9223372036854775807", true, INT64_MAX },
+    { "9223372036854775808", false, 0 },
+    { "", false, 0 },
+    { "12x", false, 0 },
+    { " 12", false, 0 },
+    { "+1", false, 0 },
+  };
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+    int64_t value = 0;
+    assert_int_equal (gr_str_to_int64 (gr_str_from_c (cases[i].text), &value), cases[i].ok);
+    assert_int_equal (value, cases[i].value);
+  }
+}
+
+static void
+names_refuse_text_that_does_not_fit (void **state)
+{
+  (void) state;
+  char text[GR_NAME_MAX + 2];
+  memset (text, 'a', sizeof text);
+  GrName name;
+  assert_true (gr_name_set (&name, (GrStr){ text, GR_NAME_MAX }));
+  assert_int_equal (name.len, GR_NAME_MAX);
+  assert_false (gr_name_set (&name, (GrStr){ text, GR_NAME_MAX + 1 }));
+  assert_int_equal (name.len, 0);
+}
+
+static void
+error_names_round_trip (void **state)
+{
+  (void) state;
+  for (int code = GR_ERR_NONE + 1; code < GR_ERR_COUNT; code++) {
+    const char *name = gr_err_name ((GrErrCode) code);
+    assert_int_equal (gr_err_from_name (gr_str_from_c (name)), code);
+  }
+}
+
+typedef struct {
+  const char *name;
+  int64_t port;
+  bool fast;
+} Settings;
+
+static const GrOptSpec specs[] = {
+  { "vm-id", GR_OPT_TEXT, offsetof (Settings, name), "ID", NULL, 0, 0, "id of this VM" },
+  { "port", GR_OPT_INT, offsetof (Settings, port), "PORT", "80", 1, 65535, "port" },
+  { "fast", GR_OPT_FLAG, offsetof (Settings, fast), NULL, NULL, 0, 0, "be fast" },
+};
+
+static void
+options_are_checked_and_flags_go_before_the_environment (void **state)
+{
+  (void) state;
+  static const struct {
+    const char *argv[4];
+    const char *env_port;
+    bool ok;
+    GrErrCode code;
+    const char *field;
+    int64_t port;
+  } cases[] = {
+    { { "p", "--vm-id=a", NULL }, NULL, true, GR_ERR_NONE, "", 80 },
+    { { "p", "--vm-id=a", NULL }, "81", true, GR_ERR_NONE, "", 81 },
+    { { "p", "--vm-id=a", "--port=82" }, "81", true, GR_ERR_NONE, "", 82 },
+    { { "p", "--vm-id=a", "--port=0" }, NULL, false, GR_ERR_INVALID, "port", 0 },
+    { { "p", "--vm-id=a", NULL }, "x", false, GR_ERR_INVALID, "port", 0 },
+    { { "p", NULL }, NULL, false, GR_ERR_MISSING, "vm-id", 0 },
+    { { "p", "--vm-id=a", "--nope" }, NULL, false, GR_ERR_UNKNOWN_FIELD, "arguments", 0 },
+  };
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+    unsetenv ("GENTIANRELAY_VM_ID");
+    unsetenv ("GENTIANRELAY_PORT");
+    if (cases[i].env_port)
+      setenv ("GENTIANRELAY_PORT", cases[i].env_port, 1);
+    int argc = 0;
+    while (argc < 4 && cases[i].argv[argc])
+      argc++;
+    Settings settings = { 0 };
+    GrOptVerdict verdict;
+    GrErr err = { 0 };
+    bool ok = gr_opt_parse ("p", "test", specs, 3, argc, (char **) cases[i].argv, &settings, NULL,
+                            0, NULL, &verdict, &err);
+    assert_int_equal (ok, cases[i].ok);
+    if (ok) {
+      assert_int_equal (settings.port, cases[i].port);
+    } else {
+      assert_int_equal (err.code, cases[i].code);
+      assert_true (gr_str_equal (gr_name_str (&err.field), gr_str_from_c (cases[i].field)));
+    }
+  }
+}
+
+static void
+event_numbers_are_unique (void **state)
+{
+  (void) state;
+  size_t count;
+  const GrEventInfo *events = gr_log_events (&count);
+  for (size_t i = 1; i < count; i++)
+    assert_true (events[i].event > events[i - 1].event);
+}
+
+static void
+histogram_buckets_are_cumulative (void **state)
+{
+  (void) state;
+  GrMetrics *metrics = gr_calloc (1, sizeof *metrics);
+  gr_metric_observe (metrics, GR_METRIC_WAIT_MS, 3);
+  gr_metric_observe (metrics, GR_METRIC_WAIT_MS, 1 << 30);
+  GrBuf out = { 0 };
+  gr_metric_render (metrics, &out);
+  assert_non_null (strstr (out.data, "gentianrelay_wait_ms_bucket{le=\"2\"} 0\n"));
+  assert_non_null (strstr (out.data, "gentianrelay_wait_ms_bucket{le=\"4\"} 1\n"));
+  assert_non_null (strstr (out.data, "gentianrelay_wait_ms_bucket{le=\"+Inf\"} 2\n"));
+  gr_buf_clear (&out);
+  free (metrics);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (int64_parsing_refuses_malformed_text),
+    cmocka_unit_test (names_refuse_text_that_does_not_fit),
+    cmocka_unit_test (error_names_round_trip),
+    cmocka_unit_test (options_are_checked_and_flags_go_before_the_environment),
+    cmocka_unit_test (event_numbers_are_unique),
+    cmocka_unit_test (histogram_buckets_are_cumulative),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
