job: takeover, activity lease and attempt resolution in the interface

Cause: a paused partition owner could act on a lease that lapsed, and a lease that a cut-off group owner renews says nothing about an attempt. Conclusion: interface only; the implementation follows.

--- a/src/job/job.h
+++ b/src/job/job.h
@@ -1,7 +1,15 @@
 /* Jobs and requests of the partitions that one VM owns, as a pure state machine.
 
    It accepts work, makes it durable, asks schedulers to run attempts, retries within bounds, and
-   tells callers the outcome once. Times are local monotonic ms. One thread uses a state. */
+   tells callers the outcome once. Times are local monotonic ms. One thread uses a state.
+
+   Every VM delivers all records of jobs-REGION, so that each holds the unfinished jobs of the
+   region and can take over a partition. It acts on a job only while its partition is owned and
+   active. Takeover: PART_GAINED; the VM asks every scheduler of the region for its tasks of the
+   partition under the new partition epoch (each scheduler refuses places of lower epochs from then
+   on) and delivers them as TASK_REPORT, or PLACE_RESULT QUEUED for waiting ones; then
+   TARGETS_KNOWN. Only then are attempts placed: an attempt that nobody reported has ended or never
+   began. */
 #pragma once
 
 #include "base/gr_err.h"
@@ -79,7 +87,8 @@
 typedef enum {
   JOB_MSG_TICK,
   JOB_MSG_PART_GAINED, /* records of the partition were all delivered before */
-  JOB_MSG_PART_LOST,   /* stop acting on its jobs; waiting calls are told to ask the new owner */
+  JOB_MSG_PART_ACTIVE, /* the ownership lease allows to act until until_ms; sent at each tick */
+  JOB_MSG_PART_LOST,   /* stop acting on its jobs; waiting calls get GR_ERR_UNAVAILABLE */
   JOB_MSG_RECORD,      /* one record of the stream jobs-REGION */
   JOB_MSG_SUBMIT,
   JOB_MSG_CANCEL,
@@ -114,7 +123,11 @@
   union {
     struct {
       int32_t part;
-    } part;
+      int64_t until_ms; /* PART_ACTIVE */
+    } part;             /* PART_*, TARGETS_KNOWN */
+    struct {
+      GrName vm;
+    } scheduler_lost;
     struct {
       GrStr bytes;
     } record;
@@ -157,6 +170,9 @@
   JOB_CMD_COMMIT_GANG,  /* all parts hold: start them */
   JOB_CMD_RELEASE_GANG, /* drop the holds */
   JOB_CMD_CANCEL_TASK,
+  /* Ask the owners of all groups for the attempt. Each that does not have it must never start it
+     afterwards. Answer by TASK_REPORT: its state, or LAPSED once all owners answered absent. */
+  JOB_CMD_RESOLVE,
   JOB_CMD_REPLY /* answer the call */
 } JobCmdKind;
 
