--- /dev/null
+++ b/src/node/node_config.c
@@ -0,0 +1,148 @@
+#include "node/node_config.h"
+
+#include <stdlib.h>
+
+#include "node/node_list.h"
+#include "node/node_peers.h"
+#include "node/node_stream.h"
+#include "node/node_tasks.h"
+#include "node/node_work.h"
+
+#define CONFIG_POLL_MS 500
+
+struct NodeConfig {
+  Node *node;
+  GrLog log;
+  CfgStore *store;
+  NodeStream *stream;
+  bool ready;
+};
+
+static void
+in_force (NodeConfig *config, const char *source)
+{
+  int64_t version = cfg_store_version (config->store);
+  gr_log (&config->log, GR_EV_CONFIG_IN_FORCE, "version %lld from %s", (long long) version, source);
+  gr_metric_set (&config->node->metrics, GR_METRIC_CONFIG_VERSION, version);
+  node_tasks_limits_changed (config->node);
+  node_work_config_changed (config->node);
+}
+
+static void
+on_record (void *user, int64_t offset, const GrVmRef *writer, GrStr bytes)
+{
+  NodeConfig *config = user;
+  CfgProblem problem = { 0 };
+  (void) writer;
+  switch (cfg_store_record (config->store, offset, bytes, &problem)) {
+  case CFG_ACCEPTED:
+    in_force (config, "log");
+    break;
+  case CFG_CONFLICT:
+  case CFG_REJECTED:
+    gr_log (&config->log, GR_EV_CONFIG_REJECTED, "offset %lld: %s: %.*s line %lld: %s",
+            (long long) offset, gr_err_name (problem.code), GR_NAME_ARG (problem.file),
+            (long long) problem.line, problem.detail);
+    break;
+  case CFG_STALE:
+    break;
+  }
+}
+
+static void
+on_at_end (void *user, int64_t sent_ms)
+{
+  NodeConfig *config = user;
+  (void) sent_ms;
+  config->ready = true;
+}
+
+static void
+on_committed (void *user, int64_t token)
+{
+  (void) user;
+  (void) token;
+}
+
+NodeConfig *
+node_config_new (Node *node, GrErr *err)
+{
+  static const NodeStreamEvents events
+      = { .record = on_record, .at_end = on_at_end, .committed = on_committed };
+  NodeConfig *config = gr_calloc (1, sizeof *config);
+  config->node = node;
+  config->log = node_log_context (node, "config");
+  config->store = cfg_store_new ();
+  config->stream = node_stream_new (node, "config", CONFIG_POLL_MS, &events, config, err);
+  if (!config->stream) {
+    cfg_store_free (config->store);
+    free (config);
+    return NULL;
+  }
+  return config;
+}
+
+void
+node_config_free (NodeConfig *config)
+{
+  node_stream_free (config->stream);
+}
+
+bool
+node_config_ready (const Node *node)
+{
+  return node->config->ready;
+}
+
+const CfgTree *
+node_config_tree (const Node *node)
+{
+  return cfg_store_tree (node->config->store);
+}
+
+int64_t
+node_config_version (const Node *node)
+{
+  return cfg_store_version (node->config->store);
+}
+
+void
+node_config_peer_up (Node *node, const GrName *vm)
+{
+  NodeWire wire = { .kind = NODE_WIRE_CONFIG_OFFER,
+                    .config = { .version = cfg_store_version (node->config->store) } };
+  node_peers_send (node, vm, &wire, NULL);
+}
+
+/* A peer first names its version; the record is sent only to a peer that asks for it. */
+void
+node_config_offer (Node *node, const GrName *from, const NodeWire *wire)
+{
+  NodeConfig *config = node->config;
+  int64_t version = cfg_store_version (config->store);
+  NodeWire answer = { .kind = NODE_WIRE_CONFIG_OFFER, .config = { .version = version } };
+  if (wire->config.want) {
+    if (version <= wire->config.version)
+      return;
+    answer.config.record = cfg_store_record_in_force (config->store);
+    node_peers_send (node, from, &answer, NULL);
+  } else if (wire->config.record.len > 0) {
+    if (cfg_store_offer (config->store, wire->config.version, wire->config.record)
+        == CFG_ACCEPTED) {
+      config->ready = true;
+      in_force (config, "peer");
+    }
+  } else if (wire->config.version > version) {
+    answer.config.want = true;
+    node_peers_send (node, from, &answer, NULL);
+  }
+}
+
+GrName
+node_config_home (const Node *node, const GrName *team)
+{
+  const CfgTeam *found = cfg_team (node_config_tree (node), team);
+  if (found && found->region.len > 0)
+    return found->region;
+  return node_list_first_region (node);
+}
--- /dev/null
+++ b/src/node/node_stream.c
@@ -0,0 +1,275 @@
+#include "node/node_stream.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+/* The whole system stays under this number of appends per second to all streams. */
+#define APPENDS_PER_S 200
+#define APPEND_INTERVAL_MIN_MS 5
+/* Resolution of the group commit and retry clock while records are pending. */
+#define WRITER_TICK_MS 5
+/* A store that takes longer counts as unreachable; the writer retries with the same number. */
+#define STORE_TIMEOUT_MS 5000
+#define READ_MAX_APPENDS 1000
+
+struct NodeStream {
+  Node *node;
+  GrLog log;
+  GrName name;
+  char *url;
+  NetHttpClient *client;
+  LgsWriter *writer;
+  LgsReader *reader;
+  const NodeStreamEvents *events;
+  void *user;
+  uv_timer_t write_timer;
+  uv_timer_t read_timer;
+  int64_t poll_ms;
+  bool reading;
+  bool read_again;
+  bool read_failed;
+  bool closed;
+  int64_t read_sent_ms;
+  size_t pending; /* records not yet committed */
+  int64_t bytes_counted;
+};
+
+typedef struct {
+  NodeStream *stream;
+  int64_t seq;
+} AppendCall;
+
+static void read_now (NodeStream *stream);
+static void run_commands (NodeStream *stream, LgsCmds *cmds);
+
+static void
+count_bytes (NodeStream *stream)
+{
+  int64_t bytes = net_http_client_bytes (stream->client);
+  gr_metric_add (&stream->node->metrics, GR_METRIC_CONTROL_BYTES, bytes - stream->bytes_counted);
+  stream->bytes_counted = bytes;
+}
+
+static void
+append_done (void *user, const NetHttpAnswer *answer)
+{
+  AppendCall *call = user;
+  NodeStream *stream = call->stream;
+  int64_t seq = call->seq;
+  free (call);
+  if (stream->closed)
+    return;
+  LgsAppendOutcome outcome = LGS_APPEND_UNKNOWN;
+  if (answer->status == 200)
+    outcome = LGS_APPEND_OK;
+  else if (answer->status == 0 && answer->failure == GR_ERR_UNAVAILABLE)
+    outcome = LGS_APPEND_REFUSED;
+  if (outcome != LGS_APPEND_OK)
+    gr_log (&stream->log, GR_EV_APPEND_RETRY, "stream %.*s append %lld: status %d",
+            GR_NAME_ARG (stream->name), (long long) seq, answer->status);
+  LgsCmds cmds = { 0 };
+  lgs_writer_outcome (stream->writer, seq, outcome, node_now (stream->node), &cmds);
+  run_commands (stream, &cmds);
+  gr_list_clear (&cmds);
+  if (outcome == LGS_APPEND_OK)
+    node_stream_read_soon (stream);
+}
+
+static void
+run_commands (NodeStream *stream, LgsCmds *cmds)
+{
+  for (size_t i = 0; i < cmds->count; i++) {
+    const LgsCmd *cmd = &cmds->items[i];
+    switch (cmd->kind) {
+    case LGS_CMD_APPEND: {
+      AppendCall *call = gr_calloc (1, sizeof *call);
+      *call = (AppendCall){ stream, cmd->seq };
+      NetHttpCall http = { .method = "POST",
+                           .url = gr_str_from_c (stream->url),
+                           .content_type = GR_STR ("application/octet-stream"),
+                           .body = cmd->bytes,
+                           .timeout_at_ms = node_now (stream->node) + STORE_TIMEOUT_MS };
+      gr_metric_add (&stream->node->metrics, GR_METRIC_LOG_APPENDS, 1);
+      net_http_client_send (stream->client, &http, append_done, call);
+      break;
+    }
+    case LGS_CMD_COMMITTED:
+      stream->pending--;
+      gr_metric_add (&stream->node->metrics, GR_METRIC_LOG_RECORDS, 1);
+      stream->events->committed (stream->user, cmd->token);
+      break;
+    }
+  }
+}
+
+static void
+write_tick (uv_timer_t *timer)
+{
+  NodeStream *stream = timer->data;
+  LgsCmds cmds = { 0 };
+  lgs_writer_tick (stream->writer, node_now (stream->node), &cmds);
+  run_commands (stream, &cmds);
+  gr_list_clear (&cmds);
+  if (stream->pending == 0)
+    uv_timer_stop (timer);
+}
+
+static void
+take_answer (NodeStream *stream, GrStr body)
+{
+  bool at_end = false;
+  bool gap = false;
+  GrErr err = { 0 };
+  if (!lgs_reader_take (stream->reader, body, stream->events->record, stream->user, &at_end, &gap,
+                        &err)) {
+    stream->read_failed = true;
+    gr_log (&stream->log, GR_EV_READ_FAILED, "stream %.*s: %s", GR_NAME_ARG (stream->name),
+            err.detail);
+    return;
+  }
+  stream->read_failed = false;
+  if (gap && stream->events->gap)
+    stream->events->gap (stream->user);
+  if (at_end)
+    stream->events->at_end (stream->user, stream->read_sent_ms);
+  else
+    stream->read_again = true;
+}
+
+static void
+read_done (void *user, const NetHttpAnswer *answer)
+{
+  NodeStream *stream = user;
+  if (stream->closed)
+    return;
+  count_bytes (stream);
+  stream->reading = false;
+  if (answer->status == 200) {
+    take_answer (stream, answer->body);
+  } else {
+    if (!stream->read_failed)
+      gr_log (&stream->log, GR_EV_READ_FAILED, "stream %.*s: status %d", GR_NAME_ARG (stream->name),
+              answer->status);
+    stream->read_failed = true;
+    stream->read_again = false;
+  }
+  if (stream->read_again)
+    read_now (stream);
+}
+
+static void
+read_now (NodeStream *stream)
+{
+  stream->read_again = false;
+  stream->reading = true;
+  stream->read_sent_ms = node_now (stream->node);
+  char url[512];
+  int len = snprintf (url, sizeof url, "%s?from=%lld&max=%d", stream->url,
+                      (long long) lgs_reader_next (stream->reader), READ_MAX_APPENDS);
+  NetHttpCall http = { .method = "GET",
+                       .url = { url, (size_t) len },
+                       .timeout_at_ms = stream->read_sent_ms + STORE_TIMEOUT_MS };
+  gr_metric_add (&stream->node->metrics, GR_METRIC_LOG_READS, 1);
+  net_http_client_send (stream->client, &http, read_done, stream);
+}
+
+static void
+read_tick (uv_timer_t *timer)
+{
+  NodeStream *stream = timer->data;
+  if (!stream->reading)
+    read_now (stream);
+}
+
+NodeStream *
+node_stream_new (Node *node, const char *name, int64_t poll_ms, const NodeStreamEvents *events,
+                 void *user, GrErr *err)
+{
+  LgsOptions options = { .self = node->self, .stream = gr_name (name), .seed = node_random () };
+  lgs_options_defaults (&options);
+  NodeStream *stream = gr_calloc (1, sizeof *stream);
+  stream->node = node;
+  stream->log = node_log_context (node, "log");
+  stream->name = options.stream;
+  stream->poll_ms = poll_ms;
+  stream->events = events;
+  stream->user = user;
+  stream->writer = lgs_writer_new (&options, err);
+  stream->reader = stream->writer ? lgs_reader_new (&options, 0, err) : NULL;
+  if (!stream->reader) {
+    lgs_writer_free (stream->writer);
+    free (stream);
+    return NULL;
+  }
+  GrBuf url = { 0 };
+  gr_buf_printf (&url, "%s/log/%s", node->settings->platform_url, name);
+  stream->url = url.data;
+  /* One append and one read at a time. */
+  stream->client = node_http_client (node, 2, 2);
+  uv_timer_init (node->loop, &stream->write_timer);
+  uv_timer_init (node->loop, &stream->read_timer);
+  stream->write_timer.data = stream;
+  stream->read_timer.data = stream;
+  uv_timer_start (&stream->read_timer, read_tick, 0, (uint64_t) poll_ms);
+  return stream;
+}
+
+void
+node_stream_free (NodeStream *stream)
+{
+  if (!stream)
+    return;
+  stream->closed = true;
+  uv_close ((uv_handle_t *) &stream->write_timer, NULL);
+  uv_close ((uv_handle_t *) &stream->read_timer, NULL);
+  net_http_client_free (stream->client);
+  lgs_writer_free (stream->writer);
+  lgs_reader_free (stream->reader);
+}
+
+bool
+node_stream_append (NodeStream *stream, int64_t token, GrStr record, GrErr *err)
+{
+  GrErr local = { 0 };
+  if (!lgs_writer_add (stream->writer, token, record, err ? err : &local)) {
+    gr_log (&stream->log, GR_EV_QUEUE_FULL, "stream %.*s: %zu records", GR_NAME_ARG (stream->name),
+            lgs_writer_queued (stream->writer));
+    return false;
+  }
+  stream->pending++;
+  /* The first tick comes with the next turn of the loop, so that callers need not expect
+     commands to run inside this call. */
+  if (!uv_is_active ((uv_handle_t *) &stream->write_timer))
+    uv_timer_start (&stream->write_timer, write_tick, 0, WRITER_TICK_MS);
+  return true;
+}
+
+void
+node_stream_read_soon (NodeStream *stream)
+{
+  if (stream->reading)
+    stream->read_again = true;
+  else
+    read_now (stream);
+}
+
+bool
+node_stream_up (const NodeStream *stream)
+{
+  return !stream->read_failed && !lgs_writer_stalled (stream->writer);
+}
+
+size_t
+node_stream_pending (const NodeStream *stream)
+{
+  return stream->pending;
+}
+
+void
+node_stream_set_writers (NodeStream *stream, size_t entry_vms)
+{
+  int64_t interval = (int64_t) entry_vms * 1000 / APPENDS_PER_S;
+  if (interval < APPEND_INTERVAL_MIN_MS)
+    interval = APPEND_INTERVAL_MIN_MS;
+  lgs_writer_set_interval (stream->writer, interval);
+}
--- /dev/null
+++ b/src/node/node_stream.h
@@ -0,0 +1,27 @@
+/* One stream of the platform's log: a writer with group commit and a reader that polls. */
+#pragma once
+
+#include "lgs/lgs.h"
+#include "node/node_ctx.h"
+
+typedef struct NodeStream NodeStream;
+
+typedef struct {
+  LgsRecordFunc record; /* each record, in order, duplicates removed */
+  void (*at_end) (void *user, int64_t sent_ms); /* a read sent at sent_ms reached the end */
+  void (*committed) (void *user, int64_t token);
+  void (*gap) (void *user); /* retention removed records before they were read */
+} NodeStreamEvents;
+
+NodeStream *node_stream_new (Node *node, const char *name, int64_t poll_ms,
+                             const NodeStreamEvents *events, void *user, GrErr *err);
+void node_stream_free (NodeStream *stream);
+/* Error GR_ERR_OVERLOADED: certainly not written. */
+bool node_stream_append (NodeStream *stream, int64_t token, GrStr record, GrErr *err);
+/* Starts a read now; if one is in flight, another follows it. */
+void node_stream_read_soon (NodeStream *stream);
+/* False after a failed append or read until the next success. */
+bool node_stream_up (const NodeStream *stream);
+size_t node_stream_pending (const NodeStream *stream);
+/* Group commit interval by the number of entry VMs. */
+void node_stream_set_writers (NodeStream *stream, size_t entry_vms);
