--- /dev/null
+++ b/src/job/job.c
@@ -0,0 +1,401 @@
+#include "job/job_private.h"
+
+#include <stdlib.h>
+
+void
+job_options_defaults (JobOptions *options)
+{
+  const struct {
+    int64_t *field;
+    int64_t value;
+  } defaults[] = {
+    { &options->max_attempts, 4 },        { &options->task_lease_ms, 10000 },
+    { &options->lapse_margin_ms, 2000 },  { &options->backoff_min_ms, 100 },
+    { &options->backoff_max_ms, 5000 },   { &options->retry_budget_pct, 10 },
+    { &options->keep_ended_ms, 600000 },  { &options->jobs_max, 200000 },
+    { &options->resolve_every_ms, 1000 },
+  };
+  for (size_t i = 0; i < sizeof defaults / sizeof defaults[0]; i++) {
+    if (*defaults[i].field == 0)
+      *defaults[i].field = defaults[i].value;
+  }
+  if (options->parts == 0)
+    options->parts = 16;
+}
+
+JobState *
+job_new (const JobOptions *options, GrErr *err)
+{
+  JobOptions checked = *options;
+  job_options_defaults (&checked);
+  if (checked.parts < 1 || checked.parts > JOB_PARTS_MAX) {
+    gr_err_set (err, GR_ERR_INVALID, "parts", "parts is %d; allowed is 1 to %d", checked.parts,
+                JOB_PARTS_MAX);
+    return NULL;
+  }
+  if (checked.backoff_min_ms < 0 || checked.backoff_max_ms < checked.backoff_min_ms) {
+    gr_err_set (err, GR_ERR_INVALID, "backoff_max_ms", "backoff_max_ms is below backoff_min_ms");
+    return NULL;
+  }
+  JobState *state = gr_calloc (1, sizeof *state);
+  state->options = checked;
+  state->store_up = true;
+  state->retry_tokens = JOB_RETRY_TOKENS_START;
+  for (int i = 0; i < 3; i++)
+    state->random[i] = (unsigned short) (checked.seed >> (16 * i));
+  return state;
+}
+
+static void
+release_kept (JobState *state)
+{
+  for (size_t i = 0; i < state->kept.count; i++)
+    free ((char *) state->kept.items[i].data);
+  gr_list_reset (&state->kept);
+}
+
+void
+job_free (JobState *state)
+{
+  if (!state)
+    return;
+  while (state->jobs)
+    job_delete (state, state->jobs);
+  while (state->orphans)
+    job_drop_orphan (state, state->orphans);
+  JobPending *pending;
+  JobPending *next_pending;
+  HASH_ITER (hh, state->pending, pending, next_pending)
+  {
+    HASH_DEL (state->pending, pending);
+    free (pending);
+  }
+  release_kept (state);
+  gr_list_clear (&state->kept);
+  gr_list_clear (&state->timers);
+  free (state);
+}
+
+static void
+answer_timed_out (JobState *state, Job *job, int64_t now_ms, JobCmds *out)
+{
+  for (size_t i = 0; i < job->waiters.count;) {
+    if (job->waiters.items[i].until_ms <= now_ms) {
+      job_reply_status (state, job, job->waiters.items[i].call, out);
+      gr_list_swap_remove (&job->waiters, i);
+    } else {
+      i++;
+    }
+  }
+}
+
+/* At the deadline, work that no scheduler was asked to run ends as not run. */
+static void
+expire_unplaced (JobState *state, Job *job, int64_t now_ms, JobCmds *out)
+{
+  if (job->spec.deadline_ms > now_ms || !job_part_acting (state, job->part, now_ms))
+    return;
+  for (int32_t i = 0; i < job->spec.tasks && job->phase != JOB_ENDED; i++) {
+    JobTask *task = &job->tasks[i];
+    if (task->phase != JOB_TASK_IDLE && task->phase != JOB_TASK_RECORDING)
+      continue;
+    JobOutcome outcome = task->maybe_ran ? JOB_OUTCOME_FAILED : JOB_OUTCOME_NOT_RUN;
+    job_finish_task (state, job, i, outcome, GR_ERR_DEADLINE, GR_STR (""), now_ms, out);
+  }
+}
+
+static void
+job_timer_due (JobState *state, Job *job, int64_t now_ms, JobCmds *out)
+{
+  answer_timed_out (state, job, now_ms, out);
+  if (job->phase != JOB_ENDED) {
+    expire_unplaced (state, job, now_ms, out);
+    return;
+  }
+  if (job->end_pending && job->spec.deadline_ms <= now_ms
+      && job_part_acting (state, job->part, now_ms)) {
+    job->end_pending = false;
+    job_answer_all (state, job, out);
+  }
+  if (job->forget_ms <= now_ms && job->waiters.count == 0)
+    job_delete (state, job);
+}
+
+static void
+task_timer_due (JobState *state, Job *job, int32_t index, int64_t now_ms, JobCmds *out)
+{
+  JobTask *task = &job->tasks[index];
+  if (job->phase == JOB_ENDED || !state->parts[job->part].owned)
+    return;
+  if (!job_part_acting (state, job->part, now_ms)) {
+    job_timer_add (state, now_ms + JOB_SUSPENDED_RETRY_MS, &job->id, index);
+    return;
+  }
+  switch (task->phase) {
+  case JOB_TASK_IDLE:
+    job_advance_task (state, job, index, now_ms, out);
+    return;
+  case JOB_TASK_PLACING:
+    if (task->due_ms <= now_ms)
+      job_task_unresolved (state, job, index, now_ms, out);
+    return;
+  case JOB_TASK_QUEUED:
+    if (job->spec.deadline_ms != JOB_NEVER
+        && job->spec.deadline_ms + JOB_PLACE_TIMEOUT_MS <= now_ms)
+      job_task_unresolved (state, job, index, now_ms, out);
+    return;
+  case JOB_TASK_UNRESOLVED:
+    if (task->due_ms > now_ms)
+      return;
+    if (job->spec.deadline_ms != JOB_NEVER
+        && job->spec.deadline_ms + JOB_RESOLVE_GRACE_MS <= now_ms)
+      job_finish_task (state, job, index, JOB_OUTCOME_UNKNOWN, GR_ERR_UNKNOWN, GR_STR (""), now_ms,
+                       out);
+    else
+      job_task_unresolved (state, job, index, now_ms, out);
+    return;
+  case JOB_TASK_RECORDING:
+  case JOB_TASK_HELD:
+  case JOB_TASK_ON_TARGET:
+  case JOB_TASK_DONE:
+    return;
+  }
+}
+
+static void
+tick (JobState *state, int64_t now_ms, JobCmds *out)
+{
+  JobTimer timer;
+  while (job_timer_pop (state, now_ms, &timer)) {
+    if (timer.index == JOB_TIMER_ORPHAN) {
+      JobOrphan *orphan = NULL;
+      HASH_FIND (hh, state->orphans, &timer.id, sizeof timer.id, orphan);
+      if (orphan && orphan->drop_ms <= now_ms)
+        job_drop_orphan (state, orphan);
+      continue;
+    }
+    Job *job = job_find (state, &timer.id);
+    if (!job)
+      continue;
+    if (timer.index == JOB_TIMER_JOB)
+      job_timer_due (state, job, now_ms, out);
+    else if (timer.index < job->spec.tasks)
+      task_timer_due (state, job, timer.index, now_ms, out);
+  }
+}
+
+static JobPending *
+take_pending (JobState *state, int64_t token)
+{
+  JobPending *pending = NULL;
+  HASH_FIND (hh, state->pending, &token, sizeof token, pending);
+  if (pending)
+    HASH_DEL (state->pending, pending);
+  return pending;
+}
+
+static void
+committed (JobState *state, int64_t token, int64_t now_ms, JobCmds *out)
+{
+  JobPending *pending = take_pending (state, token);
+  if (!pending)
+    return;
+  Job *job = job_find (state, &pending->id);
+  if (!job)
+    goto done;
+  switch (pending->kind) {
+  case JOB_RECORD_ACCEPT:
+    job_accept_committed (state, job, now_ms, out);
+    break;
+  case JOB_RECORD_ATTEMPT:
+    job_attempt_recorded (state, job, pending->index, pending->attempt, now_ms, out);
+    break;
+  case JOB_RECORD_END:
+    if (job->end_pending) {
+      job->end_pending = false;
+      job_answer_all (state, job, out);
+    }
+    break;
+  case JOB_RECORD_TASK_END:
+  case JOB_RECORD_CANCEL:
+    break;
+  }
+
+done:
+  free (pending);
+}
+
+/* The record was certainly not written: what depends on it has not begun. */
+static void
+append_full (JobState *state, int64_t token, int64_t now_ms, JobCmds *out)
+{
+  JobPending *pending = take_pending (state, token);
+  if (!pending)
+    return;
+  Job *job = job_find (state, &pending->id);
+  if (!job || job->phase == JOB_ENDED)
+    goto done;
+  if (pending->kind == JOB_RECORD_ACCEPT) {
+    job->accept_sent = false;
+    if (job->must_record && !job->durable)
+      job_finish (state, job, JOB_OUTCOME_NOT_RUN, GR_ERR_OVERLOADED, GR_STR (""), now_ms, out);
+  } else if (pending->kind == JOB_RECORD_ATTEMPT) {
+    JobTask *task = &job->tasks[pending->index];
+    task->attempt_recorded = false;
+    if (task->phase == JOB_TASK_RECORDING)
+      job_retry_later (state, job, pending->index, false, now_ms);
+  }
+
+done:
+  free (pending);
+}
+
+static void
+cancel (JobState *state, const JobMsg *msg, int64_t now_ms, JobCmds *out)
+{
+  Job *job = job_find (state, &msg->ref.id);
+  int32_t part = job_part (&msg->ref.id, state->options.parts);
+  if (!job_part_acting (state, part, now_ms)) {
+    job_reply_refusal (msg->ref.call, &msg->ref.id, JOB_OUTCOME_NONE, GR_ERR_UNAVAILABLE, out);
+    return;
+  }
+  if (!job) {
+    job_reply_refusal (msg->ref.call, &msg->ref.id, JOB_OUTCOME_NONE, GR_ERR_NOT_FOUND, out);
+    return;
+  }
+  if (job->phase == JOB_ENDED && !job->end_pending) {
+    job_reply_status (state, job, msg->ref.call, out);
+    return;
+  }
+  job_add_waiter (state, job, msg->ref.call, JOB_NEVER, false);
+  if (job->cancelled || job->phase == JOB_ENDED)
+    return;
+  job->cancelled = true;
+  if (job->accept_sent) {
+    JobRecord record = { .kind = JOB_RECORD_CANCEL, .id = job->id };
+    job_append (state, &record, out);
+  }
+  job_cancel_now (state, job, now_ms, out);
+}
+
+static void
+wait_or_status (JobState *state, const JobMsg *msg, int64_t now_ms, JobCmds *out)
+{
+  Job *job = job_find (state, &msg->ref.id);
+  int32_t part = job_part (&msg->ref.id, state->options.parts);
+  bool ended = job && job->phase == JOB_ENDED && !job->end_pending;
+  if (!ended && !job_part_acting (state, part, now_ms)) {
+    job_reply_refusal (msg->ref.call, &msg->ref.id, JOB_OUTCOME_NONE, GR_ERR_UNAVAILABLE, out);
+    return;
+  }
+  if (!job) {
+    job_reply_refusal (msg->ref.call, &msg->ref.id, JOB_OUTCOME_NONE, GR_ERR_NOT_FOUND, out);
+    return;
+  }
+  if (ended || msg->ref.wait_until_ms <= now_ms)
+    job_reply_status (state, job, msg->ref.call, out);
+  else
+    job_add_waiter (state, job, msg->ref.call, msg->ref.wait_until_ms, false);
+}
+
+static void
+scheduler_lost (JobState *state, const GrName *vm, int64_t now_ms, JobCmds *out)
+{
+  for (Job *job = state->jobs; job; job = job->hh.next) {
+    if (!state->parts[job->part].owned)
+      continue;
+    for (int32_t i = 0; i < job->spec.tasks && job->phase != JOB_ENDED; i++) {
+      const JobTask *task = &job->tasks[i];
+      bool there = task->phase == JOB_TASK_QUEUED || task->phase == JOB_TASK_HELD
+                   || task->phase == JOB_TASK_ON_TARGET;
+      if (there && gr_name_equal (&task->scheduler, vm))
+        job_task_unresolved (state, job, i, now_ms, out);
+    }
+  }
+}
+
+void
+job_step (JobState *state, const JobMsg *msg, int64_t now_ms, JobCmds *out)
+{
+  release_kept (state);
+  switch (msg->kind) {
+  case JOB_MSG_TICK:
+    tick (state, now_ms, out);
+    return;
+  case JOB_MSG_PART_GAINED:
+    job_part_gained (state, msg->part.part);
+    return;
+  case JOB_MSG_PART_ACTIVE:
+    state->parts[msg->part.part].active_until_ms = msg->part.until_ms;
+    return;
+  case JOB_MSG_PART_LOST:
+    job_part_lost (state, msg->part.part, out);
+    return;
+  case JOB_MSG_RECORD:
+    job_take_record (state, msg->record.bytes, now_ms, out);
+    return;
+  case JOB_MSG_SUBMIT:
+    job_submit (state, msg, now_ms, out);
+    return;
+  case JOB_MSG_CANCEL:
+    cancel (state, msg, now_ms, out);
+    return;
+  case JOB_MSG_WAIT:
+    wait_or_status (state, msg, now_ms, out);
+    return;
+  case JOB_MSG_CALL_CLOSED:
+    job_drop_call (state, &msg->ref.id, msg->ref.call);
+    return;
+  case JOB_MSG_COMMITTED:
+    committed (state, msg->append.token, now_ms, out);
+    return;
+  case JOB_MSG_APPEND_FULL:
+    append_full (state, msg->append.token, now_ms, out);
+    return;
+  case JOB_MSG_SNAPSHOT:
+    job_snapshot (state, out);
+    return;
+  case JOB_MSG_STORE_STATE:
+    state->store_up = msg->store.up;
+    return;
+  case JOB_MSG_PLACE_RESULT:
+    job_take_place_result (state, msg, now_ms, out);
+    return;
+  case JOB_MSG_TASK_REPORT:
+    job_take_report (state, msg, now_ms, out);
+    return;
+  case JOB_MSG_SCHEDULER_LOST:
+    scheduler_lost (state, &msg->scheduler_lost.vm, now_ms, out);
+    return;
+  case JOB_MSG_TARGETS_KNOWN:
+    job_targets_known (state, msg->part.part, now_ms, out);
+    return;
+  }
+}
+
+size_t
+job_unfinished (const JobState *state)
+{
+  return state->unfinished;
+}
+
+const char *
+job_outcome_name (JobOutcome outcome)
+{
+  static const char *const names[] = {
+    [JOB_OUTCOME_NONE] = "none",       [JOB_OUTCOME_COMPLETED] = "completed",
+    [JOB_OUTCOME_FAILED] = "failed",   [JOB_OUTCOME_CANCELLED] = "cancelled",
+    [JOB_OUTCOME_NOT_RUN] = "not_run", [JOB_OUTCOME_UNKNOWN] = "unknown",
+  };
+  return names[outcome];
+}
+
+const char *
+job_phase_name (JobPhase phase)
+{
+  static const char *const names[] = {
+    [JOB_ACCEPTING] = "accepting", [JOB_QUEUED] = "queued", [JOB_PLACING] = "placing",
+    [JOB_RUNNING] = "running",     [JOB_ENDED] = "ended",
+  };
+  return names[phase];
+}
--- a/src/job/job.h
+++ b/src/job/job.h
@@ -38,6 +38,9 @@
   int64_t retry_budget_pct; /* retries per 100 first attempts; default 10, at least 10 retries */
   int64_t keep_ended_ms;    /* outcomes stay answerable for this long; default 600000 */
   int64_t jobs_max;         /* unfinished jobs held; default 200000 */
+  int64_t resolve_every_ms; /* interval of JOB_CMD_RESOLVE for one attempt; default 1000 */
+  int64_t unix_offset_ms;   /* Unix time minus local time, to read deadlines of records */
+  int32_t parts;            /* partitions of the region; default 16 */
   uint64_t seed;
   JobFaults faults;
 } JobOptions;
@@ -92,15 +95,17 @@
   JOB_MSG_RECORD,      /* one record of the stream jobs-REGION */
   JOB_MSG_SUBMIT,
   JOB_MSG_CANCEL,
-  JOB_MSG_WAIT,         /* reply when the job ended or wait_until_ms passed */
-  JOB_MSG_CALL_CLOSED,  /* the caller's connection closed */
-  JOB_MSG_COMMITTED,    /* the record of JOB_CMD_APPEND is in the log */
-  JOB_MSG_APPEND_FULL,  /* the record of JOB_CMD_APPEND was certainly not written */
-  JOB_MSG_STORE_STATE,  /* whether the log takes appends now */
-  JOB_MSG_PLACE_RESULT, /* a scheduler holds or refused an attempt, or cannot be reached */
-  JOB_MSG_TASK_REPORT,  /* an attempt runs or ended on a target */
-  JOB_MSG_TARGETS_KNOWN /* after a takeover: all groups of the region reported, or their leases
-                           lapsed */
+  JOB_MSG_WAIT,        /* reply when the job ended or wait_until_ms passed */
+  JOB_MSG_CALL_CLOSED, /* the caller's connection closed */
+  JOB_MSG_COMMITTED,   /* the record of JOB_CMD_APPEND is in the log */
+  JOB_MSG_APPEND_FULL, /* the record of JOB_CMD_APPEND was certainly not written */
+  JOB_MSG_SNAPSHOT,    /* append the unfinished jobs of owned partitions anew, ahead of retention */
+  JOB_MSG_STORE_STATE, /* whether the log takes appends now */
+  JOB_MSG_PLACE_RESULT,   /* a scheduler holds or refused an attempt, or cannot be reached */
+  JOB_MSG_TASK_REPORT,    /* an attempt runs or ended on a target */
+  JOB_MSG_SCHEDULER_LOST, /* a VM is gone or lost its groups: the fate of its attempts is not known
+                           */
+  JOB_MSG_TARGETS_KNOWN /* after a takeover: every scheduler of the region answered for the part */
 } JobMsgKind;
 
 typedef enum {
@@ -178,11 +183,15 @@
 
 #define JOB_AVOID_MAX 3
 
+/* Largest number of tasks of one job. */
+#define JOB_TASKS_MAX 10000
+
 typedef struct {
   JobCmdKind kind;
   int64_t token;       /* APPEND */
   GrStr bytes;         /* APPEND: record; REPLY: answer. Valid until the next step */
   const JobSpec *spec; /* PLACE: valid until the next step */
+  int32_t index;       /* PLACE, CANCEL_TASK, RESOLVE: index of the task within the job */
   GrName id;           /* task id, or job id for REPLY, COMMIT_GANG, RELEASE_GANG */
   int32_t attempt;
   GrName scheduler; /* CANCEL_TASK, COMMIT_GANG, RELEASE_GANG: where; empty: all */
--- /dev/null
+++ b/src/job/job_accept.c
@@ -0,0 +1,125 @@
+/* Acceptance of jobs and requests. */
+#include "job/job_private.h"
+
+void
+job_record_accept (const Job *job, JobRecord *record)
+{
+  memset (record, 0, sizeof *record);
+  record->kind = JOB_RECORD_ACCEPT;
+  record->id = job->id;
+  record->must_record = job->must_record;
+  record->spec = job->spec;
+}
+
+void
+job_send_accept (JobState *state, Job *job, JobCmds *out)
+{
+  if (job->accept_sent)
+    return;
+  job->accept_sent = true;
+  JobRecord record;
+  job_record_accept (job, &record);
+  job_append (state, &record, out);
+}
+
+static bool
+same_work (const JobSpec *a, const JobSpec *b)
+{
+  return gr_name_equal (&a->team, &b->team) && gr_name_equal (&a->kind, &b->kind)
+         && a->policy == b->policy && a->tasks == b->tasks && a->idempotent == b->idempotent
+         && gr_str_equal (a->payload, b->payload);
+}
+
+static void
+submit_again (JobState *state, Job *job, const JobMsg *msg, JobCmds *out)
+{
+  int64_t call = msg->submit.call;
+  /* A job known only by its end record has no specification to compare with. */
+  if (job->spec.team.len > 0 && !same_work (&job->spec, msg->submit.spec)) {
+    job_reply_refusal (call, &job->id, JOB_OUTCOME_NONE, GR_ERR_CONFLICT, out);
+    return;
+  }
+  bool ended = job->phase == JOB_ENDED && !job->end_pending;
+  bool accepted = job->durable && !msg->submit.wait;
+  if (ended || accepted)
+    job_reply_status (state, job, call, out);
+  else
+    job_add_waiter (state, job, call, JOB_NEVER, !msg->submit.wait);
+}
+
+/* Reason to refuse a new id, or GR_ERR_NONE. */
+static GrErrCode
+refusal (const JobState *state, const JobSpec *spec, bool must_record, int64_t now_ms)
+{
+  if (spec->deadline_ms <= now_ms)
+    return GR_ERR_DEADLINE;
+  if ((int64_t) state->unfinished >= state->options.jobs_max)
+    return GR_ERR_OVERLOADED;
+  if (must_record && !state->store_up)
+    return GR_ERR_UNAVAILABLE;
+  return GR_ERR_NONE;
+}
+
+static bool
+has_orphan (JobState *state, const JobSpec *spec)
+{
+  GrName task_id = gr_name_format ("%.*s/0", GR_NAME_ARG (spec->id));
+  JobOrphan *orphan = NULL;
+  HASH_FIND (hh, state->orphans, &task_id, sizeof task_id, orphan);
+  return orphan != NULL;
+}
+
+static void
+refuse_new (JobState *state, const JobMsg *msg, int32_t part, GrErrCode why, JobCmds *out)
+{
+  const JobSpec *spec = msg->submit.spec;
+  /* Before the takeover is complete, an earlier attempt of the same id may run somewhere. */
+  bool proven = state->parts[part].targets_known && !has_orphan (state, spec);
+  job_reply_refusal (msg->submit.call, &spec->id, proven ? JOB_OUTCOME_NOT_RUN : JOB_OUTCOME_NONE,
+                     proven ? why : GR_ERR_UNAVAILABLE, out);
+}
+
+void
+job_submit (JobState *state, const JobMsg *msg, int64_t now_ms, JobCmds *out)
+{
+  const JobSpec *spec = msg->submit.spec;
+  int32_t part = job_part (&spec->id, state->options.parts);
+  if (!job_part_acting (state, part, now_ms)) {
+    job_reply_refusal (msg->submit.call, &spec->id, JOB_OUTCOME_NONE, GR_ERR_UNAVAILABLE, out);
+    return;
+  }
+  Job *job = job_find (state, &spec->id);
+  if (job) {
+    submit_again (state, job, msg, out);
+    return;
+  }
+  bool must_record = !msg->submit.wait || !spec->idempotent;
+  GrErrCode why = refusal (state, spec, must_record, now_ms);
+  if (why != GR_ERR_NONE) {
+    refuse_new (state, msg, part, why, out);
+    return;
+  }
+  job = job_create (state, spec, must_record);
+  job_add_waiter (state, job, msg->submit.call, JOB_NEVER, !msg->submit.wait);
+  if (spec->deadline_ms != JOB_NEVER)
+    job_timer_add (state, spec->deadline_ms, &job->id, JOB_TIMER_JOB);
+  job_adopt_orphans (state, job, now_ms, out);
+  if (job->phase == JOB_ENDED)
+    return;
+  if (must_record)
+    job_send_accept (state, job, out);
+  job_advance_all (state, job, now_ms, out);
+}
+
+void
+job_accept_committed (JobState *state, Job *job, int64_t now_ms, JobCmds *out)
+{
+  if (job->durable)
+    return;
+  job->durable = true;
+  if (job->phase == JOB_ACCEPTING)
+    job->phase = JOB_QUEUED;
+  job_answer_accepted (state, job, out);
+  if (job->phase != JOB_ENDED)
+    job_advance_all (state, job, now_ms, out);
+}
--- /dev/null
+++ b/src/job/job_attempt.c
@@ -0,0 +1,338 @@
+/* Attempts: recording, placing, holding, cancelling and finding out their fate. */
+#include "job/job_private.h"
+
+static bool
+is_gang (const Job *job)
+{
+  return job->spec.policy == JOB_POLICY_GANG;
+}
+
+void
+job_emit_task_cmd (Job *job, int32_t index, JobCmdKind kind, JobCmds *out)
+{
+  const JobTask *task = &job->tasks[index];
+  JobCmd cmd = { .kind = kind, .index = index, .id = job_task_id (job, index) };
+  cmd.attempt = task->attempt;
+  cmd.scheduler = task->scheduler;
+  cmd.spec = &job->spec;
+  cmd.avoid_count = task->avoid_count;
+  memcpy (cmd.avoid, task->avoid, sizeof cmd.avoid);
+  gr_list_push (out, cmd);
+}
+
+static void
+emit_place (JobState *state, Job *job, int32_t index, int64_t now_ms, JobCmds *out)
+{
+  JobTask *task = &job->tasks[index];
+  task->phase = JOB_TASK_PLACING;
+  task->scheduler = gr_name ("");
+  task->due_ms = now_ms + JOB_PLACE_TIMEOUT_MS;
+  job_timer_add (state, task->due_ms, &job->id, index);
+  if (job->phase == JOB_QUEUED || job->phase == JOB_ACCEPTING)
+    job->phase = JOB_PLACING;
+  job_emit_task_cmd (job, index, JOB_CMD_PLACE, out);
+}
+
+/* Opens the next attempt number, or keeps the one that every scheduler so far refused. */
+static void
+open_attempt (JobState *state, JobTask *task)
+{
+  if (task->attempt_open)
+    return;
+  task->attempt++;
+  task->attempt_open = true;
+  task->attempt_recorded = false;
+  if (task->attempt == 1) {
+    state->retry_tokens += (double) state->options.retry_budget_pct / 100.0;
+    if (state->retry_tokens > JOB_RETRY_TOKENS_MAX)
+      state->retry_tokens = JOB_RETRY_TOKENS_MAX;
+  }
+}
+
+/* A non-idempotent attempt must be in the log before it is sent, so that a new owner knows of it.
+   Later attempts of other work are recorded without waiting, to keep their number bounded. */
+static bool
+record_attempt (JobState *state, Job *job, int32_t index, JobCmds *out)
+{
+  JobTask *task = &job->tasks[index];
+  if (task->attempt_recorded || (job->spec.idempotent && task->attempt == 1))
+    return false;
+  JobRecord record = { .kind = JOB_RECORD_ATTEMPT, .id = job->id, .index = index };
+  record.attempt = task->attempt;
+  task->attempt_recorded = true;
+  job_append (state, &record, out);
+  return !job->spec.idempotent && !state->options.faults.start_before_commit;
+}
+
+static bool
+may_place (const JobState *state, const Job *job, int64_t now_ms)
+{
+  if (job->phase == JOB_ENDED || job->gang_restart)
+    return false;
+  if (job->must_record && !job->durable && !state->options.faults.start_before_commit)
+    return false;
+  return job_part_acting (state, job->part, now_ms) && state->parts[job->part].targets_known;
+}
+
+void
+job_advance_task (JobState *state, Job *job, int32_t index, int64_t now_ms, JobCmds *out)
+{
+  JobTask *task = &job->tasks[index];
+  if (task->phase != JOB_TASK_IDLE || task->due_ms > now_ms)
+    return;
+  if (!may_place (state, job, now_ms))
+    return;
+  if (job->cancelled && !state->options.faults.forget_cancel) {
+    job_finish_task (state, job, index, JOB_OUTCOME_CANCELLED, GR_ERR_CANCELLED, GR_STR (""),
+                     now_ms, out);
+    return;
+  }
+  if (job->spec.deadline_ms <= now_ms) {
+    JobOutcome outcome = task->maybe_ran ? JOB_OUTCOME_FAILED : JOB_OUTCOME_NOT_RUN;
+    job_finish_task (state, job, index, outcome, GR_ERR_DEADLINE, GR_STR (""), now_ms, out);
+    return;
+  }
+  open_attempt (state, task);
+  if (record_attempt (state, job, index, out)) {
+    task->phase = JOB_TASK_RECORDING;
+    return;
+  }
+  emit_place (state, job, index, now_ms, out);
+}
+
+void
+job_advance_all (JobState *state, Job *job, int64_t now_ms, JobCmds *out)
+{
+  for (int32_t i = 0; i < job->spec.tasks && job->phase != JOB_ENDED; i++)
+    job_advance_task (state, job, i, now_ms, out);
+}
+
+void
+job_attempt_recorded (JobState *state, Job *job, int32_t index, int32_t attempt, int64_t now_ms,
+                      JobCmds *out)
+{
+  JobTask *task = &job->tasks[index];
+  if (task->phase != JOB_TASK_RECORDING || task->attempt != attempt)
+    return;
+  /* The lease, a cancellation or the deadline may have changed while the record was written. */
+  task->phase = JOB_TASK_IDLE;
+  task->due_ms = now_ms;
+  job_timer_add (state, now_ms, &job->id, index);
+  job_advance_task (state, job, index, now_ms, out);
+}
+
+void
+job_task_unresolved (JobState *state, Job *job, int32_t index, int64_t now_ms, JobCmds *out)
+{
+  JobTask *task = &job->tasks[index];
+  task->phase = JOB_TASK_UNRESOLVED;
+  task->maybe_ran = true;
+  task->due_ms = now_ms + state->options.resolve_every_ms;
+  job_timer_add (state, task->due_ms, &job->id, index);
+  if (state->options.faults.retry_without_lapse) {
+    job_retry_later (state, job, index, false, now_ms);
+    return;
+  }
+  job_emit_task_cmd (job, index, JOB_CMD_RESOLVE, out);
+}
+
+static bool
+each_part_holds (const Job *job)
+{
+  for (int32_t i = 0; i < job->spec.tasks; i++) {
+    if (job->tasks[i].phase != JOB_TASK_HELD && job->tasks[i].phase != JOB_TASK_DONE)
+      return false;
+  }
+  return true;
+}
+
+/* One command for each scheduler that holds parts of the gang. */
+static void
+emit_gang_cmd (Job *job, JobCmdKind kind, JobCmds *out)
+{
+  for (int32_t i = 0; i < job->spec.tasks; i++) {
+    const GrName *scheduler = &job->tasks[i].scheduler;
+    bool first = scheduler->len > 0;
+    for (int32_t k = 0; first && k < i; k++)
+      first = !gr_name_equal (scheduler, &job->tasks[k].scheduler);
+    if (!first)
+      continue;
+    JobCmd cmd = { .kind = kind, .id = job->id, .scheduler = *scheduler };
+    cmd.attempt = job->tasks[i].attempt;
+    gr_list_push (out, cmd);
+  }
+}
+
+static void
+commit_gang (Job *job, JobCmds *out)
+{
+  emit_gang_cmd (job, JOB_CMD_COMMIT_GANG, out);
+  for (int32_t i = 0; i < job->spec.tasks; i++) {
+    if (job->tasks[i].phase != JOB_TASK_HELD)
+      continue;
+    job->tasks[i].phase = JOB_TASK_QUEUED;
+    job->tasks[i].maybe_ran = true;
+  }
+  job->phase = JOB_RUNNING;
+}
+
+/* A part was refused: drop all holds; the parts that wait or hold answer REFUSED themselves. */
+void
+job_restart_gang (JobState *state, Job *job, JobCmds *out)
+{
+  (void) state;
+  if (job->gang_restart)
+    return;
+  job->gang_restart = true;
+  emit_gang_cmd (job, JOB_CMD_RELEASE_GANG, out);
+}
+
+/* Once no part waits, holds or runs, the parts that are left are tried again together. */
+void
+job_gang_settle (JobState *state, Job *job, int64_t now_ms)
+{
+  if (!job->gang_restart || job->phase == JOB_ENDED)
+    return;
+  int64_t due_ms = now_ms;
+  for (int32_t i = 0; i < job->spec.tasks; i++) {
+    const JobTask *task = &job->tasks[i];
+    if (task->phase == JOB_TASK_DONE)
+      continue;
+    if (task->phase != JOB_TASK_IDLE)
+      return;
+    if (task->due_ms > due_ms)
+      due_ms = task->due_ms;
+  }
+  job->gang_restart = false;
+  job->phase = JOB_QUEUED;
+  for (int32_t i = 0; i < job->spec.tasks; i++) {
+    if (job->tasks[i].phase != JOB_TASK_IDLE)
+      continue;
+    job->tasks[i].due_ms = due_ms;
+    job_timer_add (state, due_ms, &job->id, i);
+  }
+}
+
+static void
+avoid_scheduler (JobTask *task, const GrName *scheduler)
+{
+  if (scheduler->len == 0 || task->avoid_count >= JOB_AVOID_MAX)
+    return;
+  task->avoid[task->avoid_count++] = *scheduler;
+}
+
+/* The attempt number stays open, because the refusal proves that it did not start. */
+static void
+next_candidate (JobState *state, Job *job, int32_t index, const JobMsg *msg, int64_t now_ms,
+                JobCmds *out)
+{
+  JobTask *task = &job->tasks[index];
+  bool never_fits = msg->place.why == GR_ERR_UNPLACEABLE;
+  bool first = task->avoid_count == 0;
+  task->all_unplaceable = never_fits && (first || task->all_unplaceable);
+  avoid_scheduler (task, &msg->place.scheduler);
+  bool round_over = msg->place.scheduler.len == 0 || task->avoid_count == JOB_AVOID_MAX;
+  task->phase = JOB_TASK_IDLE;
+  if (!round_over) {
+    task->due_ms = now_ms;
+    job_timer_add (state, now_ms, &job->id, index);
+    job_advance_task (state, job, index, now_ms, out);
+    return;
+  }
+  task->avoid_count = 0;
+  bool never_ran = !task->maybe_ran && job->spec.policy == JOB_POLICY_REQUEST;
+  if (task->all_unplaceable && !task->maybe_ran) {
+    job_finish_task (state, job, index, JOB_OUTCOME_NOT_RUN, GR_ERR_UNPLACEABLE, GR_STR (""),
+                     now_ms, out);
+  } else if (msg->place.why == GR_ERR_DEADLINE && never_ran) {
+    job_finish_task (state, job, index, JOB_OUTCOME_NOT_RUN, GR_ERR_DEADLINE, GR_STR (""), now_ms,
+                     out);
+  } else {
+    job_retry_later (state, job, index, false, now_ms);
+  }
+}
+
+static void
+place_refused (JobState *state, Job *job, int32_t index, const JobMsg *msg, int64_t now_ms,
+               JobCmds *out)
+{
+  JobTask *task = &job->tasks[index];
+  if (job->cancelled) {
+    job_finish_task (state, job, index, JOB_OUTCOME_CANCELLED, GR_ERR_CANCELLED, GR_STR (""),
+                     now_ms, out);
+    return;
+  }
+  if (!is_gang (job)) {
+    next_candidate (state, job, index, msg, now_ms, out);
+    return;
+  }
+  bool committed = task->phase == JOB_TASK_QUEUED && job->phase == JOB_RUNNING;
+  job_restart_gang (state, job, out);
+  if (committed)
+    job_apply_report (state, job, index, task->attempt, JOB_TASK_STOPPED, &msg->place.scheduler,
+                      GR_STR (""), now_ms, out);
+  else
+    next_candidate (state, job, index, msg, now_ms, out);
+  job_gang_settle (state, job, now_ms);
+}
+
+void
+job_take_place_result (JobState *state, const JobMsg *msg, int64_t now_ms, JobCmds *out)
+{
+  int32_t index;
+  Job *job = job_find_task (state, &msg->place.id, &index);
+  if (!job || job->phase == JOB_ENDED)
+    return;
+  JobTask *task = &job->tasks[index];
+  bool waits = task->phase == JOB_TASK_PLACING || task->phase == JOB_TASK_QUEUED
+               || task->phase == JOB_TASK_HELD || task->phase == JOB_TASK_UNRESOLVED;
+  if (msg->place.attempt != task->attempt || !waits)
+    return;
+  switch (msg->place.result) {
+  case JOB_PLACE_QUEUED:
+    task->phase = JOB_TASK_QUEUED;
+    task->scheduler = msg->place.scheduler;
+    job_send_accept (state, job, out);
+    if (job->spec.deadline_ms != JOB_NEVER)
+      job_timer_add (state, job->spec.deadline_ms + JOB_PLACE_TIMEOUT_MS, &job->id, index);
+    break;
+  case JOB_PLACE_HELD:
+    task->phase = JOB_TASK_HELD;
+    task->scheduler = msg->place.scheduler;
+    if (is_gang (job) && each_part_holds (job))
+      commit_gang (job, out);
+    break;
+  case JOB_PLACE_REFUSED:
+    place_refused (state, job, index, msg, now_ms, out);
+    return;
+  case JOB_PLACE_UNKNOWN:
+    job_task_unresolved (state, job, index, now_ms, out);
+    return;
+  }
+  if (job->cancelled)
+    job_emit_task_cmd (job, index, JOB_CMD_CANCEL_TASK, out);
+}
+
+/* Ends what has not begun and asks schedulers to stop the rest. Cancelling one task is O(1). */
+void
+job_cancel_now (JobState *state, Job *job, int64_t now_ms, JobCmds *out)
+{
+  for (int32_t i = 0; i < job->spec.tasks && job->phase != JOB_ENDED; i++) {
+    switch (job->tasks[i].phase) {
+    case JOB_TASK_IDLE:
+    case JOB_TASK_RECORDING:
+      job_finish_task (state, job, i, JOB_OUTCOME_CANCELLED, GR_ERR_CANCELLED, GR_STR (""), now_ms,
+                       out);
+      break;
+    case JOB_TASK_PLACING:
+    case JOB_TASK_QUEUED:
+    case JOB_TASK_HELD:
+    case JOB_TASK_ON_TARGET:
+    case JOB_TASK_UNRESOLVED:
+      job_emit_task_cmd (job, i, JOB_CMD_CANCEL_TASK, out);
+      break;
+    case JOB_TASK_DONE:
+      break;
+    }
+  }
+}
--- /dev/null
+++ b/src/job/job_codec.c
@@ -0,0 +1,231 @@
+/* msgpack codec of the records of jobs-REGION. */
+#include <msgpack.h>
+
+#include "job/job_private.h"
+
+/* Numbers of fields of each record, kind and id included. */
+enum {
+  ACCEPT_FIELDS = 17,
+  ATTEMPT_FIELDS = 4,
+  TASK_END_FIELDS = 6,
+  END_FIELDS = 5,
+  CANCEL_FIELDS = 2
+};
+
+static int
+buf_write (void *user, const char *data, size_t len)
+{
+  gr_buf_append (user, data, len);
+  return 0;
+}
+
+static void
+pack_str (msgpack_packer *packer, GrStr s)
+{
+  msgpack_pack_bin (packer, s.len);
+  msgpack_pack_bin_body (packer, s.data, s.len);
+}
+
+static void
+pack_bool (msgpack_packer *packer, bool value)
+{
+  if (value)
+    msgpack_pack_true (packer);
+  else
+    msgpack_pack_false (packer);
+}
+
+static void
+pack_accept (msgpack_packer *packer, const JobRecord *record)
+{
+  const JobSpec *spec = &record->spec;
+  pack_bool (packer, record->must_record);
+  pack_str (packer, gr_name_str (&spec->team));
+  pack_str (packer, gr_name_str (&spec->kind));
+  msgpack_pack_int (packer, spec->policy);
+  pack_bool (packer, spec->idempotent);
+  pack_bool (packer, spec->exclusive);
+  pack_bool (packer, spec->urgent);
+  msgpack_pack_int32 (packer, spec->tasks);
+  msgpack_pack_int32 (packer, spec->priority);
+  for (int d = 0; d < GR_RES_COUNT; d++)
+    msgpack_pack_int32 (packer, spec->demand.v[d]);
+  msgpack_pack_int64 (packer, spec->run_ms);
+  msgpack_pack_int64 (packer, spec->deadline_unix_ms);
+  pack_str (packer, spec->payload);
+}
+
+void
+job_record_encode (const JobRecord *record, GrBuf *out)
+{
+  static const size_t field_counts[] = {
+    [JOB_RECORD_ACCEPT] = ACCEPT_FIELDS + 1, [JOB_RECORD_ATTEMPT] = ATTEMPT_FIELDS,
+    [JOB_RECORD_TASK_END] = TASK_END_FIELDS, [JOB_RECORD_END] = END_FIELDS,
+    [JOB_RECORD_CANCEL] = CANCEL_FIELDS,
+  };
+  msgpack_packer packer;
+  msgpack_packer_init (&packer, out, buf_write);
+  msgpack_pack_array (&packer, field_counts[record->kind]);
+  msgpack_pack_int (&packer, record->kind);
+  pack_str (&packer, gr_name_str (&record->id));
+  switch (record->kind) {
+  case JOB_RECORD_ACCEPT:
+    pack_accept (&packer, record);
+    break;
+  case JOB_RECORD_ATTEMPT:
+    msgpack_pack_int32 (&packer, record->index);
+    msgpack_pack_int32 (&packer, record->attempt);
+    break;
+  case JOB_RECORD_TASK_END:
+    msgpack_pack_int32 (&packer, record->index);
+    msgpack_pack_int (&packer, record->outcome);
+    msgpack_pack_int (&packer, record->why);
+    pack_str (&packer, record->answer);
+    break;
+  case JOB_RECORD_END:
+    msgpack_pack_int (&packer, record->outcome);
+    msgpack_pack_int (&packer, record->why);
+    pack_str (&packer, record->answer);
+    break;
+  case JOB_RECORD_CANCEL:
+    break;
+  }
+}
+
+/* Reads fields one after the other; ok turns false at the first mismatch. */
+typedef struct {
+  const msgpack_object *fields;
+  size_t count;
+  size_t next;
+  bool ok;
+} FieldReader;
+
+static const msgpack_object *
+next_field (FieldReader *reader, msgpack_object_type type)
+{
+  static const msgpack_object nil = { .type = MSGPACK_OBJECT_NIL };
+  if (!reader->ok || reader->next >= reader->count || reader->fields[reader->next].type != type) {
+    reader->ok = false;
+    return &nil;
+  }
+  return &reader->fields[reader->next++];
+}
+
+static int64_t
+read_int (FieldReader *reader, int64_t min, int64_t max)
+{
+  if (reader->ok && reader->next < reader->count
+      && reader->fields[reader->next].type == MSGPACK_OBJECT_NEGATIVE_INTEGER) {
+    int64_t value = reader->fields[reader->next++].via.i64;
+    reader->ok = value >= min && value <= max;
+    return reader->ok ? value : min;
+  }
+  const msgpack_object *object = next_field (reader, MSGPACK_OBJECT_POSITIVE_INTEGER);
+  if (!reader->ok || object->via.u64 > (uint64_t) INT64_MAX || (int64_t) object->via.u64 < min
+      || (int64_t) object->via.u64 > max) {
+    reader->ok = false;
+    return min;
+  }
+  return (int64_t) object->via.u64;
+}
+
+static bool
+read_bool (FieldReader *reader)
+{
+  const msgpack_object *object = next_field (reader, MSGPACK_OBJECT_BOOLEAN);
+  return reader->ok && object->via.boolean;
+}
+
+static GrStr
+read_str (FieldReader *reader)
+{
+  const msgpack_object *object = next_field (reader, MSGPACK_OBJECT_BIN);
+  if (!reader->ok)
+    return GR_STR ("");
+  return (GrStr){ object->via.bin.ptr, object->via.bin.size };
+}
+
+static GrName
+read_name (FieldReader *reader)
+{
+  GrName name;
+  if (!gr_name_set (&name, read_str (reader)))
+    reader->ok = false;
+  return name;
+}
+
+static void
+read_accept (FieldReader *reader, JobRecord *record)
+{
+  JobSpec *spec = &record->spec;
+  record->must_record = read_bool (reader);
+  spec->id = record->id;
+  spec->team = read_name (reader);
+  spec->kind = read_name (reader);
+  spec->policy = (JobPolicy) read_int (reader, JOB_POLICY_REQUEST, JOB_POLICY_GANG);
+  spec->idempotent = read_bool (reader);
+  spec->exclusive = read_bool (reader);
+  spec->urgent = read_bool (reader);
+  spec->tasks = (int32_t) read_int (reader, 1, JOB_TASKS_MAX);
+  spec->priority = (int32_t) read_int (reader, 0, INT32_MAX);
+  for (int d = 0; d < GR_RES_COUNT; d++)
+    spec->demand.v[d] = (int32_t) read_int (reader, 0, INT32_MAX);
+  spec->run_ms = read_int (reader, 0, INT64_MAX);
+  spec->deadline_unix_ms = read_int (reader, 0, INT64_MAX);
+  spec->payload = read_str (reader);
+}
+
+static void
+read_fields (FieldReader *reader, JobRecord *record)
+{
+  record->kind = (JobRecordKind) read_int (reader, JOB_RECORD_ACCEPT, JOB_RECORD_CANCEL);
+  record->id = read_name (reader);
+  if (!reader->ok)
+    return;
+  switch (record->kind) {
+  case JOB_RECORD_ACCEPT:
+    read_accept (reader, record);
+    break;
+  case JOB_RECORD_ATTEMPT:
+    record->index = (int32_t) read_int (reader, 0, JOB_TASKS_MAX - 1);
+    record->attempt = (int32_t) read_int (reader, 1, INT32_MAX);
+    break;
+  case JOB_RECORD_TASK_END:
+    record->index = (int32_t) read_int (reader, 0, JOB_TASKS_MAX - 1);
+    record->outcome = (JobOutcome) read_int (reader, JOB_OUTCOME_COMPLETED, JOB_OUTCOME_UNKNOWN);
+    record->why = (GrErrCode) read_int (reader, 0, GR_ERR_COUNT - 1);
+    record->answer = read_str (reader);
+    break;
+  case JOB_RECORD_END:
+    record->outcome = (JobOutcome) read_int (reader, JOB_OUTCOME_COMPLETED, JOB_OUTCOME_UNKNOWN);
+    record->why = (GrErrCode) read_int (reader, 0, GR_ERR_COUNT - 1);
+    record->answer = read_str (reader);
+    break;
+  case JOB_RECORD_CANCEL:
+    break;
+  }
+}
+
+/* Strings of the record point into bytes. */
+bool
+job_record_decode (GrStr bytes, JobRecord *record, GrErr *err)
+{
+  memset (record, 0, sizeof *record);
+  msgpack_unpacked unpacked;
+  msgpack_unpacked_init (&unpacked);
+  size_t offset = 0;
+  msgpack_unpack_return result = msgpack_unpack_next (&unpacked, bytes.data, bytes.len, &offset);
+  bool ok = (result == MSGPACK_UNPACK_SUCCESS || result == MSGPACK_UNPACK_EXTRA_BYTES)
+            && offset == bytes.len && unpacked.data.type == MSGPACK_OBJECT_ARRAY;
+  if (ok) {
+    FieldReader reader = { unpacked.data.via.array.ptr, unpacked.data.via.array.size, 0, true };
+    read_fields (&reader, record);
+    ok = reader.ok && reader.next == reader.count && record->id.len > 0;
+  }
+  /* Binary fields point into bytes, not into the unpacked zone. */
+  msgpack_unpacked_destroy (&unpacked);
+  if (!ok)
+    return gr_err_set (err, GR_ERR_PROTOCOL, "record", "malformed job record of %zu bytes",
+                       bytes.len);
+  return true;
+}
--- /dev/null
+++ b/src/job/job_end.c
@@ -0,0 +1,302 @@
+/* Reports of attempts, retries, and the end of tasks and jobs. */
+#include "job/job_private.h"
+
+#include <stdlib.h>
+
+/* Highest exponent of the backoff; the delay is capped by the options as well. */
+#define BACKOFF_SHIFT_MAX 10
+
+void
+job_retry_later (JobState *state, Job *job, int32_t index, bool count_retry, int64_t now_ms)
+{
+  JobTask *task = &job->tasks[index];
+  const JobOptions *options = &state->options;
+  int shift = task->failures < BACKOFF_SHIFT_MAX ? task->failures : BACKOFF_SHIFT_MAX;
+  int64_t delay = options->backoff_min_ms << shift;
+  if (count_retry && state->retry_tokens < 1.0)
+    delay = options->backoff_max_ms;
+  else if (count_retry)
+    state->retry_tokens -= 1.0;
+  if (delay > options->backoff_max_ms)
+    delay = options->backoff_max_ms;
+  delay = delay / 2 + (int64_t) (erand48 (state->random) * (double) (delay / 2));
+  task->phase = JOB_TASK_IDLE;
+  task->due_ms = now_ms + delay;
+  if (task->due_ms > job->spec.deadline_ms)
+    task->due_ms = job->spec.deadline_ms;
+  job_timer_add (state, task->due_ms, &job->id, index);
+}
+
+/* A refusal must not be told before its end is in the log: a new owner would run the job. After the
+   deadline no owner runs it any more. */
+static bool
+reply_needs_commit (const Job *job, int64_t now_ms)
+{
+  if (!job->accept_sent || job->spec.deadline_ms <= now_ms)
+    return false;
+  return job->outcome == JOB_OUTCOME_CANCELLED || job->outcome == JOB_OUTCOME_NOT_RUN;
+}
+
+void
+job_finish (JobState *state, Job *job, JobOutcome outcome, GrErrCode why, GrStr answer,
+            int64_t now_ms, JobCmds *out)
+{
+  job->phase = JOB_ENDED;
+  job->outcome = outcome;
+  job->why = why;
+  gr_buf_append_str (&job->answer, answer);
+  state->unfinished--;
+  if (job->accept_sent) {
+    JobRecord record = { .kind = JOB_RECORD_END, .id = job->id, .outcome = outcome, .why = why };
+    record.answer = answer;
+    job_append (state, &record, out);
+  }
+  job->forget_ms = now_ms + state->options.keep_ended_ms;
+  job_timer_add (state, job->forget_ms, &job->id, JOB_TIMER_JOB);
+  job->end_pending = reply_needs_commit (job, now_ms);
+  if (!job->end_pending) {
+    job_answer_all (state, job, out);
+    return;
+  }
+  if (job->spec.deadline_ms != JOB_NEVER)
+    job_timer_add (state, job->spec.deadline_ms, &job->id, JOB_TIMER_JOB);
+}
+
+static JobOutcome
+combined_outcome (const Job *job, GrErrCode *why)
+{
+  /* From the least to the most severe; the most severe outcome of a task decides. */
+  static const int severity[] = {
+    [JOB_OUTCOME_NONE] = 0,   [JOB_OUTCOME_COMPLETED] = 0, [JOB_OUTCOME_NOT_RUN] = 1,
+    [JOB_OUTCOME_FAILED] = 2, [JOB_OUTCOME_UNKNOWN] = 3,   [JOB_OUTCOME_CANCELLED] = 4,
+  };
+  JobOutcome worst = JOB_OUTCOME_COMPLETED;
+  bool all_not_run = true;
+  *why = GR_ERR_NONE;
+  for (int32_t i = 0; i < job->spec.tasks; i++) {
+    const JobTask *task = &job->tasks[i];
+    all_not_run = all_not_run && task->outcome == JOB_OUTCOME_NOT_RUN;
+    if (severity[task->outcome] > severity[worst]) {
+      worst = task->outcome;
+      *why = task->why;
+    }
+  }
+  /* "Not run" for a part of a job whose other tasks ran would not be true of the job. */
+  return worst == JOB_OUTCOME_NOT_RUN && !all_not_run ? JOB_OUTCOME_FAILED : worst;
+}
+
+/* The other parts of a gang cannot go on without this one. */
+static void
+abandon_gang (JobState *state, Job *job, int64_t now_ms, JobCmds *out)
+{
+  if (job->abandoned)
+    return;
+  job->abandoned = true;
+  job_restart_gang (state, job, out);
+  for (int32_t i = 0; i < job->spec.tasks && job->phase != JOB_ENDED; i++) {
+    JobTask *task = &job->tasks[i];
+    if (task->phase == JOB_TASK_IDLE || task->phase == JOB_TASK_RECORDING)
+      job_finish_task (state, job, i, task->maybe_ran ? JOB_OUTCOME_FAILED : JOB_OUTCOME_NOT_RUN,
+                       GR_ERR_FAILED, GR_STR (""), now_ms, out);
+    else if (task->phase != JOB_TASK_DONE)
+      job_emit_task_cmd (job, i, JOB_CMD_CANCEL_TASK, out);
+  }
+}
+
+void
+job_finish_task (JobState *state, Job *job, int32_t index, JobOutcome outcome, GrErrCode why,
+                 GrStr answer, int64_t now_ms, JobCmds *out)
+{
+  JobTask *task = &job->tasks[index];
+  if (task->phase == JOB_TASK_DONE || job->phase == JOB_ENDED)
+    return;
+  task->phase = JOB_TASK_DONE;
+  task->outcome = outcome;
+  task->why = why;
+  job->done_tasks++;
+  if (job->done_tasks == job->spec.tasks) {
+    GrErrCode job_why;
+    JobOutcome job_outcome = combined_outcome (job, &job_why);
+    job_finish (state, job, job_outcome, job_why, answer, now_ms, out);
+    return;
+  }
+  if (job->accept_sent) {
+    JobRecord record = { .kind = JOB_RECORD_TASK_END, .id = job->id, .index = index };
+    record.outcome = outcome;
+    record.why = why;
+    job_append (state, &record, out);
+  }
+  if (job->spec.policy == JOB_POLICY_GANG && outcome != JOB_OUTCOME_COMPLETED)
+    abandon_gang (state, job, now_ms, out);
+}
+
+static bool
+may_retry (const JobState *state, const Job *job, const JobTask *task)
+{
+  if (!job->spec.idempotent && !state->options.faults.retry_non_idempotent)
+    return false;
+  if (job->abandoned)
+    return false;
+  return job->spec.policy == JOB_POLICY_SERVICE || task->failures < state->options.max_attempts;
+}
+
+static JobOutcome
+outcome_of (const JobState *state, JobTaskState task_state)
+{
+  switch (task_state) {
+  case JOB_TASK_RUNNING:
+    return JOB_OUTCOME_NONE;
+  case JOB_TASK_SUCCEEDED:
+    return JOB_OUTCOME_COMPLETED;
+  case JOB_TASK_FAILED:
+  case JOB_TASK_STOPPED:
+    return JOB_OUTCOME_FAILED;
+  case JOB_TASK_LAPSED:
+    return state->options.faults.not_run_without_proof ? JOB_OUTCOME_NOT_RUN : JOB_OUTCOME_UNKNOWN;
+  }
+  return JOB_OUTCOME_UNKNOWN;
+}
+
+/* The attempt ended without success: try again, or end the task. */
+static void
+attempt_failed (JobState *state, Job *job, int32_t index, JobTaskState task_state, int64_t now_ms,
+                JobCmds *out)
+{
+  JobTask *task = &job->tasks[index];
+  task->attempt_open = false;
+  if (job->cancelled) {
+    job_finish_task (state, job, index, JOB_OUTCOME_CANCELLED, GR_ERR_CANCELLED, GR_STR (""),
+                     now_ms, out);
+    return;
+  }
+  if (task_state != JOB_TASK_STOPPED)
+    task->failures++;
+  if (!may_retry (state, job, task)) {
+    JobOutcome outcome = outcome_of (state, task_state);
+    /* The last of several attempts of idempotent work lapsed: it has failed for the caller. */
+    if (outcome == JOB_OUTCOME_UNKNOWN && job->spec.idempotent)
+      outcome = JOB_OUTCOME_FAILED;
+    GrErrCode why = outcome == JOB_OUTCOME_UNKNOWN ? GR_ERR_UNKNOWN : GR_ERR_FAILED;
+    job_finish_task (state, job, index, outcome, why, GR_STR (""), now_ms, out);
+    return;
+  }
+  job_retry_later (state, job, index, task_state != JOB_TASK_STOPPED, now_ms);
+  if (job->spec.policy != JOB_POLICY_GANG)
+    return;
+  if (!job->gang_restart) {
+    job_restart_gang (state, job, out);
+    for (int32_t i = 0; i < job->spec.tasks; i++) {
+      JobTaskPhase phase = job->tasks[i].phase;
+      if (phase == JOB_TASK_QUEUED || phase == JOB_TASK_ON_TARGET || phase == JOB_TASK_UNRESOLVED)
+        job_emit_task_cmd (job, i, JOB_CMD_CANCEL_TASK, out);
+    }
+  }
+  job_gang_settle (state, job, now_ms);
+}
+
+static void
+attempt_running (JobState *state, Job *job, int32_t index, const GrName *scheduler, JobCmds *out)
+{
+  JobTask *task = &job->tasks[index];
+  task->phase = JOB_TASK_ON_TARGET;
+  task->scheduler = *scheduler;
+  task->avoid_count = 0;
+  job->phase = JOB_RUNNING;
+  job_send_accept (state, job, out);
+  if (job->cancelled || job->abandoned)
+    job_emit_task_cmd (job, index, JOB_CMD_CANCEL_TASK, out);
+}
+
+void
+job_apply_report (JobState *state, Job *job, int32_t index, int32_t attempt,
+                  JobTaskState task_state, const GrName *scheduler, GrStr answer, int64_t now_ms,
+                  JobCmds *out)
+{
+  JobTask *task = &job->tasks[index];
+  if (job->phase == JOB_ENDED || task->phase == JOB_TASK_DONE || attempt < task->attempt)
+    return;
+  if (attempt > task->attempt) {
+    task->attempt = attempt;
+    task->attempt_open = true;
+  }
+  /* The attempt ended before: this is a late duplicate. */
+  if (!task->attempt_open && task->phase == JOB_TASK_IDLE)
+    return;
+  task->maybe_ran = true;
+  switch (task_state) {
+  case JOB_TASK_RUNNING:
+    attempt_running (state, job, index, scheduler, out);
+    return;
+  case JOB_TASK_SUCCEEDED:
+    if (job->spec.policy == JOB_POLICY_SERVICE && !job->cancelled) {
+      task->attempt_open = false;
+      job_retry_later (state, job, index, false, now_ms);
+      return;
+    }
+    job_finish_task (state, job, index, JOB_OUTCOME_COMPLETED, GR_ERR_NONE, answer, now_ms, out);
+    return;
+  case JOB_TASK_FAILED:
+  case JOB_TASK_STOPPED:
+  case JOB_TASK_LAPSED:
+    attempt_failed (state, job, index, task_state, now_ms, out);
+    return;
+  }
+}
+
+void
+job_drop_orphan (JobState *state, JobOrphan *orphan)
+{
+  HASH_DEL (state->orphans, orphan);
+  gr_buf_clear (&orphan->answer);
+  free (orphan);
+}
+
+/* A caller that repeats its id after a takeover finds the attempt of the earlier owner here. */
+void
+job_keep_orphan (JobState *state, const JobMsg *msg, int64_t now_ms)
+{
+  JobOrphan *orphan = NULL;
+  HASH_FIND (hh, state->orphans, &msg->report.id, sizeof msg->report.id, orphan);
+  if (orphan && orphan->attempt > msg->report.attempt)
+    return;
+  if (!orphan) {
+    orphan = gr_calloc (1, sizeof *orphan);
+    orphan->id = msg->report.id;
+    HASH_ADD (hh, state->orphans, id, sizeof orphan->id, orphan);
+  }
+  orphan->attempt = msg->report.attempt;
+  orphan->state = msg->report.state;
+  orphan->scheduler = msg->report.scheduler;
+  gr_buf_clear (&orphan->answer);
+  gr_buf_append_str (&orphan->answer, msg->report.answer);
+  orphan->drop_ms = now_ms + JOB_ORPHAN_KEEP_MS;
+  job_timer_add (state, orphan->drop_ms, &orphan->id, JOB_TIMER_ORPHAN);
+}
+
+void
+job_adopt_orphans (JobState *state, Job *job, int64_t now_ms, JobCmds *out)
+{
+  for (int32_t i = 0; i < job->spec.tasks && job->phase != JOB_ENDED; i++) {
+    GrName task_id = job_task_id (job, i);
+    JobOrphan *orphan = NULL;
+    HASH_FIND (hh, state->orphans, &task_id, sizeof task_id, orphan);
+    if (!orphan)
+      continue;
+    job_apply_report (state, job, i, orphan->attempt, orphan->state, &orphan->scheduler,
+                      gr_buf_str (&orphan->answer), now_ms, out);
+    job_drop_orphan (state, orphan);
+  }
+}
+
+void
+job_take_report (JobState *state, const JobMsg *msg, int64_t now_ms, JobCmds *out)
+{
+  int32_t index;
+  Job *job = job_find_task (state, &msg->report.id, &index);
+  if (!job) {
+    job_keep_orphan (state, msg, now_ms);
+    return;
+  }
+  job_apply_report (state, job, index, msg->report.attempt, msg->report.state,
+                    &msg->report.scheduler, msg->report.answer, now_ms, out);
+}
