sch: place, refuse, cancel and end tasks on targets

First version of the scheduler behind sch.h: inventory adoption, best fit over an index by free capacity, quota parts, cancel, start results, ends, leaving, down and gone targets, and refusal by deadline or size.

--- /dev/null
+++ b/src/sch/sch_entry.c
@@ -0,0 +1,164 @@
+/* Table of tasks, marks of finished and cancelled ones, and their timers. */
+#include "sch/sch_priv.h"
+
+/* Late duplicates of a message are recognised for this long after an end or a cancel. */
+#define MARK_KEEP_MS 600000
+/* Bound of the memory for marks; the oldest are dropped first. */
+#define MARKS_MAX 200000
+
+SchEntry *
+sch_entry_first (const SchState *s, const GrName *id)
+{
+  SchEntry *e;
+  HASH_FIND (hh, s->entries, id->data, id->len, e);
+  return e;
+}
+
+SchEntry *
+sch_entry_find (const SchState *s, const GrName *id, int32_t attempt)
+{
+  SchEntry *e = sch_entry_first (s, id);
+  while (e && e->task.attempt != attempt)
+    e = e->same_id;
+  return e;
+}
+
+SchEntry *
+sch_entry_new (SchState *s, const SchTask *task)
+{
+  SchEntry *e = s->spare;
+  if (e) {
+    s->spare = e->same_id;
+    memset (e, 0, sizeof *e);
+  } else {
+    e = gr_calloc (1, sizeof *e);
+  }
+  e->task = *task;
+  e->target = -1;
+  e->reserved_target = -1;
+  e->timer_slot = -1;
+  SchEntry *first = sch_entry_first (s, &task->id);
+  if (first) {
+    e->same_id = first->same_id;
+    first->same_id = e;
+  } else {
+    HASH_ADD_KEYPTR (hh, s->entries, e->task.id.data, e->task.id.len, e);
+  }
+  s->entry_count++;
+  return e;
+}
+
+void
+sch_entry_free (SchState *s, SchEntry *e)
+{
+  SchEntry *first = sch_entry_first (s, &e->task.id);
+  if (first == e) {
+    SchEntry *next = e->same_id;
+    HASH_DEL (s->entries, e);
+    if (next)
+      HASH_ADD_KEYPTR (hh, s->entries, next->task.id.data, next->task.id.len, next);
+  } else {
+    while (first->same_id != e)
+      first = first->same_id;
+    first->same_id = e->same_id;
+  }
+  s->entry_count--;
+  e->same_id = s->spare;
+  s->spare = e;
+}
+
+uint64_t
+sch_attempt_hash (const GrName *id, int32_t attempt)
+{
+  return gr_name_hash (id, (uint64_t) (uint32_t) attempt + 1);
+}
+
+bool
+sch_marked (const SchMarks *marks, uint64_t key)
+{
+  SchMark *mark;
+  HASH_FIND (hh, marks->table, &key, sizeof key, mark);
+  return mark != NULL;
+}
+
+static void
+drop_oldest (SchMarks *marks)
+{
+  SchMark *mark = marks->oldest;
+  DL_DELETE (marks->oldest, mark);
+  HASH_DEL (marks->table, mark);
+  free (mark);
+}
+
+void
+sch_mark (SchMarks *marks, uint64_t key, int64_t now_ms)
+{
+  SchMark *mark;
+  HASH_FIND (hh, marks->table, &key, sizeof key, mark);
+  if (mark) {
+    DL_DELETE (marks->oldest, mark);
+  } else {
+    if (HASH_COUNT (marks->table) >= MARKS_MAX)
+      drop_oldest (marks);
+    mark = gr_calloc (1, sizeof *mark);
+    mark->key = key;
+    HASH_ADD (hh, marks->table, key, sizeof mark->key, mark);
+  }
+  mark->until_ms = now_ms + MARK_KEEP_MS;
+  DL_APPEND (marks->oldest, mark);
+}
+
+void
+sch_marks_expire (SchMarks *marks, int64_t now_ms)
+{
+  while (marks->oldest && marks->oldest->until_ms <= now_ms)
+    drop_oldest (marks);
+}
+
+void
+sch_marks_clear (SchMarks *marks)
+{
+  while (marks->oldest)
+    drop_oldest (marks);
+}
+
+void
+sch_timer_clear (SchState *s, SchEntry *e)
+{
+  if (e->timer_slot < 0)
+    return;
+  DL_DELETE2 (s->timers[e->timer_slot], e, timer_prev, timer_next);
+  e->timer_slot = -1;
+}
+
+void
+sch_timer_set (SchState *s, SchEntry *e, int64_t at_ms)
+{
+  sch_timer_clear (s, e);
+  /* A slot that was run already is visited again only after a full turn of the wheel. */
+  int64_t step = at_ms / SCH_TIMER_STEP_MS + 1;
+  if (step <= s->timer_at)
+    step = s->timer_at + 1;
+  e->timer_ms = at_ms;
+  e->timer_slot = (int32_t) (step % SCH_TIMER_SLOTS);
+  DL_APPEND2 (s->timers[e->timer_slot], e, timer_prev, timer_next);
+}
+
+SchEntry *
+sch_timer_next (SchState *s)
+{
+  int64_t last = s->now_ms / SCH_TIMER_STEP_MS;
+  if (last - s->timer_at > SCH_TIMER_SLOTS)
+    s->timer_at = last - SCH_TIMER_SLOTS;
+  for (; s->timer_at < last; s->timer_at++) {
+    SchEntry *e;
+    DL_FOREACH2 (s->timers[(s->timer_at + 1) % SCH_TIMER_SLOTS], e, timer_next)
+    {
+      if (e->timer_ms <= s->now_ms) {
+        sch_timer_clear (s, e);
+        return e;
+      }
+    }
+  }
+  return NULL;
+}
