--- a/src/cfg/cfg.h
+++ b/src/cfg/cfg.h
@@ -99,7 +99,8 @@
 /* False if the key has no value. */
 bool cfg_tree_explain (const CfgTree *tree, GrStr key, GrStr *value, CfgOrigin *origin);
 
-/* Text encoding of one publication: base version, author and the files. */
+/* Text encoding of one publication: base version, author and the files. Each append to the stream
+   "config" is exactly one publication or one state record, without the framing of lgs. */
 void cfg_publication_encode (int64_t base_version, const GrName *author, const CfgFile *files,
                              size_t count, GrBuf *out);
 
@@ -114,15 +115,24 @@
 
 CfgStore *cfg_store_new (void);
 void cfg_store_free (CfgStore *store);
-/* Takes one record of the stream "config" in offset order. The verdict is the same for every
-   reader. problem tells why a record was not accepted. */
+/* Takes one record of the stream "config" in offset order; offsets start at 0 and every append has
+   its own. The verdict is the same for every reader. problem tells why a record was not accepted.
+   A reader that finds offsets missing (retention) keeps records until a state record or an offer
+   tells the state before them; until then their verdict is CFG_STALE. */
 CfgVerdict cfg_store_record (CfgStore *store, int64_t offset, GrStr record, CfgProblem *problem);
-/* Takes a peer's configuration during an outage; used only if its version is higher. */
+/* Takes a peer's state record during an outage or after missing offsets. Its configuration is used
+   only if its version is higher. CFG_REJECTED if the record is malformed or not of that version. */
 CfgVerdict cfg_store_offer (CfgStore *store, int64_t version, GrStr record);
 int64_t cfg_store_version (const CfgStore *store);
+/* Offset of the first record that the version in force does not reflect: read on from here. */
+int64_t cfg_store_next (const CfgStore *store);
+/* False while offsets are missing before the records read last. */
+bool cfg_store_complete (const CfgStore *store);
 /* Never NULL: version 0 is an empty folder with the defaults. */
 const CfgTree *cfg_store_tree (const CfgStore *store);
-/* The publication in force, to hand to peers. */
+/* State record: version in force, the offset read through and the publication. It is handed to
+   peers, answered by GET /v1/config, and appended to the stream as a snapshot before retention
+   passes the publication. Empty at version 0. Valid until the next call with this store. */
 GrStr cfg_store_record_in_force (const CfgStore *store);
 
 #ifdef __cplusplus
