--- a/src/net/net_http.h
+++ b/src/net/net_http.h
@@ -63,6 +63,7 @@
   const char *method;
   GrStr url;
   GrStr content_type;    /* empty: application/json */
+  GrStr authorization;   /* value of the header; empty: none */
   GrStr body;            /* copied */
   int64_t timeout_at_ms; /* uv_now() time after which the call is given up */
 } NetHttpCall;
--- /dev/null
+++ b/src/net/net_http_client.c
@@ -0,0 +1,385 @@
+#include <stdio.h>
+#include <stdlib.h>
+
+#include <curl/curl.h>
+
+#include "net/net_http.h"
+
+#define DEFAULT_PER_HOST 64
+#define DEFAULT_TOTAL 1024
+/* Idle connections are not used again after this. Servers close them after 30 s by default, and a
+   request sent into a closing connection has an unknown fate. */
+#define IDLE_MAX_S 15
+/* A longer answer fails the call. */
+#define ANSWER_MAX_BYTES (64 * 1024 * 1024)
+/* libcurl sends bodies up to this together with the header and counts them as such. */
+#define BODY_WITH_HEADER_BYTES (64 * 1024)
+#define SPARE_HANDLES 64
+
+typedef struct Call Call;
+
+struct NetHttpClient {
+  uv_loop_t *loop;
+  CURLM *multi;
+  uv_timer_t timer;
+  Call *calls;
+  int64_t bytes;
+  GR_LIST (CURL *) spare;
+  int handles; /* libuv handles not yet closed */
+  bool freeing;
+};
+
+struct Call {
+  NetHttpClient *client;
+  CURL *easy;
+  uv_timer_t deadline;
+  struct curl_slist *headers;
+  char *body;
+  size_t body_len;
+  GrBuf answer;
+  NetHttpDone done;
+  void *user;
+  bool sent; /* a connection was up and the request was about to be written */
+  bool added;
+  Call *prev, *next;
+};
+
+typedef struct {
+  uv_poll_t poll;
+  curl_socket_t fd;
+  NetHttpClient *client;
+} Socket;
+
+static void check_finished (NetHttpClient *client);
+
+static void
+release_client_handle (NetHttpClient *client)
+{
+  if (--client->handles > 0 || !client->freeing)
+    return;
+  free (client);
+}
+
+static void
+on_timer_closed (uv_handle_t *handle)
+{
+  release_client_handle (handle->data);
+}
+
+static void
+on_call_closed (uv_handle_t *handle)
+{
+  Call *call = handle->data;
+  NetHttpClient *client = call->client;
+  free (call);
+  release_client_handle (client);
+}
+
+static void
+on_socket_closed (uv_handle_t *handle)
+{
+  Socket *socket = handle->data;
+  NetHttpClient *client = socket->client;
+  free (socket);
+  release_client_handle (client);
+}
+
+static void
+finish (Call *call, int status, GrErrCode failure)
+{
+  NetHttpClient *client = call->client;
+  if (call->easy) {
+    long request = 0, header = 0;
+    curl_off_t up = 0, down = 0;
+    curl_easy_getinfo (call->easy, CURLINFO_REQUEST_SIZE, &request);
+    curl_easy_getinfo (call->easy, CURLINFO_HEADER_SIZE, &header);
+    curl_easy_getinfo (call->easy, CURLINFO_SIZE_UPLOAD_T, &up);
+    curl_easy_getinfo (call->easy, CURLINFO_SIZE_DOWNLOAD_T, &down);
+    client->bytes += request + header + down;
+    if (call->body_len >= BODY_WITH_HEADER_BYTES)
+      client->bytes += up;
+    if (call->added)
+      curl_multi_remove_handle (client->multi, call->easy);
+    if (client->spare.count < SPARE_HANDLES && !client->freeing) {
+      curl_easy_reset (call->easy);
+      gr_list_push (&client->spare, call->easy);
+    } else {
+      curl_easy_cleanup (call->easy);
+    }
+    call->easy = NULL;
+  }
+  if (call->prev)
+    call->prev->next = call->next;
+  else
+    client->calls = call->next;
+  if (call->next)
+    call->next->prev = call->prev;
+  uv_close ((uv_handle_t *) &call->deadline, on_call_closed);
+  NetHttpAnswer answer = { .status = status, .failure = failure };
+  if (status != 0)
+    answer.body = gr_buf_str (&call->answer);
+  call->done (call->user, &answer);
+  gr_buf_clear (&call->answer);
+  curl_slist_free_all (call->headers);
+  free (call->body);
+}
+
+static void
+on_deadline (uv_timer_t *timer)
+{
+  Call *call = timer->data;
+  finish (call, 0, call->sent ? GR_ERR_UNKNOWN : GR_ERR_UNAVAILABLE);
+}
+
+static void
+check_finished (NetHttpClient *client)
+{
+  int left;
+  CURLMsg *msg;
+  while ((msg = curl_multi_info_read (client->multi, &left)) != NULL) {
+    if (msg->msg != CURLMSG_DONE)
+      continue;
+    CURLcode result = msg->data.result;
+    Call *call = NULL;
+    long status = 0;
+    curl_easy_getinfo (msg->easy_handle, CURLINFO_PRIVATE, (char **) &call);
+    curl_easy_getinfo (msg->easy_handle, CURLINFO_RESPONSE_CODE, &status);
+    if (result == CURLE_OK && status > 0)
+      finish (call, (int) status, GR_ERR_NONE);
+    else
+      finish (call, 0, call->sent ? GR_ERR_UNKNOWN : GR_ERR_UNAVAILABLE);
+  }
+}
+
+static void
+on_poll (uv_poll_t *poll, int status, int events)
+{
+  Socket *socket = poll->data;
+  NetHttpClient *client = socket->client;
+  int flags = 0;
+  int running;
+  if (status < 0)
+    flags = CURL_CSELECT_ERR;
+  if (events & UV_READABLE)
+    flags |= CURL_CSELECT_IN;
+  if (events & UV_WRITABLE)
+    flags |= CURL_CSELECT_OUT;
+  curl_multi_socket_action (client->multi, socket->fd, flags, &running);
+  check_finished (client);
+}
+
+static int
+on_curl_socket (CURL *easy, curl_socket_t fd, int what, void *user, void *socket_data)
+{
+  (void) easy;
+  NetHttpClient *client = user;
+  Socket *socket = socket_data;
+  if (what == CURL_POLL_REMOVE) {
+    if (socket) {
+      uv_poll_stop (&socket->poll);
+      curl_multi_assign (client->multi, fd, NULL);
+      uv_close ((uv_handle_t *) &socket->poll, on_socket_closed);
+    }
+    return 0;
+  }
+  if (!socket) {
+    socket = gr_calloc (1, sizeof *socket);
+    socket->fd = fd;
+    socket->client = client;
+    socket->poll.data = socket;
+    if (uv_poll_init_socket (client->loop, &socket->poll, fd) != 0) {
+      free (socket);
+      return -1;
+    }
+    client->handles++;
+    curl_multi_assign (client->multi, fd, socket);
+  }
+  int events = 0;
+  if (what & CURL_POLL_IN)
+    events |= UV_READABLE;
+  if (what & CURL_POLL_OUT)
+    events |= UV_WRITABLE;
+  uv_poll_start (&socket->poll, events, on_poll);
+  return 0;
+}
+
+static void
+on_timer (uv_timer_t *timer)
+{
+  NetHttpClient *client = timer->data;
+  int running;
+  curl_multi_socket_action (client->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+  check_finished (client);
+}
+
+static int
+on_curl_timer (CURLM *multi, long timeout_ms, void *user)
+{
+  (void) multi;
+  NetHttpClient *client = user;
+  if (client->freeing)
+    return 0;
+  if (timeout_ms < 0)
+    uv_timer_stop (&client->timer);
+  else
+    uv_timer_start (&client->timer, on_timer, (uint64_t) timeout_ms, 0);
+  return 0;
+}
+
+static size_t
+on_body (char *data, size_t size, size_t count, void *user)
+{
+  Call *call = user;
+  if (call->answer.len + size * count > ANSWER_MAX_BYTES)
+    return 0;
+  gr_buf_append (&call->answer, data, size * count);
+  return size * count;
+}
+
+/* libcurl repeats a request on a new connection if a reused one breaks before the first byte of
+   the answer. The first copy may have been executed, so the second one is stopped. */
+static int
+on_before_request (void *user, char *remote_ip, char *local_ip, int remote_port, int local_port)
+{
+  (void) remote_ip;
+  (void) local_ip;
+  (void) remote_port;
+  (void) local_port;
+  Call *call = user;
+  if (call->sent)
+    return CURL_PREREQFUNC_ABORT;
+  call->sent = true;
+  return CURL_PREREQFUNC_OK;
+}
+
+static bool
+prepare (Call *call, const NetHttpCall *request)
+{
+  NetHttpClient *client = call->client;
+  if (client->spare.count > 0)
+    call->easy = client->spare.items[--client->spare.count];
+  else
+    call->easy = curl_easy_init ();
+  if (!call->easy)
+    return false;
+  CURL *easy = call->easy;
+  char *url = gr_str_dup (request->url);
+  curl_easy_setopt (easy, CURLOPT_URL, url);
+  free (url);
+  curl_easy_setopt (easy, CURLOPT_PRIVATE, call);
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long) CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt (easy, CURLOPT_MAXAGE_CONN, (long) IDLE_MAX_S);
+  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, 0x7fffffffL);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_body);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, call);
+  curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_before_request);
+  curl_easy_setopt (easy, CURLOPT_PREREQDATA, call);
+  const char *method = request->method ? request->method : "GET";
+  if (strcmp (method, "GET") == 0 && call->body_len == 0) {
+    curl_easy_setopt (easy, CURLOPT_HTTPGET, 1L);
+  } else {
+    curl_easy_setopt (easy, CURLOPT_POST, 1L);
+    curl_easy_setopt (easy, CURLOPT_POSTFIELDS, call->body);
+    curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t) call->body_len);
+    curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, method);
+    char header[160];
+    GrStr type
+        = request->content_type.len > 0 ? request->content_type : GR_STR ("application/json");
+    snprintf (header, sizeof header, "Content-Type: %.*s", GR_STR_ARG (type));
+    call->headers = curl_slist_append (call->headers, header);
+    call->headers = curl_slist_append (call->headers, "Expect:");
+  }
+  if (request->authorization.len > 0) {
+    GrBuf header = { 0 };
+    gr_buf_printf (&header, "Authorization: %.*s", GR_STR_ARG (request->authorization));
+    call->headers = curl_slist_append (call->headers, header.data);
+    gr_buf_clear (&header);
+  }
+  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, call->headers);
+  return true;
+}
+
+NetHttpClient *
+net_http_client_new (uv_loop_t *loop, const NetHttpClientOptions *options, GrErr *err)
+{
+  static bool initialised = false;
+  if (!initialised) {
+    curl_global_init (CURL_GLOBAL_DEFAULT);
+    initialised = true;
+  }
+  CURLM *multi = curl_multi_init ();
+  if (!multi) {
+    gr_err_set (err, GR_ERR_IO, "client", "libcurl cannot be initialised");
+    return NULL;
+  }
+  NetHttpClient *client = gr_calloc (1, sizeof *client);
+  client->loop = loop;
+  client->multi = multi;
+  uv_timer_init (loop, &client->timer);
+  client->timer.data = client;
+  client->handles = 1;
+  long per_host = options && options->max_connections_per_host > 0
+                      ? (long) options->max_connections_per_host
+                      : DEFAULT_PER_HOST;
+  long total
+      = options && options->max_connections > 0 ? (long) options->max_connections : DEFAULT_TOTAL;
+  curl_multi_setopt (multi, CURLMOPT_SOCKETFUNCTION, on_curl_socket);
+  curl_multi_setopt (multi, CURLMOPT_SOCKETDATA, client);
+  curl_multi_setopt (multi, CURLMOPT_TIMERFUNCTION, on_curl_timer);
+  curl_multi_setopt (multi, CURLMOPT_TIMERDATA, client);
+  curl_multi_setopt (multi, CURLMOPT_MAX_HOST_CONNECTIONS, per_host);
+  curl_multi_setopt (multi, CURLMOPT_MAX_TOTAL_CONNECTIONS, total);
+  curl_multi_setopt (multi, CURLMOPT_MAXCONNECTS, total);
+  curl_multi_setopt (multi, CURLMOPT_PIPELINING, (long) CURLPIPE_NOTHING);
+  return client;
+}
+
+void
+net_http_client_send (NetHttpClient *client, const NetHttpCall *request, NetHttpDone done,
+                      void *user)
+{
+  Call *call = gr_calloc (1, sizeof *call);
+  call->client = client;
+  call->done = done;
+  call->user = user;
+  call->body = gr_str_dup (request->body);
+  call->body_len = request->body.len;
+  call->next = client->calls;
+  if (call->next)
+    call->next->prev = call;
+  client->calls = call;
+  uv_timer_init (client->loop, &call->deadline);
+  call->deadline.data = call;
+  client->handles++;
+  int64_t left = request->timeout_at_ms - (int64_t) uv_now (client->loop);
+  if (left > 0 && prepare (call, request)
+      && curl_multi_add_handle (client->multi, call->easy) == CURLM_OK)
+    call->added = true;
+  else
+    left = 0;
+  uv_timer_start (&call->deadline, on_deadline, left > 0 ? (uint64_t) left : 0, 0);
+}
+
+int64_t
+net_http_client_bytes (const NetHttpClient *client)
+{
+  return client->bytes;
+}
+
+void
+net_http_client_free (NetHttpClient *client)
+{
+  if (!client || client->freeing)
+    return;
+  client->freeing = true;
+  while (client->calls)
+    finish (client->calls, 0, GR_ERR_UNKNOWN);
+  for (size_t i = 0; i < client->spare.count; i++)
+    curl_easy_cleanup (client->spare.items[i]);
+  gr_list_clear (&client->spare);
+  curl_multi_cleanup (client->multi);
+  uv_close ((uv_handle_t *) &client->timer, on_timer_closed);
+}
