net: keep the server pointer out of the libuv handle's data

Cause: h2o stores its socket in the data field of the handle, so the close callback of a connection decremented a counter in foreign memory and the server was never released. Change: the handle is embedded in a struct that holds the server. Conclusion: test_net passes and its loop closes with no handle left.

--- a/src/net/net_http_server.c
+++ b/src/net/net_http_server.c
@@ -37,6 +37,12 @@
   bool disposed;
 };
 
+/* h2o takes the data pointer of the libuv handle. */
+typedef struct {
+  uv_tcp_t tcp;
+  NetHttpServer *server;
+} Stream;
+
 struct HttpConn {
   NetHttpServer *server;
   h2o_socket_t *sock;
@@ -275,8 +281,9 @@
 static void
 on_stream_closed (uv_handle_t *handle)
 {
-  NetHttpServer *server = handle->data;
-  free (handle);
+  Stream *stream = (Stream *) (void *) handle;
+  NetHttpServer *server = stream->server;
+  free (stream);
   server->conn_count--;
   if (server->accept_waiting && server->accepting) {
     server->accept_waiting = false;
@@ -301,16 +308,16 @@
 static void
 accept_one (NetHttpServer *server)
 {
-  uv_tcp_t *stream = gr_calloc (1, sizeof *stream);
-  stream->data = server;
-  uv_tcp_init (server->loop, stream);
+  Stream *stream = gr_calloc (1, sizeof *stream);
+  stream->server = server;
+  uv_tcp_init (server->loop, &stream->tcp);
   server->conn_count++;
-  if (uv_accept ((uv_stream_t *) &server->listener, (uv_stream_t *) stream) != 0) {
-    uv_close ((uv_handle_t *) stream, on_stream_closed);
+  if (uv_accept ((uv_stream_t *) &server->listener, (uv_stream_t *) &stream->tcp) != 0) {
+    uv_close ((uv_handle_t *) &stream->tcp, on_stream_closed);
     return;
   }
-  uv_tcp_nodelay (stream, 1);
-  h2o_socket_t *sock = h2o_uv_socket_create ((uv_stream_t *) stream, on_stream_closed);
+  uv_tcp_nodelay (&stream->tcp, 1);
+  h2o_socket_t *sock = h2o_uv_socket_create ((uv_stream_t *) &stream->tcp, on_stream_closed);
   HttpConn *conn = gr_calloc (1, sizeof *conn);
   conn->server = server;
   conn->sock = sock;
