own, mbr, lgs: ownership, membership and log streams as pure modules

Cause: the daemon needs the state machines behind own.h and lgs.h. Headers gain, additively: refresh records, refresh interval and seed in OwnOptions, OWN_MSG_STALE_EPOCH, joining and lost_count in heartbeats, and lgs_reader_skipped.

--- a/src/lgs/lgs.h
+++ b/src/lgs/lgs.h
@@ -52,8 +52,8 @@
 void lgs_options_defaults (LgsOptions *options);
 LgsWriter *lgs_writer_new (const LgsOptions *options, GrErr *err);
 void lgs_writer_free (LgsWriter *writer);
-/* Queues one record. Error GR_ERR_OVERLOADED when the queue is full; the record is then certainly
-   not written. */
+/* Queues one record. Errors: GR_ERR_OVERLOADED when the queue is full, GR_ERR_TOO_LARGE for a
+   record above append_max_bytes; the record is then certainly not written. */
 bool lgs_writer_add (LgsWriter *writer, int64_t token, GrStr record, GrErr *err);
 /* Outcome of the append with seq; REFUSED and UNKNOWN are both retried with the same seq. */
 void lgs_writer_outcome (LgsWriter *writer, int64_t seq, LgsAppendOutcome outcome, int64_t now_ms,
@@ -75,6 +75,8 @@
 void lgs_reader_free (LgsReader *reader);
 /* Offset of the next read. */
 int64_t lgs_reader_next (const LgsReader *reader);
+/* Number of appends that were skipped because their body is malformed. */
+int64_t lgs_reader_skipped (const LgsReader *reader);
 /* Takes the answer of GET /log/STREAM. *at_end is true if it reached the end of the stream; *gap if
    retention removed offsets that were not read. Error GR_ERR_PROTOCOL for malformed bytes; nothing
    is delivered then. */
--- /dev/null
+++ b/src/lgs/lgs_reader.c
@@ -0,0 +1,213 @@
+/* Follows a stream: removes duplicates by writer and sequence number, reports retention gaps. */
+#include "lgs/lgs.h"
+
+#include <msgpack.h>
+#include <stdlib.h>
+
+/* Newest sequence number of one writer. */
+typedef struct {
+  GrVmRef writer;
+  int64_t seq;
+} Seen;
+
+struct LgsReader {
+  LgsOptions options;
+  int64_t next;
+  int64_t skipped;
+  GR_LIST (Seen) seen; /* sorted by VM id and incarnation */
+};
+
+LgsReader *
+lgs_reader_new (const LgsOptions *options, int64_t from_offset, GrErr *err)
+{
+  LgsOptions checked = *options;
+  lgs_options_defaults (&checked);
+  if (from_offset < 0) {
+    gr_err_set (err, GR_ERR_INVALID, "from_offset", "must not be negative");
+    return NULL;
+  }
+  LgsReader *reader = gr_calloc (1, sizeof *reader);
+  reader->options = checked;
+  reader->next = from_offset;
+  return reader;
+}
+
+void
+lgs_reader_free (LgsReader *reader)
+{
+  if (!reader)
+    return;
+  gr_list_clear (&reader->seen);
+  free (reader);
+}
+
+int64_t
+lgs_reader_next (const LgsReader *reader)
+{
+  return reader->next;
+}
+
+int64_t
+lgs_reader_skipped (const LgsReader *reader)
+{
+  return reader->skipped;
+}
+
+static int
+compare_refs (const GrVmRef *a, const GrVmRef *b)
+{
+  int order = gr_name_compare (&a->vm, &b->vm);
+  if (order != 0)
+    return order;
+  return (a->incarnation > b->incarnation) - (a->incarnation < b->incarnation);
+}
+
+/* Entry of a writer, created with seq 0. */
+static Seen *
+find_seen (LgsReader *reader, const GrVmRef *writer)
+{
+  size_t low = 0, high = reader->seen.count;
+  while (low < high) {
+    size_t middle = (low + high) / 2;
+    if (compare_refs (&reader->seen.items[middle].writer, writer) < 0)
+      low = middle + 1;
+    else
+      high = middle;
+  }
+  if (low < reader->seen.count && gr_vm_ref_equal (&reader->seen.items[low].writer, writer))
+    return &reader->seen.items[low];
+  Seen seen = { .writer = *writer };
+  gr_list_push (&reader->seen, seen);
+  memmove (&reader->seen.items[low + 1], &reader->seen.items[low],
+           (reader->seen.count - 1 - low) * sizeof seen);
+  reader->seen.items[low] = seen;
+  return &reader->seen.items[low];
+}
+
+static bool
+get_int (const msgpack_object *object, int64_t *value)
+{
+  if (object->type != MSGPACK_OBJECT_POSITIVE_INTEGER || object->via.u64 >= INT64_MAX)
+    return false;
+  *value = (int64_t) object->via.u64;
+  return true;
+}
+
+static bool
+is_bytes (const msgpack_object *object)
+{
+  return object->type == MSGPACK_OBJECT_BIN;
+}
+
+static bool
+unpack (GrStr bytes, msgpack_unpacked *unpacked)
+{
+  size_t offset = 0;
+  return msgpack_unpack_next (unpacked, bytes.data, bytes.len, &offset) == MSGPACK_UNPACK_SUCCESS
+         && offset == bytes.len && unpacked->data.type == MSGPACK_OBJECT_ARRAY;
+}
+
+/* Checks the form of [vm, incarnation, seq, [record, ...]]. */
+static bool
+check_body (const msgpack_object *root, GrVmRef *writer, int64_t *seq)
+{
+  if (root->via.array.size < 4)
+    return false;
+  const msgpack_object *items = root->via.array.ptr;
+  if (items[0].type != MSGPACK_OBJECT_STR || items[0].via.str.size == 0
+      || !gr_name_set (&writer->vm, (GrStr){ items[0].via.str.ptr, items[0].via.str.size })
+      || !get_int (&items[1], &writer->incarnation) || !get_int (&items[2], seq) || *seq < 1
+      || items[3].type != MSGPACK_OBJECT_ARRAY)
+    return false;
+  for (size_t i = 0; i < items[3].via.array.size; i++) {
+    if (!is_bytes (&items[3].via.array.ptr[i]))
+      return false;
+  }
+  return true;
+}
+
+static void
+deliver (LgsReader *reader, int64_t offset, GrStr body, LgsRecordFunc func, void *user)
+{
+  msgpack_unpacked unpacked;
+  msgpack_unpacked_init (&unpacked);
+  GrVmRef writer;
+  int64_t seq;
+  if (unpack (body, &unpacked) && check_body (&unpacked.data, &writer, &seq)) {
+    Seen *seen = find_seen (reader, &writer);
+    if (seq > seen->seq || reader->options.fault_no_dedupe) {
+      if (seq > seen->seq)
+        seen->seq = seq;
+      const msgpack_object_array *records = &unpacked.data.via.array.ptr[3].via.array;
+      for (size_t i = 0; i < records->size; i++)
+        func (user, offset, &writer,
+              (GrStr){ records->ptr[i].via.bin.ptr, records->ptr[i].via.bin.size });
+    }
+  } else {
+    /* One foreign append must not stop every reader for good. */
+    reader->skipped++;
+  }
+  msgpack_unpacked_destroy (&unpacked);
+}
+
+/* Checks [first, end, [[offset, bin], ...]]: offsets rise by one and stay below the end. */
+static bool
+check_answer (const msgpack_object *root, int64_t *first, int64_t *end)
+{
+  if (root->via.array.size < 3)
+    return false;
+  const msgpack_object *items = root->via.array.ptr;
+  if (!get_int (&items[0], first) || !get_int (&items[1], end) || *first > *end
+      || items[2].type != MSGPACK_OBJECT_ARRAY)
+    return false;
+  int64_t previous = -1;
+  for (size_t i = 0; i < items[2].via.array.size; i++) {
+    const msgpack_object *entry = &items[2].via.array.ptr[i];
+    int64_t offset;
+    if (entry->type != MSGPACK_OBJECT_ARRAY || entry->via.array.size < 2
+        || !get_int (&entry->via.array.ptr[0], &offset) || !is_bytes (&entry->via.array.ptr[1])
+        || offset < *first || offset >= *end || (i > 0 && offset != previous + 1))
+      return false;
+    previous = offset;
+  }
+  return true;
+}
+
+bool
+lgs_reader_take (LgsReader *reader, GrStr answer, LgsRecordFunc func, void *user, bool *at_end,
+                 bool *gap, GrErr *err)
+{
+  *at_end = false;
+  *gap = false;
+  msgpack_unpacked unpacked;
+  msgpack_unpacked_init (&unpacked);
+  int64_t first = 0, end = 0;
+  bool ok = unpack (answer, &unpacked) && check_answer (&unpacked.data, &first, &end);
+  if (ok) {
+    const msgpack_object_array *entries = &unpacked.data.via.array.ptr[2].via.array;
+    int64_t expected = first > reader->next ? first : reader->next;
+    /* An answer that starts above what was asked for would lose records. */
+    if (entries->size > 0 && (int64_t) entries->ptr[0].via.array.ptr[0].via.u64 > expected)
+      ok = false;
+  }
+  if (ok) {
+    const msgpack_object_array *entries = &unpacked.data.via.array.ptr[2].via.array;
+    if (first > reader->next) {
+      *gap = true;
+      reader->next = first;
+    }
+    for (size_t i = 0; i < entries->size; i++) {
+      const msgpack_object *entry = entries->ptr[i].via.array.ptr;
+      int64_t offset = (int64_t) entry[0].via.u64;
+      if (offset < reader->next)
+        continue;
+      reader->next = offset + 1;
+      deliver (reader, offset, (GrStr){ entry[1].via.bin.ptr, entry[1].via.bin.size }, func, user);
+    }
+    *at_end = reader->next == end;
+  } else {
+    gr_err_set (err, GR_ERR_PROTOCOL, "log", "malformed answer of %zu bytes", answer.len);
+  }
+  msgpack_unpacked_destroy (&unpacked);
+  return ok;
+}
--- a/src/own/own.h
+++ b/src/own/own.h
@@ -35,6 +35,8 @@
   int64_t list_max_age_ms;       /* X; default 5000 */
   int64_t list_lag_ms;           /* default 5000 */
   int64_t handover_interval_ms;  /* at most one key per interval is rebalanced; default 1000 */
+  int64_t refresh_interval_ms;   /* half of the retention of the log; default 1800000 */
+  uint64_t seed;                 /* jitter of rebalancing and refreshes */
   OwnFaults faults;
 } OwnOptions;
 
@@ -43,15 +45,17 @@
   OWN_RECORD_CLAIM,
   OWN_RECORD_HANDOVER,
   OWN_RECORD_GONE,
-  OWN_RECORD_FAREWELL
+  OWN_RECORD_FAREWELL,
+  OWN_RECORD_REFRESH /* repeats epoch and owner of a key before retention removes its claim */
 } OwnRecordKind;
 
 /* One record of the stream ownership-REGION. */
 typedef struct {
   OwnRecordKind kind;
   GrVmRef writer;
-  GrName key;    /* claim, handover */
-  int64_t epoch; /* claim, handover: the epoch that begins */
+  GrName key;    /* claim, handover, refresh */
+  int64_t epoch; /* claim, handover: the epoch that begins; refresh: the epoch in force;
+                    join: number of this join, from 1; gone: number of the join that it ends */
   GrVmRef to;    /* handover: the new owner; gone: the VM declared gone */
 } OwnRecord;
 
@@ -71,6 +75,9 @@
   bool promise_wanted; /* request: promise not to claim my keys */
   bool promise_given;  /* reply: promised for lease_ms from receipt of the request */
   bool leaving;        /* the sender began a planned stop */
+  bool joining;        /* the sender has not read its own join yet */
+  int64_t lost_count;  /* claims of the receiver that took a key from the sender, as the sender read
+                          them: a promise is refused while a claim is not known to the sender */
   size_t peer_count;
   OwnPeerAge peers[OWN_PEERS_MAX];
 } OwnHeartbeat;
@@ -91,7 +98,8 @@
   OWN_MSG_APPEND_RESULT,  /* outcome of OWN_CMD_APPEND */
   OWN_MSG_HEARTBEAT,      /* a heartbeat or reply arrived */
   OWN_MSG_INVENTORY_DONE, /* every reachable target of a group was fenced and listed */
-  OWN_MSG_STOP            /* planned stop: hand over all keys, then say farewell */
+  OWN_MSG_STOP,           /* planned stop: hand over all keys, then say farewell */
+  OWN_MSG_STALE_EPOCH     /* a target refused an epoch of this VM; its fence is at fence_epoch */
 } OwnMsgKind;
 
 typedef enum {
@@ -125,6 +133,10 @@
       GrName key;
       int64_t epoch;
     } inventory_done;
+    struct {
+      GrName key;
+      int64_t fence_epoch;
+    } stale_epoch;
   };
 } OwnMsg;
 
--- /dev/null
+++ b/src/own/own_peer.c
@@ -0,0 +1,178 @@
+/* Heartbeats, acknowledgement and promises. */
+#include "own/own_state.h"
+
+#include <stdlib.h>
+
+/* Entries of the peers list per heartbeat: the receiver and a rotating part of the others. A full
+   list would make the bytes per VM grow with the square of the members. */
+#define PEERS_PER_HEARTBEAT 8
+
+static void
+add_peer (OwnHeartbeat *heartbeat, const MbrMember *member, int64_t now_ms)
+{
+  heartbeat->peers[heartbeat->peer_count++]
+      = (OwnPeerAge){ .vm = member->ref,
+                      .age_ms = member->heard ? now_ms - member->direct_ms : -1,
+                      .acknowledged = member->known };
+}
+
+static OwnHeartbeat *
+heartbeat_for (OwnState *state, const MbrMember *to, int64_t now_ms)
+{
+  OwnHeartbeat *heartbeat = gr_calloc (1, sizeof *heartbeat);
+  heartbeat->from = state->options.self;
+  heartbeat->leaving = state->stopping_since_ms >= 0;
+  heartbeat->joining
+      = state->caught_up_ms < 0 || state->join.state != OWN_PENDING_NONE || state->join.epoch == 0;
+  heartbeat->lost_count = to->lost_count;
+  add_peer (heartbeat, to, now_ms);
+  const MbrMembers *members = &state->members.members;
+  for (size_t n = 0; n < members->count && heartbeat->peer_count < PEERS_PER_HEARTBEAT; n++) {
+    const MbrMember *member = &members->items[(state->heartbeat_window + n) % members->count];
+    if (member != to && !mbr_is_self (&state->members, member)
+        && !mbr_ended (&state->members, &member->ref))
+      add_peer (heartbeat, member, now_ms);
+  }
+  return heartbeat;
+}
+
+static void
+send (const GrVmRef *to, OwnHeartbeat *heartbeat, OwnCmds *out)
+{
+  OwnCmd cmd = { .kind = OWN_CMD_HEARTBEAT };
+  cmd.heartbeat.to = *to;
+  cmd.heartbeat.heartbeat = heartbeat;
+  gr_list_push (out, cmd);
+}
+
+static bool
+owns_any (const OwnState *state)
+{
+  for (size_t i = 0; i < state->keys.count; i++) {
+    if (own_key_is_self (state, &state->keys.items[i]))
+      return true;
+  }
+  return false;
+}
+
+void
+own_peer_tick (OwnState *state, int64_t now_ms, OwnCmds *out)
+{
+  if (now_ms < state->next_heartbeat_ms)
+    return;
+  state->next_heartbeat_ms = now_ms + state->options.heartbeat_interval_ms;
+  /* Promises are collected before the last read of the log expires, so that promise mode follows
+     without a gap. They cost a reply each and are not asked for while the log answers. */
+  bool want = owns_any (state) && now_ms - state->log_sent_ms >= state->options.lease_ms / 3;
+  state->heartbeat_seq++;
+  const MbrMembers *members = &state->members.members;
+  for (size_t i = 0; i < members->count; i++) {
+    MbrMember *member = &members->items[i];
+    if (mbr_is_self (&state->members, member) || mbr_ended (&state->members, &member->ref))
+      continue;
+    OwnHeartbeat *heartbeat = heartbeat_for (state, member, now_ms);
+    heartbeat->seq = state->heartbeat_seq;
+    heartbeat->promise_wanted = want;
+    if (want) {
+      size_t slot = (size_t) (state->heartbeat_seq % MBR_REQUESTS_KEPT);
+      member->requests[slot].seq = state->heartbeat_seq;
+      member->requests[slot].sent_ms = now_ms;
+    }
+    send (&member->ref, heartbeat, out);
+  }
+  if (members->count > 0)
+    state->heartbeat_window = (state->heartbeat_window + PEERS_PER_HEARTBEAT - 1) % members->count;
+}
+
+/* A promise says: no claim of mine can stand against a key of yours that you do not know of, and I
+   make none for lease_ms. */
+static bool
+may_promise (const OwnState *state, const MbrMember *to, const OwnHeartbeat *request)
+{
+  if (mbr_ended (&state->members, &to->ref))
+    return false;
+  if (state->options.faults.no_unknown_claim_rule)
+    return true;
+  if (to->taken_count > request->lost_count)
+    return false;
+  for (size_t i = 0; i < state->keys.count; i++) {
+    const OwnKey *key = &state->keys.items[i];
+    if (key->pending.state != OWN_PENDING_NONE && key->pending.kind == OWN_RECORD_CLAIM
+        && key->has_owner && gr_vm_ref_equal (&key->owner, &to->ref))
+      return false;
+  }
+  return true;
+}
+
+static void
+answer_request (OwnState *state, MbrMember *from, const OwnHeartbeat *request, int64_t now_ms,
+                OwnCmds *out)
+{
+  OwnHeartbeat *reply = heartbeat_for (state, from, now_ms);
+  reply->reply = true;
+  reply->seq = request->seq;
+  reply->promise_given = may_promise (state, from, request);
+  if (reply->promise_given && now_ms + state->options.lease_ms > from->promised_until_ms)
+    from->promised_until_ms = now_ms + state->options.lease_ms;
+  send (&from->ref, reply, out);
+}
+
+static void
+take_promise (OwnState *state, MbrMember *from, const OwnHeartbeat *reply)
+{
+  if (!reply->promise_given || reply->seq <= 0)
+    return;
+  size_t slot = (size_t) (reply->seq % MBR_REQUESTS_KEPT);
+  if (from->requests[slot].seq != reply->seq)
+    return;
+  /* Timed from the request, which the peer received later. */
+  int64_t until = from->requests[slot].sent_ms + state->options.lease_ms;
+  if (until > from->promise_until_ms)
+    from->promise_until_ms = until;
+}
+
+void
+own_peer_heartbeat (OwnState *state, const OwnHeartbeat *heartbeat, int64_t now_ms, OwnCmds *out)
+{
+  const GrVmRef *self = &state->options.self;
+  if (gr_name_equal (&heartbeat->from.vm, &self->vm))
+    return;
+  MbrMember *from = mbr_heard (&state->members, &heartbeat->from, heartbeat->joining,
+                               heartbeat->leaving, now_ms);
+  if (!from)
+    return;
+  for (size_t i = 0; i < heartbeat->peer_count; i++) {
+    const OwnPeerAge *peer = &heartbeat->peers[i];
+    if (gr_vm_ref_equal (&peer->vm, self))
+      from->acknowledged = from->acknowledged || peer->acknowledged;
+    else
+      mbr_reported (&state->members, &peer->vm, peer->age_ms, now_ms);
+  }
+  if (heartbeat->reply)
+    take_promise (state, from, heartbeat);
+  else if (heartbeat->promise_wanted)
+    answer_request (state, from, heartbeat, now_ms, out);
+}
+
+bool
+own_peer_promises_hold (const OwnState *state, int64_t now_ms)
+{
+  const MbrState *members = &state->members;
+  if (state->log_sent_ms < 0)
+    return false;
+  if (!state->options.faults.no_list_age_check
+      && (members->list_sent_ms < 0 || !members->self_listed || members->self_missing
+          || now_ms - members->list_sent_ms >= state->options.list_max_age_ms))
+    return false;
+  size_t needed = 0, given = 0;
+  for (size_t i = 0; i < members->members.count; i++) {
+    const MbrMember *member = &members->members.items[i];
+    if (mbr_is_self (members, member) || !member->known || mbr_ended (members, &member->ref))
+      continue;
+    needed++;
+    given += now_ms < member->promise_until_ms;
+  }
+  if (state->options.faults.promise_from_any && given > 0)
+    return true;
+  return given == needed;
+}
--- /dev/null
+++ b/src/own/own_rules.c
@@ -0,0 +1,345 @@
+/* When this VM appends records: joins, claims, handovers, refreshes, gone, farewell. */
+#include "own/own_state.h"
+
+/* Delay before an append of unknown outcome is repeated, and before a failed one is tried again. */
+#define RETRY_MS 1000
+/* A member of lower rank claims later, in case the preferred one may not claim the key. */
+#define RANK_STAGGER_MS 700
+
+static void
+append (OwnState *state, OwnPending *pending, const OwnRecord *record, int64_t now_ms, OwnCmds *out)
+{
+  if (pending->state == OWN_PENDING_NONE)
+    pending->unsure = false;
+  pending->state = OWN_PENDING_SENT;
+  pending->kind = record->kind;
+  pending->token = ++state->next_token;
+  pending->epoch = record->epoch;
+  pending->to = record->to;
+  pending->retry_at_ms = now_ms + RETRY_MS;
+  OwnCmd cmd = { .kind = OWN_CMD_APPEND };
+  cmd.append.token = pending->token;
+  cmd.append.record = *record;
+  cmd.append.record.writer = state->options.self;
+  gr_list_push (out, cmd);
+}
+
+static void
+append_for_key (OwnState *state, OwnKey *key, OwnRecordKind kind, int64_t epoch, const GrVmRef *to,
+                int64_t now_ms, OwnCmds *out)
+{
+  OwnRecord record = { .kind = kind, .key = key->key, .epoch = epoch };
+  if (to)
+    record.to = *to;
+  append (state, &key->pending, &record, now_ms, out);
+}
+
+static bool
+due (const OwnPending *pending, int64_t now_ms)
+{
+  return pending->state == OWN_PENDING_UNKNOWN && now_ms >= pending->retry_at_ms;
+}
+
+static void
+tick_join (OwnState *state, int64_t now_ms, OwnCmds *out)
+{
+  if (state->caught_up_ms < 0 || state->stopping_since_ms >= 0)
+    return;
+  bool first = state->join.epoch == 0;
+  bool again = state->join.state == OWN_PENDING_NONE && state->members.self_missing
+               && state->members.self_listed && own_log_fresh (state, now_ms);
+  if (!first && !again && !due (&state->join, now_ms))
+    return;
+  int64_t number = first || again ? state->join.epoch + 1 : state->join.epoch;
+  if (first || again)
+    state->join_missing_count = state->members.missing_count;
+  OwnRecord record = { .kind = OWN_RECORD_JOIN, .epoch = number };
+  append (state, &state->join, &record, now_ms, out);
+}
+
+/* Declares members gone that the list has lacked for long enough. */
+static void
+tick_gone (OwnState *state, int64_t now_ms, OwnCmds *out)
+{
+  if (state->gone.state == OWN_PENDING_UNKNOWN)
+    state->gone.state = OWN_PENDING_NONE; /* a second record does no harm */
+  if (state->gone.state != OWN_PENDING_NONE || now_ms < state->gone_not_before_ms
+      || !own_log_fresh (state, now_ms))
+    return;
+  int64_t rank = 0;
+  const MbrMembers *members = &state->members.members;
+  for (size_t i = 0; i < members->count; i++) {
+    if (mbr_is_self (&state->members, &members->items[i]))
+      break;
+    rank += members->items[i].reported == MBR_LIVE;
+  }
+  for (size_t i = 0; i < members->count; i++) {
+    const MbrMember *member = &members->items[i];
+    /* The live member with the lowest id writes first; the others step in if it does not. */
+    if (!member->known || !mbr_may_declare_gone (&state->members, member, rank * RANK_STAGGER_MS))
+      continue;
+    OwnRecord record = { .kind = OWN_RECORD_GONE, .to = member->ref };
+    if (member->log_incarnation == member->ref.incarnation)
+      record.epoch = member->log_join;
+    append (state, &state->gone, &record, now_ms, out);
+    state->gone_not_before_ms = now_ms + RETRY_MS;
+    return;
+  }
+}
+
+/* Recomputes the rank of this VM and the preferred member of each key when the live members or the
+   keys have changed. */
+static void
+rank_keys (OwnState *state, int64_t now_ms)
+{
+  const MbrMembers *members = &state->members.members;
+  uint64_t hash = state->keys.count;
+  for (size_t i = 0; i < members->count; i++) {
+    const MbrMember *member = &members->items[i];
+    if (mbr_state_of (&state->members, member, now_ms) == MBR_LIVE)
+      hash = gr_name_hash (&member->ref.vm, hash + (uint64_t) member->ref.incarnation);
+  }
+  if (hash == state->live_hash)
+    return;
+  state->live_hash = hash;
+  for (size_t k = 0; k < state->keys.count; k++) {
+    OwnKey *key = &state->keys.items[k];
+    uint64_t best = 0, self_score = 0;
+    bool self_live = false;
+    key->preferred.incarnation = 0;
+    for (size_t i = 0; i < members->count; i++) {
+      const MbrMember *member = &members->items[i];
+      if (mbr_state_of (&state->members, member, now_ms) != MBR_LIVE)
+        continue;
+      uint64_t score = gr_name_hash (&key->key, gr_name_hash (&member->ref.vm, 0));
+      if (key->preferred.incarnation == 0 || score > best) {
+        best = score;
+        key->preferred = member->ref;
+      }
+      if (mbr_is_self (&state->members, member)) {
+        self_live = true;
+        self_score = score;
+      }
+    }
+    key->self_rank = self_live ? 0 : -1;
+    for (size_t i = 0; i < members->count && self_live; i++) {
+      const MbrMember *member = &members->items[i];
+      if (mbr_state_of (&state->members, member, now_ms) == MBR_LIVE
+          && gr_name_hash (&key->key, gr_name_hash (&member->ref.vm, 0)) > self_score)
+        key->self_rank++;
+    }
+  }
+}
+
+/* True if the rules allow this VM to claim the key now. *ownerless is true if it needs a claim by
+   anyone. */
+static bool
+may_claim (const OwnState *state, const OwnKey *key, int64_t now_ms, bool *ownerless)
+{
+  *ownerless = true;
+  if (!key->has_owner || mbr_ended (&state->members, &key->owner))
+    return true;
+  const MbrMember *owner = mbr_find (&state->members, &key->owner.vm);
+  bool current = owner && gr_vm_ref_equal (&owner->ref, &key->owner);
+  if (current && mbr_state_of (&state->members, owner, now_ms) != MBR_SUSPECTED) {
+    *ownerless = false;
+    return false;
+  }
+  if (!current)
+    return false; /* the join of its next incarnation will end it */
+  /* An owner that does not count this VM in its set would not ask it for a promise. */
+  if (!owner->acknowledged && !state->options.faults.no_acknowledged_rule)
+    return false;
+  return now_ms >= owner->promised_until_ms;
+}
+
+static void
+tick_claims (OwnState *state, int64_t now_ms, OwnCmds *out)
+{
+  bool joined = state->join.epoch > 0 && state->join.state == OWN_PENDING_NONE;
+  /* Before heartbeats had time to arrive this VM would take every key for itself. */
+  bool settled
+      = state->caught_up_ms >= 0 && now_ms - state->caught_up_ms >= state->options.suspect_after_ms;
+  bool able = joined && settled && own_log_fresh (state, now_ms) && state->stopping_since_ms < 0;
+  for (size_t i = 0; i < state->keys.count; i++) {
+    OwnKey *key = &state->keys.items[i];
+    if (!key->configured || own_key_is_self (state, key))
+      continue;
+    if (key->pending.state != OWN_PENDING_NONE) {
+      if (able && key->pending.kind == OWN_RECORD_CLAIM && due (&key->pending, now_ms))
+        append_for_key (state, key, OWN_RECORD_CLAIM, key->pending.epoch, NULL, now_ms, out);
+      continue;
+    }
+    bool ownerless;
+    bool allowed = may_claim (state, key, now_ms, &ownerless);
+    if (!ownerless)
+      key->ownerless_since_ms = -1;
+    else if (key->ownerless_since_ms < 0)
+      key->ownerless_since_ms = now_ms;
+    if (!allowed || !able || key->self_rank < 0 || now_ms < key->not_before_ms
+        || now_ms < key->ownerless_since_ms + key->self_rank * RANK_STAGGER_MS)
+      continue;
+    append_for_key (state, key, OWN_RECORD_CLAIM, key->epoch + 1, NULL, now_ms, out);
+  }
+}
+
+static void
+tick_own_keys (OwnState *state, int64_t now_ms, OwnCmds *out)
+{
+  if (!own_log_fresh (state, now_ms))
+    return;
+  const MbrMember *self = mbr_find (&state->members, &state->options.self.vm);
+  bool leaving = state->stopping_since_ms >= 0
+                 || (self && mbr_state_of (&state->members, self, now_ms) == MBR_LEAVING);
+  for (size_t i = 0; i < state->keys.count; i++) {
+    OwnKey *key = &state->keys.items[i];
+    if (!own_key_is_self (state, key))
+      continue;
+    if (key->pending.state != OWN_PENDING_NONE) {
+      if (due (&key->pending, now_ms)) {
+        GrVmRef to = key->pending.to;
+        append_for_key (state, key, key->pending.kind, key->pending.epoch, &to, now_ms, out);
+      }
+      continue;
+    }
+    /* The next owner does not wait, so the wait of this one has to be over. */
+    if (now_ms < key->usable_at_ms || now_ms < key->not_before_ms)
+      continue;
+    const MbrMember *to
+        = key->preferred.incarnation > 0 ? mbr_find (&state->members, &key->preferred.vm) : NULL;
+    if (to && !mbr_is_self (&state->members, to)
+        && (leaving
+            || (key->gained && now_ms >= state->next_handover_ms
+                && now_ms - to->live_since_ms >= state->options.suspect_after_ms))) {
+      append_for_key (state, key, OWN_RECORD_HANDOVER, key->epoch + 1, &to->ref, now_ms, out);
+      state->next_handover_ms = now_ms + state->options.handover_interval_ms
+                                + own_random (state, state->options.handover_interval_ms / 4 + 1);
+      continue;
+    }
+    if (key->gained && now_ms >= key->refresh_at_ms) {
+      OwnCmd cmd = { .kind = OWN_CMD_APPEND };
+      cmd.append.token = ++state->next_token;
+      cmd.append.record = (OwnRecord){ .kind = OWN_RECORD_REFRESH,
+                                       .writer = state->options.self,
+                                       .key = key->key,
+                                       .epoch = key->epoch };
+      gr_list_push (out, cmd);
+      /* Reading it back sets the regular time. */
+      key->refresh_at_ms = now_ms + state->options.refresh_interval_ms / 8 + 1;
+    }
+  }
+}
+
+static void
+tick_farewell (OwnState *state, int64_t now_ms, OwnCmds *out)
+{
+  if (state->stopping_since_ms < 0 || state->farewell_done)
+    return;
+  if (state->join.epoch == 0) {
+    /* Nothing of this incarnation can be in the log. */
+    state->farewell_done = state->dead = true;
+    gr_list_push (out, (OwnCmd){ .kind = OWN_CMD_STOPPED });
+    return;
+  }
+  if (state->farewell.state != OWN_PENDING_NONE) {
+    if (!due (&state->farewell, now_ms))
+      return;
+  } else {
+    bool others = false;
+    for (size_t i = 0; i < state->members.members.count; i++) {
+      const MbrMember *member = &state->members.members.items[i];
+      others = others
+               || (!mbr_is_self (&state->members, member)
+                   && mbr_state_of (&state->members, member, now_ms) == MBR_LIVE);
+    }
+    for (size_t i = 0; i < state->keys.count; i++) {
+      const OwnKey *key = &state->keys.items[i];
+      /* Without a live member there is nobody to hand over to. */
+      if (key->pending.state != OWN_PENDING_NONE || (others && own_key_is_self (state, key)))
+        return;
+    }
+  }
+  OwnRecord record = { .kind = OWN_RECORD_FAREWELL };
+  append (state, &state->farewell, &record, now_ms, out);
+}
+
+void
+own_rules_tick (OwnState *state, int64_t now_ms, OwnCmds *out)
+{
+  if (state->last_tick_ms > 0
+      && now_ms - state->last_tick_ms >= state->options.suspect_after_ms / 2)
+    mbr_restart_ages (&state->members, now_ms);
+  state->last_tick_ms = now_ms;
+  MbrMember *self = mbr_find (&state->members, &state->options.self.vm);
+  if (self)
+    self->leaving = state->stopping_since_ms >= 0;
+  tick_join (state, now_ms, out);
+  tick_gone (state, now_ms, out);
+  rank_keys (state, now_ms);
+  tick_claims (state, now_ms, out);
+  tick_own_keys (state, now_ms, out);
+  tick_farewell (state, now_ms, out);
+}
+
+void
+own_rules_stop (OwnState *state, int64_t now_ms, OwnCmds *out)
+{
+  state->next_heartbeat_ms = now_ms; /* tell the others at the next tick */
+  own_rules_tick (state, now_ms, out);
+}
+
+void
+own_rules_stale_epoch (OwnState *state, OwnKey *key, int64_t fence_epoch, int64_t now_ms,
+                       OwnCmds *out)
+{
+  if (!own_key_is_self (state, key) || key->pending.state != OWN_PENDING_NONE
+      || fence_epoch <= key->epoch || !own_log_fresh (state, now_ms))
+    return;
+  append_for_key (state, key, OWN_RECORD_CLAIM, fence_epoch + 1, NULL, now_ms, out);
+}
+
+static bool
+take_result (OwnPending *pending, int64_t token, OwnAppendOutcome outcome, int64_t now_ms)
+{
+  if (pending->token != token || pending->state != OWN_PENDING_SENT)
+    return false;
+  switch (outcome) {
+  case OWN_APPEND_COMMITTED:
+    pending->state = OWN_PENDING_COMMITTED;
+    break;
+  case OWN_APPEND_FAILED:
+    pending->state = pending->unsure ? OWN_PENDING_UNKNOWN : OWN_PENDING_NONE;
+    break;
+  case OWN_APPEND_UNKNOWN:
+    pending->unsure = true;
+    pending->state = OWN_PENDING_UNKNOWN;
+    break;
+  }
+  pending->retry_at_ms = now_ms + RETRY_MS;
+  return true;
+}
+
+void
+own_rules_append_result (OwnState *state, int64_t token, OwnAppendOutcome outcome, int64_t now_ms,
+                         OwnCmds *out)
+{
+  (void) out;
+  if (take_result (&state->join, token, outcome, now_ms)) {
+    /* Without its join this VM takes no part, so a failed one is repeated like an unknown one. */
+    if (outcome == OWN_APPEND_FAILED)
+      state->join.state = OWN_PENDING_UNKNOWN;
+    return;
+  }
+  if (take_result (&state->farewell, token, outcome, now_ms))
+    return;
+  if (take_result (&state->gone, token, outcome, now_ms))
+    return;
+  for (size_t i = 0; i < state->keys.count; i++) {
+    OwnKey *key = &state->keys.items[i];
+    if (take_result (&key->pending, token, outcome, now_ms)) {
+      if (outcome == OWN_APPEND_FAILED)
+        key->not_before_ms = now_ms + RETRY_MS + own_random (state, RETRY_MS);
+      return;
+    }
+  }
+}
