--- /dev/null
+++ b/src/cli/cli.h
@@ -0,0 +1,91 @@
+/* Command line program "gentianrelay": settings, verbs and what the verb families share. */
+#pragma once
+
+#include <jansson.h>
+
+#include "base/gr_opt.h"
+#include "cfg/cfg.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/* All settings of all verbs; a verb uses those that its table entry names. */
+typedef struct {
+  const char *server;
+  const char *platform;
+  const char *token;
+  const char *author;
+  const char *id;
+  const char *team;
+  const char *kind;
+  const char *policy;
+  const char *payload;
+  int64_t tasks;
+  int64_t cpu_milli;
+  int64_t memory_mb;
+  int64_t accelerators;
+  int64_t slots;
+  int64_t run_ms;
+  int64_t within_ms;
+  int64_t timeout_ms;
+  bool json;
+  bool origin;
+  bool idempotent;
+  bool exclusive;
+  bool urgent;
+  bool wait;
+} CliSettings;
+
+typedef struct {
+  const char *name;    /* "config check" */
+  const char *words;   /* what follows it, for example "FOLDER" */
+  const char *options; /* names of its options, separated by spaces */
+  int min_words, max_words;
+  const char *summary;
+  const char *exits; /* what the exit codes mean here, if that needs saying */
+  /* Returns an exit code of gr_opt.h. */
+  int (*run) (const CliSettings *settings, const char **words, int count);
+} CliVerb;
+
+#define CLI_WORDS_MAX 4
+/* Most options of one verb. */
+#define CLI_OPTIONS_MAX 24
+
+const CliVerb *cli_verbs (size_t *count);
+/* The verb whose name the words begin with; *used is the number of words of its name. */
+const CliVerb *cli_verb_find (int count, char **words, int *used);
+/* Copies the options of a verb to out, which holds CLI_OPTIONS_MAX. */
+size_t cli_verb_options (const CliVerb *verb, GrOptSpec *out);
+/* Runs the program; returns its exit code. */
+int cli_run (int argc, char **argv);
+
+/* config */
+int cli_config_check (const CliSettings *settings, const char **words, int count);
+int cli_config_show (const CliSettings *settings, const char **words, int count);
+int cli_config_explain (const CliSettings *settings, const char **words, int count);
+int cli_config_diff (const CliSettings *settings, const char **words, int count);
+int cli_config_publish (const CliSettings *settings, const char **words, int count);
+/* jobs */
+int cli_submit (const CliSettings *settings, const char **words, int count);
+int cli_status (const CliSettings *settings, const char **words, int count);
+int cli_wait (const CliSettings *settings, const char **words, int count);
+int cli_cancel (const CliSettings *settings, const char **words, int count);
+int cli_explain (const CliSettings *settings, const char **words, int count);
+/* cell */
+int cli_top (const CliSettings *settings, const char **words, int count);
+int cli_drain (const CliSettings *settings, const char **words, int count);
+/* generated documents */
+int cli_doc (const CliSettings *settings, const char **words, int count);
+
+/* Writes "gentianrelay: MESSAGE" to standard error and returns the exit code. */
+int cli_fail (int exit_code, const char *format, ...) __attribute__ ((format (printf, 2, 3)));
+/* Prints JSON as text: one "name: value" line per member, tables for lists of objects. */
+void cli_print_json (json_t *value, bool as_json);
+/* Reports an error answer of the daemon; returns the exit code that fits its code. */
+int cli_report_error (const CliSettings *settings, int status, GrStr body);
+int64_t cli_unix_ms (void);
+
+#ifdef __cplusplus
+}
+#endif
--- /dev/null
+++ b/src/cli/cli_config.c
@@ -0,0 +1,241 @@
+/* Verbs that read a configuration: check, show, explain, diff. */
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "cfg/cfg_table.h"
+#include "cli/cli_values.h"
+
+int
+cli_config_check (const CliSettings *settings, const char **words, int count)
+{
+  (void) count;
+  CliFolder folder;
+  int exit_code;
+  CfgTree *tree = cli_load_tree (settings, words[0], &folder, &exit_code);
+  if (!tree)
+    return exit_code;
+  json_t *values = cli_tree_values (tree);
+  if (settings->json) {
+    CfgProblems none = { 0 };
+    cli_print_problems (settings, &none);
+  } else {
+    printf ("%s: %zu files, %zu values, no problem\n", words[0], folder.files.count,
+            json_array_size (values));
+  }
+  json_decref (values);
+  cfg_tree_free (tree);
+  cli_folder_clear (&folder);
+  return GR_EXIT_OK;
+}
+
+/* {"version","values"} of a folder, or of the server if path is NULL. */
+static json_t *
+load_config (const CliSettings *settings, const char *path, int *exit_code)
+{
+  if (!path)
+    return cli_server_config (settings, exit_code);
+  CliFolder folder;
+  CfgTree *tree = cli_load_tree (settings, path, &folder, exit_code);
+  if (!tree)
+    return NULL;
+  json_t *config = json_pack ("{s:o}", "values", cli_tree_values (tree));
+  cfg_tree_free (tree);
+  cli_folder_clear (&folder);
+  return config;
+}
+
+static void
+print_origin (json_t *entry)
+{
+  printf ("  # %s:%lld", cli_text (entry, "file"),
+          (long long) json_integer_value (json_object_get (entry, "line")));
+  if (cli_text (entry, "author")[0])
+    printf (", %s", cli_text (entry, "author"));
+  if (cli_text (entry, "reason")[0])
+    printf (": %s", cli_text (entry, "reason"));
+}
+
+int
+cli_config_show (const CliSettings *settings, const char **words, int count)
+{
+  int exit_code;
+  json_t *config = load_config (settings, count > 0 ? words[0] : NULL, &exit_code);
+  if (!config)
+    return exit_code;
+  if (settings->json) {
+    json_object_del (config, "record");
+    cli_print_json (config, true);
+    json_decref (config);
+    return GR_EXIT_OK;
+  }
+  if (count == 0)
+    printf ("# version %lld\n",
+            (long long) json_integer_value (json_object_get (config, "version")));
+  size_t i;
+  json_t *entry;
+  json_array_foreach (json_object_get (config, "values"), i, entry)
+  {
+    printf ("%s = %s", cli_text (entry, "key"), cli_text (entry, "value"));
+    if (settings->origin)
+      print_origin (entry);
+    putchar ('\n');
+  }
+  json_decref (config);
+  return GR_EXIT_OK;
+}
+
+/* The option of "section.title.option"; NULL if there is none. */
+static const CfgOption *
+option_of_key (const char *key)
+{
+  const char *first = strchr (key, '.');
+  const char *last = strrchr (key, '.');
+  if (!first)
+    return NULL;
+  for (int s = 0; s < CFG_SECTION_COUNT; s++) {
+    const CfgSectionSpec *section = cfg_section ((CfgSectionId) s);
+    size_t len = (size_t) (first - key);
+    if (strlen (section->name) == len && memcmp (section->name, key, len) == 0
+        && section->titled == (first != last))
+      return cfg_option_find (section->id, gr_str_from_c (last + 1));
+  }
+  return NULL;
+}
+
+/* A team's quota and a limit of the same name bound each other; returns the other one's entry. */
+static json_t *
+other_bound (json_t *values, const char *key)
+{
+  GrStr text = gr_str_from_c (key);
+  bool team = gr_str_starts_with (text, GR_STR ("team."));
+  const char *quota = strstr (key, ".quota_");
+  if (!quota || (!team && !gr_str_starts_with (text, GR_STR ("limit."))))
+    return NULL;
+  GrBuf other = { 0 };
+  gr_buf_printf (&other, "%s%s", team ? "limit" : "team", strchr (key, '.'));
+  json_t *entry = cli_find_value (values, other.data);
+  gr_buf_clear (&other);
+  return entry;
+}
+
+static json_t *
+explanation (const CfgOption *option, const char *key, json_t *values)
+{
+  char allowed[128];
+  cfg_option_allowed (option, allowed, sizeof allowed);
+  json_t *entry = cli_find_value (values, key);
+  json_t *result = entry ? json_deep_copy (entry) : json_pack ("{s:s}", "key", key);
+  if (!entry)
+    json_object_set_new (result, "value", json_string (option->def ? option->def : ""));
+  json_object_set_new (result, "set", json_boolean (entry != NULL));
+  json_object_set_new (result, "meaning", json_string (option->help));
+  json_object_set_new (result, "type", json_string (cfg_type_name (option->type)));
+  json_object_set_new (result, "allowed", json_string (allowed));
+  json_object_set_new (result, "default", json_string (option->def ? option->def : "(required)"));
+  json_t *other = other_bound (values, key);
+  if (other) {
+    GrBuf text = { 0 };
+    gr_buf_printf (&text, "%s = %s of %s:%lld also applies; the smaller holds",
+                   cli_text (other, "key"), cli_text (other, "value"), cli_text (other, "file"),
+                   (long long) json_integer_value (json_object_get (other, "line")));
+    json_object_set_new (result, "note", json_stringn (text.data, text.len));
+    gr_buf_clear (&text);
+  }
+  return result;
+}
+
+int
+cli_config_explain (const CliSettings *settings, const char **words, int count)
+{
+  const CfgOption *option = option_of_key (words[0]);
+  if (!option)
+    return cli_fail (GR_EXIT_USAGE,
+                     "unknown_field: '%s' is not a key; allowed is SECTION.NAME.OPTION or "
+                     "cell.OPTION as listed in gentianrelay.conf(5)",
+                     words[0]);
+  int exit_code;
+  json_t *config = load_config (settings, count > 1 ? words[1] : NULL, &exit_code);
+  if (!config)
+    return exit_code;
+  json_t *result = explanation (option, words[0], json_object_get (config, "values"));
+  cli_print_json (result, settings->json);
+  json_decref (result);
+  json_decref (config);
+  return GR_EXIT_OK;
+}
+
+static void
+add_change (json_t *changes, const char *what, const char *key, json_t *from, json_t *to)
+{
+  json_t *change = json_pack ("{s:s, s:s}", "change", what, "key", key);
+  if (from)
+    json_object_set (change, "from", json_object_get (from, "value"));
+  if (to)
+    json_object_set (change, "to", json_object_get (to, "value"));
+  json_array_append_new (changes, change);
+}
+
+static json_t *
+compare (json_t *from, json_t *to)
+{
+  json_t *changes = json_array ();
+  size_t i;
+  json_t *entry;
+  json_array_foreach (from, i, entry)
+  {
+    const char *key = cli_text (entry, "key");
+    json_t *other = cli_find_value (to, key);
+    if (!other)
+      add_change (changes, "removed", key, entry, NULL);
+    else if (strcmp (cli_text (entry, "value"), cli_text (other, "value")) != 0)
+      add_change (changes, "changed", key, entry, other);
+  }
+  json_array_foreach (to, i, entry)
+  {
+    const char *key = cli_text (entry, "key");
+    if (!cli_find_value (from, key))
+      add_change (changes, "added", key, NULL, entry);
+  }
+  return changes;
+}
+
+int
+cli_config_diff (const CliSettings *settings, const char **words, int count)
+{
+  (void) count;
+  int exit_code;
+  json_t *ours = load_config (settings, words[0], &exit_code);
+  if (!ours)
+    return exit_code;
+  json_t *theirs = cli_server_config (settings, &exit_code);
+  if (!theirs) {
+    json_decref (ours);
+    return exit_code;
+  }
+  json_t *changes = compare (json_object_get (theirs, "values"), json_object_get (ours, "values"));
+  bool differ = json_array_size (changes) > 0;
+  if (settings->json) {
+    json_t *result = json_pack ("{s:O, s:O}", "version", json_object_get (theirs, "version"),
+                                "changes", changes);
+    cli_print_json (result, true);
+    json_decref (result);
+  } else {
+    size_t i;
+    json_t *change;
+    json_array_foreach (changes, i, change)
+    {
+      const char *what = cli_text (change, "change");
+      const char *key = cli_text (change, "key");
+      if (strcmp (what, "changed") == 0)
+        printf ("~ %s: %s -> %s\n", key, cli_text (change, "from"), cli_text (change, "to"));
+      else if (strcmp (what, "added") == 0)
+        printf ("+ %s = %s\n", key, cli_text (change, "to"));
+      else
+        printf ("- %s = %s\n", key, cli_text (change, "from"));
+    }
+  }
+  json_decref (changes);
+  json_decref (ours);
+  json_decref (theirs);
+  return differ ? GR_EXIT_FAILED : GR_EXIT_OK;
+}
--- /dev/null
+++ b/src/cli/main.c
@@ -0,0 +1,7 @@
+#include "cli/cli.h"
+
+int
+main (int argc, char **argv)
+{
+  return cli_run (argc, argv);
+}
--- a/src/net/net_peer.h
+++ b/src/net/net_peer.h
@@ -1,7 +1,7 @@
 /* TCP links between entry VMs: frames of a 4-byte big-endian length and a msgpack body.
 
-   There is one link per pair, opened by the VM with the lower id, proved on both sides by an HMAC of
-   a nonce under a shared key, and reopened with backoff while the peer is known. */
+   There is one link per pair, opened by the VM with the lower id, proved on both sides by an HMAC
+   of a nonce under a shared key, and reopened with backoff while the peer is known. */
 #pragma once
 
 #include <uv.h>
@@ -25,7 +25,8 @@
 typedef void (*NetFrameFunc) (void *user, GrStr body);
 
 /* Error GR_ERR_TOO_LARGE for a frame above NET_FRAME_MAX. */
-bool net_frame_feed (NetFrameReader *reader, GrStr bytes, NetFrameFunc func, void *user, GrErr *err);
+bool net_frame_feed (NetFrameReader *reader, GrStr bytes, NetFrameFunc func, void *user,
+                     GrErr *err);
 void net_frame_append (GrBuf *out, GrStr body);
 void net_frame_reader_clear (NetFrameReader *reader);
 
@@ -34,10 +35,10 @@
   GrName region;
   GrName zone;
   const char *listen_host;
-  int64_t listen_port;      /* 0 picks a free port */
-  GrStr key;                /* shared key; empty only in tests */
-  GrStr previous_key;       /* also accepted during a rotation; may be empty */
-  int64_t queue_max_bytes;  /* unsent bytes per link; further frames are refused; default 16777216 */
+  int64_t listen_port;     /* 0 picks a free port */
+  GrStr key;               /* shared key; empty only in tests */
+  GrStr previous_key;      /* also accepted during a rotation; may be empty */
+  int64_t queue_max_bytes; /* unsent bytes per link; further frames are refused; default 16777216 */
   GrLog log;
 } NetPeerOptions;
 
@@ -60,8 +61,8 @@
 
 typedef struct NetPeers NetPeers;
 
-NetPeers *net_peers_new (uv_loop_t *loop, const NetPeerOptions *options, const NetPeerEvents *events,
-                         void *user, GrErr *err);
+NetPeers *net_peers_new (uv_loop_t *loop, const NetPeerOptions *options,
+                         const NetPeerEvents *events, void *user, GrErr *err);
 int net_peers_port (const NetPeers *peers);
 /* Replaces the set of known VMs; links to others are closed. */
 void net_peers_set_known (NetPeers *peers, const NetPeerAddress *known, size_t count);
--- a/tests/test_cfg.c
+++ b/tests/test_cfg.c
@@ -160,7 +160,12 @@
       2,
       "team.x.reason",
       "control characters" },
-    { { { "a.conf", "team x { region = r " } }, GR_ERR_INVALID, "a.conf", 1, "", "no closing brace" },
+    { { { "a.conf", "team x { region = r " } },
+      GR_ERR_INVALID,
+      "a.conf",
+      1,
+      "",
+      "no closing brace" },
   };
   for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
     CfgProblems problems = { 0 };
