--- a/src/job/job.c
+++ b/src/job/job.c
@@ -63,12 +63,12 @@
     job_delete (state, state->jobs);
   while (state->orphans)
     job_drop_orphan (state, state->orphans);
-  JobPending *pending;
-  JobPending *next_pending;
-  HASH_ITER (hh, state->pending, pending, next_pending)
-  {
-    HASH_DEL (state->pending, pending);
+  JobPending *pending = state->pending;
+  HASH_CLEAR (hh, state->pending);
+  while (pending) {
+    JobPending *next = pending->hh.next;
     free (pending);
+    pending = next;
   }
   release_kept (state);
   gr_list_clear (&state->kept);
--- a/src/job/job_end.c
+++ b/src/job/job_end.c
@@ -19,7 +19,8 @@
     state->retry_tokens -= 1.0;
   if (delay > options->backoff_max_ms)
     delay = options->backoff_max_ms;
-  delay = delay / 2 + (int64_t) (erand48 (state->random) * (double) (delay / 2));
+  int64_t half = delay / 2;
+  delay = half + (int64_t) (erand48 (state->random) * (double) half);
   task->phase = JOB_TASK_IDLE;
   task->due_ms = now_ms + delay;
   if (task->due_ms > job->spec.deadline_ms)
