--- a/src/node/node_config.c
+++ b/src/node/node_config.c
@@ -24,6 +24,8 @@
   int64_t version = cfg_store_version (config->store);
   gr_log (&config->log, GR_EV_CONFIG_IN_FORCE, "version %lld from %s", (long long) version, source);
   gr_metric_set (&config->node->metrics, GR_METRIC_CONFIG_VERSION, version);
+  NodeWire wire = { .kind = NODE_WIRE_CONFIG_OFFER, .config = { .version = version } };
+  node_peers_broadcast (config->node, &(GrName){ 0 }, &wire);
   node_tasks_limits_changed (config->node);
   node_work_config_changed (config->node);
 }
@@ -68,7 +70,7 @@
 node_config_new (Node *node, GrErr *err)
 {
   static const NodeStreamEvents events
-      = { .record = on_record, .at_end = on_at_end, .committed = on_committed };
+      = { .record = on_record, .at_end = on_at_end, .committed = on_committed, .raw = true };
   NodeConfig *config = gr_calloc (1, sizeof *config);
   config->node = node;
   config->log = node_log_context (node, "config");
--- a/src/node/node_ctx.c
+++ b/src/node/node_ctx.c
@@ -59,8 +59,7 @@
 NetHttpClient *
 node_http_client (const Node *node, int64_t per_host, int64_t total)
 {
-  NetHttpClientOptions options
-      = { .max_connections_per_host = per_host, .max_connections = total };
+  NetHttpClientOptions options = { .max_connections_per_host = per_host, .max_connections = total };
   GrErr err = { 0 };
   NetHttpClient *client = net_http_client_new (node->loop, &options, &err);
   if (!client) {
--- a/src/node/node_ctx.h
+++ b/src/node/node_ctx.h
@@ -16,9 +16,9 @@
   GrName region;
   GrName zone;
   GrMetrics metrics;
-  bool stopping;        /* SIGTERM arrived: no new work */
-  bool handed_over;     /* all keys handed over and farewell committed */
-  int64_t stop_at_ms;   /* deadline of the planned stop */
+  bool stopping;      /* SIGTERM arrived: no new work */
+  bool handed_over;   /* all keys handed over and farewell committed */
+  int64_t stop_at_ms; /* deadline of the planned stop */
   struct NodeList *list;
   struct NodeOwn *own;
   struct NodePeers *peers;
@@ -28,6 +28,7 @@
   struct NodeParts *parts;
   struct NodePlace *place;
   struct NodeRoute *route;
+  struct NodeWork *work;
   struct NodeFront *front;
 } Node;
 
--- a/src/node/node_list.c
+++ b/src/node/node_list.c
@@ -168,8 +168,8 @@
   remove_unseen (list);
   json_array_foreach (removed, i, item)
   {
-    NodeVm *vm = node_list_find (
-        list->node, (GrStr){ json_string_value (item), json_string_length (item) });
+    NodeVm *vm = node_list_find (list->node,
+                                 (GrStr){ json_string_value (item), json_string_length (item) });
     if (vm)
       remove_vm (list, vm);
   }
@@ -214,8 +214,7 @@
   }
   list->failed = false;
   if (!list->registered)
-    list->registered
-        = node_list_find (list->node, gr_name_str (&list->node->self.vm)) != NULL;
+    list->registered = node_list_find (list->node, gr_name_str (&list->node->self.vm)) != NULL;
   if (changed) {
     tell_peers (list);
     node_targets_list_changed (list->node);
@@ -301,7 +300,8 @@
 {
   GrName first = { 0 };
   for (NodeVm *vm = node->list->vms; vm; vm = vm->hh.next) {
-    if (vm->role == NODE_ROLE_ENTRY && (first.len == 0 || gr_name_compare (&vm->region, &first) < 0))
+    if (vm->role == NODE_ROLE_ENTRY
+        && (first.len == 0 || gr_name_compare (&vm->region, &first) < 0))
       first = vm->region;
   }
   return first;
--- a/src/node/node_own.c
+++ b/src/node/node_own.c
@@ -125,8 +125,7 @@
 on_committed (void *user, int64_t token)
 {
   NodeOwn *own = user;
-  OwnMsg msg = { .kind = OWN_MSG_APPEND_RESULT,
-                 .append_result = { token, OWN_APPEND_COMMITTED } };
+  OwnMsg msg = { .kind = OWN_MSG_APPEND_RESULT, .append_result = { token, OWN_APPEND_COMMITTED } };
   take_step (own, &msg);
 }
 
@@ -165,8 +164,7 @@
     gr_log (&own->log, GR_EV_PROMISE_MODE, "%s", promise_mode ? "on" : "off");
   own->promise_mode = promise_mode;
   gr_metric_set (&own->node->metrics, GR_METRIC_PROMISE_MODE, promise_mode);
-  gr_metric_set (&own->node->metrics, GR_METRIC_KEYS_OWNED,
-                 (int64_t) own_key_count (own->state));
+  gr_metric_set (&own->node->metrics, GR_METRIC_KEYS_OWNED, (int64_t) own_key_count (own->state));
   GrVmRef members[MEMBERS_MAX];
   gr_metric_set (&own->node->metrics, GR_METRIC_MEMBERS_LIVE,
                  (int64_t) own_members (own->state, members, MEMBERS_MAX));
@@ -250,6 +248,13 @@
   take_step (node->own, &msg);
 }
 
+void
+node_own_fence_seen (Node *node, const GrName *key, int64_t fence_epoch)
+{
+  OwnMsg msg = { .kind = OWN_MSG_STALE_EPOCH, .stale_epoch = { *key, fence_epoch } };
+  take_step (node->own, &msg);
+}
+
 void
 node_own_stop (Node *node)
 {
@@ -274,8 +279,7 @@
   if (!own_may_start (node->own->state, key, now))
     return 0;
   int64_t until = now;
-  while (until - now < UNTIL_MAX_MS
-         && own_may_start (node->own->state, key, until + UNTIL_STEP_MS))
+  while (until - now < UNTIL_MAX_MS && own_may_start (node->own->state, key, until + UNTIL_STEP_MS))
     until += UNTIL_STEP_MS;
   return until;
 }
--- a/src/node/node_own.h
+++ b/src/node/node_own.h
@@ -12,6 +12,8 @@
 void node_own_heartbeat (Node *node, GrStr bytes);
 /* Every target of the group that answers was fenced with the epoch and listed. */
 void node_own_inventory_done (Node *node, const GrName *key, int64_t epoch);
+/* A target refused an epoch of this VM because its fence is higher. */
+void node_own_fence_seen (Node *node, const GrName *key, int64_t fence_epoch);
 /* Begins the planned stop: hand over all keys, then say farewell. */
 void node_own_stop (Node *node);
 
--- a/src/node/node_poll.c
+++ b/src/node/node_poll.c
@@ -38,8 +38,8 @@
     bool running;
     JobTaskState end;
   } states[] = {
-    { "running", true, JOB_TASK_RUNNING },   { "succeeded", false, JOB_TASK_SUCCEEDED },
-    { "failed", false, JOB_TASK_FAILED },    { "stopped", false, JOB_TASK_STOPPED },
+    { "running", true, JOB_TASK_RUNNING }, { "succeeded", false, JOB_TASK_SUCCEEDED },
+    { "failed", false, JOB_TASK_FAILED },  { "stopped", false, JOB_TASK_STOPPED },
     { "lapsed", false, JOB_TASK_LAPSED },
   };
   const char *text = json_string_value (json_object_get (object, "state"));
--- /dev/null
+++ b/src/node/node_route.c
@@ -0,0 +1,331 @@
+#include "node/node_route.h"
+
+#include <stdlib.h>
+#include <uthash.h>
+
+#include "node/node_own.h"
+#include "node/node_parts.h"
+#include "node/node_peers.h"
+
+#define ROUTE_TICK_MS 20
+#define RETRY_MS 50
+/* A region without a reachable VM for this long refuses calls that were not yet sent. */
+#define UNREACHABLE_MS 2000
+/* A peer's call that is not for a partition of this VM is forwarded at most this often. */
+#define HOPS_MAX 2
+#define PEERS_MAX 128
+
+typedef enum {
+  CALL_WAITING, /* for an owner, or for the next try */
+  CALL_LOCAL,   /* with the partitions task */
+  CALL_FORWARDED
+} CallState;
+
+typedef struct {
+  int64_t id;
+  CallState state;
+  NodeCallBody body;
+  char *payload;
+  GrName peer; /* FORWARDED */
+  bool sent;   /* an owner may have seen it */
+  int64_t begin_ms;
+  int64_t retry_at_ms;
+  NodeRouteDone done; /* from the front */
+  void *user;
+  GrName origin; /* from a peer: it and its number of the call */
+  int64_t origin_call;
+  UT_hash_handle hh;
+} Call;
+
+struct NodeRoute {
+  Node *node;
+  GrLog log;
+  Call *table;
+  int64_t next_id;
+  GR_LIST (int64_t) fresh; /* calls not tried yet */
+  uv_timer_t kick;
+  uv_timer_t timer;
+};
+
+static void
+remove_call (NodeRoute *route, Call *call)
+{
+  HASH_DEL (route->table, call);
+  free (call->payload);
+  free (call);
+}
+
+static Call *
+find_call (NodeRoute *route, int64_t id)
+{
+  Call *call = NULL;
+  HASH_FIND (hh, route->table, &id, sizeof id, call);
+  return call;
+}
+
+static void
+finish (NodeRoute *route, Call *call, const NodeReplyBody *reply)
+{
+  if (call->done) {
+    call->done (call->user, reply);
+  } else {
+    NodeWire wire = { .kind = NODE_WIRE_REPLY, .reply = { call->origin_call, *reply } };
+    node_peers_send (route->node, &call->origin, &wire, NULL);
+  }
+  remove_call (route, call);
+}
+
+/* The owner changed, or the way to it broke: try again, or let the origin try. */
+static void
+moved (NodeRoute *route, Call *call)
+{
+  if (!call->done) {
+    finish (route, call, &(NodeReplyBody){ .status = NODE_REPLY_MOVED });
+    return;
+  }
+  call->state = CALL_WAITING;
+  call->retry_at_ms = node_now (route->node) + RETRY_MS;
+}
+
+/* Peer to forward to: the owner within the region, any VM of another region. */
+static bool
+next_peer (NodeRoute *route, const Call *call, GrName *peer)
+{
+  Node *node = route->node;
+  if (gr_name_equal (&call->body.region, &node->region)) {
+    int32_t parts = node_own_parts (node);
+    GrVmRef owner;
+    int64_t epoch;
+    if (parts == 0)
+      return false;
+    GrName key = node_part_key (&node->region, job_part (&call->body.id, parts));
+    if (!node_own_owner (node, &key, &owner, &epoch) || gr_name_equal (&owner.vm, &node->self.vm))
+      return false;
+    *peer = owner.vm;
+    return node_peers_is_up (node, peer);
+  }
+  GrName up[PEERS_MAX];
+  size_t count = node_peers_up (node, &call->body.region, up, PEERS_MAX);
+  if (count == 0)
+    return false;
+  *peer = up[node_random () % count];
+  return true;
+}
+
+static void
+try_call (NodeRoute *route, Call *call)
+{
+  Node *node = route->node;
+  GrName peer;
+  if (gr_name_equal (&call->body.region, &node->region)
+      && node_parts_acting (node, &call->body.id)) {
+    call->state = CALL_LOCAL;
+    call->sent = true;
+    gr_log (&route->log, GR_EV_ROUTED, "%.*s: partition owned here", GR_NAME_ARG (call->body.id));
+    node_parts_call (node, call->id, &call->body);
+    return;
+  }
+  if (call->body.hops < HOPS_MAX && next_peer (route, call, &peer)) {
+    NodeWire wire = { .kind = NODE_WIRE_CALL, .call = { call->id, call->body } };
+    wire.call.body.hops++;
+    if (node_peers_send (node, &peer, &wire, NULL)) {
+      call->state = CALL_FORWARDED;
+      call->peer = peer;
+      call->sent = true;
+      gr_metric_add (&node->metrics, GR_METRIC_CALLS_FORWARDED, 1);
+      gr_log (&route->log, GR_EV_ROUTED, "%.*s: to %.*s, %s", GR_NAME_ARG (call->body.id),
+              GR_NAME_ARG (peer),
+              gr_name_equal (&call->body.region, &node->region) ? "owner of the partition"
+                                                                : "in the team's home region");
+      return;
+    }
+  }
+  moved (route, call);
+}
+
+static Call *
+add_call (NodeRoute *route, const NodeCallBody *body)
+{
+  Call *call = gr_calloc (1, sizeof *call);
+  call->id = ++route->next_id;
+  call->body = *body;
+  call->payload = gr_str_dup (body->spec.payload);
+  call->body.spec.payload.data = call->payload;
+  call->begin_ms = node_now (route->node);
+  HASH_ADD (hh, route->table, id, sizeof call->id, call);
+  return call;
+}
+
+static void
+send_fresh (uv_timer_t *timer)
+{
+  NodeRoute *route = timer->data;
+  size_t count = route->fresh.count;
+  int64_t *ids = route->fresh.items;
+  memset (&route->fresh, 0, sizeof route->fresh);
+  for (size_t i = 0; i < count; i++) {
+    Call *call = find_call (route, ids[i]);
+    if (call)
+      try_call (route, call);
+  }
+  free (ids);
+}
+
+int64_t
+node_route_submit (Node *node, const NodeCallBody *body, NodeRouteDone done, void *user)
+{
+  NodeRoute *route = node->route;
+  Call *call = add_call (route, body);
+  int64_t id = call->id;
+  call->done = done;
+  call->user = user;
+  /* Sent with the next turn of the loop, so that done never runs inside this function. */
+  call->retry_at_ms = INT64_MAX;
+  gr_list_push (&route->fresh, id);
+  uv_timer_start (&route->kick, send_fresh, 0, 0);
+  return id;
+}
+
+void
+node_route_drop (Node *node, int64_t id)
+{
+  NodeRoute *route = node->route;
+  Call *call = find_call (route, id);
+  if (!call)
+    return;
+  if (call->state == CALL_LOCAL)
+    node_parts_call_closed (node, call->id, &call->body.id);
+  remove_call (route, call);
+}
+
+size_t
+node_route_open (const Node *node)
+{
+  return HASH_COUNT (node->route->table);
+}
+
+void
+node_route_call (Node *node, const GrName *from, const NodeWire *wire)
+{
+  NodeRoute *route = node->route;
+  Call *call = add_call (route, &wire->call.body);
+  call->origin = *from;
+  call->origin_call = wire->call.id;
+  try_call (route, call);
+}
+
+void
+node_route_reply (Node *node, const GrName *from, const NodeWire *wire)
+{
+  NodeRoute *route = node->route;
+  Call *call = find_call (route, wire->reply.id);
+  /* A late reply of an earlier owner to a call that was sent elsewhere since is as good. */
+  if (!call || (call->state == CALL_LOCAL && gr_name_equal (from, &node->self.vm)))
+    return;
+  if (wire->reply.body.status != NODE_REPLY_MOVED)
+    finish (route, call, &wire->reply.body);
+  else if (call->state == CALL_FORWARDED && gr_name_equal (&call->peer, from))
+    moved (route, call);
+}
+
+void
+node_route_peer_down (Node *node, const GrName *vm)
+{
+  NodeRoute *route = node->route;
+  Call *call, *next;
+  HASH_ITER (hh, route->table, call, next)
+  {
+    if (call->origin.len > 0 && gr_name_equal (&call->origin, vm)) {
+      if (call->state == CALL_LOCAL)
+        node_parts_call_closed (node, call->id, &call->body.id);
+      remove_call (route, call);
+    } else if (call->state == CALL_FORWARDED && gr_name_equal (&call->peer, vm)) {
+      moved (route, call);
+    }
+  }
+}
+
+void
+node_route_job_reply (Node *node, const JobCmd *cmd)
+{
+  NodeRoute *route = node->route;
+  Call *call = find_call (route, cmd->call);
+  if (!call)
+    return;
+  if (cmd->outcome == JOB_OUTCOME_NONE && cmd->why == GR_ERR_UNAVAILABLE) {
+    moved (route, call);
+    return;
+  }
+  NodeReplyBody reply = { .status = NODE_REPLY_DONE,
+                          .phase = cmd->phase,
+                          .outcome = cmd->outcome,
+                          .why = cmd->why,
+                          .text = cmd->bytes };
+  finish (route, call, &reply);
+}
+
+void
+node_route_finish (Node *node, int64_t id, const NodeReplyBody *reply)
+{
+  Call *call = find_call (node->route, id);
+  if (call)
+    finish (node->route, call, reply);
+}
+
+static void
+give_up (NodeRoute *route, Call *call)
+{
+  NodeReplyBody reply = { .status = NODE_REPLY_DONE,
+                          .phase = JOB_ENDED,
+                          .outcome = call->sent ? JOB_OUTCOME_UNKNOWN : JOB_OUTCOME_NOT_RUN,
+                          .why = call->sent ? GR_ERR_UNKNOWN : GR_ERR_UNAVAILABLE };
+  if (call->state == CALL_LOCAL)
+    node_parts_call_closed (route->node, call->id, &call->body.id);
+  gr_log (&route->log, GR_EV_ROUTED, "%.*s: given up, %s", GR_NAME_ARG (call->body.id),
+          call->sent ? "an owner may have seen it" : "no owner was reached");
+  finish (route, call, &reply);
+}
+
+static void
+route_tick (uv_timer_t *timer)
+{
+  NodeRoute *route = timer->data;
+  Node *node = route->node;
+  int64_t now = node_now (node);
+  int64_t now_unix = node_unix ();
+  Call *call, *next;
+  HASH_ITER (hh, route->table, call, next)
+  {
+    if (!call->done)
+      continue;
+    bool foreign = !gr_name_equal (&call->body.region, &node->region);
+    GrName up;
+    bool unreachable = foreign && !call->sent && now - call->begin_ms > UNREACHABLE_MS
+                       && node_peers_up (node, &call->body.region, &up, 1) == 0;
+    if (now_unix > call->body.deadline_unix_ms || unreachable)
+      give_up (route, call);
+    else if (call->state == CALL_WAITING && now >= call->retry_at_ms)
+      try_call (route, call);
+  }
+}
+
+NodeRoute *
+node_route_new (Node *node)
+{
+  NodeRoute *route = gr_calloc (1, sizeof *route);
+  route->node = node;
+  route->log = node_log_context (node, "route");
+  uv_timer_init (node->loop, &route->kick);
+  uv_timer_init (node->loop, &route->timer);
+  route->kick.data = route;
+  route->timer.data = route;
+  uv_timer_start (&route->timer, route_tick, ROUTE_TICK_MS, ROUTE_TICK_MS);
+  return route;
+}
+
+void
+node_route_free (NodeRoute *route)
+{
+  uv_close ((uv_handle_t *) &route->kick, NULL);
+  uv_close ((uv_handle_t *) &route->timer, NULL);
+}
--- a/src/node/node_stream.c
+++ b/src/node/node_stream.c
@@ -1,5 +1,6 @@
 #include "node/node_stream.h"
 
+#include <msgpack.h>
 #include <stdio.h>
 #include <stdlib.h>
 
@@ -30,7 +31,8 @@
   bool read_failed;
   bool closed;
   int64_t read_sent_ms;
-  size_t pending; /* records not yet committed */
+  int64_t raw_next; /* offset of the next read of a raw stream */
+  size_t pending;   /* records not yet committed */
   int64_t bytes_counted;
 };
 
@@ -114,14 +116,77 @@
     uv_timer_stop (timer);
 }
 
+static bool
+raw_int (const msgpack_object *object, int64_t *value)
+{
+  if (object->type != MSGPACK_OBJECT_POSITIVE_INTEGER || object->via.u64 > INT64_MAX)
+    return false;
+  *value = (int64_t) object->via.u64;
+  return true;
+}
+
+static bool
+raw_record (const msgpack_object *object, int64_t *offset, GrStr *bytes)
+{
+  if (object->type != MSGPACK_OBJECT_ARRAY || object->via.array.size != 2)
+    return false;
+  const msgpack_object *parts = object->via.array.ptr;
+  if (!raw_int (&parts[0], offset) || parts[1].type != MSGPACK_OBJECT_BIN)
+    return false;
+  *bytes = (GrStr){ parts[1].via.bin.ptr, parts[1].via.bin.size };
+  return true;
+}
+
+bool
+node_stream_take_raw (GrStr answer, int64_t *next, LgsRecordFunc func, void *user, bool *at_end,
+                      bool *gap, GrErr *err)
+{
+  msgpack_unpacked unpacked;
+  msgpack_unpacked_init (&unpacked);
+  size_t used = 0;
+  int64_t first = 0;
+  int64_t end = 0;
+  int64_t offset = 0;
+  GrStr bytes = { NULL, 0 };
+  bool ok
+      = msgpack_unpack_next (&unpacked, answer.data, answer.len, &used) == MSGPACK_UNPACK_SUCCESS
+        && unpacked.data.type == MSGPACK_OBJECT_ARRAY && unpacked.data.via.array.size == 3;
+  const msgpack_object *parts = ok ? unpacked.data.via.array.ptr : NULL;
+  ok = ok && raw_int (&parts[0], &first) && raw_int (&parts[1], &end)
+       && parts[2].type == MSGPACK_OBJECT_ARRAY;
+  for (uint32_t i = 0; ok && i < parts[2].via.array.size; i++)
+    ok = raw_record (&parts[2].via.array.ptr[i], &offset, &bytes);
+  if (!ok) {
+    gr_err_set (err, GR_ERR_PROTOCOL, "log", "not [first, end, records]");
+    goto done;
+  }
+  *gap = first > *next;
+  if (*gap)
+    *next = first;
+  for (uint32_t i = 0; i < parts[2].via.array.size; i++) {
+    raw_record (&parts[2].via.array.ptr[i], &offset, &bytes);
+    if (offset < *next)
+      continue;
+    *next = offset + 1;
+    func (user, offset, NULL, bytes);
+  }
+  *at_end = *next >= end;
+done:
+  msgpack_unpacked_destroy (&unpacked);
+  return ok;
+}
+
 static void
 take_answer (NodeStream *stream, GrStr body)
 {
   bool at_end = false;
   bool gap = false;
   GrErr err = { 0 };
-  if (!lgs_reader_take (stream->reader, body, stream->events->record, stream->user, &at_end, &gap,
-                        &err)) {
+  bool ok = stream->events->raw ? node_stream_take_raw (
+                body, &stream->raw_next, stream->events->record, stream->user, &at_end, &gap, &err)
+                                : lgs_reader_take (stream->reader, body, stream->events->record,
+                                                   stream->user, &at_end, &gap, &err);
+  if (!ok) {
     stream->read_failed = true;
     gr_log (&stream->log, GR_EV_READ_FAILED, "stream %.*s: %s", GR_NAME_ARG (stream->name),
             err.detail);
@@ -164,8 +229,10 @@
   stream->reading = true;
   stream->read_sent_ms = node_now (stream->node);
   char url[512];
-  int len = snprintf (url, sizeof url, "%s?from=%lld&max=%d", stream->url,
-                      (long long) lgs_reader_next (stream->reader), READ_MAX_APPENDS);
+  int len = snprintf (
+      url, sizeof url, "%s?from=%lld&max=%d", stream->url,
+      (long long) (stream->events->raw ? stream->raw_next : lgs_reader_next (stream->reader)),
+      READ_MAX_APPENDS);
   NetHttpCall http = { .method = "GET",
                        .url = { url, (size_t) len },
                        .timeout_at_ms = stream->read_sent_ms + STORE_TIMEOUT_MS };
--- a/src/node/node_stream.h
+++ b/src/node/node_stream.h
@@ -7,12 +7,18 @@
 typedef struct NodeStream NodeStream;
 
 typedef struct {
-  LgsRecordFunc record; /* each record, in order, duplicates removed */
+  LgsRecordFunc record;                         /* each record, in order, duplicates removed */
   void (*at_end) (void *user, int64_t sent_ms); /* a read sent at sent_ms reached the end */
   void (*committed) (void *user, int64_t token);
   void (*gap) (void *user); /* retention removed records before they were read */
+  bool raw; /* each append is one record without the framing of lgs; the writer is NULL */
 } NodeStreamEvents;
 
+/* Parses the answer of GET /log/STREAM of a raw stream and delivers the records from *next on.
+   Error GR_ERR_PROTOCOL for malformed bytes; nothing is delivered then. */
+bool node_stream_take_raw (GrStr answer, int64_t *next, LgsRecordFunc func, void *user,
+                           bool *at_end, bool *gap, GrErr *err);
+
 NodeStream *node_stream_new (Node *node, const char *name, int64_t poll_ms,
                              const NodeStreamEvents *events, void *user, GrErr *err);
 void node_stream_free (NodeStream *stream);
--- a/src/node/node_targets.c
+++ b/src/node/node_targets.c
@@ -72,7 +72,7 @@
 {
   if (target->in_sched && is_leaving (target)) {
     gr_log (&targets->log, GR_EV_TARGET_STATE, "%.*s leaving: %s", GR_NAME_ARG (target->id),
-            !target->listed         ? "not in the VM list"
+            !target->listed        ? "not in the VM list"
             : target->list_leaving ? "by the VM list"
                                    : "by its own word");
     node_tasks_target_leaving (targets->node, target);
@@ -336,8 +336,7 @@
     if (group->state != NODE_GROUP_OWNED)
       continue;
     /* The former owner stopped renewing leases when it read the claim or wrote the handover. */
-    bool lapsed
-        = now > group->claimed_ms + node_start_lease_ms (node) + NODE_LAPSE_MARGIN_MS;
+    bool lapsed = now > group->claimed_ms + node_start_lease_ms (node) + NODE_LAPSE_MARGIN_MS;
     bool settled = true;
     for (NodeTarget *t = targets->targets; t && settled && !lapsed; t = t->hh.next)
       settled = !gr_name_equal (&t->group, &group->key) || t->in_sched;
--- a/src/node/node_targets.h
+++ b/src/node/node_targets.h
@@ -38,22 +38,22 @@
   GrName zone;
   char *url;
   GrRes capacity;
-  bool listed;        /* in the VM list */
-  bool list_leaving;  /* leaving by the VM list */
-  bool self_leaving;  /* leaving by its own word */
+  bool listed;       /* in the VM list */
+  bool list_leaving; /* leaving by the VM list */
+  bool self_leaving; /* leaving by its own word */
   NodeTargetState state;
-  bool in_sched;      /* known to the scheduler */
+  bool in_sched; /* known to the scheduler */
   bool polling;
-  bool tried;         /* at least one answer or failure under the epoch */
+  bool tried; /* at least one answer or failure under the epoch */
   int64_t epoch;
-  int64_t seq;        /* of the last answer; 0 asks for everything */
+  int64_t seq; /* of the last answer; 0 asks for everything */
   int64_t retry_at_ms;
   int64_t retry_delay_ms;
   int64_t lease_next_ms;
   int64_t check_at_ms; /* a full listing is wanted at this time; 0: none */
   bool lease_busy;
   int64_t lease_ok_ms; /* renewals go on until this time; extended by each success */
-  size_t tasks;       /* running or starting here */
+  size_t tasks;        /* running or starting here */
   UT_hash_handle hh;
 } NodeTarget;
 
--- a/src/node/node_wire.c
+++ b/src/node/node_wire.c
@@ -71,10 +71,10 @@
   msgpack_packer pk;
   msgpack_packer_init (&pk, out, append_buf);
   static const int fields[] = {
-    [NODE_WIRE_HEARTBEAT] = 1,  [NODE_WIRE_SUMMARY] = 7,       [NODE_WIRE_CALL] = 8,
-    [NODE_WIRE_REPLY] = 6,      [NODE_WIRE_PLACE] = 6,         [NODE_WIRE_PLACE_RESULT] = 4,
-    [NODE_WIRE_REPORT] = 4,     [NODE_WIRE_REPORT_ACK] = 2,    [NODE_WIRE_CANCEL] = 1,
-    [NODE_WIRE_GANG] = 2,       [NODE_WIRE_SYNC] = 5,          [NODE_WIRE_SYNC_DONE] = 4,
+    [NODE_WIRE_HEARTBEAT] = 1,    [NODE_WIRE_SUMMARY] = 7,    [NODE_WIRE_CALL] = 8,
+    [NODE_WIRE_REPLY] = 6,        [NODE_WIRE_PLACE] = 6,      [NODE_WIRE_PLACE_RESULT] = 4,
+    [NODE_WIRE_REPORT] = 4,       [NODE_WIRE_REPORT_ACK] = 2, [NODE_WIRE_CANCEL] = 1,
+    [NODE_WIRE_GANG] = 2,         [NODE_WIRE_SYNC] = 5,       [NODE_WIRE_SYNC_DONE] = 4,
     [NODE_WIRE_CONFIG_OFFER] = 3, [NODE_WIRE_FAREWELL] = 0,
   };
   msgpack_pack_array (&pk, (size_t) fields[wire->kind] + 1);
@@ -261,7 +261,8 @@
     wrong (f, field);
   if (!f->ok || !o)
     return (Fields){ .ok = false, .err = NULL };
-  return (Fields){ .items = o->via.array.ptr, .count = o->via.array.size, .ok = true, .err = f->err };
+  return (
+      Fields){ .items = o->via.array.ptr, .count = o->via.array.size, .ok = true, .err = f->err };
 }
 
 static GrRes
