--- a/src/node/node_poll.c
+++ b/src/node/node_poll.c
@@ -7,6 +7,8 @@
 /* How long a target holds a poll without a change. Leaving and ends are told at once. */
 #define POLL_WAIT_MS 20000
 #define POLL_ANSWER_MS 3000
+/* Interval of listings of a target that has not named a position yet. */
+#define POLL_EMPTY_MS 500
 /* The first listing of an inventory must not hold up the group for long. */
 #define LISTING_TIMEOUT_MS 1000
 
@@ -170,7 +172,12 @@
   free (tasks);
   json_decref (root);
   target = node_targets_find (poll->node, &call.target);
-  if (target && !call.check && !target->polling && target->state == NODE_TARGET_LISTED)
+  if (!target || call.check || target->polling || target->state != NODE_TARGET_LISTED)
+    return;
+  /* Without a position there is nothing to wait for; ask again later. */
+  if (target->seq == 0)
+    target->retry_at_ms = node_now (poll->node) + POLL_EMPTY_MS;
+  else
     node_poll_send (poll, target);
 }
 
@@ -224,8 +231,9 @@
   NodePoll *poll = gr_calloc (1, sizeof *poll);
   poll->node = node;
   poll->log = node_log_context (node, "poll");
-  /* One long poll for each of up to 4,900 targets and a few listings besides. */
-  poll->client = node_http_client (node, 4, 6000);
+  /* One long poll for each of up to 4,900 targets and a few listings besides; several targets may
+     share a host. */
+  poll->client = node_http_client (node, 6000, 6000);
   poll->listed = listed;
   poll->failed = failed;
   poll->user = user;
--- a/src/node/node_start.c
+++ b/src/node/node_start.c
@@ -165,7 +165,7 @@
 {
   NodeStart *start = gr_calloc (1, sizeof *start);
   start->node = node;
-  start->client = node_http_client (node, 16, 4096);
+  start->client = node_http_client (node, 4096, 4096);
   return start;
 }
 
