--- a/src/node/node_front_ops.c
+++ b/src/node/node_front_ops.c
@@ -70,13 +70,17 @@
 static void
 append_keys (Node *node, GrBuf *out)
 {
+  bool first = true;
   gr_buf_printf (out, ",\"keys\":[");
   for (int32_t part = 0; part < node_own_parts (node); part++) {
     GrName key = node_part_key (&node->region, part);
-    append_key (node, out, &key, part == 0);
+    append_key (node, out, &key, first);
+    first = false;
+  }
+  for (NodeGroup *group = node_targets_first_group (node); group; group = group->hh.next) {
+    append_key (node, out, &group->key, first);
+    first = false;
   }
-  for (NodeGroup *group = node_targets_first_group (node); group; group = group->hh.next)
-    append_key (node, out, &group->key, false);
   gr_buf_printf (out, "]");
 }
 
--- a/src/node/node_peers.c
+++ b/src/node/node_peers.c
@@ -107,8 +107,6 @@
 {
   NodePeers *peers = user;
   gr_list_push (&peers->up, (UpPeer){ info->vm.vm, info->region });
-  gr_log (&peers->log, GR_EV_PEER_UP, "%.*s in %.*s", GR_NAME_ARG (info->vm.vm),
-          GR_NAME_ARG (info->region));
   node_config_peer_up (peers->node, &info->vm.vm);
 }
 
@@ -122,7 +120,6 @@
       break;
     }
   }
-  gr_log (&peers->log, GR_EV_PEER_DOWN, "%.*s", GR_NAME_ARG (info->vm.vm));
   node_place_forget (peers->node, &info->vm.vm);
   node_route_peer_down (peers->node, &info->vm.vm);
   node_parts_peer_down (peers->node, &info->vm.vm);
