node: number of its own for each placement at the scheduler

Cause: the scheduler ignores an attempt number that it refused before, while the owner of the job keeps the number open after a refusal; requests that met the gap after a kill were refused at their deadline. Change: each placement gets a number of this VM towards the scheduler.

--- a/src/node/node_report.c
+++ b/src/node/node_report.c
@@ -32,15 +32,15 @@
   if (!partition_owner (node, &task->part, &owner))
     return;
   NodeWire wire = { .kind = NODE_WIRE_PLACE_RESULT,
-                    .place_result = { task->sch.id, task->sch.attempt, result, why } };
+                    .place_result = { task->sch.id, task->attempt, result, why } };
   node_peers_send (node, &owner, &wire, NULL);
 }
 
 static void
 send_state (Node *node, const NodeTask *task, const GrName *to)
 {
-  NodeWire wire = { .kind = NODE_WIRE_REPORT,
-                    .report = { .id = task->sch.id, .attempt = task->sch.attempt } };
+  NodeWire wire
+      = { .kind = NODE_WIRE_REPORT, .report = { .id = task->sch.id, .attempt = task->attempt } };
   switch (task->phase) {
   case NODE_TASK_QUEUED:
   case NODE_TASK_STARTING:
--- a/src/node/node_run.c
+++ b/src/node/node_run.c
@@ -17,6 +17,8 @@
 #define STOP_TICK_MS 50
 /* Peers and callers get this long to read what was sent last. */
 #define FAREWELL_MS 200
+/* Turns of the loop, a millisecond each, in which closed handles are released. */
+#define CLOSE_TURNS_MAX 200
 
 typedef struct {
   Node node;
@@ -94,20 +96,6 @@
   return node->front != NULL;
 }
 
-static void
-on_closed (uv_handle_t *handle)
-{
-  (void) handle;
-}
-
-static void
-close_left (uv_handle_t *handle, void *arg)
-{
-  (void) arg;
-  if (!uv_is_closing (handle))
-    uv_close (handle, on_closed);
-}
-
 static void
 start_signals (Daemon *daemon)
 {
@@ -121,6 +109,26 @@
   uv_signal_start (&daemon->interrupt, on_signal, SIGINT);
 }
 
+static void
+close_tasks (Daemon *daemon)
+{
+  Node *node = &daemon->node;
+  node_front_free (node->front);
+  node_peers_free (node->peers);
+  node_route_free (node->route);
+  node_place_free (node->place);
+  node_own_free (node->own);
+  node_tasks_free (node->tasks);
+  node_targets_free (node->targets);
+  node_parts_free (node->parts);
+  node_work_free (node->work);
+  node_config_free (node->config);
+  node_list_free (node->list);
+  uv_close ((uv_handle_t *) &daemon->terminate, NULL);
+  uv_close ((uv_handle_t *) &daemon->interrupt, NULL);
+  uv_close ((uv_handle_t *) &daemon->stop_timer, NULL);
+}
+
 int
 node_run (const NodeSettings *settings)
 {
@@ -148,17 +156,10 @@
           node_front_port (node->front), node_peers_port (node->peers));
   uv_run (&daemon->loop, UV_RUN_DEFAULT);
   code = GR_EXIT_OK;
-  node_front_free (node->front);
-  node_peers_free (node->peers);
-  node_own_free (node->own);
-  node_tasks_free (node->tasks);
-  node_targets_free (node->targets);
-  node_parts_free (node->parts);
-  node_config_free (node->config);
-  node_list_free (node->list);
+  close_tasks (daemon);
 done:
-  /* The process ends here; what the system takes back is not released one by one. */
-  uv_walk (&daemon->loop, close_left, NULL);
-  uv_run (&daemon->loop, UV_RUN_NOWAIT);
+  /* What is left in memory goes with the process. */
+  for (int i = 0; i < CLOSE_TURNS_MAX && uv_run (&daemon->loop, UV_RUN_NOWAIT) != 0; i++)
+    uv_sleep (1);
   return code;
 }
--- a/src/node/node_start.c
+++ b/src/node/node_start.c
@@ -84,7 +84,7 @@
   for (int d = 0; d < GR_RES_COUNT; d++)
     json_object_set_new (demand, gr_res_name ((GrResDim) d), json_integer (task->sch.demand.v[d]));
   json_t *body = json_pack ("{s:s%, s:i, s:I, s:I, s:I, s:o, s:I, s:s%}", "task", task->sch.id.data,
-                            (size_t) task->sch.id.len, "attempt", task->sch.attempt, "epoch",
+                            (size_t) task->sch.id.len, "attempt", task->attempt, "epoch",
                             (json_int_t) target->epoch, "start_by_ms",
                             (json_int_t) (now_unix + NODE_START_BY_MS), "lease_until_ms",
                             (json_int_t) (now_unix + lease), "demand", demand, "run_ms",
@@ -108,7 +108,7 @@
 node_start_stop (NodeStart *start, const NodeTask *task, const NodeTarget *target)
 {
   json_t *body = json_pack ("{s:s%, s:i}", "task", task->sch.id.data, (size_t) task->sch.id.len,
-                            "attempt", task->sch.attempt);
+                            "attempt", task->attempt);
   send_json (start, target, "stop", body, START_TIMEOUT_MS, stop_done, start);
 }
 
@@ -143,8 +143,8 @@
     bool live = task->phase == NODE_TASK_RUNNING || task->phase == NODE_TASK_UNSURE;
     if (!live || !gr_name_equal (&task->target, &target->id))
       continue;
-    json_array_append_new (list, json_pack ("[s%, i]", task->sch.id.data, (size_t) task->sch.id.len,
-                                            task->sch.attempt));
+    json_array_append_new (
+        list, json_pack ("[s%, i]", task->sch.id.data, (size_t) task->sch.id.len, task->attempt));
     task->lease_until_ms = now_ms + lease;
   }
   target->lease_next_ms = now_ms + NODE_LEASE_RENEW_MS;
--- a/src/node/node_tasks.c
+++ b/src/node/node_tasks.c
@@ -30,6 +30,14 @@
   return node->tasks->table;
 }
 
+static NodeTask *
+find_local (const NodeTasks *tasks, int32_t number)
+{
+  NodeTask *task = NULL;
+  HASH_FIND (hh_local, tasks->by_local, &number, sizeof number, task);
+  return task;
+}
+
 static void
 make_key (char *key, const GrName *id, int32_t attempt)
 {
@@ -44,16 +52,18 @@
   return node_tasks_find (node, key);
 }
 
-static NodeTask *
-add_task (NodeTasks *tasks, const GrName *id, int32_t attempt)
+NodeTask *
+node_tasks_add (NodeTasks *tasks, const GrName *id, int32_t attempt)
 {
   NodeTask *task = gr_calloc (1, sizeof *task);
   make_key (task->key, id, attempt);
+  task->attempt = attempt;
   task->sch.id = *id;
-  task->sch.attempt = attempt;
+  task->sch.attempt = tasks->next_local = tasks->next_local % INT32_MAX + 1;
   task->sch.job = job_of_task (id);
   task->placed_ms = node_now (tasks->node);
   HASH_ADD_STR (tasks->table, key, task);
+  HASH_ADD (hh_local, tasks->by_local, sch.attempt, sizeof task->sch.attempt, task);
   return task;
 }
 
@@ -61,13 +71,14 @@
 remove_task (NodeTasks *tasks, NodeTask *task)
 {
   HASH_DEL (tasks->table, task);
+  HASH_DELETE (hh_local, tasks->by_local, task);
   free (task->payload);
   free (task->answer);
   free (task);
 }
 
-static void
-set_target (NodeTasks *tasks, NodeTask *task, const GrName *target)
+void
+node_tasks_set_target (NodeTasks *tasks, NodeTask *task, const GrName *target)
 {
   NodeTarget *old = task->target.len ? node_targets_find (tasks->node, &task->target) : NULL;
   if (old && old->tasks > 0)
@@ -128,18 +139,17 @@
 static void
 run_start (NodeTasks *tasks, const SchCmd *cmd)
 {
-  NodeTask *task = node_tasks_lookup (tasks->node, &cmd->id, cmd->attempt);
+  NodeTask *task = find_local (tasks, cmd->attempt);
   NodeTarget *target = node_targets_find (tasks->node, &cmd->target);
   if (!task)
     return;
-  set_target (tasks, task, &cmd->target);
+  node_tasks_set_target (tasks, task, &cmd->target);
   const char *obstacle = start_obstacle (tasks, task, target);
   if (obstacle) {
     gr_log (&tasks->log, GR_EV_REFUSED, "%s: not sent to %.*s: %s", task->key,
             GR_NAME_ARG (cmd->target), obstacle);
     task->phase = NODE_TASK_STARTING;
-    gr_list_push (&tasks->refused, task->sch.id);
-    gr_list_push (&tasks->refused_attempt, task->sch.attempt);
+    gr_list_push (&tasks->refused, task->sch.attempt);
     return;
   }
   gr_log (&tasks->log, GR_EV_PLACED, "%s on %.*s of %.*s: %s", task->key, GR_NAME_ARG (cmd->target),
@@ -153,7 +163,7 @@
 static void
 run_refused (NodeTasks *tasks, const SchCmd *cmd)
 {
-  NodeTask *task = node_tasks_lookup (tasks->node, &cmd->id, cmd->attempt);
+  NodeTask *task = find_local (tasks, cmd->attempt);
   if (!task)
     return;
   GrErrCode why = refusal_code (tasks, cmd, task);
@@ -161,14 +171,14 @@
           gr_err_name (why), cmd->why == SCH_WHY_NEVER_FITS ? " in " : "",
           cmd->why == SCH_WHY_NEVER_FITS ? gr_res_name (cmd->dim) : "");
   node_report_place (tasks->node, task, JOB_PLACE_REFUSED, why);
-  set_target (tasks, task, &(GrName){ 0 });
+  node_tasks_set_target (tasks, task, &(GrName){ 0 });
   remove_task (tasks, task);
 }
 
 static void
 run_stop (NodeTasks *tasks, const SchCmd *cmd)
 {
-  NodeTask *task = node_tasks_lookup (tasks->node, &cmd->id, cmd->attempt);
+  NodeTask *task = find_local (tasks, cmd->attempt);
   if (!task)
     return;
   task->stopping = true;
@@ -196,7 +206,7 @@
       run_stop (tasks, cmd);
       break;
     case SCH_CMD_HELD: {
-      NodeTask *task = node_tasks_lookup (tasks->node, &cmd->id, cmd->attempt);
+      NodeTask *task = find_local (tasks, cmd->attempt);
       if (task) {
         task->phase = NODE_TASK_HELD;
         node_report_place (tasks->node, task, JOB_PLACE_HELD, GR_ERR_NONE);
@@ -286,7 +296,7 @@
     answer_place (node, from, wire, JOB_PLACE_REFUSED, GR_ERR_UNAVAILABLE);
     return;
   }
-  task = add_task (tasks, &wire->place.id, wire->place.attempt);
+  task = node_tasks_add (tasks, &wire->place.id, wire->place.attempt);
   task->phase = NODE_TASK_QUEUED;
   task->part = wire->place.part;
   task->epoch = wire->place.epoch;
@@ -308,18 +318,9 @@
   task->sch.policy = policy_of (spec, (int32_t) index, node_now (node) + HOLD_MS);
   /* The answer goes out before the scheduler's own word, which may follow at once. */
   answer_place (node, from, wire, JOB_PLACE_QUEUED, GR_ERR_NONE);
-  size_t before = sch_task_count (tasks->sch);
-  char key[NODE_TASK_KEY_MAX];
-  memcpy (key, task->key, sizeof key);
   SchTask copy = task->sch;
   SchMsg msg = { .kind = SCH_MSG_SUBMIT, .submit = &copy };
   node_tasks_step (tasks, &msg);
-  /* The scheduler ignores an attempt that it refused before; the owner may ask again. */
-  task = node_tasks_find (node, key);
-  if (task && task->phase == NODE_TASK_QUEUED && sch_task_count (tasks->sch) == before) {
-    node_report_place (node, task, JOB_PLACE_REFUSED, GR_ERR_UNAVAILABLE);
-    remove_task (tasks, task);
-  }
 }
 
 void
@@ -370,8 +371,8 @@
 }
 
 /* The end of an attempt by the target's word, or because its lease lapsed. */
-static void
-end_task (NodeTasks *tasks, NodeTask *task, JobTaskState end, GrStr answer, int64_t run_ms)
+void
+node_tasks_end (NodeTasks *tasks, NodeTask *task, JobTaskState end, GrStr answer, int64_t run_ms)
 {
   static const SchEnd ends[] = { [JOB_TASK_SUCCEEDED] = SCH_END_SUCCEEDED,
                                  [JOB_TASK_FAILED] = SCH_END_FAILED,
@@ -387,88 +388,13 @@
   task->answer_len = answer.len;
   free (task->payload);
   task->payload = NULL;
-  set_target (tasks, task, &(GrName){ 0 });
+  node_tasks_set_target (tasks, task, &(GrName){ 0 });
   node_report_state (tasks->node, task);
   SchMsg msg
       = { .kind = SCH_MSG_ENDED, .ended = { task->sch.id, task->sch.attempt, ends[end], run_ms } };
   node_tasks_step (tasks, &msg);
 }
 
-/* A task that an earlier owner started. Its team and kind are not known here. */
-static NodeTask *
-adopt_task (NodeTasks *tasks, NodeTarget *target, const NodeListedTask *listed)
-{
-  Node *node = tasks->node;
-  NodeTask *task = add_task (tasks, &listed->id, listed->attempt);
-  int32_t parts = node_own_parts (node);
-  task->part = node_part_key (&node->region, parts > 0 ? job_part (&task->sch.job, parts) : 0);
-  GrVmRef owner;
-  node_own_owner (node, &task->part, &owner, &task->epoch);
-  task->sch.demand = listed->demand;
-  task->phase = NODE_TASK_RUNNING;
-  task->started_ms = task->placed_ms;
-  task->lease_until_ms = task->placed_ms + node_start_lease_ms (node);
-  set_target (tasks, task, &target->id);
-  target->lease_next_ms = 0;
-  return task;
-}
-
-static void
-take_listed (NodeTasks *tasks, NodeTarget *target, const NodeListedTask *listed)
-{
-  Node *node = tasks->node;
-  NodeTask *task = node_tasks_lookup (node, &listed->id, listed->attempt);
-  bool adopted = !task;
-  if (adopted)
-    task = adopt_task (tasks, target, listed);
-  if (!listed->running) {
-    end_task (tasks, task, listed->end, listed->answer, listed->run_ms);
-    return;
-  }
-  if (adopted) {
-    node_report_state (node, task);
-  } else if (task->phase == NODE_TASK_STARTING || task->phase == NODE_TASK_UNSURE) {
-    task->phase = NODE_TASK_STARTING;
-    node_tasks_start_result (node, task, SCH_START_TAKEN);
-  }
-  if (task->phase == NODE_TASK_RUNNING && listed->used.v[GR_RES_CPU_MILLI] > 0) {
-    SchMsg usage
-        = { .kind = SCH_MSG_USAGE, .usage = { listed->id, listed->attempt, listed->used } };
-    node_tasks_step (tasks, &usage);
-  }
-}
-
-/* What a full listing leaves out does not run: the target lost it, or its end is too old. A start
-   without an answer is only decided by a listing asked for after its latest start time. */
-static void
-end_unlisted (NodeTasks *tasks, const NodeTarget *target, const NodeListedTask *listed,
-              size_t count, int64_t sent_ms)
-{
-  NodeTask *task, *next;
-  HASH_ITER (hh, tasks->table, task, next)
-  {
-    if (!gr_name_equal (&task->target, &target->id))
-      continue;
-    bool decided = (task->phase == NODE_TASK_RUNNING && task->started_ms < sent_ms)
-                   || (task->phase == NODE_TASK_UNSURE && task->start_by_ms < sent_ms);
-    for (size_t i = 0; decided && i < count; i++)
-      decided = !(listed[i].attempt == task->sch.attempt
-                  && gr_name_equal (&listed[i].id, &task->sch.id));
-    if (decided)
-      end_task (tasks, task, JOB_TASK_LAPSED, GR_STR (""), 0);
-  }
-}
-
-void
-node_tasks_listed (Node *node, NodeTarget *target, const NodeListedTask *listed, size_t count,
-                   bool everything, int64_t sent_ms)
-{
-  for (size_t i = 0; i < count; i++)
-    take_listed (node->tasks, target, &listed[i]);
-  if (everything)
-    end_unlisted (node->tasks, target, listed, count, sent_ms);
-}
-
 void
 node_tasks_target_up (Node *node, NodeTarget *target)
 {
@@ -577,61 +503,6 @@
   gr_list_clear (&waiting);
 }
 
-/* Each group of the region carries a fixed part of every quota, so that the parts of all owners
-   never add up to more, whoever owns the groups. */
-void
-node_tasks_limits_changed (Node *node)
-{
-  if (node->tasks)
-    node->tasks->limits_due = true;
-}
-
-static int32_t
-quota_part (int64_t quota, size_t index, size_t groups)
-{
-  int64_t n = (int64_t) groups;
-  int64_t i = (int64_t) index;
-  return (int32_t) (quota * (i + 1) / n - quota * i / n);
-}
-
-static int
-compare_keys (const void *a, const void *b)
-{
-  return gr_name_compare (&(*(NodeGroup *const *) a)->key, &(*(NodeGroup *const *) b)->key);
-}
-
-static void
-send_limits (NodeTasks *tasks)
-{
-  Node *node = tasks->node;
-  const CfgTree *tree = node_config_tree (node);
-  GR_LIST (NodeGroup *) groups = { 0 };
-  for (NodeGroup *group = node_targets_first_group (node); group; group = group->hh.next)
-    gr_list_push (&groups, group);
-  if (groups.count > 0)
-    qsort (groups.items, groups.count, sizeof *groups.items, compare_keys);
-  GR_LIST (SchTeamLimit) limits = { 0 };
-  for (size_t t = 0; t < cfg_team_count (tree); t++) {
-    const CfgTeam *team = cfg_team_at (tree, t);
-    SchTeamLimit limit = { .team = team->name, .weight = (int32_t) team->priority + 1 };
-    for (int d = 0; d < GR_RES_COUNT; d++) {
-      int64_t quota = team->quota.v[d];
-      int64_t part = 0;
-      for (size_t g = 0; quota > 0 && g < groups.count; g++) {
-        if (groups.items[g]->state == NODE_GROUP_OWNED)
-          part += quota_part (quota, g, groups.count);
-      }
-      /* 0 would mean no limit. */
-      limit.quota_part.v[d] = quota > 0 && part == 0 ? -1 : (int32_t) part;
-    }
-    gr_list_push (&limits, limit);
-  }
-  SchMsg msg = { .kind = SCH_MSG_LIMITS, .limits = { limits.items, limits.count } };
-  node_tasks_step (tasks, &msg);
-  gr_list_clear (&limits);
-  gr_list_clear (&groups);
-}
-
 static void
 tend_task (NodeTasks *tasks, NodeTask *task, int64_t now)
 {
@@ -641,7 +512,7 @@
   if (now > task->lease_until_ms + NODE_LAPSE_MARGIN_MS) {
     gr_log (&tasks->log, GR_EV_TARGET_STATE, "%s: lease on %.*s lapsed", task->key,
             GR_NAME_ARG (task->target));
-    end_task (tasks, task, JOB_TASK_LAPSED, GR_STR (""), 0);
+    node_tasks_end (tasks, task, JOB_TASK_LAPSED, GR_STR (""), 0);
   } else if (task->stopping && target && now >= task->stop_next_ms) {
     task->stop_next_ms = now + STOP_RETRY_MS;
     node_start_stop (tasks->start, task, target);
@@ -655,22 +526,18 @@
   Node *node = tasks->node;
   int64_t now = node_now (node);
   size_t refused = tasks->refused.count;
+  int32_t *numbers = tasks->refused.items;
+  memset (&tasks->refused, 0, sizeof tasks->refused);
   for (size_t i = 0; i < refused; i++) {
-    NodeTask *task
-        = node_tasks_lookup (node, &tasks->refused.items[i], tasks->refused_attempt.items[i]);
+    NodeTask *task = find_local (tasks, numbers[i]);
     if (task)
       node_tasks_start_result (node, task, SCH_START_REFUSED);
   }
-  for (size_t i = refused; i < tasks->refused.count; i++) {
-    tasks->refused.items[i - refused] = tasks->refused.items[i];
-    tasks->refused_attempt.items[i - refused] = tasks->refused_attempt.items[i];
-  }
-  tasks->refused.count -= refused;
-  tasks->refused_attempt.count -= refused;
+  free (numbers);
   if (tasks->limits_due || now >= tasks->limits_next_ms) {
     tasks->limits_due = false;
     tasks->limits_next_ms = now + LIMITS_INTERVAL_MS;
-    send_limits (tasks);
+    node_limits_send (tasks);
   }
   SchMsg tick = { .kind = SCH_MSG_TICK };
   node_tasks_step (tasks, &tick);
--- a/src/node/node_tasks.h
+++ b/src/node/node_tasks.h
@@ -22,6 +22,9 @@
   NodeTaskPhase phase;
   GrName part;   /* key of the partition */
   int64_t epoch; /* of the partition under which it was placed */
+  int32_t attempt;
+  /* sch.attempt is a number of this VM, new for each placement: the scheduler ignores a number that
+     it refused before, while the partition owner may place the same attempt here again. */
   SchTask sch;
   char *payload;
   size_t payload_len;
@@ -38,7 +41,8 @@
   bool acked; /* the partition owner took the end */
   int64_t report_next_ms;
   int64_t ended_ms;
-  UT_hash_handle hh;
+  UT_hash_handle hh;       /* by key */
+  UT_hash_handle hh_local; /* by sch.attempt */
 } NodeTask;
 
 /* One task in a target's answer. */
