--- a/src/net/net_http_client.c
+++ b/src/net/net_http_client.c
@@ -239,7 +239,8 @@
 /* libcurl repeats a request on a new connection if a reused one breaks before the first byte of
    the answer. The first copy may have been executed, so the second one is stopped. */
 static int
-on_before_request (void *user, char *remote_ip, char *local_ip, int remote_port, int local_port)
+on_before_request (void *user, char *remote_ip, char *local_ip, /* NOLINT: libcurl's type */
+                   int remote_port, int local_port)
 {
   (void) remote_ip;
   (void) local_ip;
@@ -338,29 +339,28 @@
 }
 
 void
-net_http_client_send (NetHttpClient *client, const NetHttpCall *request, NetHttpDone done,
-                      void *user)
+net_http_client_send (NetHttpClient *client, const NetHttpCall *call, NetHttpDone done, void *user)
 {
-  Call *call = gr_calloc (1, sizeof *call);
-  call->client = client;
-  call->done = done;
-  call->user = user;
-  call->body = gr_str_dup (request->body);
-  call->body_len = request->body.len;
-  call->next = client->calls;
-  if (call->next)
-    call->next->prev = call;
-  client->calls = call;
-  uv_timer_init (client->loop, &call->deadline);
-  call->deadline.data = call;
+  Call *open = gr_calloc (1, sizeof *open);
+  open->client = client;
+  open->done = done;
+  open->user = user;
+  open->body = gr_str_dup (call->body);
+  open->body_len = call->body.len;
+  open->next = client->calls;
+  if (open->next)
+    open->next->prev = open;
+  client->calls = open;
+  uv_timer_init (client->loop, &open->deadline);
+  open->deadline.data = open;
   client->handles++;
-  int64_t left = request->timeout_at_ms - (int64_t) uv_now (client->loop);
-  if (left > 0 && prepare (call, request)
-      && curl_multi_add_handle (client->multi, call->easy) == CURLM_OK)
-    call->added = true;
+  int64_t left = call->timeout_at_ms - (int64_t) uv_now (client->loop);
+  if (left > 0 && prepare (open, call)
+      && curl_multi_add_handle (client->multi, open->easy) == CURLM_OK)
+    open->added = true;
   else
     left = 0;
-  uv_timer_start (&call->deadline, on_deadline, left > 0 ? (uint64_t) left : 0, 0);
+  uv_timer_start (&open->deadline, on_deadline, left > 0 ? (uint64_t) left : 0, 0);
 }
 
 int64_t
