--- a/src/net/net_http.h
+++ b/src/net/net_http.h
@@ -1,4 +1,6 @@
-/* HTTP/1.1 adapters on libuv: a server over h2o and a client over libcurl's multi interface. */
+/* HTTP/1.1 adapters on libuv: a server over h2o and a client over libcurl's multi interface.
+
+   The server makes the process ignore SIGPIPE. */
 #pragma once
 
 #include <uv.h>
@@ -12,7 +14,8 @@
 typedef struct {
   const char *listen_host; /* IP number */
   int64_t listen_port;     /* 0 picks a free port */
-  int64_t max_body_bytes;  /* larger bodies get 413; default 1048576 */
+  int64_t max_body_bytes;  /* larger bodies get 413; bodies above it by more
+                              than 1 MiB may only see a closed connection; default 1048576 */
   int64_t max_connections; /* further connections wait in the backlog; default 4096 */
   int64_t io_timeout_ms;   /* slow senders are closed after this; default 30000 */
 } NetHttpServerOptions;
@@ -47,6 +50,8 @@
 
 /* Answers and ends the exchange; may be called later than the handler, exactly once. */
 void net_http_reply (NetHttpExchange *exchange, int status, GrStr content_type, GrStr body);
+/* Ends the exchange by closing its connection without an answer. */
+void net_http_abort (NetHttpExchange *exchange);
 /* func runs if the connection closes before the reply; the exchange is invalid afterwards. */
 void net_http_on_close (NetHttpExchange *exchange, NetHttpCloseFunc func, void *user);
 /* Decimal value of a query parameter, or the default if it is absent or malformed. */
--- a/src/net/net_http_server.c
+++ b/src/net/net_http_server.c
@@ -1,3 +1,4 @@
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <sys/socket.h>
@@ -9,6 +10,9 @@
 
 #define BACKLOG 1024
 #define DEFAULT_MAX_BODY_BYTES 1048576
+/* Bodies up to this much above the limit are read before 413 is sent. h2o answers larger ones
+   before it has read them and closes, and the reset that follows can overtake the answer. */
+#define BODY_READ_MARGIN_BYTES 1048576
 #define DEFAULT_MAX_CONNECTIONS 4096
 #define DEFAULT_IO_TIMEOUT_MS 30000
 /* Sum of header names and values; larger requests get 431. */
@@ -26,6 +30,7 @@
   NetHttpHandler handler;
   void *user;
   int port;
+  size_t max_body_bytes;
   int64_t max_connections;
   int64_t conn_count;
   size_t open;
@@ -233,9 +238,10 @@
   *exchange = (NetHttpExchange){ .server = server, .conn = conn, .req = req };
   server->open++;
   conn->exchange = exchange;
-  if (header_bytes (req) > MAX_HEADER_BYTES) {
+  bool long_header = header_bytes (req) > MAX_HEADER_BYTES;
+  if (long_header || req->entity.len > server->max_body_bytes) {
     req->http1_is_persistent = 0;
-    send_answer (exchange, 431, (GrStr){ 0 }, (GrStr){ 0 });
+    send_answer (exchange, long_header ? 431 : 413, (GrStr){ 0 }, (GrStr){ 0 });
     return 0;
   }
   NetHttpRequest request = { 0 };
@@ -357,8 +363,7 @@
 {
   h2o_config_init (&server->config);
   server->config.server_name = h2o_iovec_init (H2O_STRLIT ("gentianrelay"));
-  server->config.max_request_entity_size
-      = (size_t) (options->max_body_bytes > 0 ? options->max_body_bytes : DEFAULT_MAX_BODY_BYTES);
+  server->config.max_request_entity_size = server->max_body_bytes + BODY_READ_MARGIN_BYTES;
   server->config.http1.req_timeout
       = (uint64_t) (options->io_timeout_ms > 0 ? options->io_timeout_ms : DEFAULT_IO_TIMEOUT_MS);
   server->config.http1.upgrade_to_http2 = 0;
@@ -399,10 +404,14 @@
                 host, port);
     return NULL;
   }
+  /* libuv writes without MSG_NOSIGNAL; a closed connection shows as EPIPE. */
+  signal (SIGPIPE, SIG_IGN);
   NetHttpServer *server = gr_calloc (1, sizeof *server);
   server->loop = loop;
   server->handler = handler;
   server->user = user;
+  server->max_body_bytes
+      = (size_t) (options->max_body_bytes > 0 ? options->max_body_bytes : DEFAULT_MAX_BODY_BYTES);
   server->max_connections
       = options->max_connections > 0 ? options->max_connections : DEFAULT_MAX_CONNECTIONS;
   uv_timer_init (loop, &server->closer);
@@ -470,6 +479,17 @@
   send_answer (exchange, status, content_type, body);
 }
 
+void
+net_http_abort (NetHttpExchange *exchange)
+{
+  if (exchange->ended)
+    return;
+  /* The socket takes no bytes any more, so the answer that ends the exchange is not sent. */
+  shutdown (h2o_socket_get_fd (exchange->conn->sock), SHUT_RDWR);
+  exchange->close_func = NULL;
+  abandon (exchange);
+}
+
 void
 net_http_on_close (NetHttpExchange *exchange, NetHttpCloseFunc func, void *user)
 {
--- a/src/net/net_peer.c
+++ b/src/net/net_peer.c
@@ -1,5 +1,6 @@
 #include "net/net_peer.h"
 
+#include <signal.h>
 #include <stdlib.h>
 
 #include <openssl/rand.h>
@@ -513,6 +514,8 @@
                 host, port);
     return NULL;
   }
+  /* libuv writes without MSG_NOSIGNAL; a closed link shows as EPIPE. */
+  signal (SIGPIPE, SIG_IGN);
   NetPeers *peers = gr_calloc (1, sizeof *peers);
   peers->loop = loop;
   peers->self = options->self;
--- a/src/net/net_peer.h
+++ b/src/net/net_peer.h
@@ -1,7 +1,8 @@
 /* TCP links between entry VMs: frames of a 4-byte big-endian length and a msgpack body.
 
    There is one link per pair, opened by the VM with the lower id, proved on both sides by an HMAC
-   of a nonce under a shared key, and reopened with backoff while the peer is known. */
+   of a nonce under a shared key, and reopened with backoff while the peer is known. Opening the
+   links makes the process ignore SIGPIPE. */
 #pragma once
 
 #include <uv.h>
