--- a/src/job/job.h
+++ b/src/job/job.h
@@ -1,7 +1,15 @@
 /* Jobs and requests of the partitions that one VM owns, as a pure state machine.
 
    It accepts work, makes it durable, asks schedulers to run attempts, retries within bounds, and
-   tells callers the outcome once. Times are local monotonic ms. One thread uses a state. */
+   tells callers the outcome once. Times are local monotonic ms. One thread uses a state.
+
+   Every VM delivers all records of jobs-REGION, so that each holds the unfinished jobs of the
+   region and can take over a partition. It acts on a job only while its partition is owned and
+   active. Takeover: PART_GAINED; the VM asks every scheduler of the region for its tasks of the
+   partition under the new partition epoch (each scheduler refuses places of lower epochs from then
+   on) and delivers them as TASK_REPORT, or PLACE_RESULT QUEUED for waiting ones; then
+   TARGETS_KNOWN. Only then are attempts placed: an attempt that nobody reported has ended or never
+   began. */
 #pragma once
 
 #include "base/gr_err.h"
@@ -30,6 +38,9 @@
   int64_t retry_budget_pct; /* retries per 100 first attempts; default 10, at least 10 retries */
   int64_t keep_ended_ms;    /* outcomes stay answerable for this long; default 600000 */
   int64_t jobs_max;         /* unfinished jobs held; default 200000 */
+  int64_t resolve_every_ms; /* interval of JOB_CMD_RESOLVE for one attempt; default 1000 */
+  int64_t unix_offset_ms;   /* Unix time minus local time, to read deadlines of records */
+  int32_t parts;            /* partitions of the region; default 16 */
   uint64_t seed;
   JobFaults faults;
 } JobOptions;
@@ -79,19 +90,22 @@
 typedef enum {
   JOB_MSG_TICK,
   JOB_MSG_PART_GAINED, /* records of the partition were all delivered before */
-  JOB_MSG_PART_LOST,   /* stop acting on its jobs; waiting calls are told to ask the new owner */
+  JOB_MSG_PART_ACTIVE, /* the ownership lease allows to act until until_ms; sent at each tick */
+  JOB_MSG_PART_LOST,   /* stop acting on its jobs; waiting calls get GR_ERR_UNAVAILABLE */
   JOB_MSG_RECORD,      /* one record of the stream jobs-REGION */
   JOB_MSG_SUBMIT,
   JOB_MSG_CANCEL,
-  JOB_MSG_WAIT,         /* reply when the job ended or wait_until_ms passed */
-  JOB_MSG_CALL_CLOSED,  /* the caller's connection closed */
-  JOB_MSG_COMMITTED,    /* the record of JOB_CMD_APPEND is in the log */
-  JOB_MSG_APPEND_FULL,  /* the record of JOB_CMD_APPEND was certainly not written */
-  JOB_MSG_STORE_STATE,  /* whether the log takes appends now */
-  JOB_MSG_PLACE_RESULT, /* a scheduler holds or refused an attempt, or cannot be reached */
-  JOB_MSG_TASK_REPORT,  /* an attempt runs or ended on a target */
-  JOB_MSG_TARGETS_KNOWN /* after a takeover: all groups of the region reported, or their leases
-                           lapsed */
+  JOB_MSG_WAIT,        /* reply when the job ended or wait_until_ms passed */
+  JOB_MSG_CALL_CLOSED, /* the caller's connection closed */
+  JOB_MSG_COMMITTED,   /* the record of JOB_CMD_APPEND is in the log */
+  JOB_MSG_APPEND_FULL, /* the record of JOB_CMD_APPEND was certainly not written */
+  JOB_MSG_SNAPSHOT,    /* append the unfinished jobs of owned partitions anew, ahead of retention */
+  JOB_MSG_STORE_STATE, /* whether the log takes appends now */
+  JOB_MSG_PLACE_RESULT,   /* a scheduler holds or refused an attempt, or cannot be reached */
+  JOB_MSG_TASK_REPORT,    /* an attempt runs or ended on a target */
+  JOB_MSG_SCHEDULER_LOST, /* a VM is gone or lost its groups: the fate of its attempts is not known
+                           */
+  JOB_MSG_TARGETS_KNOWN /* after a takeover: every scheduler of the region answered for the part */
 } JobMsgKind;
 
 typedef enum {
@@ -114,7 +128,11 @@
   union {
     struct {
       int32_t part;
-    } part;
+      int64_t until_ms; /* PART_ACTIVE */
+    } part;             /* PART_*, TARGETS_KNOWN */
+    struct {
+      GrName vm;
+    } scheduler_lost;
     struct {
       GrStr bytes;
     } record;
@@ -157,16 +175,23 @@
   JOB_CMD_COMMIT_GANG,  /* all parts hold: start them */
   JOB_CMD_RELEASE_GANG, /* drop the holds */
   JOB_CMD_CANCEL_TASK,
+  /* Ask the owners of all groups for the attempt. Each that does not have it must never start it
+     afterwards. Answer by TASK_REPORT: its state, or LAPSED once all owners answered absent. */
+  JOB_CMD_RESOLVE,
   JOB_CMD_REPLY /* answer the call */
 } JobCmdKind;
 
 #define JOB_AVOID_MAX 3
 
+/* Largest number of tasks of one job. */
+#define JOB_TASKS_MAX 10000
+
 typedef struct {
   JobCmdKind kind;
   int64_t token;       /* APPEND */
   GrStr bytes;         /* APPEND: record; REPLY: answer. Valid until the next step */
   const JobSpec *spec; /* PLACE: valid until the next step */
+  int32_t index;       /* PLACE, CANCEL_TASK, RESOLVE: index of the task within the job */
   GrName id;           /* task id, or job id for REPLY, COMMIT_GANG, RELEASE_GANG */
   int32_t attempt;
   GrName scheduler; /* CANCEL_TASK, COMMIT_GANG, RELEASE_GANG: where; empty: all */
