--- a/src/cfg/cfg_publication.c
+++ b/src/cfg/cfg_publication.c
@@ -29,7 +29,7 @@
 static bool
 take_field (GrStr *rest, const char *name, GrStr *value, GrErr *err)
 {
-  GrStr line;
+  GrStr line = { 0 };
   GrStr prefix = gr_str_from_c (name);
   if (!take_line (rest, &line) || !gr_str_starts_with (line, prefix) || line.len <= prefix.len
       || line.data[prefix.len] != ' ')
@@ -41,7 +41,7 @@
 static bool
 take_number (GrStr *rest, const char *name, int64_t max, int64_t *value, GrErr *err)
 {
-  GrStr text;
+  GrStr text = { 0 };
   if (!take_field (rest, name, &text, err))
     return false;
   if (!gr_str_to_int64 (text, value) || *value < 0 || *value > max)
@@ -54,7 +54,7 @@
 static bool
 take_file (GrStr *rest, CfgFile *file, GrErr *err)
 {
-  GrStr header;
+  GrStr header = { 0 };
   if (!take_field (rest, "file", &header, err))
     return false;
   const char *space = memchr (header.data, ' ', header.len);
@@ -78,8 +78,8 @@
 {
   memset (out, 0, sizeof *out);
   GrStr rest = record;
-  GrStr line;
-  GrStr author;
+  GrStr line = { 0 };
+  GrStr author = { 0 };
   int64_t count = 0;
   if (!take_line (&rest, &line) || !gr_str_equal (line, GR_STR (PUBLICATION_MAGIC)))
     return gr_err_set (err, GR_ERR_PROTOCOL, "record", "the record is not a publication");
@@ -134,7 +134,7 @@
 {
   memset (out, 0, sizeof *out);
   GrStr rest = record;
-  GrStr line;
+  GrStr line = { 0 };
   if (!take_line (&rest, &line) || !gr_str_equal (line, GR_STR (STATE_MAGIC)))
     return gr_err_set (err, GR_ERR_PROTOCOL, "record", "the record is not a state record");
   if (!take_number (&rest, "through", INT64_MAX - 1, &out->through, err)
--- a/src/cfg/cfg_tree.c
+++ b/src/cfg/cfg_tree.c
@@ -259,7 +259,7 @@
       cfg_option_store (option, value, record);
     else if (option->def)
       cfg_option_store (option, gr_str_from_c (option->def), record);
-    else
+    else if (block->file < merge->file_count)
       cfg_problem_add (merge->problems, GR_ERR_MISSING, merge->files[block->file]->name,
                        block->line, &key, "'%s' is not set; required in section %s", option->name,
                        cfg_section (block->section)->name);
--- a/src/cli/cli_job.c
+++ b/src/cli/cli_job.c
@@ -163,12 +163,13 @@
 submit_body (const CliSettings *settings, const char *id)
 {
   bool job = settings->policy[0] != '\0';
+  int64_t deadline_ms = cli_unix_ms () + settings->within_ms;
   json_t *body = json_pack (
       "{s:s, s:s, s:I, s:I, s:s, s:{s:I, s:I, s:I, s:I}}", "id", id, "team", settings->team,
-      "deadline_ms", (json_int_t) (cli_unix_ms () + settings->within_ms), "run_ms",
-      (json_int_t) settings->run_ms, "payload", settings->payload, "demand", "cpu_milli",
-      (json_int_t) settings->cpu_milli, "memory_mb", (json_int_t) settings->memory_mb,
-      "accelerators", (json_int_t) settings->accelerators, "slots", (json_int_t) settings->slots);
+      "deadline_ms", (json_int_t) deadline_ms, "run_ms", (json_int_t) settings->run_ms, "payload",
+      settings->payload, "demand", "cpu_milli", (json_int_t) settings->cpu_milli, "memory_mb",
+      (json_int_t) settings->memory_mb, "accelerators", (json_int_t) settings->accelerators,
+      "slots", (json_int_t) settings->slots);
   if (!body)
     return NULL;
   if (job) {
