--- a/src/cfg/cfg_parse.h
+++ b/src/cfg/cfg_parse.h
@@ -5,6 +5,10 @@
 
 #include "cfg/cfg_table.h"
 
+#ifdef __cplusplus
+extern "C" {
+#endif
+
 /* One section as written: its title, first line, author and reason. */
 typedef struct {
   CfgSectionId section;
@@ -45,3 +49,7 @@
 void cfg_problem_add (CfgProblems *problems, GrErrCode code, GrStr file, int64_t line,
                       const GrName *key, const char *format, ...)
     __attribute__ ((format (printf, 6, 7)));
+
+#ifdef __cplusplus
+}
+#endif
--- a/src/cfg/cfg_publication.c
+++ b/src/cfg/cfg_publication.c
@@ -57,7 +57,7 @@
   GrStr header = { 0 };
   if (!take_field (rest, "file", &header, err))
     return false;
-  const char *space = memchr (header.data, ' ', header.len);
+  const char *space = header.len > 0 ? memchr (header.data, ' ', header.len) : NULL;
   int64_t len = -1;
   if (space) {
     file->name = (GrStr){ header.data, (size_t) (space - header.data) };
--- a/src/cfg/cfg_publication.h
+++ b/src/cfg/cfg_publication.h
@@ -3,6 +3,10 @@
 
 #include "cfg/cfg.h"
 
+#ifdef __cplusplus
+extern "C" {
+#endif
+
 typedef struct {
   int64_t base;
   GrName author;
@@ -25,3 +29,7 @@
 void cfg_state_encode (const CfgStateRecord *state, GrBuf *out);
 /* Replaces "through" in an encoded state record. */
 void cfg_state_set_through (GrBuf *record, int64_t through);
+
+#ifdef __cplusplus
+}
+#endif
--- a/src/cfg/cfg_store.c
+++ b/src/cfg/cfg_store.c
@@ -132,6 +132,7 @@
   const CfgTree *other;
   CfgProblem *problem;
 
+  bool in_both; /* only keys that both trees set */
   bool found;
 } Difference;
 
@@ -142,7 +143,8 @@
   GrStr other_value = { 0 };
   CfgOrigin other = { 0 };
   bool present = cfg_tree_explain (difference->other, key, &other_value, &other);
-  if (difference->found || (present && gr_str_equal (value, other_value)))
+  if (difference->found || (difference->in_both && !present)
+      || (present && gr_str_equal (value, other_value)))
     return;
   difference->found = true;
   CfgProblem *problem = difference->problem;
@@ -153,7 +155,8 @@
   gr_name_set (&problem->key, key);
 }
 
-/* Names the first key in which the refused publication and the version in force differ. */
+/* Names a key in which the refused publication and the version in force differ: the first that both
+   set, else the first that one sets. */
 static void
 describe_conflict (const CfgStore *store, const CfgPublication *publication, CfgProblem *problem)
 {
@@ -165,8 +168,11 @@
                (long long) publication->base, (long long) store->version);
   if (!tree)
     return;
-  Difference ours = { .other = store->tree, .problem = problem };
+  Difference ours = { .other = store->tree, .problem = problem, .in_both = true };
   cfg_tree_values (tree, note_difference, &ours);
+  ours.in_both = false;
+  if (!ours.found)
+    cfg_tree_values (tree, note_difference, &ours);
   if (!ours.found) {
     Difference theirs = { .other = tree, .problem = problem };
     cfg_tree_values (store->tree, note_difference, &theirs);
--- a/src/cfg/cfg_tree.h
+++ b/src/cfg/cfg_tree.h
@@ -3,6 +3,10 @@
 
 #include "cfg/cfg_parse.h"
 
+#ifdef __cplusplus
+extern "C" {
+#endif
+
 /* Test-only switches: each leaves out one rule of the merge, so that a property can show that it
    notices. */
 typedef struct {
@@ -14,3 +18,7 @@
 /* As cfg_tree_new; author is the origin of values whose section names none. */
 CfgTree *cfg_tree_build (const CfgFile *files, size_t count, const GrName *author,
                          const CfgTreeFaults *faults, CfgProblems *problems);
+
+#ifdef __cplusplus
+}
+#endif
--- /dev/null
+++ b/tests/prop_cfg.cc
@@ -0,0 +1,599 @@
+// Properties of the configuration: all readers of one log agree, versions never fall, and the merge
+// follows its rules whatever the files hold and however they are ordered. For each property a
+// variant that leaves out one rule must fail it.
+#include <cstdio>
+#include <cstdlib>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <rapidcheck.h>
+#include <rapidcheck/detail/TestListenerAdapter.h>
+
+#include "cfg/cfg_publication.h"
+#include "cfg/cfg_store.h"
+
+namespace
+{
+
+constexpr int kTapeLength = 72;
+
+// Choices of one case, drawn in advance: shrinking a choice to 0 leads to the plainest case.
+class Tape
+{
+public:
+  explicit Tape (const std::vector<uint32_t> &choices) : choices_ (choices)
+  {
+  }
+
+  // From 0 to count - 1; 0 once the choices are used up.
+  int
+  pick (int count)
+  {
+    uint32_t value = at_ < choices_.size () ? choices_[at_++] : 0;
+    return static_cast<int> (value % static_cast<uint32_t> (count));
+  }
+
+private:
+  const std::vector<uint32_t> &choices_;
+  size_t at_ = 0;
+};
+
+rc::Gen<std::vector<uint32_t>>
+tapes ()
+{
+  return rc::gen::resize (
+      100, rc::gen::container<std::vector<uint32_t>> (
+               kTapeLength, rc::gen::inRange<uint32_t> (0, 1u << 16)));
+}
+
+struct File {
+  std::string name;
+  std::string text;
+};
+
+GrStr
+view (const std::string &s)
+{
+  return GrStr{ s.data (), s.size () };
+}
+
+std::string
+text_of (GrStr s)
+{
+  return s.len > 0 ? std::string (s.data, s.len) : std::string ();
+}
+
+std::string
+text_of (const GrName &name)
+{
+  return text_of (gr_name_str (&name));
+}
+
+std::vector<CfgFile>
+views (const std::vector<File> &files)
+{
+  std::vector<CfgFile> out;
+  for (const File &file : files)
+    out.push_back (CfgFile{ view (file.name), view (file.text) });
+  return out;
+}
+
+void
+append_value (void *user, GrStr key, GrStr value, const CfgOrigin *origin)
+{
+  auto *out = static_cast<std::string *> (user);
+  *out += text_of (key) + "=" + text_of (value) + "@" + text_of (origin->file) + ":"
+          + std::to_string (origin->line) + " " + text_of (origin->author) + "\n";
+}
+
+std::string
+dump (const CfgTree *tree)
+{
+  std::string out;
+  cfg_tree_values (tree, append_value, &out);
+  return out;
+}
+
+// One merge: its values, or its problems.
+struct Merged {
+  bool ok = false;
+  std::string values;
+  std::vector<CfgProblem> problems;
+  std::map<std::string, GrRes> quotas;
+};
+
+Merged
+merge (const std::vector<File> &files, const CfgTreeFaults &faults)
+{
+  Merged out;
+  std::vector<CfgFile> list = views (files);
+  CfgProblems problems = {};
+  CfgTree *tree = cfg_tree_build (list.data (), list.size (), nullptr, &faults, &problems);
+  out.ok = tree != nullptr;
+  out.problems.assign (problems.items, problems.items + problems.count);
+  if (tree) {
+    out.values = dump (tree);
+    for (size_t i = 0; i < cfg_team_count (tree); i++)
+      out.quotas[text_of (cfg_team_at (tree, i)->name)] = cfg_team_at (tree, i)->quota;
+  }
+  cfg_tree_free (tree);
+  gr_list_clear (&problems);
+  return out;
+}
+
+// --- one log and its readers -----------------------------------------------------------------
+
+std::string
+publication (int64_t base, int content)
+{
+  static const char *const authors[] = { "Ann", "Bob" };
+  std::string text = content == 7 ? "team t { region = }"
+                                  : "team t {\n region = r\n priority = "
+                                        + std::to_string (content % 7) + "\n}\n";
+  std::vector<File> files = { { "a.conf", text } };
+  std::vector<CfgFile> list = views (files);
+  GrName author = gr_name (authors[content % 2]);
+  GrBuf out = {};
+  cfg_publication_encode (base, &author, list.data (), list.size (), &out);
+  std::string record = text_of (gr_buf_str (&out));
+  gr_buf_clear (&out);
+  return record;
+}
+
+struct Store {
+  explicit Store (const CfgStoreFaults &faults) : store (cfg_store_new_faulty (&faults))
+  {
+  }
+  ~Store ()
+  {
+    cfg_store_free (store);
+  }
+  Store (const Store &) = delete;
+  Store &operator= (const Store &) = delete;
+
+  CfgVerdict
+  record (int64_t offset, const std::string &bytes)
+  {
+    return cfg_store_record (store, offset, view (bytes), &problem);
+  }
+
+  std::string
+  state () const
+  {
+    return text_of (cfg_store_record_in_force (store));
+  }
+
+  CfgStore *store;
+  CfgProblem problem = {};
+};
+
+struct Log {
+  std::vector<std::string> records;
+  std::vector<std::string> states;    // state record after each offset; empty at version 0
+  std::vector<int64_t> versions;      // after each offset
+  std::vector<int64_t> snapshot_of;   // last offset that the state record reflects, or -1
+};
+
+// Publications on the right, an old and a future base, repeated records, late snapshots, garbage.
+Log
+make_log (Tape &tape, const CfgStoreFaults &faults, int length)
+{
+  Log log;
+  Store truth (faults);
+  for (int64_t offset = 0; offset < length; offset++) {
+    int64_t version = cfg_store_version (truth.store);
+    int64_t snapshot_of = -1;
+    std::string record;
+    int action = tape.pick (10);
+    if (action >= 8 && offset > 0) {
+      int64_t of = tape.pick (static_cast<int> (offset));
+      record = log.states[static_cast<size_t> (of)];
+      if (!record.empty ())
+        snapshot_of = of;
+    } else if (action == 7 && offset > 0) {
+      size_t of = static_cast<size_t> (tape.pick (static_cast<int> (offset)));
+      record = log.records[of];
+      snapshot_of = log.snapshot_of[of];
+    } else if (action == 6) {
+      record = "garbage";
+    } else {
+      static const int shifts[] = { 0, 0, 0, -1, -2, 1 };
+      int64_t base = version + shifts[tape.pick (6)];
+      record = publication (base < 0 ? 0 : base, tape.pick (8));
+    }
+    truth.record (offset, record);
+    log.records.push_back (record);
+    log.states.push_back (truth.state ());
+    log.versions.push_back (cfg_store_version (truth.store));
+    log.snapshot_of.push_back (snapshot_of);
+  }
+  return log;
+}
+
+void
+offer (Store &reader, const Log &log, size_t of)
+{
+  if (!log.states[of].empty ())
+    cfg_store_offer (reader.store, log.versions[of], view (log.states[of]));
+}
+
+// Whatever a reader starts from, hears twice or is offered by peers, once it knows the state before
+// its first record it agrees with the reader of the whole log; it knows it as soon as one state
+// record or offer reaches back to its start.
+void
+readers_agree (const CfgStoreFaults &faults, const std::vector<uint32_t> &choices)
+{
+  Tape tape (choices);
+  const int length = 1 + tape.pick (12);
+  Log log = make_log (tape, faults, length);
+  const int64_t start = tape.pick (length);
+  Store reader (faults);
+  bool known = start == 0;
+  int64_t at = start;
+  while (at < length) {
+    int action = tape.pick (6);
+    if (action == 5) {
+      size_t of = static_cast<size_t> (tape.pick (length));
+      offer (reader, log, of);
+      known = known || (!log.states[of].empty () && static_cast<int64_t> (of) >= start - 1);
+    } else if (action == 4 && at > start) {
+      int64_t back = start + tape.pick (static_cast<int> (at - start));
+      reader.record (back, log.records[static_cast<size_t> (back)]);
+    } else {
+      reader.record (at, log.records[static_cast<size_t> (at)]);
+      known = known || log.snapshot_of[static_cast<size_t> (at)] >= start - 1;
+      at++;
+    }
+  }
+  const int64_t version = log.versions.back ();
+  RC_CLASSIFY (version > 1, "several versions");
+  RC_CLASSIFY (start > 0 && known, "started late, knows the state");
+  RC_ASSERT (cfg_store_version (reader.store) <= version);
+  if (!known) {
+    offer (reader, log, log.states.size () - 1);
+    known = !log.states.back ().empty ();
+  }
+  if (known) {
+    RC_ASSERT (cfg_store_version (reader.store) == version);
+    RC_ASSERT (cfg_store_complete (reader.store));
+    RC_ASSERT (cfg_store_next (reader.store) == length);
+    RC_ASSERT (reader.state () == log.states.back ());
+  }
+}
+
+// No record and no offer, however old, lowers the version in force; a restart from a peer's older
+// state followed by the log does not either.
+void
+version_never_falls (const CfgStoreFaults &faults, const std::vector<uint32_t> &choices)
+{
+  Tape tape (choices);
+  const int length = 1 + tape.pick (10);
+  Log log = make_log (tape, CfgStoreFaults{}, length);
+  Store reader (faults);
+  int64_t at = tape.pick (length);
+  int64_t version = 0;
+  for (int step = 0; step < 20; step++) {
+    int action = tape.pick (3);
+    if (action == 0 && at < length) {
+      reader.record (at, log.records[static_cast<size_t> (at)]);
+      at++;
+    } else if (action == 1) {
+      offer (reader, log, static_cast<size_t> (tape.pick (length)));
+    } else {
+      int64_t back = tape.pick (length);
+      reader.record (back, log.records[static_cast<size_t> (back)]);
+    }
+    RC_ASSERT (cfg_store_version (reader.store) >= version);
+    version = cfg_store_version (reader.store);
+  }
+}
+
+// Of publications based on one version exactly the first valid one is accepted; the others learn a
+// key and its file when their content differs.
+void
+one_publication_wins (const CfgStoreFaults &faults, const std::vector<uint32_t> &choices)
+{
+  Tape tape (choices);
+  Store reader (faults);
+  Store second (faults);
+  int64_t offset = 0;
+  const int rounds = 1 + tape.pick (3);
+  for (int round = 0; round < rounds; round++) {
+    const int64_t base = cfg_store_version (reader.store);
+    const int publishers = 2 + tape.pick (4);
+    int accepted = 0;
+    int winner = -1;
+    for (int p = 0; p < publishers; p++, offset++) {
+      int content = tape.pick (8);
+      std::string record = publication (base, content);
+      CfgVerdict verdict = reader.record (offset, record);
+      RC_ASSERT (second.record (offset, record) == verdict);
+      RC_ASSERT (memcmp (&reader.problem, &second.problem, sizeof reader.problem) == 0);
+      second.record (tape.pick (static_cast<int> (offset) + 1), record);
+      if (accepted == 0) {
+        RC_ASSERT (verdict == (content == 7 ? CFG_REJECTED : CFG_ACCEPTED));
+        winner = content;
+      } else if (content == winner) {
+        RC_ASSERT (verdict == CFG_STALE);
+      } else {
+        RC_ASSERT (verdict == CFG_CONFLICT);
+        if (content != 7 && content % 7 != winner % 7) {
+          RC_ASSERT (text_of (reader.problem.key) == "team.t.priority");
+          RC_ASSERT (text_of (reader.problem.file) == "a.conf");
+          RC_ASSERT (reader.problem.line == 3);
+        }
+      }
+      accepted += verdict == CFG_ACCEPTED;
+      if (accepted == 0)
+        winner = -1;
+    }
+    RC_ASSERT (accepted <= 1);
+    RC_ASSERT (cfg_store_version (reader.store) == base + accepted);
+    RC_ASSERT (cfg_store_version (second.store) == base + accepted);
+    RC_ASSERT (second.state () == reader.state ());
+  }
+}
+
+// --- merge -----------------------------------------------------------------------------------
+
+// One assignment as a generated file writes it.
+struct Written {
+  std::string file;
+  int64_t line;
+  std::string value;
+  bool replaces;
+};
+
+struct Folder {
+  std::vector<File> files;                             // by name
+  std::map<std::string, std::vector<Written>> by_key;  // in merge order
+};
+
+bool is_limit (const std::string &key);
+
+int64_t
+count_lines (const std::string &text)
+{
+  int64_t lines = 0;
+  for (char c : text)
+    lines += c == '\n';
+  return lines;
+}
+
+// One file that declares two teams and one to four that set their priorities and limits, with
+// comments and blank lines between, and with one of replace_in changes listed in "replaces".
+Folder
+make_folder (Tape &tape, int replace_in, bool limits_only)
+{
+  static const char *const names[] = { "10-a.conf", "2-b.conf", "20-c.conf", "B.conf", "a.conf" };
+  static const char *const keys[]
+      = { "team.x.priority", "team.y.priority", "limit.x.quota_slots", "limit.y.quota_slots" };
+  static const char *const fillers[] = { "", "\n", "# c {\n", "/* a\n b */\n", "// x\n\n" };
+  Folder folder;
+  folder.files.push_back (
+      { names[0], "team x { region = r quota_slots = 3 }\nteam y { region = r }\n" });
+  const int count = 2 + tape.pick (4);
+  for (int f = 1; f < count; f++) {
+    std::string body;
+    std::string replaces;
+    std::vector<std::pair<std::string, Written>> set;
+    for (const char *name : keys) {
+      const std::string key = name;
+      if (tape.pick (2) == 0 || (limits_only && !is_limit (key)))
+        continue;
+      const size_t last = key.rfind ('.');
+      std::string section = key.substr (0, last);
+      section[section.find ('.')] = ' ';
+      const std::string value = std::to_string (1 + tape.pick (4));
+      const bool replace = !folder.by_key[key].empty () && tape.pick (replace_in) == 0;
+      if (replace)
+        replaces += (replaces.empty () ? "\"" : ", \"") + key + "\"";
+      body += fillers[tape.pick (5)] + section + " {\n" + fillers[tape.pick (5)];
+      set.emplace_back (key, Written{ names[f], 1 + count_lines (body), value, replace });
+      body += key.substr (last + 1) + " = " + value + " }\n";
+    }
+    const std::string head = replaces.empty () ? "" : "replaces = {" + replaces + "}\n";
+    for (auto &entry : set) {
+      entry.second.line += count_lines (head);
+      folder.by_key[entry.first].push_back (entry.second);
+    }
+    folder.files.push_back ({ names[f], head + body });
+  }
+  return folder;
+}
+
+bool
+is_limit (const std::string &key)
+{
+  return key.compare (0, 6, "limit.") == 0;
+}
+
+std::vector<File>
+shuffled (Tape &tape, std::vector<File> files)
+{
+  for (size_t i = files.size (); i > 1; i--)
+    std::swap (files[i - 1], files[static_cast<size_t> (tape.pick (static_cast<int> (i)))]);
+  return files;
+}
+
+bool
+same_problems (const std::vector<CfgProblem> &a, const std::vector<CfgProblem> &b)
+{
+  if (a.size () != b.size ())
+    return false;
+  for (size_t i = 0; i < a.size (); i++) {
+    if (memcmp (&a[i], &b[i], sizeof a[i]) != 0)
+      return false;
+  }
+  return true;
+}
+
+// The order in which the files are given changes neither values, origins nor problems, and the
+// last file by name that replaces a value decides it.
+void
+order_is_by_name (const CfgTreeFaults &faults, const std::vector<uint32_t> &choices)
+{
+  Tape tape (choices);
+  Folder folder = make_folder (tape, 1, false);
+  Merged straight = merge (folder.files, faults);
+  Merged mixed = merge (shuffled (tape, folder.files), faults);
+  RC_ASSERT (straight.ok == mixed.ok);
+  RC_ASSERT (straight.values == mixed.values);
+  RC_ASSERT (same_problems (straight.problems, mixed.problems));
+  RC_ASSERT (straight.ok);
+  for (const auto &entry : folder.by_key) {
+    if (entry.second.empty ())
+      continue;
+    const Written &last = entry.second.back ();
+    std::string line
+        = entry.first + "=" + last.value + "@" + last.file + ":" + std::to_string (last.line);
+    RC_ASSERT (mixed.values.find (line) != std::string::npos);
+  }
+}
+
+bool
+has_conflict (const Merged &merged, const std::string &key, const Written &earlier,
+              const Written &later)
+{
+  for (const CfgProblem &problem : merged.problems) {
+    if (problem.code == GR_ERR_CONFLICT && text_of (problem.key) == key
+        && text_of (problem.file) == later.file && problem.line == later.line
+        && text_of (problem.other_file) == earlier.file && problem.other_line == earlier.line)
+      return true;
+  }
+  return false;
+}
+
+// A change that its file does not list in "replaces" is reported with both files and lines, and
+// nothing else is reported.
+void
+changes_are_reported (const CfgTreeFaults &faults, const std::vector<uint32_t> &choices)
+{
+  Tape tape (choices);
+  Folder folder = make_folder (tape, 3, false);
+  Merged merged = merge (shuffled (tape, folder.files), faults);
+  size_t expected = 0;
+  for (const auto &entry : folder.by_key) {
+    if (is_limit (entry.first) || entry.second.empty ())
+      continue;
+    Written in_force = entry.second.front ();
+    for (const Written &written : entry.second) {
+      if (written.replaces) {
+        in_force = written;
+      } else if (written.value != in_force.value) {
+        RC_ASSERT (has_conflict (merged, entry.first, in_force, written));
+        in_force = written;
+        expected++;
+      }
+    }
+  }
+  RC_ASSERT (merged.problems.size () == expected);
+  RC_ASSERT (merged.ok == (expected == 0));
+}
+
+// Of several limits the smallest since the last replacement holds, and a team's quota in force is
+// the smaller of its own and its limit.
+void
+strictest_limit_holds (const CfgTreeFaults &faults, const std::vector<uint32_t> &choices)
+{
+  Tape tape (choices);
+  Folder folder = make_folder (tape, 4, true);
+  Merged merged = merge (shuffled (tape, folder.files), faults);
+  RC_ASSERT (merged.ok);
+  for (const char *team : { "x", "y" }) {
+    int expected = 0;
+    for (const Written &written : folder.by_key[std::string ("limit.") + team + ".quota_slots"]) {
+      int value = std::stoi (written.value);
+      if (expected == 0 || written.replaces || value < expected)
+        expected = value;
+    }
+    std::string key = std::string ("limit.") + team + ".quota_slots=";
+    std::string line = key + std::to_string (expected) + "@";
+    RC_ASSERT ((merged.values.find (key) != std::string::npos) == (expected > 0));
+    RC_ASSERT (expected == 0 || merged.values.find (line) != std::string::npos);
+    int own = team[0] == 'x' ? 3 : 0;
+    int quota = own == 0 ? expected : expected == 0 || own < expected ? own : expected;
+    RC_ASSERT (merged.quotas[team].v[GR_RES_SLOTS] == quota);
+  }
+}
+
+// --- runs ------------------------------------------------------------------------------------
+
+int failures = 0;
+
+template <typename Faults>
+void
+holds (const char *name, void (*property) (const Faults &, const std::vector<uint32_t> &))
+{
+  bool ok = rc::check (name, [property] {
+    const auto choices = *tapes ();
+    property (Faults{}, choices);
+  });
+  failures += !ok;
+}
+
+// The broken variant has as many cases as the property to be caught in.
+template <typename Faults>
+void
+catches (const char *fault, const Faults &faults,
+         void (*property) (const Faults &, const std::vector<uint32_t> &))
+{
+  rc::detail::TestParams params = rc::detail::configuration ().testParams;
+  params.disableShrinking = true;
+  rc::detail::TestMetadata metadata;
+  metadata.id = fault;
+  metadata.description = fault;
+  // An expected failure is not listed among those to reproduce.
+  rc::detail::TestListenerAdapter silent;
+  const auto result = rc::detail::checkTestable (
+      [&faults, property] {
+        const auto choices = *tapes ();
+        property (faults, choices);
+      },
+      metadata, params, silent);
+  rc::detail::FailureResult failure;
+  bool caught = result.match (failure);
+  printf ("broken variant %s: %s", fault, caught ? "caught" : "NOT CAUGHT");
+  if (caught)
+    printf (" after %d cases", failure.numSuccess + 1);
+  printf ("\n");
+  failures += !caught;
+}
+
+CfgStoreFaults
+store_fault (bool CfgStoreFaults::*member)
+{
+  CfgStoreFaults faults = {};
+  faults.*member = true;
+  return faults;
+}
+
+CfgTreeFaults
+tree_fault (bool CfgTreeFaults::*member)
+{
+  CfgTreeFaults faults = {};
+  faults.*member = true;
+  return faults;
+}
+
+} // namespace
+
+int
+main ()
+{
+  holds ("readers of one log agree", readers_agree);
+  holds ("the version never falls", version_never_falls);
+  holds ("one of several concurrent publications is accepted", one_publication_wins);
+  holds ("the merge order is by name", order_is_by_name);
+  holds ("changes without replaces are reported", changes_are_reported);
+  holds ("the strictest limit holds", strictest_limit_holds);
+  catches ("ignore_gap", store_fault (&CfgStoreFaults::ignore_gap), readers_agree);
+  catches ("ignore_through", store_fault (&CfgStoreFaults::ignore_through), readers_agree);
+  catches ("offer_any", store_fault (&CfgStoreFaults::offer_any), version_never_falls);
+  catches ("ignore_base", store_fault (&CfgStoreFaults::ignore_base), one_publication_wins);
+  catches ("given_order", tree_fault (&CfgTreeFaults::given_order), order_is_by_name);
+  catches ("silent_change", tree_fault (&CfgTreeFaults::silent_change), changes_are_reported);
+  catches ("loosest_limit", tree_fault (&CfgTreeFaults::loosest_limit), strictest_limit_holds);
+  return failures == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/tests/test_cli.c
@@ -0,0 +1,274 @@
+/* Command line program, run inside the test against a stub of the platform's log and of a daemon.
+   Guards against wrong exit codes, messages that do not name what was wrong, and publications that
+   are reported as done when they are not. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#include "cfg/cfg.h"
+#include "cli/cli.h"
+#include "cli_stub.h"
+
+#define ARGS_MAX 12
+
+typedef struct {
+  int exit_code;
+  GrBuf out;
+  GrBuf err;
+} Result;
+
+static void
+take_file (FILE *file, GrBuf *buf)
+{
+  char block[4096];
+  size_t len;
+  rewind (file);
+  while ((len = fread (block, 1, sizeof block, file)) > 0)
+    gr_buf_append (buf, block, len);
+  gr_buf_append (buf, "", 0);
+  fclose (file);
+}
+
+static Result
+run (const char *const *args)
+{
+  char *argv[ARGS_MAX + 2] = { (char *) "gentianrelay" };
+  int argc = 1;
+  while (argc <= ARGS_MAX && args[argc - 1]) {
+    argv[argc] = (char *) args[argc - 1];
+    argc++;
+  }
+  FILE *out = tmpfile ();
+  FILE *err = tmpfile ();
+  fflush (stdout);
+  int old_out = dup (1);
+  int old_err = dup (2);
+  dup2 (fileno (out), 1);
+  dup2 (fileno (err), 2);
+  Result result = { .exit_code = cli_run (argc, argv) };
+  fflush (stdout);
+  fflush (stderr);
+  dup2 (old_out, 1);
+  dup2 (old_err, 2);
+  close (old_out);
+  close (old_err);
+  take_file (out, &result.out);
+  take_file (err, &result.err);
+  return result;
+}
+
+static void
+expect (size_t i, Result result, int exit_code, const char *out, const char *err)
+{
+  if (result.exit_code != exit_code || (out && !strstr (result.out.data, out))
+      || (err && !strstr (result.err.data, err)))
+    fail_msg ("case %zu: exit %d, expected %d\nstdout: %s\nstderr: %s", i, result.exit_code,
+              exit_code, result.out.data, result.err.data);
+  gr_buf_clear (&result.out);
+  gr_buf_clear (&result.err);
+}
+
+static void
+wrong_input_is_named (void **state)
+{
+  (void) state;
+  static const struct {
+    const char *args[ARGS_MAX];
+    int exit_code;
+    const char *err;
+  } cases[] = {
+    { { NULL }, 2, "Usage: gentianrelay VERB" },
+    { { "fetch", NULL }, 2, "unknown verb 'fetch'" },
+    { { "config", NULL }, 2, "unknown verb 'config'" },
+    { { "config", "check", NULL }, 2, "config check needs FOLDER" },
+    { { "config", "check", "no-such-folder", NULL }, 2, "not_found: folder: no-such-folder" },
+    { { "config", "check", "examples", NULL }, 2, "no file ends in .conf" },
+    { { "config", "check", "examples/agora", "--nope", NULL }, 2, "unknown_field: arguments" },
+    { { "config", "explain", "team.sport.colour", NULL }, 2, "'team.sport.colour' is not a key" },
+    { { "config", "explain", "sport", NULL }, 2, "'sport' is not a key" },
+    { { "config", "explain", "cell.x.partitions", NULL }, 2, "is not a key" },
+    { { "config", "publish", "examples/agora", "--author=a", NULL }, 2, "missing: platform" },
+    { { "config", "publish", "examples/agora", "--platform=http://127.0.0.1:1", NULL },
+      2,
+      "missing: author" },
+    { { "submit", "--kind=lookup", NULL }, 2, "missing: team: set --team or GENTIANRELAY_TEAM" },
+    { { "submit", "--team=sport", NULL }, 2, "missing: kind" },
+    { { "submit", "--team=sport", "--kind=k", "--policy=gang", NULL }, 2, "invalid: kind" },
+    { { "submit", "--team=sport", "--policy=cron", NULL },
+      2,
+      "policy: 'cron' is not allowed; allowed are service, batch and gang" },
+    { { "submit", "--team=sport", "--policy=gang", "--tasks=0", NULL },
+      2,
+      "--tasks is '0'; allowed is a whole number from 1 to 100000" },
+    { { "submit", "--team=sport", "--kind=k", "--payload=\xff", NULL }, 2, "invalid: payload" },
+    { { "status", NULL }, 2, "status needs ID" },
+    { { "status", "j", "--server=http://127.0.0.1:1", NULL }, 3, "unavailable" },
+    { { "top", "--server=http://127.0.0.1:1", NULL }, 3, "unavailable" },
+    { { "doc", "poem", NULL }, 2, "'poem' is not allowed; allowed are man" },
+  };
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    expect (i, run (cases[i].args), cases[i].exit_code, NULL, cases[i].err);
+}
+
+static void
+calls_and_answers_follow_the_interface (void **state)
+{
+  (void) state;
+  static const struct {
+    const char *args[ARGS_MAX];
+    int status;
+    const char *answer;
+    const char *request; /* method and path */
+    const char *body;    /* a part of it */
+    int exit_code;
+    const char *out;
+    const char *err;
+  } cases[] = {
+    { { "status", "j 1/0", NULL },
+      200, "{\"id\":\"j 1/0\",\"state\":\"queued\",\"x\":{\"y\":2}}",
+      "GET /v1/jobs/j%201%2F0", "", 0, "state: queued\nx.y: 2\n", NULL },
+    { { "status", "j", "--json", NULL }, 200, "{\"id\":\"j\"}", "GET /v1/jobs/j", "", 0,
+      "\"id\": \"j\"", NULL },
+    { { "status", "j", NULL }, 404,
+      "{\"error\":{\"code\":\"not_found\",\"field\":\"id\",\"detail\":\"no such job\"}}",
+      "GET /v1/jobs/j", "", 1, NULL, "not_found: id: no such job" },
+    { { "cancel", "j", NULL }, 200, "{\"id\":\"j\",\"outcome\":\"cancelled\"}",
+      "DELETE /v1/jobs/j", "", 0, "outcome: cancelled", NULL },
+    { { "explain", "j", NULL }, 200, "{\"why\":\"quota\"}", "GET /v1/jobs/j/explain", "", 0,
+      "why: quota", NULL },
+    { { "wait", "j", NULL }, 200, "{\"id\":\"j\",\"outcome\":\"completed\"}",
+      "GET /v1/jobs/j?wait_ms=", "", 0, "outcome: completed", NULL },
+    { { "wait", "j", NULL }, 200, "{\"id\":\"j\",\"outcome\":\"not_run\"}",
+      "GET /v1/jobs/j?wait_ms=", "", 1, "outcome: not_run", NULL },
+    { { "wait", "j", "--timeout-ms=1", NULL }, 200, "{\"id\":\"j\",\"state\":\"queued\"}",
+      "GET /v1/jobs/j?wait_ms=", "", 1, "state: queued", "has not ended within 1 ms" },
+    { { "top", NULL }, 200,
+      "{\"vms\":[{\"vm\":\"e1\",\"queued\":3},{\"vm\":\"e10\",\"queued\":12}]}", "GET /v1/top",
+      "", 0, "vms:\nvm   queued\ne1   3     \ne10  12    \n", NULL },
+    { { "drain", "e1", NULL }, 202, "", "POST /v1/drain", "{\"vm\":\"e1\"}", 0, "", NULL },
+    { { "submit", "--id=r", "--team=t", "--kind=k", "--idempotent", "--slots=1", NULL }, 200,
+      "{\"id\":\"r\",\"outcome\":\"completed\",\"answer\":\"ok\"}", "POST /v1/requests",
+      "\"idempotent\":true,\"exclusive\":false", 0, "answer: ok", NULL },
+    { { "submit", "--id=b", "--team=t", "--policy=gang", "--tasks=4", "--urgent", NULL }, 202,
+      "{\"id\":\"b\"}", "POST /v1/jobs", "\"policy\":\"gang\",\"tasks\":4,\"urgent\":true", 0,
+      "id: b", NULL },
+    { { "submit", "--id=b", "--team=t", "--policy=gang", "--cpu-milli=7", NULL }, 400,
+      "{\"error\":{\"code\":\"missing\",\"field\":\"demand\",\"detail\":\"memory_mb\"}}",
+      "POST /v1/jobs", "\"demand\":{\"cpu_milli\":7,\"memory_mb\":0", 2, NULL,
+      "missing: demand: memory_mb" },
+    { { "submit", "--team=t", "--kind=k", NULL }, 503,
+      "{\"error\":{\"code\":\"unavailable\",\"field\":\"\",\"detail\":\"no owner\"}}",
+      "POST /v1/requests", "\"id\":\"cli-", 3, NULL, "a repeat with --id cli-" },
+    { { "submit", "--team=t", "--kind=k", NULL }, 409,
+      "{\"error\":{\"code\":\"not_run\",\"field\":\"\",\"detail\":\"outage\"}}",
+      "POST /v1/requests", "", 1, NULL, "not_run: outage" },
+    { { "top", NULL }, 200, "not json", "GET /v1/top", "", 1, NULL, "is not JSON" },
+    { { "config", "show", NULL }, 200, "{}", "GET /v1/config", "", 1, NULL, "lacks 'version'" },
+  };
+  setenv ("GENTIANRELAY_TOKEN", "secret-1", 1);
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+    CliStub *stub = cli_stub_start ();
+    setenv ("GENTIANRELAY_SERVER", cli_stub_url (stub), 1);
+    cli_stub_answer (stub, cases[i].status, cases[i].answer);
+    expect (i, run (cases[i].args), cases[i].exit_code, cases[i].out, cases[i].err);
+    const char *request = cli_stub_last_request (stub);
+    const char *body = strstr (request, "\r\n\r\n");
+    if (strncmp (request, cases[i].request, strlen (cases[i].request)) != 0 || !body
+        || !strstr (body, cases[i].body)
+        || !strstr (request, "Authorization: Bearer secret-1\r\n"))
+      fail_msg ("case %zu: request was %s", i, request);
+    cli_stub_stop (stub);
+  }
+  unsetenv ("GENTIANRELAY_TOKEN");
+  unsetenv ("GENTIANRELAY_SERVER");
+}
+
+/* One publication on a stub whose log and daemon may misbehave. */
+static void
+publications_are_reported_truly (void **state)
+{
+  (void) state;
+  static const struct {
+    const char *folder;
+    CliStubLog log;
+    int exit_code;
+    const char *out;
+    const char *err;
+    int64_t version; /* at the end, as a reader of the log has it */
+  } cases[] = {
+    { "examples/agora", { .earlier = 0 }, 0, "version 1 is in force", NULL, 1 },
+    { "examples/agora", { .earlier = 3 }, 0, "version 4 is in force", NULL, 4 },
+    { "examples/agora", { .earlier = 3, .no_server = true }, 3, "version 4 is accepted",
+      "could not be asked", 4 },
+    { "examples/agora", { .earlier = 1, .server_lags = true }, 3, "version 2 is accepted",
+      "does not have the version in force yet", 2 },
+    { "examples/agora", { .earlier = 1, .race = true }, 1, NULL,
+      "conflict: the publication is based on version 1; version 2 came first", 2 },
+    { "examples/agora", { .earlier = 1, .race = true }, 1, NULL,
+      "team.sport.region in 10-teams.conf:6, in force by a.conf:1", 2 },
+    { "examples/agora", { .earlier = 2, .lost_answers = 1 }, 0, "version 3 is in force", NULL, 3 },
+    { "examples/agora", { .earlier = 2, .lost_answers = 2 }, 0, "version 3 is in force", NULL, 3 },
+    { "examples/agora", { .earlier = 2, .refused = 1 }, 0, "version 3 is in force", NULL, 3 },
+    { "examples/agora", { .earlier = 2, .refused = 100 }, 1, NULL, "unknown: the log gives no certain answer", 2 },
+    { "examples/agora", { .earlier = 4, .first = 2 }, 0, "version 5 is in force", NULL, 5 },
+    { "examples/agora", { .earlier = 4, .first = 2, .no_server = true }, 3, NULL,
+      "no longer holds the version in force", 4 },
+  };
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+    CliStub *stub = cli_stub_start ();
+    cli_stub_log (stub, &cases[i].log);
+    char platform[96];
+    char server[96];
+    snprintf (platform, sizeof platform, "--platform=%s", cli_stub_url (stub));
+    snprintf (server, sizeof server, "--server=%s",
+              cases[i].log.no_server ? "http://127.0.0.1:1" : cli_stub_url (stub));
+    const char *args[] = { "config", "publish", cases[i].folder, "--author=Eleni",
+                           "--timeout-ms=1500", platform, server, NULL };
+    expect (i, run (args), cases[i].exit_code, cases[i].out, cases[i].err);
+    assert_int_equal (cli_stub_version (stub), cases[i].version);
+    cli_stub_stop (stub);
+  }
+}
+
+/* The values of a server are shown and compared with the values of a folder. */
+static void
+diff_lists_added_removed_and_changed (void **state)
+{
+  (void) state;
+  CliStub *stub = cli_stub_start ();
+  CliStubLog log = { .earlier = 1 };
+  cli_stub_log (stub, &log);
+  setenv ("GENTIANRELAY_SERVER", cli_stub_url (stub), 1);
+  const char *diff[] = { "config", "diff", "examples/agora", NULL };
+  Result result = run (diff);
+  assert_non_null (strstr (result.out.data, "~ team.sport.region: south -> attica\n"));
+  assert_non_null (strstr (result.out.data, "+ cell.partitions = 16\n"));
+  assert_non_null (strstr (result.out.data, "- team.other.region = south\n"));
+  expect (0, result, 1, NULL, NULL);
+  const char *show[] = { "config", "show", "--origin", NULL };
+  expect (1, run (show), 0, "# version 1\nteam.other.region = south  # a.conf:2, Ann\n", NULL);
+  const char *explain[] = { "config", "explain", "team.sport.region", NULL };
+  expect (2, run (explain), 0, "file: a.conf\nline: 1\nauthor: Ann\n", NULL);
+  const char *unset[] = { "config", "explain", "cell.queue_max", NULL };
+  expect (3, run (unset), 0, "value: 50000\nset: false\n", NULL);
+  cli_stub_stop (stub);
+  unsetenv ("GENTIANRELAY_SERVER");
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (wrong_input_is_named),
+    cmocka_unit_test (calls_and_answers_follow_the_interface),
+    cmocka_unit_test (publications_are_reported_truly),
+    cmocka_unit_test (diff_lists_added_removed_and_changed),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
