cfg: refuse what libconfuse reads ambiguously outside quotes

Cause: the property 'damaged texts leave no trace' failed (, case 6345): libconfuse took comment signs behind '*' for a comment, so that a problem named line 4 of a text of 2 lines; bytes that its scanner does not know were echoed to standard output.

--- a/src/cfg/cfg_parse.c
+++ b/src/cfg/cfg_parse.c
@@ -285,9 +285,11 @@
     free (out->assigns.items[--out->assigns.count].value);
 }
 
-void
-cfg_parse_file (const CfgFile *file, size_t index, CfgParsed *out, CfgProblems *problems)
+bool
+cfg_parse_file (const CfgFile *file, size_t index, bool unchecked, CfgParsed *out,
+                CfgProblems *problems)
 {
+  bool whole = false;
   Parse parse = { .file = file,
                   .index = index,
                   .out = out,
@@ -305,7 +307,7 @@
     goto done;
   }
   text = gr_str_dup (file->text);
-  if (!cfg_scan (text, file->text.len, &parse.section_lines, &line, &detail)) {
+  if (!cfg_scan (text, file->text.len, &parse.section_lines, &line, &detail) && !unchecked) {
     cfg_problem_add (problems, GR_ERR_INVALID, file->name, line, NULL, "%s", detail);
     goto done;
   }
@@ -316,6 +318,7 @@
   if (verdict != CFG_SUCCESS && !parse.failed)
     cfg_problem_add (problems, GR_ERR_INVALID, file->name, cfg->line, NULL, "syntax error");
   drop_open_section (&parse);
+  whole = verdict == CFG_SUCCESS;
 
 done:
   if (cfg)
@@ -326,6 +329,7 @@
   free (parse.section_reason);
   free (parse.file_reason);
   gr_list_clear (&parse.section_lines);
+  return whole;
 }
 
 void
--- a/src/cfg/cfg_parse.h
+++ b/src/cfg/cfg_parse.h
@@ -42,8 +42,10 @@
   GR_LIST (CfgReplace) replaces;
 } CfgParsed;
 
-/* Appends what the file holds; problems are appended with file and line. */
-void cfg_parse_file (const CfgFile *file, size_t index, CfgParsed *out, CfgProblems *problems);
+/* Appends what the file holds; problems are appended with file and line. False if a part of the
+   file could not be read. unchecked is a test-only switch that skips cfg_scan's verdict. */
+bool cfg_parse_file (const CfgFile *file, size_t index, bool unchecked, CfgParsed *out,
+                     CfgProblems *problems);
 void cfg_parsed_clear (CfgParsed *parsed);
 /* Appends a problem. The detail names the value and what is allowed. */
 void cfg_problem_add (CfgProblems *problems, GrErrCode code, GrStr file, int64_t line,
--- a/src/cfg/cfg_scan.c
+++ b/src/cfg/cfg_scan.c
@@ -1,5 +1,7 @@
 #include "cfg/cfg_scan.h"
 
+#include <ctype.h>
+
 typedef struct {
   char *text;
   size_t len;
@@ -76,16 +78,20 @@
 static bool
 is_word_byte (char c)
 {
-  return c != '\0' && !strchr (" \t\r\n\"'#(){}=,+", c);
+  return isalnum ((unsigned char) c) || (c != '\0' && strchr ("._-:@%/", c));
 }
 
-/* An unquoted word; comment signs inside it belong to it. */
+/* An unquoted word. libconfuse takes comment signs in a word for a comment or for text, depending
+   on what stands before them, so they are refused. */
 static void
 skip_word (Scan *scan)
 {
-  while (scan->at < scan->len && is_word_byte (scan->text[scan->at])
-         && !(scan->text[scan->at] == '$' && next_is (scan, '{')))
-    scan->at++;
+  for (; scan->at < scan->len && is_word_byte (scan->text[scan->at]); scan->at++) {
+    if (scan->text[scan->at] == '/' && (next_is (scan, '/') || next_is (scan, '*'))) {
+      scan->detail = "a text with '//' or '/*' needs quotes";
+      return;
+    }
+  }
 }
 
 bool
@@ -134,8 +140,8 @@
         assigning = false;
       }
       continue;
-    } else if (c == '\0') {
-      scan.detail = "the text holds a zero byte";
+    } else if (c == '\0' || !strchr ("{}=+,()", c)) {
+      scan.detail = "allowed outside quotes are letters, digits and . _ - : @ % /";
     } else if (c == '=' && depth == 0) {
       assigning = true;
     } else if (c == '{') {
--- a/src/cfg/cfg_tree.c
+++ b/src/cfg/cfg_tree.c
@@ -33,6 +33,7 @@
   CfgParsed parsed;
   CfgTreeFaults faults;
   GrName author;
+  bool incomplete; /* a file could not be read to its end */
   CfgProblems *problems;
   CfgTree *tree;
 } Merge;
@@ -111,7 +112,8 @@
     else if (i > 0 && gr_str_equal (file->name, merge->files[i - 1]->name))
       cfg_problem_add (merge->problems, GR_ERR_CONFLICT, file->name, 0, NULL,
                        "the file is given twice");
-    cfg_parse_file (file, i, &merge->parsed, merge->problems);
+    if (!cfg_parse_file (file, i, merge->faults.unchecked, &merge->parsed, merge->problems))
+      merge->incomplete = true;
   }
 }
 
@@ -375,8 +377,11 @@
     merge.faults = *faults;
   take_files (&merge, files, count);
   fold_values (&merge);
-  check_replaces (&merge);
-  build_objects (&merge);
+  /* What a file that was not read may hold would be reported as missing. */
+  if (!merge.incomplete) {
+    check_replaces (&merge);
+    build_objects (&merge);
+  }
   cfg_parsed_clear (&merge.parsed);
   free ((void *) merge.files);
   if (problems->count > before) {
--- a/src/cfg/cfg_tree.h
+++ b/src/cfg/cfg_tree.h
@@ -13,6 +13,7 @@
   bool given_order;   /* files are merged as given instead of by name */
   bool silent_change; /* a change without "replaces" is taken without a problem */
   bool loosest_limit; /* the last value of a limit holds instead of the strictest */
+  bool unchecked;     /* libconfuse reads texts that cfg_scan refuses */
 } CfgTreeFaults;
 
 /* As cfg_tree_new; author is the origin of values whose section names none. */
--- a/src/cli/cli_verbs.c
+++ b/src/cli/cli_verbs.c
@@ -63,7 +63,7 @@
   { "accelerators", GR_OPT_INT, FIELD (accelerators), "N", "0", 0, AMOUNT_MAX,
     "accelerators of a task" },
   { "slots", GR_OPT_INT, FIELD (slots), "N", "0", 0, AMOUNT_MAX, "executor slots of a task" },
-  { "run-ms", GR_OPT_INT, FIELD (run_ms), "MS", "0", 0, 31536000000, "expected run time" },
+  { "run-ms", GR_OPT_INT, FIELD (run_ms), "MS", "0", 0, INT32_MAX, "expected run time" },
   { "within-ms", GR_OPT_INT, FIELD (within_ms), "MS", "60000", 1, 31536000000,
     "time from now until the deadline" },
   { "payload", GR_OPT_TEXT, FIELD (payload), "TEXT", "", 0, 0, "text for the target" },
--- a/tests/cli_stub.c
+++ b/tests/cli_stub.c
@@ -37,8 +37,7 @@
 static void
 append_version (CliStub *stub)
 {
-  static const char text[]
-      = "team sport { region = south }\nteam other { region = south }\n/* ";
+  static const char text[] = "team sport { region = south }\nteam other { region = south }\n/* ";
   CfgFile file = { GR_STR ("a.conf"), { text, sizeof text - 4 } };
   GrName author = gr_name ("Ann");
   GrBuf record = { 0 };
@@ -140,9 +139,8 @@
                    (int) record.len);
   json_t *values = json_array ();
   cfg_tree_values (cfg_store_tree (store), add_value, values);
-  json_t *config
-      = json_pack ("{s:I, s:s, s:o}", "version", (json_int_t) cfg_store_version (store), "record",
-                   (const char *) base64, "values", values);
+  json_t *config = json_pack ("{s:I, s:s, s:o}", "version", (json_int_t) cfg_store_version (store),
+                              "record", (const char *) base64, "values", values);
   char *text = json_dumps (config, JSON_COMPACT);
   reply (fd, 200, gr_str_from_c (text));
   free (text);
--- a/tests/cli_stub.h
+++ b/tests/cli_stub.h
@@ -7,13 +7,13 @@
 typedef struct CliStub CliStub;
 
 typedef struct {
-  int64_t earlier;   /* versions published before */
-  int64_t first;     /* oldest retained offset */
-  bool race;         /* another publication comes just before the first append */
-  bool no_server;    /* the test gives no reachable daemon */
-  bool server_lags;  /* the daemon stays at the version it had */
-  int lost_answers;  /* appends that take effect without an answer */
-  int refused;       /* appends that are answered by 503 without effect */
+  int64_t earlier;  /* versions published before */
+  int64_t first;    /* oldest retained offset */
+  bool race;        /* another publication comes just before the first append */
+  bool no_server;   /* the test gives no reachable daemon */
+  bool server_lags; /* the daemon stays at the version it had */
+  int lost_answers; /* appends that take effect without an answer */
+  int refused;      /* appends that are answered by 503 without effect */
 } CliStubLog;
 
 CliStub *cli_stub_start (void);
--- a/tests/prop_cfg.cc
+++ b/tests/prop_cfg.cc
@@ -42,9 +42,8 @@
 rc::Gen<std::vector<uint32_t>>
 tapes ()
 {
-  return rc::gen::resize (
-      100, rc::gen::container<std::vector<uint32_t>> (
-               kTapeLength, rc::gen::inRange<uint32_t> (0, 1u << 16)));
+  return rc::gen::resize (100, rc::gen::container<std::vector<uint32_t>> (
+                                   kTapeLength, rc::gen::inRange<uint32_t> (0, 1u << 16)));
 }
 
 struct File {
@@ -170,9 +169,9 @@
 
 struct Log {
   std::vector<std::string> records;
-  std::vector<std::string> states;    // state record after each offset; empty at version 0
-  std::vector<int64_t> versions;      // after each offset
-  std::vector<int64_t> snapshot_of;   // last offset that the state record reflects, or -1
+  std::vector<std::string> states;  // state record after each offset; empty at version 0
+  std::vector<int64_t> versions;    // after each offset
+  std::vector<int64_t> snapshot_of; // last offset that the state record reflects, or -1
 };
 
 // Publications on the right, an old and a future base, repeated records, late snapshots, garbage.
@@ -346,8 +345,8 @@
 };
 
 struct Folder {
-  std::vector<File> files;                             // by name
-  std::map<std::string, std::vector<Written>> by_key;  // in merge order
+  std::vector<File> files;                            // by name
+  std::map<std::string, std::vector<Written>> by_key; // in merge order
 };
 
 bool is_limit (const std::string &key);
@@ -518,6 +517,60 @@
   }
 }
 
+// A damaged text is refused or read, but never changes how the next text is read: libconfuse's
+// scanner keeps state between texts.
+void
+damage_leaves_no_trace (const CfgTreeFaults &faults, const std::vector<uint32_t> &choices)
+{
+  static const char *const pieces[] = {
+    "team x { region = r }\n",
+    "\"",
+    "'",
+    "/*",
+    "*/",
+    "{",
+    "}",
+    "\\",
+    "${HOME}",
+    "=",
+    "+=",
+    "kind k {",
+    "replaces = {\"a.b.c\"",
+    ",",
+    "(",
+    ")",
+    "#",
+    "//",
+    "\n",
+    "author = \"A\"",
+    "\"\\x41\"",
+    "\"\\0\"",
+    "include(\"a\")",
+    "cell {",
+    "x",
+    " ",
+    "\r\n",
+    "\xff",
+    "priority = 1",
+    "team \"y\" {",
+  };
+  Tape tape (choices);
+  Folder folder = make_folder (tape, 1, false);
+  Merged before = merge (folder.files, CfgTreeFaults{});
+  std::string text;
+  const int count = tape.pick (12);
+  for (int i = 0; i < count; i++)
+    text += pieces[tape.pick (static_cast<int> (sizeof pieces / sizeof pieces[0]))];
+  RC_LOG () << text << "\n";
+  Merged damaged = merge ({ { "a.conf", text } }, faults);
+  RC_ASSERT (damaged.ok == damaged.problems.empty ());
+  for (const CfgProblem &problem : damaged.problems)
+    RC_ASSERT (problem.line >= 1 && problem.line <= 1 + count_lines (text));
+  Merged after = merge (folder.files, CfgTreeFaults{});
+  RC_ASSERT (after.values == before.values);
+  RC_ASSERT (same_problems (after.problems, before.problems));
+}
+
 // --- runs ------------------------------------------------------------------------------------
 
 int failures = 0;
@@ -588,6 +641,7 @@
   holds ("the merge order is by name", order_is_by_name);
   holds ("changes without replaces are reported", changes_are_reported);
   holds ("the strictest limit holds", strictest_limit_holds);
+  holds ("damaged texts leave no trace", damage_leaves_no_trace);
   catches ("ignore_gap", store_fault (&CfgStoreFaults::ignore_gap), readers_agree);
   catches ("ignore_through", store_fault (&CfgStoreFaults::ignore_through), readers_agree);
   catches ("offer_any", store_fault (&CfgStoreFaults::offer_any), version_never_falls);
@@ -595,5 +649,6 @@
   catches ("given_order", tree_fault (&CfgTreeFaults::given_order), order_is_by_name);
   catches ("silent_change", tree_fault (&CfgTreeFaults::silent_change), changes_are_reported);
   catches ("loosest_limit", tree_fault (&CfgTreeFaults::loosest_limit), strictest_limit_holds);
+  catches ("unchecked", tree_fault (&CfgTreeFaults::unchecked), damage_leaves_no_trace);
   return failures == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
 }
