--- /dev/null
+++ b/src/load/main.c
@@ -0,0 +1,216 @@
+/* gr-load: see load.h. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <time.h>
+
+#include "base/gr_opt.h"
+#include "load/load.h"
+
+#define PACE_MS 10
+/* The load balancer before the entry VMs notices a VM that is not ready after this. */
+#define PROBE_MS 200
+#define PROBE_TIMEOUT_MS 1000
+
+#define AT(field) offsetof (LoadOptions, field)
+
+static const GrOptSpec specs[] = {
+  { "urls", GR_OPT_TEXT, AT (urls), "URL,URL", NULL, 0, 0, "base URLs of the entry VMs" },
+  { "standin", GR_OPT_TEXT, AT (standin), "URL", NULL, 0, 0, "base URL of gr-standin" },
+  { "requests", GR_OPT_INT, AT (requests), "N", "3000", 0, 1000000, "requests to submit" },
+  { "jobs", GR_OPT_INT, AT (jobs), "N", "20", 0, 100000, "batches, gangs and services to submit" },
+  { "rate", GR_OPT_INT, AT (rate), "N", "150", 1, 100000, "submissions per second" },
+  { "seed", GR_OPT_INT, AT (seed), "N", "1", 0, INT64_MAX, "seed of the mix" },
+  { "deadline-ms", GR_OPT_INT, AT (deadline_ms), "MS", "20000", 1, 600000,
+    "time a submission has to end" },
+  { "run-seconds", GR_OPT_INT, AT (run_seconds), "S", "120", 1, 3600,
+    "what has no outcome by then counts as lost" },
+  { "teams", GR_OPT_TEXT, AT (teams), "A,B", "sport,politics,platform", 0, 0, "submitting teams" },
+  { "graceful", GR_OPT_TEXT, AT (graceful), "URL,URL", "", 0, 0,
+    "VMs that are only stopped gracefully, or 'all': broken connections to them count as cut off" },
+  { "prefix", GR_OPT_TEXT, AT (prefix), "TEXT", "r", 0, 0, "first part of every id" },
+  { "lines", GR_OPT_TEXT, AT (lines), "FILE", "", 0, 0, "receives one line per submission" },
+};
+
+int64_t
+load_now (void)
+{
+  struct timespec now;
+  clock_gettime (CLOCK_REALTIME, &now);
+  return (int64_t) now.tv_sec * 1000 + now.tv_nsec / 1000000;
+}
+
+uint64_t
+load_random (Load *load)
+{
+  /* splitmix64 */
+  uint64_t x = load->rng += 0x9e3779b97f4a7c15u;
+  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9u;
+  x = (x ^ (x >> 27)) * 0x94d049bb133111ebu;
+  return x ^ (x >> 31);
+}
+
+int
+load_pick_vm (Load *load, int other_than)
+{
+  int healthy[LOAD_VMS_MAX];
+  int count = 0;
+  for (int i = 0; i < load->vm_count; i++) {
+    if (load->vms[i].healthy && i != other_than)
+      healthy[count++] = i;
+  }
+  if (count > 0)
+    return healthy[load_random (load) % (uint64_t) count];
+  return other_than >= 0 && load->vms[other_than].healthy ? other_than : -1;
+}
+
+static void
+on_probe_answer (void *user, const NetHttpAnswer *answer)
+{
+  LoadVm *vm = user;
+  vm->probing = false;
+  vm->healthy = answer->status == 200;
+}
+
+static void
+on_probe (uv_timer_t *timer)
+{
+  Load *load = timer->data;
+  for (int i = 0; i < load->vm_count; i++) {
+    LoadVm *vm = &load->vms[i];
+    if (vm->probing)
+      continue;
+    vm->probing = true;
+    GrBuf url = { 0 };
+    gr_buf_printf (&url, "%s/healthz", vm->url);
+    net_http_client_send (
+        load->cancel_client,
+        &(NetHttpCall){ .method = "GET",
+                        .url = gr_buf_str (&url),
+                        .timeout_at_ms = (int64_t) uv_now (load->loop) + PROBE_TIMEOUT_MS },
+        on_probe_answer, vm);
+    gr_buf_clear (&url);
+  }
+}
+
+static void
+finish_run (Load *load)
+{
+  if (load->finishing)
+    return;
+  load->finishing = true;
+  uv_timer_stop (&load->pace);
+  load_verdict (load);
+}
+
+void
+load_item_ended (Load *load)
+{
+  load->ended++;
+  if (load->ended == load->total)
+    finish_run (load);
+}
+
+static void
+on_limit (uv_timer_t *timer)
+{
+  Load *load = timer->data;
+  fprintf (stderr, "gr-load: %lld submissions have no outcome after %lld s\n",
+           (long long) (load->submitted - load->ended), (long long) load->options.run_seconds);
+  finish_run (load);
+}
+
+static void
+on_pace (uv_timer_t *timer)
+{
+  Load *load = timer->data;
+  if (load->started_ms == 0) {
+    /* The first submission waits for a VM that is ready. */
+    if (load_pick_vm (load, -1) < 0)
+      return;
+    load->started_ms = load_now ();
+  }
+  int64_t due = (load_now () - load->started_ms) * load->options.rate / 1000 + 1;
+  if (due > load->total)
+    due = load->total;
+  while (load->submitted < due) {
+    LoadItem *item = &load->items[load->submitted];
+    load_item_make (item, load, load->submitted++);
+    load_item_run (item);
+  }
+  if (load->submitted == load->total)
+    uv_timer_stop (timer);
+}
+
+static bool
+is_listed (const char *list, const char *url)
+{
+  size_t len = strlen (url);
+  for (const char *at = list; *at;) {
+    size_t part = strcspn (at, ",");
+    if (part == len && memcmp (at, url, len) == 0)
+      return true;
+    at += part + (at[part] == ',');
+  }
+  return false;
+}
+
+static void
+read_lists (Load *load)
+{
+  const char *graceful = load->options.graceful;
+  for (const char *at = load->options.urls; *at && load->vm_count < LOAD_VMS_MAX;) {
+    size_t len = strcspn (at, ",");
+    LoadVm *vm = &load->vms[load->vm_count++];
+    snprintf (vm->url, sizeof vm->url, "%.*s", (int) len, at);
+    vm->graceful = strcmp (graceful, "all") == 0 || is_listed (graceful, vm->url);
+    vm->load = load;
+    at += len + (at[len] == ',');
+  }
+  int max = sizeof load->teams / sizeof load->teams[0];
+  for (const char *at = load->options.teams; *at && load->team_count < max;) {
+    size_t len = strcspn (at, ",");
+    gr_name_set (&load->teams[load->team_count++], (GrStr){ at, len });
+    at += len + (at[len] == ',');
+  }
+}
+
+int
+main (int argc, char **argv)
+{
+  static Load load;
+  static uv_loop_t loop;
+  GrOptVerdict verdict;
+  GrErr err = { 0 };
+  if (!gr_opt_parse ("gr-load", "Callers of entry VMs for the demo and tests.", specs,
+                     sizeof specs / sizeof specs[0], argc, argv, &load.options, NULL, 0, NULL,
+                     &verdict, &err)) {
+    fprintf (stderr, "gr-load: %s\n", err.detail);
+    return GR_EXIT_USAGE;
+  }
+  if (verdict == GR_OPT_EXIT_OK)
+    return GR_EXIT_OK;
+  uv_loop_init (&loop);
+  load.loop = &loop;
+  load.rng = (uint64_t) load.options.seed;
+  read_lists (&load);
+  if (load.vm_count == 0 || load.team_count == 0) {
+    fprintf (stderr, "gr-load: --urls and --teams must not be empty\n");
+    return GR_EXIT_USAGE;
+  }
+  load.total = load.options.requests + load.options.jobs;
+  load.items = gr_calloc ((size_t) load.total, sizeof *load.items);
+  NetHttpClientOptions client = { .max_connections_per_host = 1024, .max_connections = 4096 };
+  load.client = net_http_client_new (&loop, &client, &err);
+  load.cancel_client = net_http_client_new (&loop, NULL, &err);
+  uv_timer_t *timers[] = { &load.pace, &load.probe, &load.limit };
+  for (size_t i = 0; i < sizeof timers / sizeof timers[0]; i++) {
+    uv_timer_init (&loop, timers[i]);
+    timers[i]->data = &load;
+  }
+  uv_timer_start (&load.probe, on_probe, 0, PROBE_MS);
+  uv_timer_start (&load.pace, on_pace, PACE_MS, PACE_MS);
+  uv_timer_start (&load.limit, on_limit, (uint64_t) load.options.run_seconds * 1000, 0);
+  uv_run (&loop, UV_RUN_DEFAULT);
+  /* Open calls and timers end with the process. */
+  return load.code;
+}
--- a/src/net/net_http.h
+++ b/src/net/net_http.h
@@ -1,6 +1,6 @@
 /* HTTP/1.1 adapters on libuv: a server over h2o and a client over libcurl's multi interface.
 
-   The server makes the process ignore SIGPIPE. */
+   Both make the process ignore SIGPIPE. */
 #pragma once
 
 #include <uv.h>
--- a/src/net/net_http_client.c
+++ b/src/net/net_http_client.c
@@ -1,3 +1,4 @@
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 
@@ -311,6 +312,8 @@
     curl_global_init (CURL_GLOBAL_DEFAULT);
     initialised = true;
   }
+  /* libcurl leaves SIGPIPE to the program when CURLOPT_NOSIGNAL is set. */
+  signal (SIGPIPE, SIG_IGN);
   CURLM *multi = curl_multi_init ();
   if (!multi) {
     gr_err_set (err, GR_ERR_IO, "client", "libcurl cannot be initialised");
