--- a/src/cfg/cfg_tree.c
+++ b/src/cfg/cfg_tree.c
@@ -33,6 +33,7 @@
   CfgParsed parsed;
   CfgTreeFaults faults;
   GrName author;
+  bool incomplete; /* a file could not be read to its end */
   CfgProblems *problems;
   CfgTree *tree;
 } Merge;
@@ -111,7 +112,8 @@
     else if (i > 0 && gr_str_equal (file->name, merge->files[i - 1]->name))
       cfg_problem_add (merge->problems, GR_ERR_CONFLICT, file->name, 0, NULL,
                        "the file is given twice");
-    cfg_parse_file (file, i, &merge->parsed, merge->problems);
+    if (!cfg_parse_file (file, i, merge->faults.unchecked, &merge->parsed, merge->problems))
+      merge->incomplete = true;
   }
 }
 
@@ -259,7 +261,7 @@
       cfg_option_store (option, value, record);
     else if (option->def)
       cfg_option_store (option, gr_str_from_c (option->def), record);
-    else
+    else if (block->file < merge->file_count)
       cfg_problem_add (merge->problems, GR_ERR_MISSING, merge->files[block->file]->name,
                        block->line, &key, "'%s' is not set; required in section %s", option->name,
                        cfg_section (block->section)->name);
@@ -375,8 +377,11 @@
     merge.faults = *faults;
   take_files (&merge, files, count);
   fold_values (&merge);
-  check_replaces (&merge);
-  build_objects (&merge);
+  /* What a file that was not read may hold would be reported as missing. */
+  if (!merge.incomplete) {
+    check_replaces (&merge);
+    build_objects (&merge);
+  }
   cfg_parsed_clear (&merge.parsed);
   free ((void *) merge.files);
   if (problems->count > before) {
