--- a/src/sch/sch.h
+++ b/src/sch/sch.h
@@ -133,7 +133,8 @@
     } target;
     const SchTask *submit;
     struct {
-      GrName id; /* task id (CANCEL) or job id (COMMIT, RELEASE) */
+      GrName id;       /* task id (CANCEL) or job id (COMMIT, RELEASE) */
+      int32_t attempt; /* COMMIT, RELEASE: attempt of the gang's parts; 0: any */
     } ref;
     struct {
       GrName id;
@@ -179,7 +180,8 @@
   SCH_WHY_NO_TARGET,
   SCH_WHY_TARGET_REFUSED,
   SCH_WHY_PREEMPTED,
-  SCH_WHY_FAILS_EVERYTHING
+  SCH_WHY_FAILS_EVERYTHING,
+  SCH_WHY_OVERRUN /* used more than its target or its team's quota part has left */
 } SchWhy;
 
 typedef struct {
--- a/src/sch/sch_entry.c
+++ b/src/sch/sch_entry.c
@@ -36,6 +36,8 @@
   e->task = *task;
   e->target = -1;
   e->reserved_target = -1;
+  e->promised_target = -1;
+  e->avoid_target = -1;
   e->timer_slot = -1;
   SchEntry *first = sch_entry_first (s, &task->id);
   if (first) {
@@ -52,15 +54,16 @@
 sch_entry_free (SchState *s, SchEntry *e)
 {
   SchEntry *first = sch_entry_first (s, &e->task.id);
-  if (first == e) {
+  if (first && first == e) {
     SchEntry *next = e->same_id;
     HASH_DEL (s->entries, e);
     if (next)
       HASH_ADD_KEYPTR (hh, s->entries, next->task.id.data, next->task.id.len, next);
   } else {
-    while (first->same_id != e)
+    while (first && first->same_id != e)
       first = first->same_id;
-    first->same_id = e->same_id;
+    if (first)
+      first->same_id = e->same_id;
   }
   s->entry_count--;
   e->same_id = s->spare;
@@ -85,6 +88,8 @@
 drop_oldest (SchMarks *marks)
 {
   SchMark *mark = marks->oldest;
+  if (!mark || !marks->table)
+    return;
   DL_DELETE (marks->oldest, mark);
   HASH_DEL (marks->table, mark);
   free (mark);
--- /dev/null
+++ b/src/sch/sch_gang.c
@@ -0,0 +1,192 @@
+/* Gangs: parts hold capacity until all parts of the gang are committed or released. */
+#include "sch/sch_priv.h"
+
+/* Gangs looked at when capacity returns. */
+#define GANG_LOOKS 32
+/* A younger gang that did not fit as a whole is tried again after this time. */
+#define GANG_RETRY_MS 20
+/* Parts of the oldest gang that reserve a target each. */
+#define GANG_RESERVES 16
+
+void
+sch_gang_join (SchState *s, SchEntry *e)
+{
+  uint64_t key = sch_attempt_hash (&e->task.job, e->task.attempt);
+  SchGang *gang;
+  HASH_FIND (hh, s->gangs, &key, sizeof key, gang);
+  if (!gang) {
+    gang = gr_calloc (1, sizeof *gang);
+    gang->key = key;
+    gang->job = e->task.job;
+    gang->attempt = e->task.attempt;
+    gang->tasks = e->task.policy.gang.tasks;
+    HASH_ADD (hh, s->gangs, key, sizeof gang->key, gang);
+    DL_APPEND (s->gang_order, gang);
+  }
+  e->gang = gang;
+  gang->waiting++;
+  DL_APPEND2 (gang->parts, e, gang_prev, gang_next);
+  s->gangs_dirty = true;
+}
+
+void
+sch_gang_leave (SchState *s, SchEntry *e)
+{
+  SchGang *gang = e->gang;
+  if (!gang)
+    return;
+  e->gang = NULL;
+  if (e->phase == SCH_PHASE_HELD)
+    gang->held--;
+  else
+    gang->waiting--;
+  DL_DELETE2 (gang->parts, e, gang_prev, gang_next);
+  s->gangs_dirty = true;
+  if (gang->parts)
+    return;
+  HASH_DEL (s->gangs, gang);
+  DL_DELETE (s->gang_order, gang);
+  free (gang);
+}
+
+void
+sch_gang_fail (SchState *s, SchGang *gang, SchWhy why, SchCmds *out)
+{
+  sch_mark (&s->dead_gangs, gang->key, s->now_ms);
+  bool more = gang->parts != NULL;
+  while (more) {
+    SchEntry *part = gang->parts;
+    more = part->gang_next != NULL;
+    sch_gang_leave (s, part);
+    sch_refuse (s, part, why, GR_RES_CPU_MILLI, out);
+  }
+}
+
+static void
+commit_gang (SchState *s, SchGang *gang, SchCmds *out)
+{
+  /* A commit for parts that do not all hold is out of date; the holds stay until their deadline. */
+  if (gang->waiting > 0 && !s->options.faults.gang_partial_commit)
+    return;
+  bool more = gang->parts != NULL;
+  for (SchEntry *part = gang->parts, *next; more; part = next) {
+    next = part->gang_next;
+    more = next != NULL;
+    if (part->phase != SCH_PHASE_HELD)
+      continue;
+    sch_gang_leave (s, part);
+    sch_start (s, part, SCH_WHY_RESERVED, out);
+  }
+}
+
+void
+sch_gang_settle (SchState *s, const GrName *job, int32_t attempt, bool commit, SchCmds *out)
+{
+  SchGang *gang, *next;
+  DL_FOREACH_SAFE (s->gang_order, gang, next)
+  {
+    if (!gr_name_equal (&gang->job, job) || (attempt != 0 && gang->attempt != attempt))
+      continue;
+    if (commit)
+      commit_gang (s, gang, out);
+    else
+      sch_gang_fail (s, gang, SCH_WHY_HOLD_EXPIRED, out);
+  }
+}
+
+void
+sch_gangs_fail_on (SchState *s, int32_t i, SchCmds *out)
+{
+  for (SchEntry *e = s->targets.tasks[i]; e;) {
+    if (e->phase == SCH_PHASE_HELD && e->gang) {
+      sch_gang_fail (s, e->gang, SCH_WHY_NO_TARGET, out);
+      e = s->targets.tasks[i]; /* the gang may have had several holds here */
+    } else {
+      e = e->target_next;
+    }
+  }
+}
+
+/* Undoes holds that were not announced. */
+static void
+roll_back (SchState *s, SchGang *gang, SchEntry *end)
+{
+  size_t freed = s->freed.count;
+  for (SchEntry *e = gang->parts; e != end; e = e->gang_next) {
+    if (e->queue && e->target >= 0)
+      sch_target_give_back (s, e);
+  }
+  s->freed.count = freed; /* nothing was free in between */
+}
+
+/* Places waiting parts; holds are announced if all fit, or those that fit if keep is set.
+   Returns false if the gang waits for its quota part, which reserves nothing. */
+static bool
+hold_parts (SchState *s, SchGang *gang, bool keep, SchCmds *out)
+{
+  SchEntry *e = gang->parts;
+  bool all = true;
+  bool quota = false;
+  for (; e; e = e->gang_next) {
+    if (!e->queue)
+      continue;
+    SchWhy why;
+    GrResDim dim = GR_RES_CPU_MILLI;
+    int32_t target = -1;
+    bool may = sch_may_start (s, e, &why, &dim);
+    quota = quota || why == SCH_WHY_QUOTA;
+    if (may)
+      target = sch_pick (s, e, &why);
+    if (target < 0 || why == SCH_WHY_PROBE) {
+      e->queue->why = quota ? SCH_WHY_QUOTA : SCH_WHY_NO_TARGET;
+      e->queue->dim = dim;
+      all = false;
+      break;
+    }
+    sch_target_take (s, target, e);
+  }
+  if (!all && (!keep || quota)) {
+    roll_back (s, gang, e);
+    return !quota;
+  }
+  for (SchEntry *part = gang->parts; part != e; part = part->gang_next) {
+    if (!part->queue)
+      continue;
+    SchWhy why = part->reserved_target == part->target ? SCH_WHY_RESERVED : SCH_WHY_BEST_FIT;
+    sch_queue_remove (s, part);
+    part->phase = SCH_PHASE_HELD;
+    part->start_ms = s->now_ms;
+    gang->waiting--;
+    gang->held++;
+    sch_emit (out, SCH_CMD_HELD, part, why)->target = s->targets.name[part->target]->name;
+    sch_timer_set (s, part, part->task.policy.gang.hold_deadline_ms);
+  }
+  int reserves = 0;
+  for (; e && reserves < GANG_RESERVES; e = e->gang_next) {
+    if (e->queue)
+      reserves += sch_reserve (s, e);
+  }
+  return true;
+}
+
+void
+sch_gangs_place (SchState *s, SchCmds *out)
+{
+  bool first = true;
+  int looks = 0;
+  SchGang *gang;
+  DL_FOREACH (s->gang_order, gang)
+  {
+    if (gang->waiting == 0)
+      continue;
+    if (++looks > GANG_LOOKS)
+      break;
+    /* Only the oldest gang that waits gathers parts one by one; two that did so could each wait
+       for what the other holds. */
+    if (!first && s->now_ms < gang->retry_ms)
+      continue;
+    gang->retry_ms = s->now_ms + GANG_RETRY_MS;
+    if (hold_parts (s, gang, first, out))
+      first = false;
+  }
+}
--- /dev/null
+++ b/src/sch/sch_index.c
@@ -0,0 +1,201 @@
+/* Index of the usable targets by free capacity. */
+#include "sch/sch_priv.h"
+
+/* Targets of one cell that a first and a second search look at. A cell at the edge of the demand
+   also holds targets that are slightly too small, so the second search looks further. */
+#define CELL_LOOKS_FIRST 8
+#define CELL_LOOKS_SECOND 64
+/* A search ends after this many targets that fit, as later cells only fit worse. */
+#define CANDIDATES_MAX 12
+
+void
+sch_index_init (SchTargets *t)
+{
+  t->cells = gr_calloc (SCH_CELLS, sizeof *t->cells);
+  for (int32_t c = 0; c < SCH_CELLS; c++)
+    t->cells[c] = -1;
+}
+
+/* Half octaves from 16 units; level 0 is nothing, level 1 less than 16. */
+static int
+free_level (int32_t value)
+{
+  if (value <= 0)
+    return 0;
+  if (value < 16)
+    return 1;
+  int octave = 31 - __builtin_clz ((unsigned) value);
+  int level = 2 + (octave - 4) * 2 + ((value >> (octave - 1)) & 1);
+  return level < SCH_FREE_LEVELS ? level : SCH_FREE_LEVELS - 1;
+}
+
+static int
+slot_level (int32_t slots)
+{
+  return slots <= 0 ? 0 : slots == 1 ? 1 : slots < 4 ? 2 : 3;
+}
+
+/* Targets without accelerators come first, so that others keep room for work that needs them. */
+static int
+accelerator_level (int32_t total, int32_t left)
+{
+  if (total <= 0)
+    return 0;
+  return left <= 0 ? 1 : left == 1 ? 2 : left < 4 ? 3 : 4;
+}
+
+static int
+accelerator_level_needed (int32_t need)
+{
+  return need <= 0 ? 0 : need == 1 ? 2 : need < 4 ? 3 : 4;
+}
+
+static int32_t
+cell_of (int acc, int slot, int cpu, int memory)
+{
+  return ((acc * SCH_SLOT_LEVELS + slot) * SCH_FREE_LEVELS + cpu) * SCH_FREE_LEVELS + memory;
+}
+
+static void
+leave_cell (SchTargets *t, int32_t i)
+{
+  int32_t c = t->cell[i];
+  if (c < 0)
+    return;
+  if (t->cell_prev[i] >= 0)
+    t->cell_next[t->cell_prev[i]] = t->cell_next[i];
+  else
+    t->cells[c] = t->cell_next[i];
+  if (t->cell_next[i] >= 0)
+    t->cell_prev[t->cell_next[i]] = t->cell_prev[i];
+  t->cell[i] = -1;
+  if (t->cells[c] >= 0)
+    return;
+  int memory = c % SCH_FREE_LEVELS;
+  int cpu = c / SCH_FREE_LEVELS % SCH_FREE_LEVELS;
+  int slot = c / (SCH_FREE_LEVELS * SCH_FREE_LEVELS) % SCH_SLOT_LEVELS;
+  int acc = c / (SCH_FREE_LEVELS * SCH_FREE_LEVELS * SCH_SLOT_LEVELS);
+  t->columns[acc][slot][cpu] &= ~(1U << memory);
+  if (t->columns[acc][slot][cpu] == 0)
+    t->rows[acc][slot] &= ~(1U << cpu);
+}
+
+void
+sch_index_update (SchTargets *t, int32_t i, bool usable)
+{
+  int32_t c = -1;
+  int acc = 0;
+  int slot = 0;
+  int cpu = 0;
+  int memory = 0;
+  if (usable) {
+    const GrRes *left = &t->free[i];
+    acc = accelerator_level (t->total[i].v[GR_RES_ACCELERATORS], left->v[GR_RES_ACCELERATORS]);
+    slot = slot_level (left->v[GR_RES_SLOTS]);
+    cpu = free_level (left->v[GR_RES_CPU_MILLI]);
+    memory = free_level (left->v[GR_RES_MEMORY_MB]);
+    c = cell_of (acc, slot, cpu, memory);
+  }
+  if (c == t->cell[i])
+    return;
+  leave_cell (t, i);
+  if (c < 0)
+    return;
+  t->cell[i] = c;
+  t->cell_prev[i] = -1;
+  t->cell_next[i] = t->cells[c];
+  if (t->cells[c] >= 0)
+    t->cell_prev[t->cells[c]] = i;
+  t->cells[c] = i;
+  t->columns[acc][slot][cpu] |= 1U << memory;
+  t->rows[acc][slot] |= 1U << cpu;
+}
+
+/* What would be left, as a share of the target; smaller is a better fit. */
+static double
+leftover (const SchTargets *t, int32_t i, const GrRes *need)
+{
+  double sum = 0;
+  for (int d = 0; d < GR_RES_COUNT; d++) {
+    int32_t total = t->total[i].v[d];
+    if (total > 0)
+      sum += (double) (t->free[i].v[d] - need->v[d]) / total;
+  }
+  return sum;
+}
+
+typedef struct {
+  int32_t best;
+  double best_left;
+  int candidates;
+} Search;
+
+static void
+search_cell (const SchState *s, const SchEntry *e, int32_t cell, int looks, Search *search)
+{
+  const SchTargets *t = &s->targets;
+  for (int32_t i = t->cells[cell]; i >= 0 && looks > 0; i = t->cell_next[i], looks--) {
+    if (!sch_target_allows (s, i, e))
+      continue;
+    double left = leftover (t, i, &e->reserve);
+    if (search->best < 0 || left < search->best_left) {
+      search->best = i;
+      search->best_left = left;
+    }
+    if (++search->candidates >= CANDIDATES_MAX)
+      return;
+  }
+}
+
+static void
+search_plane (const SchState *s, const SchEntry *e, int acc, int slot, int looks, Search *search)
+{
+  const SchTargets *t = &s->targets;
+  int cpu_from = free_level (e->reserve.v[GR_RES_CPU_MILLI]);
+  int memory_from = free_level (e->reserve.v[GR_RES_MEMORY_MB]);
+  uint32_t rows = t->rows[acc][slot] >> cpu_from << cpu_from;
+  while (rows) {
+    int cpu = __builtin_ctz (rows);
+    rows &= rows - 1;
+    uint32_t columns = t->columns[acc][slot][cpu] >> memory_from << memory_from;
+    while (columns) {
+      int memory = __builtin_ctz (columns);
+      columns &= columns - 1;
+      search_cell (s, e, cell_of (acc, slot, cpu, memory), looks, search);
+      if (search->candidates >= CANDIDATES_MAX)
+        return;
+    }
+  }
+}
+
+static int32_t
+search_any (const SchState *s, const SchEntry *e)
+{
+  for (int32_t i = 0; i < s->targets.count; i++) {
+    if (sch_target_allows (s, i, e))
+      return i;
+  }
+  return -1;
+}
+
+int32_t
+sch_index_best_fit (const SchState *s, const SchEntry *e)
+{
+  if (s->options.faults.no_capacity_check)
+    return search_any (s, e);
+  for (int pass = 0; pass < 2; pass++) {
+    int looks = pass == 0 ? CELL_LOOKS_FIRST : CELL_LOOKS_SECOND;
+    Search search = { .best = -1 };
+    for (int acc = accelerator_level_needed (e->reserve.v[GR_RES_ACCELERATORS]);
+         acc < SCH_ACC_LEVELS; acc++) {
+      for (int slot = slot_level (e->reserve.v[GR_RES_SLOTS]); slot < SCH_SLOT_LEVELS; slot++) {
+        if (s->targets.rows[acc][slot])
+          search_plane (s, e, acc, slot, looks, &search);
+      }
+      /* Within an accelerator level the best fit counts; a higher level is a last resort. */
+      if (search.best >= 0)
+        return search.best;
+    }
+  }
+  return -1;
+}
--- a/src/sch/sch_kind.c
+++ b/src/sch/sch_kind.c
@@ -5,6 +5,12 @@
 #define SAMPLES_MIN 8
 /* Counts are halved at this total, so that estimates follow a change of the work. */
 #define SAMPLES_MAX 512
+/* Quantiles are computed again after this many ends once there are enough samples. */
+#define QUANTILE_EVERY 8
+/* The seen size shrinks by a sixteenth after this many ends, so that one outlier is forgotten. */
+#define SEEN_DECAY_EVERY 64
+/* Kinds remembered; the least recently used without tasks is forgotten first. */
+#define KINDS_MAX 8192
 
 SchKind *
 sch_kind_get (SchState *s, const SchTask *task)
@@ -12,14 +18,30 @@
   uint64_t key = gr_name_hash (&task->kind, gr_name_hash (&task->team, 0));
   SchKind *kind;
   HASH_FIND (hh, s->kinds, &key, sizeof key, kind);
-  if (!kind) {
+  if (kind) {
+    DL_DELETE (s->kind_order, kind);
+  } else {
+    SchKind *oldest = s->kind_order;
+    if (HASH_COUNT (s->kinds) >= KINDS_MAX && oldest->refs == 0) {
+      DL_DELETE (s->kind_order, oldest);
+      HASH_DEL (s->kinds, oldest);
+      free (oldest);
+    }
     kind = gr_calloc (1, sizeof *kind);
     kind->key = key;
     HASH_ADD (hh, s->kinds, key, sizeof kind->key, kind);
   }
+  DL_APPEND (s->kind_order, kind);
+  kind->refs++;
   return kind;
 }
 
+void
+sch_kind_release (SchKind *kind)
+{
+  kind->refs--;
+}
+
 /* Upper bound of a bucket: quarter octaves by a linear step within the octave. */
 static int64_t
 bucket_ms (int bucket)
@@ -30,10 +52,16 @@
 static int
 bucket_of (int64_t run_ms)
 {
-  int bucket = 0;
-  while (bucket < SCH_RUN_BUCKETS - 1 && bucket_ms (bucket) < run_ms)
-    bucket++;
-  return bucket;
+  int low = 0;
+  int high = SCH_RUN_BUCKETS - 1;
+  while (low < high) {
+    int middle = (low + high) / 2;
+    if (bucket_ms (middle) < run_ms)
+      low = middle + 1;
+    else
+      high = middle;
+  }
+  return low;
 }
 
 static int64_t
@@ -62,43 +90,59 @@
       kind->run_count += kind->runs[b];
     }
   }
+  if (kind->run_count > 4 * SAMPLES_MIN && kind->run_count % QUANTILE_EVERY != 0)
+    return;
   kind->run_p50_ms = quantile_ms (kind, 50);
   kind->run_p90_ms = quantile_ms (kind, 90);
 }
 
-int64_t
-sch_kind_run_ms (const SchKind *kind, const SchTask *task)
+void
+sch_kind_used (SchKind *kind, const GrRes *used)
 {
-  return kind->run_count >= SAMPLES_MIN ? kind->run_p50_ms : task->declared_run_ms;
+  bool decay = ++kind->ends % SEEN_DECAY_EVERY == 0;
+  for (int d = 0; d < GR_RES_COUNT; d++) {
+    if (decay)
+      kind->seen.v[d] -= kind->seen.v[d] / 16;
+    if (used->v[d] > kind->seen.v[d])
+      kind->seen.v[d] = used->v[d];
+  }
 }
 
 void
 sch_classify (const SchState *s, SchEntry *e)
 {
   const SchTask *task = &e->task;
-  int64_t high = e->kind->run_count >= SAMPLES_MIN ? e->kind->run_p90_ms : task->declared_run_ms;
-  bool is_long = high <= 0 || high >= s->options.long_after_ms;
-  e->run_ms = sch_kind_run_ms (e->kind, task);
+  bool learned = e->kind->run_count >= SAMPLES_MIN;
+  e->run_ms = learned ? e->kind->run_p50_ms : task->declared_run_ms;
+  e->high_ms = learned ? e->kind->run_p90_ms : task->declared_run_ms;
+  bool is_long = e->high_ms <= 0 || e->high_ms >= s->options.long_after_ms;
+  bool urgent = task->urgent;
   e->is_long = false;
   e->bulk = false;
   switch (task->policy.kind) {
   case SCH_POLICY_REQUEST:
+    urgent = urgent || task->policy.request.urgent;
     e->is_long = is_long;
-    e->bulk = is_long && !task->urgent;
-    e->class = is_long ? SCH_CLASS_LONG : SCH_CLASS_SHORT;
+    e->bulk = is_long && !urgent;
+    e->class = urgent ? SCH_CLASS_URGENT : is_long ? SCH_CLASS_LONG : SCH_CLASS_SHORT;
     break;
   case SCH_POLICY_SERVICE:
-    e->class = SCH_CLASS_SERVICE;
+    e->class = urgent ? SCH_CLASS_URGENT : SCH_CLASS_SERVICE;
     break;
   case SCH_POLICY_BATCH:
     e->is_long = is_long;
-    e->bulk = !task->urgent;
-    e->class = SCH_CLASS_BATCH;
+    e->bulk = !urgent;
+    e->class = urgent ? SCH_CLASS_URGENT : SCH_CLASS_BATCH;
     break;
   case SCH_POLICY_GANG:
     e->class = SCH_CLASS_GANG;
     break;
   }
-  if (task->urgent || (task->policy.kind == SCH_POLICY_REQUEST && task->policy.request.urgent))
-    e->class = task->policy.kind == SCH_POLICY_GANG ? SCH_CLASS_GANG : SCH_CLASS_URGENT;
+  e->work_ms = 0;
+  for (int d = 0; d < GR_RES_COUNT; d++) {
+    int32_t total = s->targets.usable_total.v[d];
+    double part = total > 0 ? (double) e->reserve.v[d] / total : 0;
+    if (part * (double) e->run_ms > e->work_ms)
+      e->work_ms = part * (double) e->run_ms;
+  }
 }
--- a/src/sch/sch_place.c
+++ b/src/sch/sch_place.c
@@ -1,54 +1,86 @@
-/* Starting, refusing and ending tasks, and the order in which waiting work is served. */
+/* Starting, refusing and ending tasks. */
 #include "sch/sch_priv.h"
 
-void
+/* A stop that had no effect after this time is sent again. */
+#define STOP_RETRY_MS 5000
+
+SchCmd *
 sch_emit (SchCmds *out, SchCmdKind kind, const SchEntry *e, SchWhy why)
 {
   SchCmd cmd = { .kind = kind, .id = e->task.id, .attempt = e->task.attempt, .why = why };
   gr_list_push (out, cmd);
-}
-
-static SchCmd *
-last_cmd (SchCmds *out)
-{
   return &out->items[out->count - 1];
 }
 
 /* Takes the task out of every list and forgets it. */
-static void
-drop (SchState *s, SchEntry *e)
+void
+sch_forget (SchState *s, SchEntry *e)
 {
   sch_timer_clear (s, e);
   sch_queue_remove (s, e);
+  sch_gang_leave (s, e);
   if (e->target >= 0) {
+    SchHealth *health = &s->targets.health[e->target];
+    if (health->probe == e)
+      health->probe = NULL;
     s->running -= e->phase != SCH_PHASE_HELD;
     sch_target_give_back (s, e);
   }
-  sch_mark (&s->ended, sch_attempt_hash (&e->task.id, e->task.attempt), s->now_ms);
+  sch_kind_release (e->kind);
   sch_entry_free (s, e);
 }
 
+static void
+finish (SchState *s, SchEntry *e)
+{
+  sch_mark (&s->ended, sch_attempt_hash (&e->task.id, e->task.attempt), s->now_ms);
+  sch_forget (s, e);
+}
+
 void
 sch_refuse (SchState *s, SchEntry *e, SchWhy why, GrResDim dim, SchCmds *out)
 {
-  sch_emit (out, SCH_CMD_REFUSED, e, why);
-  last_cmd (out)->dim = dim;
-  drop (s, e);
+  SchGang *gang = e->gang;
+  bool others = gang && gang->parts->gang_next;
+  sch_emit (out, SCH_CMD_REFUSED, e, why)->dim = dim;
+  if (gang)
+    sch_mark (&s->dead_gangs, gang->key, s->now_ms);
+  finish (s, e);
+  if (others)
+    sch_gang_fail (s, gang, why == SCH_WHY_CANCELLED ? why : SCH_WHY_HOLD_EXPIRED, out);
 }
 
 void
 sch_end (SchState *s, SchEntry *e, SchEnd end, SchCmds *out)
 {
-  sch_emit (out, SCH_CMD_ENDED, e, e->stop_why);
-  last_cmd (out)->end = end;
+  SchGang *gang = e->gang;
+  bool others = gang && gang->parts->gang_next;
+  SchCmd *cmd = sch_emit (out, SCH_CMD_ENDED, e, e->stop_why);
+  cmd->end = end;
   if (e->target >= 0) {
-    last_cmd (out)->target = s->targets.name[e->target]->name;
+    cmd->target = s->targets.name[e->target]->name;
     s->last_target = e->target;
     s->last_reserve = e->reserve;
   }
-  drop (s, e);
+  finish (s, e);
+  /* A part that ends before the commit leaves a gang that cannot be whole. */
+  if (others)
+    sch_gang_fail (s, gang, SCH_WHY_HOLD_EXPIRED, out);
 }
 
+void
+sch_stop (SchState *s, SchEntry *e, SchWhy why, SchCmds *out)
+{
+  if (!e->stopping) {
+    e->stopping = true;
+    gr_res_add (&s->targets.coming[e->target], &e->reserve);
+    e->stop_why = why;
+  }
+  sch_emit (out, SCH_CMD_STOP, e, e->stop_why)->target = s->targets.name[e->target]->name;
+  sch_timer_set (s, e, s->now_ms + STOP_RETRY_MS);
+}
+
+/* Batch and long work together leave a part of the cell to short work. */
 static bool
 bulk_allows (const SchState *s, const SchEntry *e)
 {
@@ -63,34 +95,78 @@
   return true;
 }
 
-/* Checks that do not depend on the target. */
-static bool
-may_start (const SchState *s, const SchEntry *e, SchWhy *why, GrResDim *dim)
+bool
+sch_may_start (SchState *s, const SchEntry *e, SchWhy *why, GrResDim *dim)
 {
   if (!sch_team_allows (s, e->team, &e->reserve, dim)) {
     *why = SCH_WHY_QUOTA;
+    e->team->quota_blocked = true;
     return false;
   }
   *why = SCH_WHY_NO_TARGET;
-  return bulk_allows (s, e);
+  if (bulk_allows (s, e))
+    return true;
+  s->bulk_blocked = true;
+  return false;
 }
 
-static void
-place_on (SchState *s, SchEntry *e, int32_t target, SchWhy why, SchCmds *out)
+int32_t
+sch_pick (SchState *s, const SchEntry *e, SchWhy *why)
 {
+  int32_t i = sch_health_probe (s, e);
+  if (i >= 0) {
+    *why = SCH_WHY_PROBE;
+    return i;
+  }
+  if (e->reserved_target >= 0 && sch_target_allows (s, e->reserved_target, e)) {
+    *why = SCH_WHY_RESERVED;
+    return e->reserved_target;
+  }
+  *why = SCH_WHY_SPREAD;
+  if (e->task.policy.kind == SCH_POLICY_SERVICE)
+    i = sch_spread_pick (s, e);
+  if (i >= 0)
+    return i;
+  i = sch_index_best_fit (s, e);
+  *why = i >= 0 && s->targets.reserved_for[i] ? SCH_WHY_BACKFILL : SCH_WHY_BEST_FIT;
+  return i;
+}
+
+void
+sch_start (SchState *s, SchEntry *e, SchWhy why, SchCmds *out)
+{
+  e->phase = SCH_PHASE_STARTING;
+  e->start_ms = s->now_ms;
+  s->running++;
+  SchCmd *cmd = sch_emit (out, SCH_CMD_START, e, why);
+  cmd->target = s->targets.name[e->target]->name;
+  cmd->task = &e->task;
+  /* Work that was taken for short moves to the long class when it runs on. */
+  if (!e->is_long && e->task.policy.kind == SCH_POLICY_REQUEST)
+    sch_timer_set (s, e, s->now_ms + s->options.long_after_ms);
+  else
+    sch_timer_clear (s, e);
+}
+
+void
+sch_place_on (SchState *s, SchEntry *e, int32_t target, SchWhy why, SchCmds *out)
+{
+  if (s->targets.reserved_for[target] && s->targets.reserved_for[target] != e)
+    s->targets.backfills[target]++;
   sch_queue_remove (s, e);
-  sch_timer_clear (s, e);
   sch_target_take (s, target, e);
-  bool gang = e->task.policy.kind == SCH_POLICY_GANG;
-  e->phase = gang ? SCH_PHASE_HELD : SCH_PHASE_STARTING;
-  e->start_ms = s->now_ms;
-  sch_emit (out, gang ? SCH_CMD_HELD : SCH_CMD_START, e, why);
-  last_cmd (out)->target = s->targets.name[target]->name;
-  last_cmd (out)->task = &e->task;
-  if (gang)
+  if (why == SCH_WHY_PROBE)
+    s->targets.health[target].probe = e;
+  if (e->gang) {
+    e->phase = SCH_PHASE_HELD;
+    e->start_ms = s->now_ms;
+    e->gang->waiting--;
+    e->gang->held++;
+    sch_emit (out, SCH_CMD_HELD, e, why)->target = s->targets.name[target]->name;
     sch_timer_set (s, e, e->task.policy.gang.hold_deadline_ms);
-  else
-    s->running++;
+  } else {
+    sch_start (s, e, why, out);
+  }
 }
 
 bool
@@ -98,12 +174,14 @@
 {
   SchWhy why;
   GrResDim dim = GR_RES_CPU_MILLI;
-  if (may_start (s, e, &why, &dim)) {
-    int32_t target = sch_target_pick (s, e);
+  if (sch_may_start (s, e, &why, &dim)) {
+    int32_t target = sch_pick (s, e, &why);
     if (target >= 0) {
-      place_on (s, e, target, SCH_WHY_BEST_FIT, out);
+      sch_place_on (s, e, target, why, out);
       return true;
     }
+    why = SCH_WHY_NO_TARGET;
+    sch_preempt_for (s, e, out);
   }
   if (e->queue) {
     e->queue->why = why;
@@ -111,61 +189,3 @@
   }
   return false;
 }
-
-/* Whether queue a is served before queue b of the same class. */
-static bool
-goes_before (const SchState *s, const SchQueue *a, const SchQueue *b)
-{
-  if (a->key.priority != b->key.priority)
-    return a->key.priority > b->key.priority;
-  if (a->key.team != b->key.team) {
-    double share_a = sch_team_share (s, a->key.team);
-    double share_b = sch_team_share (s, b->key.team);
-    if (share_a != share_b)
-      return share_a < share_b;
-  }
-  return a->head->submit_ms < b->head->submit_ms;
-}
-
-static SchEntry *
-next_for_target (const SchState *s, int32_t i)
-{
-  for (int c = 0; c < SCH_CLASS_COUNT; c++) {
-    SchQueue *best = NULL;
-    for (size_t k = 0; k < s->active[c].count; k++) {
-      SchQueue *queue = s->active[c].items[k];
-      SchWhy why;
-      GrResDim dim;
-      if (!sch_target_allows (s, i, queue->head) || !may_start (s, queue->head, &why, &dim))
-        continue;
-      if (!best || goes_before (s, queue, best))
-        best = queue;
-    }
-    if (best)
-      return best->head;
-  }
-  return NULL;
-}
-
-void
-sch_fill_target (SchState *s, int32_t i, SchCmds *out)
-{
-  SchEntry *e;
-  while (s->queued > 0 && sch_target_usable (&s->targets, i) && (e = next_for_target (s, i)))
-    place_on (s, e, i, SCH_WHY_BEST_FIT, out);
-}
-
-void
-sch_fill_all (SchState *s, SchCmds *out)
-{
-  for (int c = 0; c < SCH_CLASS_COUNT; c++) {
-    for (size_t k = 0; k < s->active[c].count;) {
-      SchQueue *queue = s->active[c].items[k];
-      size_t count = s->active[c].count;
-      if (!sch_try_place (s, queue->head, out))
-        k++;
-      else if (s->active[c].count == count)
-        continue;
-    }
-  }
-}
--- a/src/sch/sch_priv.h
+++ b/src/sch/sch_priv.h
@@ -35,6 +35,9 @@
   int32_t weight;
   GrRes quota;
   GrRes used;
+  double share;       /* dominant share of the usable targets, divided by the weight */
+  bool quota_blocked; /* a queue of the team waits for its quota part */
+  bool retry;         /* in retry_teams */
   UT_hash_handle hh;
 } SchTeam;
 
@@ -42,49 +45,88 @@
 #define SCH_RUN_BUCKETS 96
 
 /* What was seen of the tasks of one team and kind, found by the hash of both names. */
-typedef struct {
+typedef struct SchKind {
   uint64_t key;
   uint16_t runs[SCH_RUN_BUCKETS];
   int32_t run_count;
+  int32_t ends;
+  int32_t refs; /* tasks that point to it */
   int64_t run_p50_ms, run_p90_ms;
   GrRes seen;
-  float fail_rate;
+  double fail_rate; /* moving average */
+  int32_t outcomes;
+  struct SchKind *prev, *next;
   UT_hash_handle hh;
 } SchKind;
 
-/* Parts of one gang that wait or hold here. */
-typedef struct {
+/* Parts of one gang that wait or hold here; parts that started are ordinary running tasks. */
+typedef struct SchGang {
+  uint64_t key; /* hash of job and attempt */
   GrName job;
+  int32_t attempt;
   int32_t tasks; /* size of the whole gang */
   int32_t waiting;
   int32_t held;
-  int64_t arrived_ms;
+  int64_t retry_ms; /* no try to place all parts before this time */
   SchEntry *parts;
+  struct SchGang *prev, *next; /* in order of arrival */
   UT_hash_handle hh;
 } SchGang;
 
+typedef struct {
+  uint32_t place;
+  int32_t count;
+} SchPlaceCount;
+
+/* Where the replicas of a service run, as counts by zone and by group. */
+typedef struct {
+  GrName job;
+  GR_LIST (SchPlaceCount) zones;
+  GR_LIST (SchPlaceCount) groups;
+  int32_t refs;
+  UT_hash_handle hh;
+} SchService;
+
+/* Outcomes of one job, to tell a job that fails everywhere from a target that fails everything. */
+typedef struct SchJobStat {
+  uint64_t key;
+  int32_t first_target; /* where it failed first; -1: did not fail */
+  int32_t last_target;  /* where it failed last */
+  int32_t fails_first;  /* on first_target */
+  int32_t fails_other;
+  int32_t successes;
+  struct SchJobStat *prev, *next;
+  UT_hash_handle hh;
+} SchJobStat;
+
 struct SchEntry {
   SchTask task;
   GrRes reserve; /* what it holds or will hold */
   SchPhase phase;
   SchClass class;
-  int32_t target; /* -1 while queued */
-  int32_t reserved_target;
-  bool cancelled;
-  SchWhy stop_why; /* SCH_WHY_BEST_FIT: not asked to stop */
-  bool is_long;    /* counts against the share of long work */
-  bool bulk;       /* counts against the share of batch work */
+  int32_t target;          /* -1 while queued */
+  int32_t reserved_target; /* keeps room for it while it waits; -1: none */
+  int32_t promised_target; /* where batch work was stopped for it; -1: none */
+  int32_t avoid_target;    /* where its job failed last; -1: none */
+  bool stopping;
+  bool in_batch_list;
+  SchWhy stop_why;
+  bool is_long; /* counts against the share of long work */
+  bool bulk;    /* counts against the share of batch work */
   bool probe;
   bool aged;
   SchTeam *team;
   SchKind *kind;
   SchGang *gang;
+  SchService *service;
   SchQueue *queue;
   int64_t submit_ms;
   int64_t start_ms;
   int64_t latest_ms; /* a later start misses the deadline */
-  int64_t run_ms;    /* expected run time; 0 if not known */
-  int64_t retry_ms;  /* no preemption for it before this time */
+  int64_t run_ms;    /* expected run time, median; 0 if not known */
+  int64_t high_ms;   /* 9 of 10 runs are shorter; 0 if not known */
+  int64_t retry_ms;  /* no further preemption for it before this time */
+  double work_ms;    /* share of the cell times expected run time */
   int64_t timer_ms;
   int32_t timer_slot; /* -1: no timer */
   SchEntry *same_id;  /* other attempts of the task */
@@ -117,14 +159,17 @@
   UT_hash_handle hh;
 };
 
-/* Ends on a target since its last success. */
+/* Failures on a target since its last success there. */
+#define SCH_HEALTH_JOBS 16
 typedef struct {
   int32_t failures;
-  uint64_t jobs[4]; /* hashes of distinct jobs that failed */
-  int32_t job_count;
-  int64_t probe_ms; /* earliest next probe */
+  int32_t records;
+  uint64_t job_keys[SCH_HEALTH_JOBS];
+  double weights[SCH_HEALTH_JOBS]; /* evidence of each, as the logarithm of a probability */
+  int64_t probe_ms;                /* earliest next probe */
   int64_t backoff_ms;
-  bool probing;
+  int64_t cool_until_ms;
+  SchEntry *probe;
 } SchHealth;
 
 /* The index keeps usable targets in cells by free accelerators, slots, cpu and memory. */
@@ -148,7 +193,8 @@
 enum {
   SCH_TARGET_UP = 1,
   SCH_TARGET_LEAVES = 2,
-  SCH_TARGET_QUARANTINED = 4
+  SCH_TARGET_QUARANTINED = 4,
+  SCH_TARGET_COOLS = 8 /* refused a start or failed tasks a moment ago */
 };
 
 /* Targets as a structure of arrays; a target keeps its number while it is known. */
@@ -165,16 +211,20 @@
   int32_t *long_slots;
   SchEntry **tasks;
   SchEntry **reserved_for;
-  int32_t *backfills; /* tasks let past the reservation */
+  int64_t *reserve_ms; /* when the room is expected to be free */
+  int32_t *backfills;  /* tasks let past the reservation */
+  GrRes *coming;       /* held by tasks that were asked to stop */
+  GrRes *promised;     /* needed by tasks for which others were asked to stop */
   SchHealth *health;
   int32_t *cell; /* -1: not in the index */
   int32_t *cell_prev, *cell_next;
-  int32_t *cells;                                                  /* first target of each cell */
+  int32_t *cells; /* first target of each cell */
   uint32_t columns[SCH_ACC_LEVELS][SCH_SLOT_LEVELS][SCH_FREE_LEVELS]; /* cells not empty */
   uint32_t rows[SCH_ACC_LEVELS][SCH_SLOT_LEVELS];                     /* rows not empty */
   GR_LIST (int32_t) free_numbers;
   SchTargetName *names;
   GrRes usable_total; /* sum of capacity over usable targets */
+  int32_t usable;
   GR_LIST (SchShape) shapes;
 } SchTargets;
 
@@ -194,6 +244,9 @@
   SchMark *oldest;
 } SchMarks;
 
+/* Expected run times of waiting work are counted in octaves. */
+#define SCH_RUN_OCTAVES 32
+
 struct SchState {
   SchOptions options;
   int64_t now_ms;
@@ -203,21 +256,41 @@
   SchEntry *spare; /* linked by same_id */
   SchTeam *teams;
   SchKind *kinds;
+  SchKind *kind_order; /* least recently used first */
   SchQueue *queues;
   SchGang *gangs;
+  SchGang *gang_order;
+  SchService *services;
+  SchJobStat *job_stats;
+  SchJobStat *job_order; /* oldest first */
   GR_LIST (SchQueue *) active[SCH_CLASS_COUNT];
   int64_t queued;
   int64_t running;
-  GrRes bulk_used; /* reserved by batch and long work */
+  GrRes bulk_used;   /* reserved by batch and long work */
+  bool bulk_blocked; /* a queue waits for the share of batch and long work */
+  bool bulk_freed;
+  /* Waiting urgent and short work by pool (without and with slots) and octave of run time. */
+  double backlog_ms[2][SCH_RUN_OCTAVES];
   SchEntry *timers[SCH_TIMER_SLOTS];
   int64_t timer_at; /* slots up to this one have been run */
   SchEntry *aged;   /* waiting tasks over the ageing time, oldest first */
   SchEntry *batch;  /* preemptible tasks on targets, latest start first */
+  int32_t reserved; /* targets that keep room */
+  int32_t cursor;   /* where the next look at some of the targets begins */
+  size_t sweep;     /* where the next look at some of the queues begins */
+  bool gangs_dirty; /* a gang may fit now */
+  bool refill;      /* limits or shares changed: try the queues */
+  int64_t next_tick_ms;
   SchMarks cancelled;
   SchMarks ended;
-  GR_LIST (int32_t) freed; /* targets whose free capacity grew in this step */
-  bool refill;             /* limits or shares changed: try all queues */
-  int32_t last_target;     /* of the latest end; used by a fault switch only */
+  SchMarks forgotten; /* attempts on targets that are gone; they may still run */
+  SchMarks dead_gangs;
+  GR_LIST (int32_t) freed;       /* targets whose free capacity grew in this step */
+  GR_LIST (int32_t) draining;    /* targets with tasks that were asked to stop for others */
+  GR_LIST (int32_t) cooling;     /* targets with SCH_TARGET_COOLS */
+  GR_LIST (int32_t) quarantined; /* targets with SCH_TARGET_QUARANTINED */
+  GR_LIST (SchTeam *) retry_teams;
+  int32_t last_target; /* of the latest end; used by a fault switch only */
   GrRes last_reserve;
 };
 
@@ -236,45 +309,124 @@
 /* Next entry whose timer is due, with its timer cleared; NULL when there is none. */
 SchEntry *sch_timer_next (SchState *s);
 
-/* sch_target.c: targets, reservations, free-capacity index */
+/* sch_target.c: targets and reservations */
 void sch_targets_init (SchTargets *t);
 void sch_targets_clear (SchTargets *t);
 int32_t sch_target_find (const SchTargets *t, const GrName *name);
 int32_t sch_target_add (SchTargets *t, const GrName *name);
-void sch_target_remove (SchTargets *t, int32_t i);
+void sch_target_remove (SchState *s, int32_t i);
 bool sch_target_usable (const SchTargets *t, int32_t i);
-void sch_target_set (SchTargets *t, int32_t i, const GrRes *total, uint8_t flags);
+void sch_target_set (SchState *s, int32_t i, const GrRes *total, uint8_t flags);
+void sch_target_flag (SchState *s, int32_t i, uint8_t set, uint8_t clear);
 void sch_target_take (SchState *s, int32_t i, SchEntry *e);
 void sch_target_give_back (SchState *s, SchEntry *e);
-void sch_target_reindex (SchTargets *t, int32_t i);
-/* Best target for e among those with enough free; -1 if none was found. */
-int32_t sch_target_pick (const SchState *s, const SchEntry *e);
+/* Adds to what a task on a target holds. */
+void sch_target_grow (SchState *s, SchEntry *e, const GrRes *more);
+/* Counts a task on a target as long from now on. */
+void sch_target_now_long (SchState *s, SchEntry *e);
 /* Whether e may start on target i now, apart from quota and shares. */
 bool sch_target_allows (const SchState *s, int32_t i, const SchEntry *e);
-/* False if no known target has the capacity; *dim names the dimension that is short. */
+/* False if no target that stays has the capacity; *dim names the dimension that is short. */
 bool sch_targets_could_fit (const SchTargets *t, const GrRes *need, GrResDim *dim);
 
+/* sch_index.c: targets by free capacity */
+void sch_index_init (SchTargets *t);
+void sch_index_update (SchTargets *t, int32_t i, bool usable);
+/* Target with the least room left over among those that allow e; -1 if none was found. */
+int32_t sch_index_best_fit (const SchState *s, const SchEntry *e);
+
+/* sch_spread.c: services over zones and groups */
+int32_t sch_spread_pick (SchState *s, const SchEntry *e);
+void sch_spread_add (SchState *s, SchEntry *e);
+void sch_spread_remove (SchState *s, SchEntry *e);
+void sch_spread_clear (SchState *s);
+
 /* sch_queue.c: waiting tasks */
 void sch_queue_push (SchState *s, SchEntry *e);
 void sch_queue_remove (SchState *s, SchEntry *e);
 void sch_queues_clear (SchState *s);
+/* Expected wait of urgent and short work with this run time, from the work ahead of it. */
+int64_t sch_queue_wait_ms (const SchState *s, bool slots, int64_t run_ms);
 
-/* sch_team.c: quotas and fair shares; sch_kind.c: estimates */
+/* sch_team.c: quotas and fair shares */
 SchTeam *sch_team_get (SchState *s, const GrName *name);
 void sch_teams_limit (SchState *s, const SchTeamLimit *limits, size_t count);
 bool sch_team_allows (const SchState *s, const SchTeam *team, const GrRes *need, GrResDim *dim);
-double sch_team_share (const SchState *s, const SchTeam *team);
+/* False if the quota part alone is too small. */
+bool sch_team_could_allow (const SchState *s, const SchTeam *team, const GrRes *need,
+                           GrResDim *dim);
+void sch_team_use (SchState *s, SchTeam *team, const GrRes *change, int sign);
+void sch_teams_update_shares (SchState *s);
+
+/* sch_kind.c: estimates */
 SchKind *sch_kind_get (SchState *s, const SchTask *task);
+void sch_kind_release (SchKind *kind);
 void sch_kind_ran (SchKind *kind, int64_t run_ms);
-int64_t sch_kind_run_ms (const SchKind *kind, const SchTask *task);
+void sch_kind_used (SchKind *kind, const GrRes *used);
+/* Sets class, expected run time and the shares it counts against. */
 void sch_classify (const SchState *s, SchEntry *e);
 
-/* sch_place.c: starting, holding and refusing */
-void sch_emit (SchCmds *out, SchCmdKind kind, const SchEntry *e, SchWhy why);
+/* sch_place.c: starting, refusing and ending */
+SchCmd *sch_emit (SchCmds *out, SchCmdKind kind, const SchEntry *e, SchWhy why);
 void sch_refuse (SchState *s, SchEntry *e, SchWhy why, GrResDim dim, SchCmds *out);
 void sch_end (SchState *s, SchEntry *e, SchEnd end, SchCmds *out);
+void sch_stop (SchState *s, SchEntry *e, SchWhy why, SchCmds *out);
+/* Forgets the task without a word. */
+void sch_forget (SchState *s, SchEntry *e);
+/* Checks that do not depend on the target. */
+bool sch_may_start (SchState *s, const SchEntry *e, SchWhy *why, GrResDim *dim);
+int32_t sch_pick (SchState *s, const SchEntry *e, SchWhy *why);
+void sch_place_on (SchState *s, SchEntry *e, int32_t target, SchWhy why, SchCmds *out);
+void sch_start (SchState *s, SchEntry *e, SchWhy why, SchCmds *out);
 bool sch_try_place (SchState *s, SchEntry *e, SchCmds *out);
-/* Starts waiting work on a target whose free capacity grew. */
-void sch_fill_target (SchState *s, int32_t i, SchCmds *out);
-/* Tries the heads of all queues on any target. */
-void sch_fill_all (SchState *s, SchCmds *out);
+
+/* sch_fill.c: order in which waiting work is served */
+void sch_fill (SchState *s, SchCmds *out);
+
+/* sch_gang.c */
+void sch_gang_join (SchState *s, SchEntry *e);
+void sch_gang_leave (SchState *s, SchEntry *e);
+/* Refuses all parts that wait or hold. */
+void sch_gang_fail (SchState *s, SchGang *gang, SchWhy why, SchCmds *out);
+void sch_gang_settle (SchState *s, const GrName *job, int32_t attempt, bool commit, SchCmds *out);
+void sch_gangs_place (SchState *s, SchCmds *out);
+/* Holds on a target that takes no new work cannot be committed. */
+void sch_gangs_fail_on (SchState *s, int32_t i, SchCmds *out);
+
+/* sch_reserve.c: ageing, reservations and backfill */
+void sch_age (SchState *s, SchEntry *e);
+bool sch_reserve (SchState *s, SchEntry *e);
+void sch_unreserve (SchState *s, SchEntry *e);
+void sch_unreserve_target (SchState *s, int32_t i);
+void sch_reserve_aged (SchState *s);
+bool sch_backfill_allows (const SchState *s, int32_t i, const SchEntry *e);
+
+/* sch_preempt.c */
+bool sch_preempt_for (SchState *s, SchEntry *e, SchCmds *out);
+void sch_unpromise (SchState *s, SchEntry *e);
+
+/* sch_health.c */
+void sch_health_ended (SchState *s, SchEntry *e, SchEnd end, SchCmds *out);
+int32_t sch_health_avoid (const SchState *s, const GrName *job);
+void sch_health_removed (SchState *s, int32_t i);
+void sch_health_refused_start (SchState *s, int32_t i);
+void sch_health_tick (SchState *s);
+/* Quarantined target that e may probe now; -1: none. */
+int32_t sch_health_probe (const SchState *s, const SchEntry *e);
+void sch_health_clear (SchState *s);
+
+/* sch_submit.c and sch_inventory.c: messages */
+void sch_on_submit (SchState *s, const SchTask *task, SchCmds *out);
+SchEntry *sch_add_entry (SchState *s, const SchTask *task);
+void sch_on_cancel (SchState *s, const GrName *id, SchCmds *out);
+void sch_on_start_result (SchState *s, const GrName *id, int32_t attempt, SchStartResult result,
+                          SchCmds *out);
+void sch_on_ended (SchState *s, const GrName *id, int32_t attempt, SchEnd end, int64_t run_ms,
+                   SchCmds *out);
+void sch_on_usage (SchState *s, const GrName *id, int32_t attempt, const GrRes *used, SchCmds *out);
+void sch_on_timer (SchState *s, SchEntry *e, SchCmds *out);
+/* Sets the next time at which a waiting task needs a look. */
+void sch_wait_timer (SchState *s, SchEntry *e);
+void sch_on_target_up (SchState *s, const SchMsg *msg, SchCmds *out);
+void sch_on_target_state (SchState *s, const SchMsg *msg, SchCmds *out);
+void sch_on_target_gone (SchState *s, const GrName *name, SchCmds *out);
--- a/src/sch/sch_queue.c
+++ b/src/sch/sch_queue.c
@@ -2,9 +2,17 @@
 #include "sch/sch_priv.h"
 
 static int32_t
-log2_of (int32_t value)
+log2_of (int64_t value)
 {
-  return value > 0 ? 32 - __builtin_clz ((unsigned) value) : 0;
+  if (value <= 0)
+    return 0;
+  return 32 - __builtin_clz ((unsigned) (value > INT32_MAX ? INT32_MAX : value));
+}
+
+static bool
+runs_soon (const SchEntry *e)
+{
+  return e->class <= SCH_CLASS_SHORT;
 }
 
 static SchQueueKey
@@ -18,11 +26,28 @@
   key.shape = log2_of (e->reserve.v[GR_RES_CPU_MILLI]) << 16
               | log2_of (e->reserve.v[GR_RES_MEMORY_MB]) << 10
               | (log2_of (e->reserve.v[GR_RES_ACCELERATORS]) & 7) << 7
-              | (log2_of (e->reserve.v[GR_RES_SLOTS]) & 3) << 5
-              | (e->class <= SCH_CLASS_SHORT ? log2_of ((int32_t) (e->run_ms & INT32_MAX)) : 0);
+              | (log2_of (e->reserve.v[GR_RES_SLOTS]) & 3) << 5;
+  /* The shortest work goes first within a class and team; its order is kept by run time too. */
+  if (runs_soon (e))
+    key.shape |= log2_of (e->run_ms) & 31;
   return key;
 }
 
+static double *
+backlog (SchState *s, const SchEntry *e)
+{
+  return &s->backlog_ms[e->reserve.v[GR_RES_SLOTS] > 0][log2_of (e->run_ms) & 31];
+}
+
+int64_t
+sch_queue_wait_ms (const SchState *s, bool slots, int64_t run_ms)
+{
+  double sum = 0;
+  for (int octave = 0; octave <= (log2_of (run_ms) & 31); octave++)
+    sum += s->backlog_ms[slots][octave];
+  return sum > 0 ? (int64_t) sum : 0;
+}
+
 void
 sch_queue_push (SchState *s, SchEntry *e)
 {
@@ -35,12 +60,14 @@
     queue->active_at = (int32_t) s->active[e->class].count;
     queue->why = SCH_WHY_NO_TARGET;
     HASH_ADD (hh, s->queues, key, sizeof queue->key, queue);
-    gr_list_push (&s->active[e->class], queue);
+    gr_list_push (&s->active[e->class], queue); // NOLINT(bugprone-sizeof-expression): pointers
   }
   DL_APPEND2 (queue->head, e, queue_prev, queue_next);
   queue->count++;
   e->queue = queue;
   s->queued++;
+  if (runs_soon (e))
+    *backlog (s, e) += e->work_ms;
 }
 
 void
@@ -52,6 +79,16 @@
   DL_DELETE2 (queue->head, e, queue_prev, queue_next);
   e->queue = NULL;
   s->queued--;
+  if (runs_soon (e)) {
+    double *sum = backlog (s, e);
+    *sum = *sum > e->work_ms ? *sum - e->work_ms : 0;
+  }
+  if (e->aged) {
+    DL_DELETE2 (s->aged, e, aged_prev, aged_next);
+    e->aged = false;
+  }
+  sch_unreserve (s, e);
+  sch_unpromise (s, e);
   if (--queue->count > 0)
     return;
   int class = queue->key.class;
@@ -66,10 +103,10 @@
 void
 sch_queues_clear (SchState *s)
 {
-  SchQueue *queue, *next;
-  HASH_ITER (hh, s->queues, queue, next)
-  {
-    HASH_DEL (s->queues, queue);
+  SchQueue *queue = s->queues;
+  HASH_CLEAR (hh, s->queues);
+  for (SchQueue *next; queue; queue = next) {
+    next = queue->hh.next;
     free (queue);
   }
   for (int c = 0; c < SCH_CLASS_COUNT; c++)
--- /dev/null
+++ b/src/sch/sch_spread.c
@@ -0,0 +1,113 @@
+/* Spreads the replicas of a service over zones and groups. */
+#include "sch/sch_priv.h"
+
+/* Targets looked at for one replica. */
+#define LOOKS_MAX 64
+/* Targets that fit after which the search ends. */
+#define FITS_MAX 16
+/* Coprime to any number of targets met in practice, so that looks are far apart. */
+#define STRIDE 7919
+
+static int32_t
+count_at (const SchPlaceCount *places, size_t count, uint32_t place)
+{
+  for (size_t k = 0; k < count; k++) {
+    if (places[k].place == place)
+      return places[k].count;
+  }
+  return 0;
+}
+
+#define CHANGE_COUNT(list, at, delta)                                                              \
+  do {                                                                                             \
+    size_t k_ = 0;                                                                                 \
+    while (k_ < (list)->count && (list)->items[k_].place != (at))                                  \
+      k_++;                                                                                        \
+    if (k_ == (list)->count)                                                                       \
+      gr_list_push ((list), (SchPlaceCount){ (at), 0 });                                           \
+    (list)->items[k_].count += (delta);                                                            \
+    if ((list)->items[k_].count == 0)                                                              \
+      gr_list_swap_remove ((list), k_);                                                            \
+  } while (0)
+
+int32_t
+sch_spread_pick (SchState *s, const SchEntry *e)
+{
+  const SchTargets *t = &s->targets;
+  SchService *service;
+  HASH_FIND (hh, s->services, e->task.job.data, e->task.job.len, service);
+  int32_t best = -1;
+  int64_t best_score = INT64_MAX;
+  int fits = 0;
+  int looks = t->count < LOOKS_MAX ? t->count : LOOKS_MAX;
+  for (int k = 0; k < looks && fits < FITS_MAX; k++) {
+    /* With few targets every one is looked at, otherwise some far apart. */
+    s->cursor = (int32_t) (((int64_t) s->cursor + (t->count <= LOOKS_MAX ? 1 : STRIDE)) % t->count);
+    int32_t i = s->cursor;
+    if (!t->name[i] || !sch_target_allows (s, i, e))
+      continue;
+    fits++;
+    int64_t zone = 0;
+    int64_t group = 0;
+    if (service) {
+      zone = count_at (service->zones.items, service->zones.count, t->zone[i]);
+      group = count_at (service->groups.items, service->groups.count, t->group[i]);
+    }
+    /* Targets with accelerators are kept for work that needs them. */
+    bool wasted = t->total[i].v[GR_RES_ACCELERATORS] > 0 && e->reserve.v[GR_RES_ACCELERATORS] == 0;
+    int64_t score = zone << 24 | group << 2 | wasted;
+    if (score < best_score) {
+      best_score = score;
+      best = i;
+    }
+  }
+  return best;
+}
+
+void
+sch_spread_add (SchState *s, SchEntry *e)
+{
+  if (e->task.policy.kind != SCH_POLICY_SERVICE)
+    return;
+  SchService *service;
+  HASH_FIND (hh, s->services, e->task.job.data, e->task.job.len, service);
+  if (!service) {
+    service = gr_calloc (1, sizeof *service);
+    service->job = e->task.job;
+    HASH_ADD_KEYPTR (hh, s->services, service->job.data, service->job.len, service);
+  }
+  service->refs++;
+  e->service = service;
+  CHANGE_COUNT (&service->zones, s->targets.zone[e->target], 1);
+  CHANGE_COUNT (&service->groups, s->targets.group[e->target], 1);
+}
+
+void
+sch_spread_remove (SchState *s, SchEntry *e)
+{
+  SchService *service = e->service;
+  if (!service)
+    return;
+  e->service = NULL;
+  CHANGE_COUNT (&service->zones, s->targets.zone[e->target], -1);
+  CHANGE_COUNT (&service->groups, s->targets.group[e->target], -1);
+  if (--service->refs > 0)
+    return;
+  HASH_DEL (s->services, service);
+  gr_list_clear (&service->zones);
+  gr_list_clear (&service->groups);
+  free (service);
+}
+
+void
+sch_spread_clear (SchState *s)
+{
+  SchService *service = s->services;
+  HASH_CLEAR (hh, s->services);
+  for (SchService *next; service; service = next) {
+    next = service->hh.next;
+    gr_list_clear (&service->zones);
+    gr_list_clear (&service->groups);
+    free (service);
+  }
+}
--- a/src/sch/sch_summary.c
+++ b/src/sch/sch_summary.c
@@ -18,6 +18,11 @@
   }
   out->queued = s->queued;
   out->running = s->running;
+  /* Work of unknown run time goes behind all other short work. */
+  out->short_wait_ms = sch_queue_wait_ms (s, true, INT32_MAX);
+  int64_t workers_ms = sch_queue_wait_ms (s, false, INT32_MAX);
+  if (workers_ms > out->short_wait_ms)
+    out->short_wait_ms = workers_ms;
 }
 
 const char *
@@ -54,6 +59,8 @@
     return "preempted";
   case SCH_WHY_FAILS_EVERYTHING:
     return "fails_everything";
+  case SCH_WHY_OVERRUN:
+    return "overrun";
   }
   return "unknown";
 }
--- a/src/sch/sch_target.c
+++ b/src/sch/sch_target.c
@@ -1,28 +1,22 @@
-/* Targets, what is reserved on them, and the index by free capacity. */
+/* Targets and what is reserved on them. */
 #include "sch/sch_priv.h"
 
-/* Targets of one cell that a first and a second search look at. A cell at the edge of the demand
-   also holds targets that are slightly too small, so the second search looks further. */
-#define CELL_LOOKS_FIRST 8
-#define CELL_LOOKS_SECOND 64
-/* A search ends after this many targets that fit, as later cells only fit worse. */
-#define CANDIDATES_MAX 12
+/* How long a waiting task avoids the target on which its job failed last. */
+#define AVOID_MS 2000
 
 void
 sch_targets_init (SchTargets *t)
 {
-  t->cells = gr_calloc (SCH_CELLS, sizeof *t->cells);
-  for (int32_t c = 0; c < SCH_CELLS; c++)
-    t->cells[c] = -1;
+  sch_index_init (t);
 }
 
 void
 sch_targets_clear (SchTargets *t)
 {
-  SchTargetName *name, *next;
-  HASH_ITER (hh, t->names, name, next)
-  {
-    HASH_DEL (t->names, name);
+  SchTargetName *name = t->names;
+  HASH_CLEAR (hh, t->names);
+  for (SchTargetName *next; name; name = next) {
+    next = name->hh.next;
     free (name);
   }
   free (t->name);
@@ -35,7 +29,10 @@
   free (t->long_slots);
   free (t->tasks);
   free (t->reserved_for);
+  free (t->reserve_ms);
   free (t->backfills);
+  free (t->coming);
+  free (t->promised);
   free (t->health);
   free (t->cell);
   free (t->cell_prev);
@@ -59,7 +56,7 @@
 grow (SchTargets *t)
 {
   t->capacity = t->capacity ? t->capacity * 2 : 64;
-  GROW (name);
+  GROW (name); // NOLINT(bugprone-sizeof-expression): pointers
   GROW (group);
   GROW (zone);
   GROW (total);
@@ -67,9 +64,12 @@
   GROW (free);
   GROW (flags);
   GROW (long_slots);
-  GROW (tasks);
-  GROW (reserved_for);
+  GROW (tasks);        // NOLINT(bugprone-sizeof-expression): pointers
+  GROW (reserved_for); // NOLINT(bugprone-sizeof-expression): pointers
+  GROW (reserve_ms);
   GROW (backfills);
+  GROW (coming);
+  GROW (promised);
   GROW (health);
   GROW (cell);
   GROW (cell_prev);
@@ -101,7 +101,10 @@
   t->long_slots[i] = 0;
   t->tasks[i] = NULL;
   t->reserved_for[i] = NULL;
+  t->reserve_ms[i] = 0;
   t->backfills[i] = 0;
+  memset (&t->coming[i], 0, sizeof t->coming[i]);
+  memset (&t->promised[i], 0, sizeof t->promised[i]);
   memset (&t->health[i], 0, sizeof t->health[i]);
   t->cell[i] = -1;
   return i;
@@ -122,18 +125,6 @@
   gr_list_push (&t->shapes, (SchShape){ *total, delta });
 }
 
-void
-sch_target_remove (SchTargets *t, int32_t i)
-{
-  GrRes none = { { 0 } };
-  sch_target_set (t, i, &none, SCH_TARGET_LEAVES);
-  HASH_DEL (t->names, t->name[i]);
-  free (t->name[i]);
-  t->name[i] = NULL;
-  t->flags[i] = 0;
-  gr_list_push (&t->free_numbers, i);
-}
-
 bool
 sch_target_usable (const SchTargets *t, int32_t i)
 {
@@ -147,21 +138,55 @@
 }
 
 void
-sch_target_set (SchTargets *t, int32_t i, const GrRes *total, uint8_t flags)
+sch_target_set (SchState *s, int32_t i, const GrRes *total, uint8_t flags)
 {
-  if (sch_target_usable (t, i))
-    gr_res_sub (&t->usable_total, &t->total[i]);
+  SchTargets *t = &s->targets;
+  bool was_usable = sch_target_usable (t, i);
+  GrRes before = t->total[i];
+  if (was_usable) {
+    gr_res_sub (&t->usable_total, &before);
+    t->usable--;
+  }
   if (counts_as_shape (t->flags[i]))
-    shape_count (t, &t->total[i], -1);
+    shape_count (t, &before, -1);
   t->total[i] = *total;
   t->flags[i] = flags;
   t->free[i] = *total;
   gr_res_sub (&t->free[i], &t->reserved[i]);
-  if (sch_target_usable (t, i))
+  bool usable = sch_target_usable (t, i);
+  if (usable) {
     gr_res_add (&t->usable_total, total);
+    t->usable++;
+  }
   if (counts_as_shape (flags))
     shape_count (t, total, 1);
-  sch_target_reindex (t, i);
+  sch_index_update (t, i, usable);
+  if (!usable)
+    sch_unreserve_target (s, i);
+  if (usable != was_usable || memcmp (&before, total, sizeof before) != 0)
+    sch_teams_update_shares (s);
+  if (usable)
+    gr_list_push (&s->freed, i);
+}
+
+void
+sch_target_flag (SchState *s, int32_t i, uint8_t set, uint8_t clear)
+{
+  GrRes total = s->targets.total[i];
+  sch_target_set (s, i, &total, (uint8_t) ((s->targets.flags[i] | set) & ~clear));
+}
+
+void
+sch_target_remove (SchState *s, int32_t i)
+{
+  SchTargets *t = &s->targets;
+  GrRes none = { { 0 } };
+  sch_target_set (s, i, &none, SCH_TARGET_LEAVES);
+  HASH_DEL (t->names, t->name[i]);
+  free (t->name[i]);
+  t->name[i] = NULL;
+  t->flags[i] = 0;
+  gr_list_push (&t->free_numbers, i);
 }
 
 bool
@@ -188,237 +213,96 @@
   return false;
 }
 
-/* Half octaves from 16 units; level 0 is nothing, level 1 less than 16. */
-static int
-free_level (int32_t value)
-{
-  if (value <= 0)
-    return 0;
-  if (value < 16)
-    return 1;
-  int octave = 31 - __builtin_clz ((unsigned) value);
-  int level = 2 + (octave - 4) * 2 + ((value >> (octave - 1)) & 1);
-  return level < SCH_FREE_LEVELS ? level : SCH_FREE_LEVELS - 1;
-}
-
-static int
-slot_level (int32_t slots)
-{
-  return slots <= 0 ? 0 : slots == 1 ? 1 : slots < 4 ? 2 : 3;
-}
-
-/* Targets without accelerators come first, so that others keep room for work that needs them. */
-static int
-accelerator_level (int32_t total, int32_t left)
-{
-  if (total <= 0)
-    return 0;
-  return left <= 0 ? 1 : left == 1 ? 2 : left < 4 ? 3 : 4;
-}
-
-static int
-accelerator_level_needed (int32_t need)
-{
-  return need <= 0 ? 0 : need == 1 ? 2 : need < 4 ? 3 : 4;
-}
-
-static int32_t
-cell_of (int acc, int slot, int cpu, int memory)
+/* Adds (sign 1) or removes (sign -1) resources that a task holds on its target. */
+static void
+account (SchState *s, SchEntry *e, const GrRes *change, int sign)
 {
-  return ((acc * SCH_SLOT_LEVELS + slot) * SCH_FREE_LEVELS + cpu) * SCH_FREE_LEVELS + memory;
+  SchTargets *t = &s->targets;
+  int32_t i = e->target;
+  for (int d = 0; d < GR_RES_COUNT; d++) {
+    int32_t v = sign * change->v[d];
+    t->reserved[i].v[d] += v;
+    t->free[i].v[d] -= v;
+    if (e->bulk)
+      s->bulk_used.v[d] += v;
+  }
+  if (e->is_long)
+    t->long_slots[i] += sign * change->v[GR_RES_SLOTS];
+  if (e->bulk && sign < 0)
+    s->bulk_freed = true;
+  sch_team_use (s, e->team, change, sign);
+  sch_index_update (t, i, sch_target_usable (t, i));
 }
 
-static void
-leave_cell (SchTargets *t, int32_t i)
+void
+sch_target_take (SchState *s, int32_t i, SchEntry *e)
 {
-  int32_t c = t->cell[i];
-  if (c < 0)
-    return;
-  if (t->cell_prev[i] >= 0)
-    t->cell_next[t->cell_prev[i]] = t->cell_next[i];
-  else
-    t->cells[c] = t->cell_next[i];
-  if (t->cell_next[i] >= 0)
-    t->cell_prev[t->cell_next[i]] = t->cell_prev[i];
-  t->cell[i] = -1;
-  if (t->cells[c] >= 0)
-    return;
-  int memory = c % SCH_FREE_LEVELS;
-  int cpu = c / SCH_FREE_LEVELS % SCH_FREE_LEVELS;
-  int slot = c / (SCH_FREE_LEVELS * SCH_FREE_LEVELS) % SCH_SLOT_LEVELS;
-  int acc = c / (SCH_FREE_LEVELS * SCH_FREE_LEVELS * SCH_SLOT_LEVELS);
-  t->columns[acc][slot][cpu] &= ~(1U << memory);
-  if (t->columns[acc][slot][cpu] == 0)
-    t->rows[acc][slot] &= ~(1U << cpu);
+  e->target = i;
+  DL_APPEND2 (s->targets.tasks[i], e, target_prev, target_next);
+  account (s, e, &e->reserve, 1);
+  sch_spread_add (s, e);
+  if (e->task.policy.kind == SCH_POLICY_BATCH && e->task.policy.batch.preemptible) {
+    e->in_batch_list = true;
+    DL_PREPEND2 (s->batch, e, batch_prev, batch_next);
+  }
 }
 
 void
-sch_target_reindex (SchTargets *t, int32_t i)
+sch_target_give_back (SchState *s, SchEntry *e)
 {
-  int32_t c = -1;
-  int acc = 0;
-  int slot = 0;
-  int cpu = 0;
-  int memory = 0;
-  if (sch_target_usable (t, i)) {
-    const GrRes *left = &t->free[i];
-    acc = accelerator_level (t->total[i].v[GR_RES_ACCELERATORS], left->v[GR_RES_ACCELERATORS]);
-    slot = slot_level (left->v[GR_RES_SLOTS]);
-    cpu = free_level (left->v[GR_RES_CPU_MILLI]);
-    memory = free_level (left->v[GR_RES_MEMORY_MB]);
-    c = cell_of (acc, slot, cpu, memory);
+  int32_t i = e->target;
+  if (e->in_batch_list) {
+    DL_DELETE2 (s->batch, e, batch_prev, batch_next);
+    e->in_batch_list = false;
   }
-  if (c == t->cell[i])
-    return;
-  leave_cell (t, i);
-  if (c < 0)
-    return;
-  t->cell[i] = c;
-  t->cell_prev[i] = -1;
-  t->cell_next[i] = t->cells[c];
-  if (t->cells[c] >= 0)
-    t->cell_prev[t->cells[c]] = i;
-  t->cells[c] = i;
-  t->columns[acc][slot][cpu] |= 1U << memory;
-  t->rows[acc][slot] |= 1U << cpu;
+  if (e->stopping)
+    gr_res_sub (&s->targets.coming[i], &e->reserve);
+  e->stopping = false;
+  sch_spread_remove (s, e);
+  account (s, e, &e->reserve, -1);
+  DL_DELETE2 (s->targets.tasks[i], e, target_prev, target_next);
+  e->target = -1;
+  gr_list_push (&s->freed, i);
 }
 
 void
-sch_target_take (SchState *s, int32_t i, SchEntry *e)
+sch_target_grow (SchState *s, SchEntry *e, const GrRes *more)
 {
-  SchTargets *t = &s->targets;
-  gr_res_add (&t->reserved[i], &e->reserve);
-  gr_res_sub (&t->free[i], &e->reserve);
-  gr_res_add (&e->team->used, &e->reserve);
-  if (e->bulk)
-    gr_res_add (&s->bulk_used, &e->reserve);
-  if (e->is_long)
-    t->long_slots[i] += e->reserve.v[GR_RES_SLOTS];
-  e->target = i;
-  DL_APPEND2 (t->tasks[i], e, target_prev, target_next);
-  sch_target_reindex (t, i);
+  account (s, e, more, 1);
+  gr_res_add (&e->reserve, more);
+  if (e->stopping)
+    gr_res_add (&s->targets.coming[e->target], more);
 }
 
 void
-sch_target_give_back (SchState *s, SchEntry *e)
+sch_target_now_long (SchState *s, SchEntry *e)
 {
-  SchTargets *t = &s->targets;
-  int32_t i = e->target;
-  gr_res_sub (&t->reserved[i], &e->reserve);
-  gr_res_add (&t->free[i], &e->reserve);
-  gr_res_sub (&e->team->used, &e->reserve);
-  if (e->bulk)
-    gr_res_sub (&s->bulk_used, &e->reserve);
   if (e->is_long)
-    t->long_slots[i] -= e->reserve.v[GR_RES_SLOTS];
-  DL_DELETE2 (t->tasks[i], e, target_prev, target_next);
-  e->target = -1;
-  sch_target_reindex (t, i);
-  gr_list_push (&s->freed, i);
+    return;
+  e->is_long = true;
+  s->targets.long_slots[e->target] += e->reserve.v[GR_RES_SLOTS];
+  if (!e->bulk && !e->task.urgent) {
+    e->bulk = true;
+    gr_res_add (&s->bulk_used, &e->reserve);
+  }
 }
 
 bool
 sch_target_allows (const SchState *s, int32_t i, const SchEntry *e)
 {
   const SchTargets *t = &s->targets;
-  if (!sch_target_usable (t, i))
-    return false;
   if (!s->options.faults.no_capacity_check && !gr_res_fits (&e->reserve, &t->free[i]))
     return false;
+  if (!sch_target_usable (t, i))
+    return false;
   int32_t slots = e->reserve.v[GR_RES_SLOTS];
-  if (e->is_long && slots > 0) {
+  if (e->is_long && slots > 0 && t->long_slots[i] > 0) {
     int64_t share = (int64_t) t->total[i].v[GR_RES_SLOTS] * s->options.long_slots_pct / 100;
-    if (t->long_slots[i] > 0 && t->long_slots[i] + slots > share)
+    if (t->long_slots[i] + slots > share)
       return false;
   }
-  return true;
-}
-
-/* What would be left, as a share of the target; smaller is a better fit. */
-static double
-leftover (const SchTargets *t, int32_t i, const GrRes *need)
-{
-  double sum = 0;
-  for (int d = 0; d < GR_RES_COUNT; d++) {
-    int32_t total = t->total[i].v[d];
-    if (total > 0)
-      sum += (double) (t->free[i].v[d] - need->v[d]) / total;
-  }
-  return sum;
-}
-
-typedef struct {
-  int32_t best;
-  double best_left;
-  int candidates;
-} Search;
-
-static void
-search_cell (const SchState *s, const SchEntry *e, int32_t cell, int looks, Search *search)
-{
-  const SchTargets *t = &s->targets;
-  for (int32_t i = t->cells[cell]; i >= 0 && looks > 0; i = t->cell_next[i], looks--) {
-    if (!sch_target_allows (s, i, e))
-      continue;
-    double left = leftover (t, i, &e->reserve);
-    if (search->best < 0 || left < search->best_left) {
-      search->best = i;
-      search->best_left = left;
-    }
-    if (++search->candidates >= CANDIDATES_MAX)
-      return;
-  }
-}
-
-static void
-search_plane (const SchState *s, const SchEntry *e, int acc, int slot, int looks, Search *search)
-{
-  const SchTargets *t = &s->targets;
-  int cpu_from = free_level (e->reserve.v[GR_RES_CPU_MILLI]);
-  int memory_from = free_level (e->reserve.v[GR_RES_MEMORY_MB]);
-  uint32_t rows = t->rows[acc][slot] >> cpu_from << cpu_from;
-  while (rows) {
-    int cpu = __builtin_ctz (rows);
-    rows &= rows - 1;
-    uint32_t columns = t->columns[acc][slot][cpu] >> memory_from << memory_from;
-    while (columns) {
-      int memory = __builtin_ctz (columns);
-      columns &= columns - 1;
-      search_cell (s, e, cell_of (acc, slot, cpu, memory), looks, search);
-      if (search->candidates >= CANDIDATES_MAX)
-        return;
-    }
-  }
-}
-
-static int32_t
-search_any (const SchState *s, const SchEntry *e)
-{
-  for (int32_t i = 0; i < s->targets.count; i++) {
-    if (sch_target_allows (s, i, e))
-      return i;
-  }
-  return -1;
-}
-
-int32_t
-sch_target_pick (const SchState *s, const SchEntry *e)
-{
-  if (s->options.faults.no_capacity_check)
-    return search_any (s, e);
-  for (int pass = 0; pass < 2; pass++) {
-    int looks = pass == 0 ? CELL_LOOKS_FIRST : CELL_LOOKS_SECOND;
-    Search search = { .best = -1 };
-    for (int acc = accelerator_level_needed (e->reserve.v[GR_RES_ACCELERATORS]);
-         acc < SCH_ACC_LEVELS; acc++) {
-      for (int slot = slot_level (e->reserve.v[GR_RES_SLOTS]); slot < SCH_SLOT_LEVELS; slot++) {
-        if (s->targets.rows[acc][slot])
-          search_plane (s, e, acc, slot, looks, &search);
-      }
-      /* Within an accelerator level the best fit counts; a higher level is a last resort. */
-      if (search.best >= 0)
-        return search.best;
-    }
-  }
-  return -1;
+  /* A retry goes elsewhere first, so that one bad target does not use up the attempts of a job. */
+  if (e->avoid_target == i && s->now_ms < e->submit_ms + AVOID_MS)
+    return false;
+  return !t->reserved_for[i] || t->reserved_for[i] == e || sch_backfill_allows (s, i, e);
 }
--- a/src/sch/sch_team.c
+++ b/src/sch/sch_team.c
@@ -15,6 +15,25 @@
   return team;
 }
 
+static void
+update_share (const SchState *s, SchTeam *team)
+{
+  double share = 0;
+  for (int d = 0; d < GR_RES_COUNT; d++) {
+    int32_t total = s->targets.usable_total.v[d];
+    double part = total > 0 ? (double) team->used.v[d] / total : 0;
+    share = part > share ? part : share;
+  }
+  team->share = share / team->weight;
+}
+
+void
+sch_teams_update_shares (SchState *s)
+{
+  for (SchTeam *team = s->teams; team; team = team->hh.next)
+    update_share (s, team);
+}
+
 void
 sch_teams_limit (SchState *s, const SchTeamLimit *limits, size_t count)
 {
@@ -28,6 +47,7 @@
     team->weight = limits[i].weight > 0 ? limits[i].weight : 1;
     team->quota = limits[i].quota_part;
   }
+  sch_teams_update_shares (s);
 }
 
 bool
@@ -45,14 +65,28 @@
   return true;
 }
 
-double
-sch_team_share (const SchState *s, const SchTeam *team)
+bool
+sch_team_could_allow (const SchState *s, const SchTeam *team, const GrRes *need, GrResDim *dim)
 {
-  double share = 0;
+  if (s->options.faults.no_quota_check)
+    return true;
   for (int d = 0; d < GR_RES_COUNT; d++) {
-    int32_t total = s->targets.usable_total.v[d];
-    double part = total > 0 ? (double) team->used.v[d] / total : 0;
-    share = part > share ? part : share;
+    if (team->quota.v[d] > 0 && need->v[d] > team->quota.v[d]) {
+      *dim = (GrResDim) d;
+      return false;
+    }
+  }
+  return true;
+}
+
+void
+sch_team_use (SchState *s, SchTeam *team, const GrRes *change, int sign)
+{
+  for (int d = 0; d < GR_RES_COUNT; d++)
+    team->used.v[d] += sign * change->v[d];
+  update_share (s, team);
+  if (sign < 0 && team->quota_blocked && !team->retry) {
+    team->retry = true;
+    gr_list_push (&s->retry_teams, team); // NOLINT(bugprone-sizeof-expression): pointers
   }
-  return share / team->weight;
 }
--- /dev/null
+++ b/tests/prop_sch.cc
@@ -0,0 +1,85 @@
+/* Properties of the scheduler under generated schedules of submits, cancels, commits, reports,
+   timeouts and target changes, with delay, duplicates and changes of order. */
+#include <cstdio>
+
+#include <rapidcheck.h>
+
+#include "sch_world.h"
+
+using namespace sch_test;
+
+namespace
+{
+
+/* Schedules tried to find the violation that a broken variant must show. */
+constexpr int VARIANT_SCHEDULES = 10000;
+constexpr int SCHEDULE_SIZE = 100;
+
+
+rc::Gen<uint32_t>
+operations ()
+{
+  return rc::gen::noShrink (rc::gen::resize (rc::kNominalSize * 2, rc::gen::arbitrary<uint32_t> ()));
+}
+
+bool
+holds (const char *name, int rules)
+{
+  return rc::check (name, [rules] () {
+    auto schedule = *rc::gen::container<Schedule> (operations ());
+    std::string detail;
+    int broken = run_schedule (SchFaults{}, schedule, &detail);
+    if (broken & rules)
+      RC_FAIL (detail);
+  });
+}
+
+/* The same property must notice that a rule was left out. */
+bool
+notices (const char *name, int rules, const SchFaults &faults)
+{
+  for (int i = 0; i < VARIANT_SCHEDULES; i++) {
+    auto schedule
+        = rc::gen::container<Schedule> (operations ()) (rc::Random ((uint64_t) i), SCHEDULE_SIZE)
+              .value ();
+    std::string detail;
+    if (run_schedule (faults, schedule, &detail) & rules) {
+      std::printf ("broken variant %s: caught by schedule %d: %s\n", name, i + 1, detail.c_str ());
+      return true;
+    }
+  }
+  std::printf ("broken variant %s: NOT caught by %d schedules\n", name, VARIANT_SCHEDULES);
+  return false;
+}
+
+} // namespace
+
+int
+main ()
+{
+  bool ok = true;
+  ok &= holds ("reserved and running work never exceed a target's capacity", RULE_CAPACITY);
+  ok &= holds ("a team never starts work above its quota part", RULE_QUOTA);
+  ok &= holds ("a gang starts as a whole or not at all", RULE_GANG);
+  ok &= holds ("a cancelled task never starts afterwards", RULE_CANCEL);
+  ok &= holds ("no slot, hold or queue entry leaks", RULE_LEAK);
+  ok &= holds ("each submitted attempt gets exactly one outcome", RULE_ONE_OUTCOME);
+  ok &= holds ("no work starts on a target that is leaving, down or gone", RULE_TARGET_STATE);
+
+  SchFaults faults = {};
+  faults.no_capacity_check = true;
+  ok &= notices ("no_capacity_check", RULE_CAPACITY, faults);
+  faults = {};
+  faults.no_quota_check = true;
+  ok &= notices ("no_quota_check", RULE_QUOTA, faults);
+  faults = {};
+  faults.no_cancel_mark = true;
+  ok &= notices ("no_cancel_mark", RULE_CANCEL, faults);
+  faults = {};
+  faults.no_release_on_duplicate_end_check = true;
+  ok &= notices ("no_release_on_duplicate_end_check", RULE_LEAK, faults);
+  faults = {};
+  faults.gang_partial_commit = true;
+  ok &= notices ("gang_partial_commit", RULE_GANG, faults);
+  return ok ? 0 : 1;
+}
--- a/tests/test_sch.c
+++ b/tests/test_sch.c
@@ -114,8 +114,7 @@
 {
   assert_int_equal (bench->cmds.count, 1);
   assert_int_equal (bench->cmds.items[0].kind, kind);
-  assert_true (
-      gr_str_equal (gr_name_str (&bench->cmds.items[0].id), gr_str_from_c (id)));
+  assert_true (gr_str_equal (gr_name_str (&bench->cmds.items[0].id), gr_str_from_c (id)));
   assert_string_equal (sch_why_name (bench->cmds.items[0].why), sch_why_name (why));
 }
 
