sch: expect overrunning work to run as long again

The end of a task over its estimate was taken to be 60 s away, so that 32 later tasks could pass a reservation. The waiting property showed 2,100 to 4,000 ms instead of at most 1,220 ms.

--- a/src/sch/sch_health.c
+++ b/src/sch/sch_health.c
@@ -178,8 +178,8 @@
   }
   job->last_target = i;
   if (s->targets.flags[i] & SCH_TARGET_QUARANTINED) {
-    health->backoff_ms = health->backoff_ms * 2 < PROBE_MAX_MS ? health->backoff_ms * 2
-                                                                : PROBE_MAX_MS;
+    health->backoff_ms
+        = health->backoff_ms * 2 < PROBE_MAX_MS ? health->backoff_ms * 2 : PROBE_MAX_MS;
     health->probe_ms = s->now_ms + health->backoff_ms;
     return;
   }
--- a/src/sch/sch_reserve.c
+++ b/src/sch/sch_reserve.c
@@ -11,7 +11,7 @@
 #define BACKFILLS_MAX 32
 /* Running tasks of one target that an estimate considers. */
 #define ESTIMATE_TASKS 64
-/* Assumed remaining time of a task that is over its estimate or has none. */
+/* Bound of the assumed remaining time of a task that is over its estimate or has none. */
 #define UNKNOWN_LEFT_MS 60000
 
 void
@@ -48,8 +48,11 @@
   for (const SchEntry *task = s->targets.tasks[i]; task && count < ESTIMATE_TASKS;
        task = task->target_next) {
     int64_t end_ms = task->start_ms + task->high_ms;
-    if (task->high_ms <= 0 || end_ms < s->now_ms)
-      end_ms = s->now_ms + UNKNOWN_LEFT_MS;
+    /* Run times are heavy-tailed: what ran for long is likely to run that long again. */
+    if (task->high_ms <= 0 || end_ms < s->now_ms) {
+      int64_t ran_ms = s->now_ms - task->start_ms;
+      end_ms = s->now_ms + (ran_ms < UNKNOWN_LEFT_MS ? ran_ms : UNKNOWN_LEFT_MS);
+    }
     ends[count++] = (Ending){ end_ms, task };
   }
   qsort (ends, count, sizeof ends[0], compare_ends);
--- a/src/sch/sch_submit.c
+++ b/src/sch/sch_submit.c
@@ -205,8 +205,7 @@
   GrResDim dim;
   if (!grows || e->stopping)
     return;
-  if (gr_res_fits (&more, &s->targets.free[e->target])
-      && sch_team_allows (s, e->team, &more, &dim))
+  if (gr_res_fits (&more, &s->targets.free[e->target]) && sch_team_allows (s, e->team, &more, &dim))
     sch_target_grow (s, e, &more);
   else
     sch_stop (s, e, SCH_WHY_OVERRUN, out);
