--- a/src/mbr/mbr.c
+++ b/src/mbr/mbr.c
@@ -54,6 +54,9 @@
                       .log_incarnation = member->log_incarnation,
                       .log_join = member->log_join,
                       .log_ended = member->log_ended,
+                      .unsettled = member->unsettled
+                                   || (member->known && !member->log_ended
+                                       && member->ref.incarnation < incarnation),
                       .heard_ms = now_ms,
                       .live_since_ms = now_ms,
                       .absent_since_ms = -1,
@@ -193,3 +196,18 @@
          && state->list_sent_ms - member->absent_since_ms
                 >= state->options.gone_delay_ms + extra_ms;
 }
+
+bool
+mbr_in_minority (const MbrState *state, int64_t now_ms)
+{
+  size_t others = 0, heard = 0;
+  for (size_t i = 0; i < state->members.count; i++) {
+    const MbrMember *member = &state->members.items[i];
+    if (mbr_is_self (state, member) || !member->known || mbr_ended (state, &member->ref)
+        || member->absent_since_ms >= 0)
+      continue;
+    others++;
+    heard += member->heard && now_ms - member->direct_ms <= state->options.suspect_after_ms;
+  }
+  return others >= 2 && heard * 2 < others;
+}
--- a/src/mbr/mbr.h
+++ b/src/mbr/mbr.h
@@ -39,6 +39,8 @@
   int64_t log_join;        /* number of its newest join record; 0 if none was read */
   bool log_ended;          /* gone or farewell of log_incarnation */
   bool known;              /* seen in the log or heard: belongs to the set that must promise */
+  bool unsettled;          /* a known lower incarnation was replaced before the log ended it: its
+                              claims may be in the log, so promise mode has to wait for the log */
   bool joining;            /* by its heartbeats */
   bool leaving;            /* by its heartbeats */
   bool listed_leaving;     /* by the newest list read */
@@ -99,6 +101,9 @@
 /* True if the VM list has lacked the member for long enough, and extra_ms more, to declare it
    gone. */
 bool mbr_may_declare_gone (const MbrState *state, const MbrMember *member, int64_t extra_ms);
+/* True if this VM hears fewer than half of two or more other members: it is more likely to be cut
+   off than they are to have failed. */
+bool mbr_in_minority (const MbrState *state, int64_t now_ms);
 bool mbr_is_self (const MbrState *state, const MbrMember *member);
 
 #ifdef __cplusplus
--- a/src/own/own.c
+++ b/src/own/own.c
@@ -154,10 +154,19 @@
   gr_list_push (out, cmd);
 }
 
+/* True while no other VM can have become owner of a key that this VM owns by its own reading. */
+static bool
+lease_holds (const OwnState *state, int64_t now_ms)
+{
+  return own_log_fresh (state, now_ms) || state->options.faults.no_read_age_check
+         || own_peer_promises_hold (state, now_ms);
+}
+
 void
 own_key_advance (OwnState *state, OwnKey *key, int64_t now_ms, OwnCmds *out)
 {
-  if (key->gained || !own_key_is_self (state, key) || state->dead || now_ms < key->usable_at_ms)
+  if (key->gained || !own_key_is_self (state, key) || state->dead || now_ms < key->usable_at_ms
+      || !lease_holds (state, now_ms))
     return;
   bool has_targets = gr_str_starts_with (gr_name_str (&key->key), GR_STR ("group/"));
   if (has_targets && !key->inventory_taken) {
@@ -286,8 +295,7 @@
   if ((key->pending.state != OWN_PENDING_NONE && key->pending.kind == OWN_RECORD_HANDOVER)
       || state->farewell.state != OWN_PENDING_NONE)
     return false;
-  return own_log_fresh (state, now_ms) || state->options.faults.no_read_age_check
-         || own_peer_promises_hold (state, now_ms);
+  return lease_holds (state, now_ms);
 }
 
 bool
--- a/src/own/own_log.c
+++ b/src/own/own_log.c
@@ -2,6 +2,12 @@
    so that all readers agree. */
 #include "own/own_state.h"
 
+/* An owner that lost a key to a claim is alive, so the two VMs cannot hear each other. It does not
+   claim the key back for this time, doubled up to HOLD_STREAK_MAX times, or the key would change
+   hands every few seconds. */
+#define HOLD_MS 10000
+#define HOLD_STREAK_MAX 3
+
 static void
 schedule_refresh (OwnState *state, OwnKey *key, int64_t now_ms)
 {
@@ -26,6 +32,9 @@
     MbrMember *taker = mbr_find (&state->members, &owner->vm);
     if (taker && gr_vm_ref_equal (&taker->ref, owner))
       taker->lost_count++;
+    key->hold_until_ms = now_ms + (HOLD_MS << key->hold_streak);
+    key->hold_streak += key->hold_streak < HOLD_STREAK_MAX;
+    key->lost_at_ms = now_ms;
   }
   MbrMember *member = mbr_observe (&state->members, owner, now_ms);
   if (member)
@@ -128,6 +137,8 @@
     member->log_ended = false;
     member->log_join = 0;
   }
+  if (member->log_incarnation == member->ref.incarnation)
+    member->unsettled = false;
   if (member->ref.incarnation == ref->incarnation)
     member->known = true;
 }
--- a/src/own/own_peer.c
+++ b/src/own/own_peer.c
@@ -167,6 +167,8 @@
   size_t needed = 0, given = 0;
   for (size_t i = 0; i < members->members.count; i++) {
     const MbrMember *member = &members->members.items[i];
+    if (member->unsettled && !mbr_is_self (members, member))
+      needed++;
     if (mbr_is_self (members, member) || !member->known || mbr_ended (members, &member->ref))
       continue;
     needed++;
--- a/src/own/own_rules.c
+++ b/src/own/own_rules.c
@@ -5,6 +5,9 @@
 #define RETRY_MS 1000
 /* A member of lower rank claims later, in case the preferred one may not claim the key. */
 #define RANK_STAGGER_MS 700
+/* A VM that hears only a minority of the others claims this much later, so that a VM cut off from
+   its peers does not take over the region. */
+#define MINORITY_DELAY_MS 10000
 
 static void
 append (OwnState *state, OwnPending *pending, const OwnRecord *record, int64_t now_ms, OwnCmds *out)
@@ -134,7 +137,7 @@
 /* True if the rules allow this VM to claim the key now. *ownerless is true if it needs a claim by
    anyone. */
 static bool
-may_claim (const OwnState *state, const OwnKey *key, int64_t now_ms, bool *ownerless)
+may_claim (const OwnState *state, OwnKey *key, int64_t now_ms, bool *ownerless)
 {
   *ownerless = true;
   if (!key->has_owner || mbr_ended (&state->members, &key->owner))
@@ -150,7 +153,18 @@
   /* An owner that does not count this VM in its set would not ask it for a promise. */
   if (!owner->acknowledged && !state->options.faults.no_acknowledged_rule)
     return false;
-  return now_ms >= owner->promised_until_ms;
+  if (now_ms < owner->promised_until_ms)
+    return false;
+  /* The list lacks it as well: it has failed. */
+  if (owner->absent_since_ms >= 0)
+    return true;
+  if (owner->heard && owner->direct_ms > key->lost_at_ms)
+    key->hold_streak = 0;
+  else if (now_ms < key->hold_until_ms)
+    return false;
+  return key->ownerless_since_ms >= 0
+         && (now_ms - key->ownerless_since_ms >= MINORITY_DELAY_MS
+             || !mbr_in_minority (&state->members, now_ms));
 }
 
 static void
--- a/src/own/own_state.h
+++ b/src/own/own_state.h
@@ -32,6 +32,9 @@
   GrVmRef preferred;          /* live member of the first rank; incarnation 0: none */
   int self_rank;              /* of this VM among the live members; -1: it is not live */
   int64_t not_before_ms;      /* earliest next claim after a failed append */
+  int64_t lost_at_ms;         /* when this VM lost the key to a claim */
+  int64_t hold_until_ms;      /* until then it does not claim the key back */
+  int hold_streak;
   int64_t ownerless_since_ms; /* when the owner was first found to be missing; -1 if it is not */
   /* While this VM is the owner. */
   int64_t usable_at_ms; /* end of the claimer's wait */
