--- a/src/load/load_item.c
+++ b/src/load/load_item.c
@@ -13,7 +13,7 @@
 #define UNKNOWN_RETRIES 5
 #define WAIT_MS 3000
 /* Far more than the deadline allows, so that an owner can refuse it at once. */
-#define IMPOSSIBLE_RUN_MS 60000
+#define IMPOSSIBLE_RUN_MS 5000
 #define IMPOSSIBLE_DEADLINE_MS 200
 
 static const char *const policy_names[] = { "request", "batch", "gang", "service" };
--- a/src/standin/standin_target.c
+++ b/src/standin/standin_target.c
@@ -8,6 +8,8 @@
 
 /* A task on a target that fails everything ends after this. */
 #define FAIL_ALL_RUN_MS 20
+/* A start without a run time, as of a service, runs until it is stopped or its lease lapses. */
+#define ENDLESS_RUN_MS (INT64_C (1) << 40)
 
 static size_t
 task_key (const GrName *id, int32_t attempt, char *out, size_t size)
@@ -139,7 +141,9 @@
   task->use.v[GR_RES_MEMORY_MB]
       = (int32_t) (start->demand.v[GR_RES_MEMORY_MB] * directives.use_pct / 100);
   task->fails = directives.fail || target->fail_all;
-  int64_t run_ms = directives.run_ms >= 0 ? directives.run_ms : start->run_ms;
+  int64_t run_ms = directives.run_ms >= 0 ? directives.run_ms
+                   : start->run_ms > 0    ? start->run_ms
+                                          : ENDLESS_RUN_MS;
   if (target->fail_all)
     run_ms = FAIL_ALL_RUN_MS;
   task->started_ms = standin_now ();
