--- a/scripts/cluster.bash
+++ b/scripts/cluster.bash
@@ -4,17 +4,16 @@
 
 cluster_work=$(mktemp -d)
 cluster_key=cluster-test-key
-declare -A cluster_pid cluster_url
+declare -A cluster_pid cluster_url load_pid
 standin_pid=""
 standin_url=""
-load_pid=""
 load_code=0
 # A daemon ends its planned stop by itself; these seconds are the longest a script waits for it.
 cluster_stop_wait_s=35
 
 cluster_end() {
   local pid
-  for pid in $load_pid "${cluster_pid[@]}" $standin_pid; do
+  for pid in "${load_pid[@]}" "${cluster_pid[@]}" $standin_pid; do
     kill -CONT "$pid" 2> /dev/null
     kill -KILL "$pid" 2> /dev/null
     wait "$pid" 2> /dev/null
@@ -126,17 +125,39 @@
     "$2" > "$cluster_work/publish.log" 2>&1 || cluster_fail "publish: $(cat "$cluster_work/publish.log")"
 }
 
-# load_start FLAG...: in the background; load_wait prints its result and sets load_code.
+# cell_open COUNT FLAG...: a stand-in with the flags and COUNT entry VMs e1, e2, ... in one region,
+# with the sample configuration in force.
+cell_open() {
+  local count=$1 id ids=""
+  shift
+  standin_start --regions attica --seed "${SEED:-1}" "$@"
+  for id in $(seq "$count"); do
+    vm_start "e$id" attica "attica-z$((id % 3))"
+    ids="$ids e$id"
+  done
+  # shellcheck disable=SC2086
+  vm_wait_ready $ids
+  config_publish "${cluster_url[e1]}" "$root/examples/agora"
+}
+
+# load_start NAME FLAG...: in the background; load_wait NAME prints its result and adds a failure to
+# load_code. The ids of a load begin with its name.
 load_start() {
-  "$build/gr-load" --standin "$standin_url" --lines "$cluster_work/lines" "$@" \
-    > "$cluster_work/load.out" 2> "$cluster_work/load.err" &
-  load_pid=$!
+  local name=$1
+  shift
+  "$build/gr-load" --standin "$standin_url" --lines "$cluster_work/$name.lines" --prefix "$name-" \
+    --seed "${SEED:-1}" "$@" > "$cluster_work/$name.out" 2> "$cluster_work/$name.err" &
+  load_pid[$name]=$!
 }
 
 load_wait() {
-  wait "$load_pid"
-  load_code=$?
-  load_pid=""
-  head -n "${CLUSTER_COMPLAINTS:-20}" "$cluster_work/load.err" >&2
-  cat "$cluster_work/load.out"
+  wait "${load_pid[$1]}" || load_code=1
+  unset "load_pid[$1]"
+  head -n "${CLUSTER_COMPLAINTS:-20}" "$cluster_work/$1.err" >&2
+  cat "$cluster_work/$1.out"
+}
+
+# load_count NAME FIELD: a number of the result line.
+load_count() {
+  sed -n "s/^submitted=.*/ &/; s/.* $2=\([0-9]*\).*/\1/p" "$cluster_work/$1.out" | tail -n 1
 }
--- a/src/load/load.h
+++ b/src/load/load.h
@@ -8,7 +8,7 @@
 
 #include "net/net_http.h"
 
-#define LOAD_VMS_MAX 16
+#define LOAD_VMS_MAX 64
 
 typedef struct {
   const char *urls; /* comma-separated base URLs of the entry VMs */
@@ -22,6 +22,8 @@
   const char *teams;
   const char *graceful; /* base URLs that are stopped gracefully, or "all" */
   const char *prefix;
+  const char *mix;
+  bool follow_list;
   const char *lines; /* file that receives one line per submission, or empty */
 } LoadOptions;
 
--- a/src/load/load_item.c
+++ b/src/load/load_item.c
@@ -77,12 +77,15 @@
 make_request (LoadItem *item)
 {
   Load *load = item->load;
-  int64_t dice = roll (load, 0, 99);
+  /* The plain mixes have one expected outcome per request. */
+  bool only_once = strcmp (load->options.mix, "non-idempotent") == 0;
+  bool only_idempotent = strcmp (load->options.mix, "idempotent") == 0;
+  int64_t dice = only_once ? 0 : only_idempotent ? roll (load, 0, 1) * 99 + 20 : roll (load, 0, 99);
   int64_t deadline_ms = load->options.deadline_ms;
   item->policy = LOAD_REQUEST;
   item->tasks = 1;
   item->idempotent = true;
-  if (load_random (load) % 40 == 0)
+  if (!only_once && !only_idempotent && load_random (load) % 40 == 0)
     item->cancel_at_ms = load_now () + roll (load, 0, 200);
   if (dice < 20) {
     item->idempotent = false;
--- a/src/load/main.c
+++ b/src/load/main.c
@@ -14,7 +14,9 @@
 #define AT(field) offsetof (LoadOptions, field)
 
 static const GrOptSpec specs[] = {
-  { "urls", GR_OPT_TEXT, AT (urls), "URL,URL", NULL, 0, 0, "base URLs of the entry VMs" },
+  { "urls", GR_OPT_TEXT, AT (urls), "URL,URL", "", 0, 0, "base URLs of the entry VMs" },
+  { "follow-list", GR_OPT_FLAG, AT (follow_list), NULL, NULL, 0, 0,
+    "also use the entry VMs of the stand-in's list" },
   { "standin", GR_OPT_TEXT, AT (standin), "URL", NULL, 0, 0, "base URL of gr-standin" },
   { "requests", GR_OPT_INT, AT (requests), "N", "3000", 0, 1000000, "requests to submit" },
   { "jobs", GR_OPT_INT, AT (jobs), "N", "20", 0, 100000, "batches, gangs and services to submit" },
@@ -28,6 +30,8 @@
   { "graceful", GR_OPT_TEXT, AT (graceful), "URL,URL", "", 0, 0,
     "VMs that are only stopped gracefully, or 'all': broken connections to them count as cut off" },
   { "prefix", GR_OPT_TEXT, AT (prefix), "TEXT", "r", 0, 0, "first part of every id" },
+  { "mix", GR_OPT_TEXT, AT (mix), "NAME", "all", 0, 0,
+    "all, or requests with one expected outcome: idempotent, non-idempotent" },
   { "lines", GR_OPT_TEXT, AT (lines), "FILE", "", 0, 0, "receives one line per submission" },
 };
 
@@ -63,6 +67,65 @@
   return other_than >= 0 && load->vms[other_than].healthy ? other_than : -1;
 }
 
+static bool
+is_listed (const char *list, const char *url)
+{
+  size_t len = strlen (url);
+  for (const char *at = list; *at;) {
+    size_t part = strcspn (at, ",");
+    if (part == len && memcmp (at, url, len) == 0)
+      return true;
+    at += part + (at[part] == ',');
+  }
+  return false;
+}
+
+static void
+add_vm (Load *load, GrStr url)
+{
+  for (int i = 0; i < load->vm_count; i++) {
+    if (gr_str_equal (gr_str_from_c (load->vms[i].url), url))
+      return;
+  }
+  if (load->vm_count == LOAD_VMS_MAX)
+    return;
+  LoadVm *vm = &load->vms[load->vm_count++];
+  snprintf (vm->url, sizeof vm->url, "%.*s", GR_STR_ARG (url));
+  vm->graceful
+      = strcmp (load->options.graceful, "all") == 0 || is_listed (load->options.graceful, vm->url);
+  vm->load = load;
+}
+
+static void
+on_list (void *user, const NetHttpAnswer *answer)
+{
+  Load *load = user;
+  json_t *json = json_loadb (answer->body.data ? answer->body.data : "", answer->body.len, 0, NULL);
+  const json_t *vms = json_object_get (json, "vms");
+  for (size_t i = 0; i < json_array_size (vms); i++) {
+    const json_t *vm = json_array_get (vms, i);
+    const char *role = json_string_value (json_object_get (vm, "role"));
+    const char *url = json_string_value (json_object_get (vm, "url"));
+    if (role && url && strcmp (role, "entry") == 0)
+      add_vm (load, gr_str_from_c (url));
+  }
+  json_decref (json);
+}
+
+static void
+read_list (Load *load)
+{
+  GrBuf url = { 0 };
+  gr_buf_printf (&url, "%s/vms", load->options.standin);
+  net_http_client_send (
+      load->cancel_client,
+      &(NetHttpCall){ .method = "GET",
+                      .url = gr_buf_str (&url),
+                      .timeout_at_ms = (int64_t) uv_now (load->loop) + PROBE_TIMEOUT_MS },
+      on_list, load);
+  gr_buf_clear (&url);
+}
+
 static void
 on_probe_answer (void *user, const NetHttpAnswer *answer)
 {
@@ -75,6 +138,8 @@
 on_probe (uv_timer_t *timer)
 {
   Load *load = timer->data;
+  if (load->options.follow_list)
+    read_list (load);
   for (int i = 0; i < load->vm_count; i++) {
     LoadVm *vm = &load->vms[i];
     if (vm->probing)
@@ -141,29 +206,12 @@
     uv_timer_stop (timer);
 }
 
-static bool
-is_listed (const char *list, const char *url)
-{
-  size_t len = strlen (url);
-  for (const char *at = list; *at;) {
-    size_t part = strcspn (at, ",");
-    if (part == len && memcmp (at, url, len) == 0)
-      return true;
-    at += part + (at[part] == ',');
-  }
-  return false;
-}
-
 static void
 read_lists (Load *load)
 {
-  const char *graceful = load->options.graceful;
-  for (const char *at = load->options.urls; *at && load->vm_count < LOAD_VMS_MAX;) {
+  for (const char *at = load->options.urls; *at;) {
     size_t len = strcspn (at, ",");
-    LoadVm *vm = &load->vms[load->vm_count++];
-    snprintf (vm->url, sizeof vm->url, "%.*s", (int) len, at);
-    vm->graceful = strcmp (graceful, "all") == 0 || is_listed (graceful, vm->url);
-    vm->load = load;
+    add_vm (load, (GrStr){ at, len });
     at += len + (at[len] == ',');
   }
   int max = sizeof load->teams / sizeof load->teams[0];
@@ -193,8 +241,8 @@
   load.loop = &loop;
   load.rng = (uint64_t) load.options.seed;
   read_lists (&load);
-  if (load.vm_count == 0 || load.team_count == 0) {
-    fprintf (stderr, "gr-load: --urls and --teams must not be empty\n");
+  if ((load.vm_count == 0 && !load.options.follow_list) || load.team_count == 0) {
+    fprintf (stderr, "gr-load: --teams and --urls must not be empty\n");
     return GR_EXIT_USAGE;
   }
   load.total = load.options.requests + load.options.jobs;
