--- a/src/node/node_tasks.c
+++ b/src/node/node_tasks.c
@@ -115,6 +115,7 @@
   case SCH_WHY_TARGET_REFUSED:
   case SCH_WHY_PREEMPTED:
   case SCH_WHY_FAILS_EVERYTHING:
+  case SCH_WHY_OVERRUN:
     return GR_ERR_UNAVAILABLE;
   }
   return GR_ERR_UNAVAILABLE;
--- a/src/standin/standin_target_http.c
+++ b/src/standin/standin_target_http.c
@@ -31,6 +31,10 @@
                        json_integer (reported ? task->use.v[GR_RES_CPU_MILLI] : 0));
   json_object_set_new (json, "memory_mb",
                        json_integer (reported ? task->use.v[GR_RES_MEMORY_MB] : 0));
+  json_t *demand = json_object ();
+  for (int d = 0; d < GR_RES_COUNT; d++)
+    json_object_set_new (demand, gr_res_name ((GrResDim) d), json_integer (task->demand.v[d]));
+  json_object_set_new (json, "demand", demand);
   json_object_set_new (json, "started_ms", json_integer (task->started_ms));
   json_object_set_new (json, "ended_ms", json_integer (task->ended_ms));
   return json;
