--- a/tests/e2e_store_away.sh
+++ b/tests/e2e_store_away.sh
@@ -13,9 +13,12 @@
 standin_control log '{"outage":true}'
 # The first seconds belong to the change to promise mode and are not judged.
 sleep 5
-load_start i --urls "$urls" --mix idempotent --requests 1500 --jobs 0 --rate 30 --run-seconds 90
-load_start n --urls "$urls" --mix non-idempotent --requests 500 --jobs 0 --rate 10 --run-seconds 90
-sleep 55
+# All deadlines lie within the outage: a refused caller repeats its request until its deadline.
+load_start i --urls "$urls" --mix idempotent --requests 1500 --jobs 0 --rate 30 --run-seconds 90 \
+  --deadline-ms 5000
+load_start n --urls "$urls" --mix non-idempotent --requests 500 --jobs 0 --rate 10 \
+  --run-seconds 90 --deadline-ms 5000
+sleep 58
 standin_control log '{"outage":false}'
 load_wait i
 load_wait n
