node: refusals without proof say unavailable; declared run beyond the window is refused

Change: a VM that stops or is not ready answers unavailable; the scheduler task refuses what cannot end in its window by the caller's own figures; services without a run time are expected to run until stopped.

--- a/src/load/load_item.c
+++ b/src/load/load_item.c
@@ -204,6 +204,9 @@
       retry (item, RETRY_MS, LOAD_TOLD_NOT_RUN);
     else
       finish (item, LOAD_TOLD_NOT_RUN, why);
+  } else if (strcmp (outcome, "unavailable") == 0 && load_now () < item->give_up_ms) {
+    /* This VM takes no calls and says nothing about the id; another one has to be asked. */
+    retry (item, RETRY_MS, LOAD_TOLD_UNKNOWN);
   } else if (strcmp (outcome, "completed") == 0) {
     finish (item, LOAD_TOLD_COMPLETED, why);
   } else if (strcmp (outcome, "failed") == 0) {
--- a/src/node/node_ctx.h
+++ b/src/node/node_ctx.h
@@ -17,6 +17,7 @@
   GrName zone;
   GrMetrics metrics;
   bool stopping;      /* SIGTERM arrived: no new work */
+  bool was_ready;     /* once ready, a gap of ownership is waited out by each call */
   bool handed_over;   /* all keys handed over and farewell committed */
   int64_t stop_at_ms; /* deadline of the planned stop */
   struct NodeList *list;
--- a/src/node/node_front.c
+++ b/src/node/node_front.c
@@ -111,8 +111,9 @@
   GrErr err = { 0 };
   NodeSubmission submission;
   if (node->stopping || !node_front_ready (node, &why)) {
-    refuse (front, exchange, 503, GR_ERR_NOT_RUN, GR_STR ("unavailable"),
-            node->stopping ? "this VM stops" : why);
+    /* Not "not_run": the same id may have run by way of another VM. */
+    refuse (front, exchange, 503, GR_ERR_UNAVAILABLE, GR_STR ("vm"),
+            node->stopping ? "this VM stops; repeat at another one" : why);
     return;
   }
   if (!node_json_submission (request->body, verb == NODE_VERB_REQUEST, tree, &submission, &err)) {
--- a/src/node/node_front_ops.c
+++ b/src/node/node_front_ops.c
@@ -11,6 +11,20 @@
 
 #define MEMBERS_MAX 128
 
+static bool
+every_partition_owned (const Node *node)
+{
+  int32_t parts = node_own_parts (node);
+  GrVmRef owner;
+  int64_t epoch;
+  bool owned = parts > 0;
+  for (int32_t part = 0; owned && part < parts; part++) {
+    GrName key = node_part_key (&node->region, part);
+    owned = node_own_owner (node, &key, &owner, &epoch);
+  }
+  return owned;
+}
+
 bool
 node_front_ready (Node *node, const char **why)
 {
@@ -20,9 +34,11 @@
     *why = "no configuration yet\n";
   else if (!node_own_ready (node))
     *why = "ownership log not read yet\n";
+  else if (!node->was_ready && !every_partition_owned (node))
+    *why = "partitions of the region have no owner yet\n";
   else
-    return true;
-  return false;
+    node->was_ready = true;
+  return node->was_ready && node_list_registered (node);
 }
 
 void
--- a/src/node/node_tasks.c
+++ b/src/node/node_tasks.c
@@ -268,6 +268,15 @@
   return NULL;
 }
 
+/* The caller's own figures say that the run cannot end within its window. */
+static bool
+misses_window (const NodeWire *wire)
+{
+  const JobSpec *spec = &wire->place.spec;
+  return spec->run_ms > 0 && spec->deadline_unix_ms != INT64_MAX
+         && node_unix () + spec->run_ms > spec->deadline_unix_ms;
+}
+
 static void
 answer_place (Node *node, const GrName *to, const NodeWire *wire, JobPlaceResult result,
               GrErrCode why)
@@ -297,6 +306,12 @@
     answer_place (node, from, wire, JOB_PLACE_REFUSED, GR_ERR_UNAVAILABLE);
     return;
   }
+  if (misses_window (wire)) {
+    gr_log (&tasks->log, GR_EV_REFUSED, "%.*s#%d: declared run of %lld ms ends after the deadline",
+            GR_NAME_ARG (wire->place.id), wire->place.attempt, (long long) spec->run_ms);
+    answer_place (node, from, wire, JOB_PLACE_REFUSED, GR_ERR_DEADLINE);
+    return;
+  }
   task = node_tasks_add (tasks, &wire->place.id, wire->place.attempt);
   task->phase = NODE_TASK_QUEUED;
   task->part = wire->place.part;
--- a/src/node/node_work.c
+++ b/src/node/node_work.c
@@ -11,6 +11,9 @@
 /* A removed work is cancelled by whoever owns its partition within this time. */
 #define REMOVED_KEEP_MS 60000
 
+/* A service without a declared run time is expected to run until it is stopped. */
+#define SERVICE_RUN_MS (30LL * 24 * 3600 * 1000)
+
 typedef struct {
   GrName id;
   int64_t submitted_epoch; /* of the partition, 0 if not submitted under it */
@@ -71,6 +74,8 @@
   body.spec.priority = team ? (int32_t) team->priority : 0;
   body.spec.demand = work->demand;
   body.spec.run_ms = work->run_ms;
+  if (work->policy == CFG_POLICY_SERVICE && work->run_ms == 0)
+    body.spec.run_ms = SERVICE_RUN_MS;
   body.spec.deadline_unix_ms = INT64_MAX;
   body.spec.payload = work->payload;
   /* Call 0: nobody waits for the reply. */
