--- a/src/load/load_item.c
+++ b/src/load/load_item.c
@@ -13,7 +13,7 @@
 #define UNKNOWN_RETRIES 5
 #define WAIT_MS 3000
 /* Far more than the deadline allows, so that an owner can refuse it at once. */
-#define IMPOSSIBLE_RUN_MS 60000
+#define IMPOSSIBLE_RUN_MS 5000
 #define IMPOSSIBLE_DEADLINE_MS 200
 
 static const char *const policy_names[] = { "request", "batch", "gang", "service" };
@@ -77,12 +77,15 @@
 make_request (LoadItem *item)
 {
   Load *load = item->load;
-  int64_t dice = roll (load, 0, 99);
+  /* The plain mixes have one expected outcome per request. */
+  bool only_once = strcmp (load->options.mix, "non-idempotent") == 0;
+  bool only_idempotent = strcmp (load->options.mix, "idempotent") == 0;
+  int64_t dice = only_once ? 0 : only_idempotent ? roll (load, 0, 1) * 99 + 20 : roll (load, 0, 99);
   int64_t deadline_ms = load->options.deadline_ms;
   item->policy = LOAD_REQUEST;
   item->tasks = 1;
   item->idempotent = true;
-  if (load_random (load) % 40 == 0)
+  if (!only_once && !only_idempotent && load_random (load) % 40 == 0)
     item->cancel_at_ms = load_now () + roll (load, 0, 200);
   if (dice < 20) {
     item->idempotent = false;
