--- a/src/job/job.c
+++ b/src/job/job.c
@@ -93,8 +93,13 @@
 static void
 expire_unplaced (JobState *state, Job *job, int64_t now_ms, JobCmds *out)
 {
-  if (job->spec.deadline_ms > now_ms || !job_part_acting (state, job->part, now_ms))
+  if (job->spec.deadline_ms > now_ms)
     return;
+  if (!job_part_ready (state, job->part, now_ms)) {
+    if (state->parts[job->part].owned)
+      job_timer_add (state, now_ms + JOB_SUSPENDED_RETRY_MS, &job->id, JOB_TIMER_JOB);
+    return;
+  }
   for (int32_t i = 0; i < job->spec.tasks && job->phase != JOB_ENDED; i++) {
     JobTask *task = &job->tasks[i];
     if (task->phase != JOB_TASK_IDLE && task->phase != JOB_TASK_RECORDING)
@@ -112,8 +117,8 @@
     expire_unplaced (state, job, now_ms, out);
     return;
   }
-  if (job->end_pending && job->spec.deadline_ms <= now_ms
-      && job_part_acting (state, job->part, now_ms)) {
+  if (job->end_pending && job->outcome == JOB_OUTCOME_NOT_RUN && job->spec.deadline_ms <= now_ms
+      && job_part_ready (state, job->part, now_ms)) {
     job->end_pending = false;
     job_answer_all (state, job, out);
   }
@@ -168,8 +173,7 @@
   JobTimer timer;
   while (job_timer_pop (state, now_ms, &timer)) {
     if (timer.index == JOB_TIMER_ORPHAN) {
-      JobOrphan *orphan = NULL;
-      HASH_FIND (hh, state->orphans, &timer.id, sizeof timer.id, orphan);
+      JobOrphan *orphan = job_find_orphan (state, &timer.id);
       if (orphan && orphan->drop_ms <= now_ms)
         job_drop_orphan (state, orphan);
       continue;
@@ -201,7 +205,9 @@
   if (!pending)
     return;
   Job *job = job_find (state, &pending->id);
-  if (!job)
+  /* A record of an earlier ownership may be void; reading it back decides. */
+  if (!job || !job_part_acting (state, job->part, now_ms)
+      || pending->epoch != state->parts[job->part].epoch)
     goto done;
   switch (pending->kind) {
   case JOB_RECORD_ACCEPT:
@@ -211,13 +217,10 @@
     job_attempt_recorded (state, job, pending->index, pending->attempt, now_ms, out);
     break;
   case JOB_RECORD_END:
-    if (job->end_pending) {
-      job->end_pending = false;
-      job_answer_all (state, job, out);
-    }
-    break;
+    /* The first end in log order decides; only reading the log tells which that is. */
   case JOB_RECORD_TASK_END:
   case JOB_RECORD_CANCEL:
+  case JOB_RECORD_OPEN:
     break;
   }
 
@@ -314,6 +317,23 @@
   }
 }
 
+/* After a pause, what was held back meanwhile goes on. */
+static void
+part_active (JobState *state, int32_t part, int64_t until_ms, int64_t now_ms, JobCmds *out)
+{
+  bool resumes = !job_part_acting (state, part, now_ms);
+  state->parts[part].active_until_ms = until_ms;
+  if (!resumes || !job_part_acting (state, part, now_ms))
+    return;
+  for (Job *job = state->jobs; job; job = job->hh.next) {
+    if (job->part != part || job->phase == JOB_ENDED)
+      continue;
+    if (job->durable)
+      job_answer_accepted (state, job, out);
+    job_advance_all (state, job, now_ms, out);
+  }
+}
+
 void
 job_step (JobState *state, const JobMsg *msg, int64_t now_ms, JobCmds *out)
 {
@@ -323,10 +343,10 @@
     tick (state, now_ms, out);
     return;
   case JOB_MSG_PART_GAINED:
-    job_part_gained (state, msg->part.part);
+    job_part_gained (state, msg->part.part, msg->part.epoch, now_ms, out);
     return;
   case JOB_MSG_PART_ACTIVE:
-    state->parts[msg->part.part].active_until_ms = msg->part.until_ms;
+    part_active (state, msg->part.part, msg->part.until_ms, now_ms, out);
     return;
   case JOB_MSG_PART_LOST:
     job_part_lost (state, msg->part.part, out);
--- a/src/job/job.h
+++ b/src/job/job.h
@@ -9,7 +9,9 @@
    partition under the new partition epoch (each scheduler refuses places of lower epochs from then
    on) and delivers them as TASK_REPORT, or PLACE_RESULT QUEUED for waiting ones; then
    TARGETS_KNOWN. Only then are attempts placed: an attempt that nobody reported has ended or never
-   began. */
+   began. Records carry the ownership epoch. A new owner appends an OPEN record; records of lower
+   epochs that come after it in the stream are void for every reader, so that a late append of an
+   earlier owner cannot revive a request that was refused meanwhile. */
 #pragma once
 
 #include "base/gr_err.h"
@@ -26,7 +28,7 @@
   bool retry_non_idempotent;
   bool retry_without_lapse;
   bool not_run_without_proof;
-  bool forget_cancel;
+  bool forget_cancel; /* tells the end before the attempt is known to have stopped */
 } JobFaults;
 
 typedef struct {
@@ -111,7 +113,8 @@
 typedef enum {
   JOB_PLACE_QUEUED,  /* the scheduler took the attempt */
   JOB_PLACE_HELD,    /* gang: the part holds a reservation */
-  JOB_PLACE_REFUSED, /* certainly not started and will not start there */
+  JOB_PLACE_REFUSED, /* certainly not started and will not start there; never for an attempt that
+                        the scheduler knows, also not as the answer to an old message */
   JOB_PLACE_UNKNOWN  /* no word; the attempt may start or run */
 } JobPlaceResult;
 
@@ -129,6 +132,7 @@
     struct {
       int32_t part;
       int64_t until_ms; /* PART_ACTIVE */
+      int64_t epoch;    /* PART_GAINED: epoch of the ownership */
     } part;             /* PART_*, TARGETS_KNOWN */
     struct {
       GrName vm;
--- a/src/job/job_accept.c
+++ b/src/job/job_accept.c
@@ -40,7 +40,7 @@
     return;
   }
   bool ended = job->phase == JOB_ENDED && !job->end_pending;
-  bool accepted = job->durable && !msg->submit.wait;
+  bool accepted = job->phase != JOB_ENDED && job->durable && !msg->submit.wait;
   if (ended || accepted)
     job_reply_status (state, job, call, out);
   else
@@ -60,21 +60,30 @@
   return GR_ERR_NONE;
 }
 
+/* False if an earlier owner may have run the same id without a record of it. */
+bool
+job_is_new_work (const JobState *state, const JobSpec *spec, int64_t now_ms)
+{
+  const JobPartState *part = &state->parts[job_part (&spec->id, state->options.parts)];
+  bool first_owner = part->epoch <= 1;
+  return !spec->idempotent || first_owner || now_ms >= part->gained_ms + JOB_REPEAT_HORIZON_MS;
+}
+
 static bool
 has_orphan (JobState *state, const JobSpec *spec)
 {
   GrName task_id = gr_name_format ("%.*s/0", GR_NAME_ARG (spec->id));
-  JobOrphan *orphan = NULL;
-  HASH_FIND (hh, state->orphans, &task_id, sizeof task_id, orphan);
-  return orphan != NULL;
+  return job_find_orphan (state, &task_id) != NULL;
 }
 
 static void
-refuse_new (JobState *state, const JobMsg *msg, int32_t part, GrErrCode why, JobCmds *out)
+refuse_new (JobState *state, const JobMsg *msg, int32_t part, GrErrCode why, int64_t now_ms,
+            JobCmds *out)
 {
   const JobSpec *spec = msg->submit.spec;
   /* Before the takeover is complete, an earlier attempt of the same id may run somewhere. */
-  bool proven = state->parts[part].targets_known && !has_orphan (state, spec);
+  bool proven = job_part_ready (state, part, now_ms) && !has_orphan (state, spec)
+                && job_is_new_work (state, spec, now_ms);
   job_reply_refusal (msg->submit.call, &spec->id, proven ? JOB_OUTCOME_NOT_RUN : JOB_OUTCOME_NONE,
                      proven ? why : GR_ERR_UNAVAILABLE, out);
 }
@@ -96,10 +105,12 @@
   bool must_record = !msg->submit.wait || !spec->idempotent;
   GrErrCode why = refusal (state, spec, must_record, now_ms);
   if (why != GR_ERR_NONE) {
-    refuse_new (state, msg, part, why, out);
+    refuse_new (state, msg, part, why, now_ms, out);
     return;
   }
   job = job_create (state, spec, must_record);
+  for (int32_t i = 0; i < spec->tasks; i++)
+    job->tasks[i].maybe_ran = !job_is_new_work (state, spec, now_ms);
   job_add_waiter (state, job, msg->submit.call, JOB_NEVER, !msg->submit.wait);
   if (spec->deadline_ms != JOB_NEVER)
     job_timer_add (state, spec->deadline_ms, &job->id, JOB_TIMER_JOB);
@@ -114,12 +125,14 @@
 void
 job_accept_committed (JobState *state, Job *job, int64_t now_ms, JobCmds *out)
 {
-  if (job->durable)
+  /* Without the lease this may be too late: then the record itself, read back, decides. */
+  if (job->durable || !job_part_acting (state, job->part, now_ms))
     return;
   job->durable = true;
+  if (job->phase == JOB_ENDED)
+    return;
   if (job->phase == JOB_ACCEPTING)
     job->phase = JOB_QUEUED;
   job_answer_accepted (state, job, out);
-  if (job->phase != JOB_ENDED)
-    job_advance_all (state, job, now_ms, out);
+  job_advance_all (state, job, now_ms, out);
 }
--- a/src/job/job_attempt.c
+++ b/src/job/job_attempt.c
@@ -33,16 +33,19 @@
   job_emit_task_cmd (job, index, JOB_CMD_PLACE, out);
 }
 
-/* Opens the next attempt number, or keeps the one that every scheduler so far refused. */
+/* Opens the next attempt number unless the current one is still in use. */
 static void
-open_attempt (JobState *state, JobTask *task)
+open_attempt (JobState *state, const Job *job, JobTask *task)
 {
   if (task->attempt_open)
     return;
+  int64_t base = (state->parts[job->part].epoch - 1) * JOB_ATTEMPTS_PER_EPOCH;
+  if (task->attempt < base)
+    task->attempt = (int32_t) base;
   task->attempt++;
   task->attempt_open = true;
   task->attempt_recorded = false;
-  if (task->attempt == 1) {
+  if (task->failures == 0) {
     state->retry_tokens += (double) state->options.retry_budget_pct / 100.0;
     if (state->retry_tokens > JOB_RETRY_TOKENS_MAX)
       state->retry_tokens = JOB_RETRY_TOKENS_MAX;
@@ -50,12 +53,12 @@
 }
 
 /* A non-idempotent attempt must be in the log before it is sent, so that a new owner knows of it.
-   Later attempts of other work are recorded without waiting, to keep their number bounded. */
+   Retries of other work are recorded without waiting, to keep their number bounded. */
 static bool
 record_attempt (JobState *state, Job *job, int32_t index, JobCmds *out)
 {
   JobTask *task = &job->tasks[index];
-  if (task->attempt_recorded || (job->spec.idempotent && task->attempt == 1))
+  if (task->attempt_recorded || (job->spec.idempotent && task->failures == 0))
     return false;
   JobRecord record = { .kind = JOB_RECORD_ATTEMPT, .id = job->id, .index = index };
   record.attempt = task->attempt;
@@ -71,7 +74,7 @@
     return false;
   if (job->must_record && !job->durable && !state->options.faults.start_before_commit)
     return false;
-  return job_part_acting (state, job->part, now_ms) && state->parts[job->part].targets_known;
+  return job_part_ready (state, job->part, now_ms);
 }
 
 void
@@ -82,7 +85,7 @@
     return;
   if (!may_place (state, job, now_ms))
     return;
-  if (job->cancelled && !state->options.faults.forget_cancel) {
+  if (job->cancelled) {
     job_finish_task (state, job, index, JOB_OUTCOME_CANCELLED, GR_ERR_CANCELLED, GR_STR (""),
                      now_ms, out);
     return;
@@ -92,7 +95,7 @@
     job_finish_task (state, job, index, outcome, GR_ERR_DEADLINE, GR_STR (""), now_ms, out);
     return;
   }
-  open_attempt (state, task);
+  open_attempt (state, job, task);
   if (record_attempt (state, job, index, out)) {
     task->phase = JOB_TASK_RECORDING;
     return;
@@ -221,12 +224,13 @@
   task->avoid[task->avoid_count++] = *scheduler;
 }
 
-/* The attempt number stays open, because the refusal proves that it did not start. */
+/* A refused number is not used again: a late copy of its place message must not start it. */
 static void
 next_candidate (JobState *state, Job *job, int32_t index, const JobMsg *msg, int64_t now_ms,
                 JobCmds *out)
 {
   JobTask *task = &job->tasks[index];
+  task->attempt_open = false;
   bool never_fits = msg->place.why == GR_ERR_UNPLACEABLE;
   bool first = task->avoid_count == 0;
   task->all_unplaceable = never_fits && (first || task->all_unplaceable);
@@ -276,32 +280,73 @@
   job_gang_settle (state, job, now_ms);
 }
 
+void
+job_task_queued (JobState *state, Job *job, int32_t index, int32_t attempt, const GrName *scheduler,
+                 JobCmds *out)
+{
+  JobTask *task = &job->tasks[index];
+  task->phase = JOB_TASK_QUEUED;
+  task->attempt = attempt;
+  task->attempt_open = true;
+  task->scheduler = *scheduler;
+  job_send_accept (state, job, out);
+  if (job->spec.deadline_ms != JOB_NEVER)
+    job_timer_add (state, job->spec.deadline_ms + JOB_PLACE_TIMEOUT_MS, &job->id, index);
+  if (job->cancelled)
+    job_emit_task_cmd (job, index, JOB_CMD_CANCEL_TASK, out);
+}
+
+/* A scheduler tells of a waiting attempt whose job is not known here. */
+static void
+place_result_of_orphan (JobState *state, const JobMsg *msg, int64_t now_ms)
+{
+  JobOrphan *orphan = job_find_orphan (state, &msg->place.id);
+  if (msg->place.result == JOB_PLACE_QUEUED) {
+    orphan = job_keep_orphan (state, &msg->place.id, msg->place.attempt, &msg->place.scheduler,
+                              now_ms);
+    if (orphan)
+      orphan->queued = true;
+  } else if (orphan && orphan->queued && orphan->attempt == msg->place.attempt) {
+    job_drop_orphan (state, orphan);
+  }
+}
+
 void
 job_take_place_result (JobState *state, const JobMsg *msg, int64_t now_ms, JobCmds *out)
 {
   int32_t index;
+  GrName job_id = job_of_task (&msg->place.id);
+  if (!state->parts[job_part (&job_id, state->options.parts)].owned)
+    return;
   Job *job = job_find_task (state, &msg->place.id, &index);
-  if (!job || job->phase == JOB_ENDED)
+  if (!job) {
+    place_result_of_orphan (state, msg, now_ms);
     return;
+  }
   JobTask *task = &job->tasks[index];
   bool waits = task->phase == JOB_TASK_PLACING || task->phase == JOB_TASK_QUEUED
                || task->phase == JOB_TASK_HELD || task->phase == JOB_TASK_UNRESOLVED;
-  if (msg->place.attempt != task->attempt || !waits)
+  /* During a takeover an attempt that was not recorded becomes known by its scheduler. */
+  bool open = task->phase == JOB_TASK_UNRESOLVED || task->phase == JOB_TASK_IDLE;
+  bool adopted = open && msg->place.attempt > task->attempt
+                 && (msg->place.result == JOB_PLACE_QUEUED || msg->place.result == JOB_PLACE_HELD);
+  bool current = waits && msg->place.attempt == task->attempt;
+  if (job->phase == JOB_ENDED || (!current && !adopted))
     return;
   switch (msg->place.result) {
   case JOB_PLACE_QUEUED:
-    task->phase = JOB_TASK_QUEUED;
-    task->scheduler = msg->place.scheduler;
-    job_send_accept (state, job, out);
-    if (job->spec.deadline_ms != JOB_NEVER)
-      job_timer_add (state, job->spec.deadline_ms + JOB_PLACE_TIMEOUT_MS, &job->id, index);
-    break;
+    job_task_queued (state, job, index, msg->place.attempt, &msg->place.scheduler, out);
+    return;
   case JOB_PLACE_HELD:
     task->phase = JOB_TASK_HELD;
+    task->attempt = msg->place.attempt;
+    task->attempt_open = true;
     task->scheduler = msg->place.scheduler;
-    if (is_gang (job) && each_part_holds (job))
+    if (job->cancelled)
+      job_emit_task_cmd (job, index, JOB_CMD_CANCEL_TASK, out);
+    else if (is_gang (job) && each_part_holds (job))
       commit_gang (job, out);
-    break;
+    return;
   case JOB_PLACE_REFUSED:
     place_refused (state, job, index, msg, now_ms, out);
     return;
@@ -309,8 +354,6 @@
     job_task_unresolved (state, job, index, now_ms, out);
     return;
   }
-  if (job->cancelled)
-    job_emit_task_cmd (job, index, JOB_CMD_CANCEL_TASK, out);
 }
 
 /* Ends what has not begun and asks schedulers to stop the rest. Cancelling one task is O(1). */
@@ -329,7 +372,11 @@
     case JOB_TASK_HELD:
     case JOB_TASK_ON_TARGET:
     case JOB_TASK_UNRESOLVED:
-      job_emit_task_cmd (job, i, JOB_CMD_CANCEL_TASK, out);
+      if (state->options.faults.forget_cancel)
+        job_finish_task (state, job, i, JOB_OUTCOME_CANCELLED, GR_ERR_CANCELLED, GR_STR (""),
+                         now_ms, out);
+      else
+        job_emit_task_cmd (job, i, JOB_CMD_CANCEL_TASK, out);
       break;
     case JOB_TASK_DONE:
       break;
--- a/src/job/job_codec.c
+++ b/src/job/job_codec.c
@@ -3,13 +3,15 @@
 
 #include "job/job_private.h"
 
-/* Numbers of fields of each record, kind and id included. */
+/* Numbers of fields of each record after kind, id and epoch. */
 enum {
-  ACCEPT_FIELDS = 17,
-  ATTEMPT_FIELDS = 4,
-  TASK_END_FIELDS = 6,
-  END_FIELDS = 5,
-  CANCEL_FIELDS = 2
+  COMMON_FIELDS = 3,
+  ACCEPT_FIELDS = 16,
+  ATTEMPT_FIELDS = 2,
+  TASK_END_FIELDS = 4,
+  END_FIELDS = 3,
+  CANCEL_FIELDS = 0,
+  OPEN_FIELDS = 1
 };
 
 static int
@@ -59,15 +61,16 @@
 job_record_encode (const JobRecord *record, GrBuf *out)
 {
   static const size_t field_counts[] = {
-    [JOB_RECORD_ACCEPT] = ACCEPT_FIELDS + 1, [JOB_RECORD_ATTEMPT] = ATTEMPT_FIELDS,
+    [JOB_RECORD_ACCEPT] = ACCEPT_FIELDS,     [JOB_RECORD_ATTEMPT] = ATTEMPT_FIELDS,
     [JOB_RECORD_TASK_END] = TASK_END_FIELDS, [JOB_RECORD_END] = END_FIELDS,
-    [JOB_RECORD_CANCEL] = CANCEL_FIELDS,
+    [JOB_RECORD_CANCEL] = CANCEL_FIELDS,     [JOB_RECORD_OPEN] = OPEN_FIELDS,
   };
   msgpack_packer packer;
   msgpack_packer_init (&packer, out, buf_write);
-  msgpack_pack_array (&packer, field_counts[record->kind]);
+  msgpack_pack_array (&packer, COMMON_FIELDS + field_counts[record->kind]);
   msgpack_pack_int (&packer, record->kind);
   pack_str (&packer, gr_name_str (&record->id));
+  msgpack_pack_int64 (&packer, record->epoch);
   switch (record->kind) {
   case JOB_RECORD_ACCEPT:
     pack_accept (&packer, record);
@@ -89,6 +92,9 @@
     break;
   case JOB_RECORD_CANCEL:
     break;
+  case JOB_RECORD_OPEN:
+    msgpack_pack_int32 (&packer, record->index);
+    break;
   }
 }
 
@@ -178,8 +184,9 @@
 static void
 read_fields (FieldReader *reader, JobRecord *record)
 {
-  record->kind = (JobRecordKind) read_int (reader, JOB_RECORD_ACCEPT, JOB_RECORD_CANCEL);
+  record->kind = (JobRecordKind) read_int (reader, JOB_RECORD_ACCEPT, JOB_RECORD_OPEN);
   record->id = read_name (reader);
+  record->epoch = read_int (reader, 0, INT64_MAX);
   if (!reader->ok)
     return;
   switch (record->kind) {
@@ -203,6 +210,9 @@
     break;
   case JOB_RECORD_CANCEL:
     break;
+  case JOB_RECORD_OPEN:
+    record->index = (int32_t) read_int (reader, 0, JOB_PARTS_MAX - 1);
+    break;
   }
 }
 
@@ -220,7 +230,8 @@
   if (ok) {
     FieldReader reader = { unpacked.data.via.array.ptr, unpacked.data.via.array.size, 0, true };
     read_fields (&reader, record);
-    ok = reader.ok && reader.next == reader.count && record->id.len > 0;
+    ok = reader.ok && reader.next == reader.count
+         && (record->id.len > 0 || record->kind == JOB_RECORD_OPEN);
   }
   /* Binary fields point into bytes, not into the unpacked zone. */
   msgpack_unpacked_destroy (&unpacked);
--- a/src/job/job_end.c
+++ b/src/job/job_end.c
@@ -28,14 +28,19 @@
   job_timer_add (state, task->due_ms, &job->id, index);
 }
 
-/* A refusal must not be told before its end is in the log: a new owner would run the job. After the
-   deadline no owner runs it any more. */
+/* Any other end than a completion must be in the log before it is told, or a new owner could run
+   the job again and come to another outcome. "Not run" may be told once the deadline has passed,
+   because no owner starts the job after it. A completion is true in any case. */
 static bool
-reply_needs_commit (const Job *job, int64_t now_ms)
+reply_needs_commit (const JobState *state, const Job *job, int64_t now_ms)
 {
-  if (!job->accept_sent || job->spec.deadline_ms <= now_ms)
+  if (job->outcome == JOB_OUTCOME_COMPLETED)
     return false;
-  return job->outcome == JOB_OUTCOME_CANCELLED || job->outcome == JOB_OUTCOME_NOT_RUN;
+  if (!job_part_ready (state, job->part, now_ms))
+    return true;
+  if (job->outcome == JOB_OUTCOME_NOT_RUN)
+    return job->accept_sent && job->spec.deadline_ms > now_ms;
+  return true;
 }
 
 void
@@ -47,14 +52,14 @@
   job->why = why;
   gr_buf_append_str (&job->answer, answer);
   state->unfinished--;
-  if (job->accept_sent) {
+  job->end_pending = reply_needs_commit (state, job, now_ms);
+  if (job->accept_sent || job->end_pending) {
     JobRecord record = { .kind = JOB_RECORD_END, .id = job->id, .outcome = outcome, .why = why };
     record.answer = answer;
     job_append (state, &record, out);
   }
   job->forget_ms = now_ms + state->options.keep_ended_ms;
   job_timer_add (state, job->forget_ms, &job->id, JOB_TIMER_JOB);
-  job->end_pending = reply_needs_commit (job, now_ms);
   if (!job->end_pending) {
     job_answer_all (state, job, out);
     return;
@@ -125,6 +130,7 @@
     JobRecord record = { .kind = JOB_RECORD_TASK_END, .id = job->id, .index = index };
     record.outcome = outcome;
     record.why = why;
+    task->end_recorded = true;
     job_append (state, &record, out);
   }
   if (job->spec.policy == JOB_POLICY_GANG && outcome != JOB_OUTCOME_COMPLETED)
@@ -252,26 +258,35 @@
   free (orphan);
 }
 
-/* A caller that repeats its id after a takeover finds the attempt of the earlier owner here. */
-void
-job_keep_orphan (JobState *state, const JobMsg *msg, int64_t now_ms)
+JobOrphan *
+job_find_orphan (JobState *state, const GrName *task_id)
 {
   JobOrphan *orphan = NULL;
-  HASH_FIND (hh, state->orphans, &msg->report.id, sizeof msg->report.id, orphan);
-  if (orphan && orphan->attempt > msg->report.attempt)
-    return;
+  HASH_FIND (hh, state->orphans, task_id, sizeof *task_id, orphan);
+  return orphan;
+}
+
+/* A caller that repeats its id after a takeover finds the attempt of the earlier owner here. NULL
+   if a later attempt is known already. */
+JobOrphan *
+job_keep_orphan (JobState *state, const GrName *task_id, int32_t attempt, const GrName *scheduler,
+                 int64_t now_ms)
+{
+  JobOrphan *orphan = job_find_orphan (state, task_id);
+  if (orphan && orphan->attempt > attempt)
+    return NULL;
   if (!orphan) {
     orphan = gr_calloc (1, sizeof *orphan);
-    orphan->id = msg->report.id;
+    orphan->id = *task_id;
     HASH_ADD (hh, state->orphans, id, sizeof orphan->id, orphan);
   }
-  orphan->attempt = msg->report.attempt;
-  orphan->state = msg->report.state;
-  orphan->scheduler = msg->report.scheduler;
+  orphan->attempt = attempt;
+  orphan->queued = false;
+  orphan->scheduler = *scheduler;
   gr_buf_clear (&orphan->answer);
-  gr_buf_append_str (&orphan->answer, msg->report.answer);
   orphan->drop_ms = now_ms + JOB_ORPHAN_KEEP_MS;
   job_timer_add (state, orphan->drop_ms, &orphan->id, JOB_TIMER_ORPHAN);
+  return orphan;
 }
 
 void
@@ -279,12 +294,14 @@
 {
   for (int32_t i = 0; i < job->spec.tasks && job->phase != JOB_ENDED; i++) {
     GrName task_id = job_task_id (job, i);
-    JobOrphan *orphan = NULL;
-    HASH_FIND (hh, state->orphans, &task_id, sizeof task_id, orphan);
+    JobOrphan *orphan = job_find_orphan (state, &task_id);
     if (!orphan)
       continue;
-    job_apply_report (state, job, i, orphan->attempt, orphan->state, &orphan->scheduler,
-                      gr_buf_str (&orphan->answer), now_ms, out);
+    if (orphan->queued)
+      job_task_queued (state, job, i, orphan->attempt, &orphan->scheduler, out);
+    else
+      job_apply_report (state, job, i, orphan->attempt, orphan->state, &orphan->scheduler,
+                        gr_buf_str (&orphan->answer), now_ms, out);
     job_drop_orphan (state, orphan);
   }
 }
@@ -293,9 +310,17 @@
 job_take_report (JobState *state, const JobMsg *msg, int64_t now_ms, JobCmds *out)
 {
   int32_t index;
+  GrName job_id = job_of_task (&msg->report.id);
+  if (!state->parts[job_part (&job_id, state->options.parts)].owned)
+    return;
   Job *job = job_find_task (state, &msg->report.id, &index);
   if (!job) {
-    job_keep_orphan (state, msg, now_ms);
+    JobOrphan *orphan = job_keep_orphan (state, &msg->report.id, msg->report.attempt,
+                                         &msg->report.scheduler, now_ms);
+    if (orphan) {
+      orphan->state = msg->report.state;
+      gr_buf_append_str (&orphan->answer, msg->report.answer);
+    }
     return;
   }
   job_apply_report (state, job, index, msg->report.attempt, msg->report.state,
--- a/src/job/job_private.h
+++ b/src/job/job_private.h
@@ -18,6 +18,12 @@
 /* Timer indexes below 0 concern the job itself. */
 #define JOB_TIMER_JOB (-1)
 #define JOB_TIMER_ORPHAN (-2)
+/* Attempt numbers of an ownership epoch begin at a multiple of this, so that answers to an earlier
+   owner's attempts are never taken for those of the current one. */
+#define JOB_ATTEMPTS_PER_EPOCH 4096
+/* A caller repeats an id within this time. Idempotent attempts are not recorded, so that a new
+   owner cannot prove before then that a request did not run under the earlier owner. */
+#define JOB_REPEAT_HORIZON_MS 60000
 /* Largest retry budget that can build up. */
 #define JOB_RETRY_TOKENS_MAX 1000.0
 /* Retries allowed before any first attempt was counted. */
@@ -40,8 +46,9 @@
   JobTaskPhase phase;
   int32_t attempt;       /* current or last attempt, 0 before the first */
   int32_t failures;      /* attempts that failed or lapsed */
-  bool attempt_open;     /* the number is in use and was not refused with certainty */
+  bool attempt_open;     /* the number is in use: not refused, not ended */
   bool attempt_recorded; /* its record is in the log or on the way */
+  bool end_recorded;     /* its end is in the log or on the way */
   bool maybe_ran;        /* some attempt ran or may have run */
   bool all_unplaceable;  /* every refusal of this round said that it never fits */
   JobOutcome outcome;
@@ -86,16 +93,18 @@
   JOB_RECORD_ATTEMPT,
   JOB_RECORD_TASK_END,
   JOB_RECORD_END,
-  JOB_RECORD_CANCEL
+  JOB_RECORD_CANCEL,
+  JOB_RECORD_OPEN /* a new owner begins: records of lower epochs after it are void */
 } JobRecordKind;
 
 /* One record of the stream jobs-REGION. */
 typedef struct {
   JobRecordKind kind;
-  GrName id;
+  GrName id;        /* OPEN: not used */
+  int64_t epoch;    /* of the writer's ownership of the partition; set by job_append */
   bool must_record; /* ACCEPT */
   JobSpec spec;     /* ACCEPT: deadline_ms is not set */
-  int32_t index;    /* ATTEMPT, TASK_END */
+  int32_t index;    /* ATTEMPT, TASK_END; OPEN: partition */
   int32_t attempt;  /* ATTEMPT */
   JobOutcome outcome;
   GrErrCode why;
@@ -105,6 +114,7 @@
 /* A record whose commit the state waits for. */
 typedef struct {
   int64_t token;
+  int64_t epoch; /* of the ownership that wrote it */
   JobRecordKind kind;
   GrName id;
   int32_t index;
@@ -122,6 +132,7 @@
 typedef struct {
   GrName id;
   int32_t attempt;
+  bool queued; /* waits at the scheduler; state is not set */
   JobTaskState state;
   GrName scheduler;
   GrBuf answer;
@@ -131,7 +142,11 @@
 
 typedef struct {
   bool owned;
+  bool opened; /* the OPEN record of this ownership was read back */
   bool targets_known;
+  int64_t epoch; /* of this VM's ownership */
+  int64_t gained_ms;
+  int64_t log_epoch; /* highest epoch opened in the stream */
   int64_t active_until_ms;
 } JobPartState;
 
@@ -161,6 +176,7 @@
 GrName job_task_id (const Job *job, int32_t index);
 /* Splits JOB/INDEX; false if malformed or the job does not have that task. */
 Job *job_find_task (JobState *state, const GrName *task_id, int32_t *index);
+bool job_part_ready (const JobState *state, int32_t part, int64_t now_ms);
 bool job_part_acting (const JobState *state, int32_t part, int64_t now_ms);
 void job_timer_add (JobState *state, int64_t due_ms, const GrName *id, int32_t index);
 bool job_timer_pop (JobState *state, int64_t now_ms, JobTimer *timer);
@@ -182,6 +198,8 @@
 void job_advance_task (JobState *state, Job *job, int32_t index, int64_t now_ms, JobCmds *out);
 void job_advance_all (JobState *state, Job *job, int64_t now_ms, JobCmds *out);
 void job_task_unresolved (JobState *state, Job *job, int32_t index, int64_t now_ms, JobCmds *out);
+void job_task_queued (JobState *state, Job *job, int32_t index, int32_t attempt,
+                      const GrName *scheduler, JobCmds *out);
 void job_take_place_result (JobState *state, const JobMsg *msg, int64_t now_ms, JobCmds *out);
 void job_attempt_recorded (JobState *state, Job *job, int32_t index, int32_t attempt,
                            int64_t now_ms, JobCmds *out);
@@ -191,7 +209,9 @@
 void job_cancel_now (JobState *state, Job *job, int64_t now_ms, JobCmds *out);
 
 /* job_end.c */
-void job_keep_orphan (JobState *state, const JobMsg *msg, int64_t now_ms);
+JobOrphan *job_keep_orphan (JobState *state, const GrName *task_id, int32_t attempt,
+                            const GrName *scheduler, int64_t now_ms);
+JobOrphan *job_find_orphan (JobState *state, const GrName *task_id);
 void job_adopt_orphans (JobState *state, Job *job, int64_t now_ms, JobCmds *out);
 void job_drop_orphan (JobState *state, JobOrphan *orphan);
 void job_take_report (JobState *state, const JobMsg *msg, int64_t now_ms, JobCmds *out);
@@ -205,6 +225,7 @@
                  int64_t now_ms, JobCmds *out);
 
 /* job_accept.c */
+bool job_is_new_work (const JobState *state, const JobSpec *spec, int64_t now_ms);
 void job_submit (JobState *state, const JobMsg *msg, int64_t now_ms, JobCmds *out);
 void job_accept_committed (JobState *state, Job *job, int64_t now_ms, JobCmds *out);
 void job_send_accept (JobState *state, Job *job, JobCmds *out);
@@ -212,7 +233,7 @@
 
 /* job_replay.c */
 void job_take_record (JobState *state, GrStr bytes, int64_t now_ms, JobCmds *out);
-void job_part_gained (JobState *state, int32_t part);
+void job_part_gained (JobState *state, int32_t part, int64_t epoch, int64_t now_ms, JobCmds *out);
 void job_part_lost (JobState *state, int32_t part, JobCmds *out);
 void job_targets_known (JobState *state, int32_t part, int64_t now_ms, JobCmds *out);
 void job_snapshot (JobState *state, JobCmds *out);
--- a/src/job/job_replay.c
+++ b/src/job/job_replay.c
@@ -29,6 +29,7 @@
   Job *job = job_find (state, &record->id);
   if (job) {
     job->accept_sent = true;
+    job_accept_committed (state, job, now_ms, out);
     job->durable = true;
     return;
   }
@@ -39,10 +40,10 @@
   job->durable = true;
   job->phase = JOB_QUEUED;
   reset_tasks (job);
-  const JobPartState *part = &state->parts[job->part];
-  if (!part->owned || !part->targets_known)
+  if (!state->parts[job->part].owned)
     return;
-  /* An earlier owner wrote this late: its attempts have to be looked for one by one. */
+  /* Written by an earlier owner ahead of the OPEN record: its attempts are looked for one by one.
+   */
   job_adopt_orphans (state, job, now_ms, out);
   for (int32_t i = 0; i < spec.tasks && job->phase != JOB_ENDED; i++) {
     if (job->tasks[i].phase == JOB_TASK_UNRESOLVED)
@@ -51,7 +52,7 @@
 }
 
 static void
-replay_attempt (JobState *state, const JobRecord *record)
+replay_attempt (JobState *state, const JobRecord *record, int64_t now_ms, JobCmds *out)
 {
   Job *job = job_find (state, &record->id);
   if (!job || record->index >= job->spec.tasks)
@@ -61,6 +62,8 @@
     return;
   task->attempt = record->attempt;
   task->attempt_recorded = true;
+  if (job_part_acting (state, job->part, now_ms))
+    job_attempt_recorded (state, job, record->index, record->attempt, now_ms, out);
 }
 
 static void
@@ -73,6 +76,7 @@
   if (task->phase == JOB_TASK_DONE)
     return;
   task->phase = JOB_TASK_DONE;
+  task->end_recorded = true;
   task->outcome = record->outcome;
   task->why = record->why;
   job->done_tasks++;
@@ -86,31 +90,58 @@
     JobSpec spec = { .id = record->id, .tasks = 1, .deadline_ms = JOB_NEVER };
     job = job_create (state, &spec, true);
   }
-  if (job->phase == JOB_ENDED)
+  if (job->phase == JOB_ENDED && !job->end_pending)
     return;
+  if (job->phase != JOB_ENDED)
+    state->unfinished--;
+  /* The first end in log order decides, also over one that this owner has not told yet. */
   job->phase = JOB_ENDED;
+  job->end_pending = false;
   job->outcome = record->outcome;
   job->why = record->why;
   job->durable = true;
+  gr_buf_clear (&job->answer);
   gr_buf_append_str (&job->answer, record->answer);
-  state->unfinished--;
   job_answer_all (state, job, out);
   job->forget_ms = now_ms + state->options.keep_ended_ms;
   job_timer_add (state, job->forget_ms, &job->id, JOB_TIMER_JOB);
 }
 
+/* Records of an earlier owner that come after the next owner's OPEN record are void. */
+static bool
+epoch_in_force (JobPartState *part, const JobRecord *record)
+{
+  if (record->epoch < part->log_epoch)
+    return false;
+  part->log_epoch = record->epoch;
+  return true;
+}
+
+static void
+advance_part (JobState *state, int32_t part, int64_t now_ms, JobCmds *out)
+{
+  for (Job *job = state->jobs; job; job = job->hh.next) {
+    if (job->part == part && job->phase != JOB_ENDED)
+      job_advance_all (state, job, now_ms, out);
+  }
+}
+
 void
 job_take_record (JobState *state, GrStr bytes, int64_t now_ms, JobCmds *out)
 {
   JobRecord record;
   if (!job_record_decode (bytes, &record, NULL))
     return;
+  int32_t part
+      = record.kind == JOB_RECORD_OPEN ? record.index : job_part (&record.id, state->options.parts);
+  if (part >= state->options.parts || !epoch_in_force (&state->parts[part], &record))
+    return;
   switch (record.kind) {
   case JOB_RECORD_ACCEPT:
     replay_accept (state, &record, now_ms, out);
     return;
   case JOB_RECORD_ATTEMPT:
-    replay_attempt (state, &record);
+    replay_attempt (state, &record, now_ms, out);
     return;
   case JOB_RECORD_TASK_END:
     replay_task_end (state, &record);
@@ -124,24 +155,53 @@
       job->cancelled = true;
     return;
   }
+  case JOB_RECORD_OPEN:
+    state->parts[part].opened = record.epoch == state->parts[part].epoch;
+    if (job_part_ready (state, part, now_ms))
+      advance_part (state, part, now_ms, out);
+    return;
   }
 }
 
 void
-job_part_gained (JobState *state, int32_t part)
+job_part_gained (JobState *state, int32_t part, int64_t epoch, int64_t now_ms, JobCmds *out)
 {
-  state->parts[part].owned = true;
-  state->parts[part].targets_known = false;
+  JobPartState *p = &state->parts[part];
+  p->owned = true;
+  p->opened = false;
+  p->targets_known = false;
+  p->epoch = epoch;
+  p->gained_ms = now_ms;
+  JobRecord open = { .kind = JOB_RECORD_OPEN, .index = part };
+  job_append (state, &open, out);
   for (Job *job = state->jobs; job; job = job->hh.next) {
     if (job->part == part && job->phase != JOB_ENDED)
       reset_tasks (job);
   }
 }
 
+/* The end was neither told nor read back from the log: the next owner decides. */
+static void
+reopen (JobState *state, Job *job)
+{
+  job->phase = JOB_QUEUED;
+  job->outcome = JOB_OUTCOME_NONE;
+  job->end_pending = false;
+  job->done_tasks = 0;
+  state->unfinished++;
+  for (int32_t i = 0; i < job->spec.tasks; i++) {
+    if (job->tasks[i].end_recorded)
+      job->done_tasks++;
+    else
+      job->tasks[i].phase = JOB_TASK_UNRESOLVED;
+  }
+}
+
 void
 job_part_lost (JobState *state, int32_t part, JobCmds *out)
 {
-  state->parts[part] = (JobPartState){ 0 };
+  JobPartState *p = &state->parts[part];
+  *p = (JobPartState){ .epoch = p->epoch, .log_epoch = p->log_epoch };
   Job *next;
   for (Job *job = state->jobs; job; job = next) {
     next = job->hh.next;
@@ -149,7 +209,7 @@
       continue;
     job_refuse_waiters (job, GR_ERR_UNAVAILABLE, out);
     if (job->phase == JOB_ENDED)
-      continue;
+      reopen (state, job);
     if (!job->durable)
       job_delete (state, job);
     else
@@ -167,13 +227,9 @@
                      out);
     return;
   }
-  /* Attempts of idempotent work are not recorded, so that it may have run before; and a late report
-     of such an attempt must not be taken for the next one. */
-  if (job->spec.idempotent && job->durable) {
+  /* Attempts of idempotent work are not recorded, so that it may have run before. */
+  if (job->spec.idempotent && job->durable)
     task->maybe_ran = true;
-    if (task->attempt == 0)
-      task->attempt = 1;
-  }
   task->attempt_open = false;
   task->phase = JOB_TASK_IDLE;
   task->due_ms = now_ms;
@@ -193,15 +249,19 @@
       if (job->tasks[i].phase == JOB_TASK_UNRESOLVED)
         settle_unreported (state, job, i, now_ms, out);
     }
-    if (job->phase != JOB_ENDED)
-      job_advance_all (state, job, now_ms, out);
   }
+  advance_part (state, part, now_ms, out);
 }
 
 /* Records that are appended twice change nothing, so the live state is its own snapshot. */
 void
 job_snapshot (JobState *state, JobCmds *out)
 {
+  for (int32_t part = 0; part < state->options.parts; part++) {
+    JobRecord open = { .kind = JOB_RECORD_OPEN, .index = part };
+    if (state->parts[part].owned)
+      job_append (state, &open, out);
+  }
   for (Job *job = state->jobs; job; job = job->hh.next) {
     if (!state->parts[job->part].owned || job->phase == JOB_ENDED || !job->durable)
       continue;
--- a/src/job/job_table.c
+++ b/src/job/job_table.c
@@ -92,6 +92,14 @@
   return p->owned && now_ms < p->active_until_ms;
 }
 
+/* The takeover is complete: no attempt and no record of an earlier owner can come as a surprise. */
+bool
+job_part_ready (const JobState *state, int32_t part, int64_t now_ms)
+{
+  const JobPartState *p = &state->parts[part];
+  return job_part_acting (state, part, now_ms) && p->opened && p->targets_known;
+}
+
 static void
 timer_swap (JobTimer *a, JobTimer *b)
 {
@@ -145,10 +153,15 @@
 int64_t
 job_append (JobState *state, const JobRecord *record, JobCmds *out)
 {
+  JobRecord fenced = *record;
+  int32_t part = record->kind == JOB_RECORD_OPEN ? record->index
+                                                 : job_part (&record->id, state->options.parts);
+  fenced.epoch = state->parts[part].epoch;
   GrBuf bytes = { 0 };
-  job_record_encode (record, &bytes);
+  job_record_encode (&fenced, &bytes);
   JobPending *pending = gr_calloc (1, sizeof *pending);
   pending->token = ++state->next_token;
+  pending->epoch = fenced.epoch;
   pending->kind = record->kind;
   pending->id = record->id;
   pending->index = record->index;
--- a/tests/test_job.c
+++ b/tests/test_job.c
@@ -24,11 +24,43 @@
   job_step (bench->state, &msg, bench->now_ms, &bench->out);
 }
 
+/* The only command of a kind in the last step, or NULL. */
+static const JobCmd *
+only (const Bench *bench, JobCmdKind kind)
+{
+  const JobCmd *found = NULL;
+  for (size_t i = 0; i < bench->out.count; i++) {
+    if (bench->out.items[i].kind != kind)
+      continue;
+    assert_null (found);
+    found = &bench->out.items[i];
+  }
+  return found;
+}
+
+/* Reads the appended records of the last step back from the log. Bench->out then holds the commands
+   that follow from the last of them. */
+static void
+read_back (Bench *bench)
+{
+  GrBuf records[8] = { 0 };
+  size_t count = 0;
+  for (size_t i = 0; i < bench->out.count; i++) {
+    if (bench->out.items[i].kind == JOB_CMD_APPEND)
+      gr_buf_append_str (&records[count++], bench->out.items[i].bytes);
+  }
+  for (size_t i = 0; i < count; i++) {
+    step (bench, (JobMsg){ .kind = JOB_MSG_RECORD, .record = { gr_buf_str (&records[i]) } });
+    gr_buf_clear (&records[i]);
+  }
+}
+
 static void
 take_part (Bench *bench)
 {
-  step (bench, (JobMsg){ .kind = JOB_MSG_PART_GAINED });
-  step (bench, (JobMsg){ .kind = JOB_MSG_PART_ACTIVE, .part = { 0, INT64_MAX } });
+  step (bench, (JobMsg){ .kind = JOB_MSG_PART_GAINED, .part = { .epoch = 1 } });
+  read_back (bench);
+  step (bench, (JobMsg){ .kind = JOB_MSG_PART_ACTIVE, .part = { 0, INT64_MAX, 0 } });
   step (bench, (JobMsg){ .kind = JOB_MSG_TARGETS_KNOWN });
 }
 
@@ -67,20 +99,6 @@
   step (bench, (JobMsg){ .kind = JOB_MSG_SUBMIT, .submit = { call, spec, wait } });
 }
 
-/* The only command of a kind in the last step, or NULL. */
-static const JobCmd *
-only (const Bench *bench, JobCmdKind kind)
-{
-  const JobCmd *found = NULL;
-  for (size_t i = 0; i < bench->out.count; i++) {
-    if (bench->out.items[i].kind != kind)
-      continue;
-    assert_null (found);
-    found = &bench->out.items[i];
-  }
-  return found;
-}
-
 static void
 report (Bench *bench, const char *id, int32_t attempt, JobTaskState state, const char *answer)
 {
@@ -199,6 +217,12 @@
     commit (&bench, only (&bench, JOB_CMD_APPEND)->token);
     commit (&bench, only (&bench, JOB_CMD_APPEND)->token);
     report (&bench, "s1/0", 1, cases[i].state, "");
+    assert_null (only (&bench, JOB_CMD_PLACE));
+    /* A completion is told at once, any other end once it is in the log. */
+    if (cases[i].outcome != JOB_OUTCOME_COMPLETED) {
+      assert_null (only (&bench, JOB_CMD_REPLY));
+      read_back (&bench);
+    }
     const JobCmd *reply = only (&bench, JOB_CMD_REPLY);
     assert_non_null (reply);
     assert_int_equal (reply->outcome, cases[i].outcome);
@@ -216,6 +240,8 @@
   submit (&bench, &spec, 1, true);
   for (int32_t attempt = 1; attempt <= 4; attempt++) {
     report (&bench, "r1/0", attempt, JOB_TASK_FAILED, "");
+    if (attempt == 4)
+      read_back (&bench);
     const JobCmd *reply = only (&bench, JOB_CMD_REPLY);
     assert_int_equal (reply != NULL, attempt == 4);
     if (reply)
@@ -252,7 +278,7 @@
   JobSpec spec = request_spec ("r1", true);
   submit (&bench, &spec, 1, true);
   place_result (&bench, "r1/0", 1, JOB_PLACE_REFUSED, GR_ERR_OVERLOADED);
-  step (&bench, (JobMsg){ .kind = JOB_MSG_PART_ACTIVE, .part = { 0, bench.now_ms } });
+  step (&bench, (JobMsg){ .kind = JOB_MSG_PART_ACTIVE, .part = { 0, bench.now_ms, 0 } });
   bench.now_ms = DEADLINE_MS + 1;
   step (&bench, (JobMsg){ .kind = JOB_MSG_TICK });
   assert_null (only (&bench, JOB_CMD_REPLY));
@@ -279,8 +305,8 @@
   bench.now_ms += 1000;
   step (&bench, (JobMsg){ .kind = JOB_MSG_TICK });
   assert_int_equal (bench.out.count, 2); /* both parts are placed again */
-  place_result (&bench, "g1/0", 1, JOB_PLACE_HELD, GR_ERR_NONE);
-  place_result (&bench, "g1/1", 1, JOB_PLACE_HELD, GR_ERR_NONE);
+  place_result (&bench, "g1/0", 2, JOB_PLACE_HELD, GR_ERR_NONE);
+  place_result (&bench, "g1/1", 2, JOB_PLACE_HELD, GR_ERR_NONE);
   assert_non_null (only (&bench, JOB_CMD_COMMIT_GANG));
   clear_bench (&bench);
 }
@@ -293,7 +319,7 @@
   JobOptions options = { .parts = 1, .seed = 7 };
   Bench other = { .state = job_new (&options, NULL), .now_ms = 1000 };
   step (&other, (JobMsg){ .kind = JOB_MSG_PART_GAINED });
-  step (&other, (JobMsg){ .kind = JOB_MSG_PART_ACTIVE, .part = { 0, INT64_MAX } });
+  step (&other, (JobMsg){ .kind = JOB_MSG_PART_ACTIVE, .part = { 0, INT64_MAX, 0 } });
   JobSpec spec = request_spec ("r1", true);
   submit (&other, &spec, 1, true);
   assert_null (only (&other, JOB_CMD_PLACE));
