sch: order short work by the team's use without batch and long work

Cause: a team that ran long work had the largest share, so its short work went last at a burst. Change: urgent, short and service work is ordered by a share that leaves out batch and long work.

--- a/bench/batch.c
+++ b/bench/batch.c
@@ -15,8 +15,8 @@
   static const int32_t cores[] = { 1, 1, 2, 2, 4, 4, 8, 16 };
   int32_t cpu = cores[bench_random (r) % 8] * 1000;
   /* Memory per core varies around what the worker has, so that cpu is mostly short first. */
-  int32_t memory = (int32_t) ((double) cpu / 32000 * size->memory_mb
-                              * (0.3 + 1.1 * bench_uniform (r)));
+  int32_t memory
+      = (int32_t) ((double) cpu / 32000 * size->memory_mb * (0.3 + 1.1 * bench_uniform (r)));
   task.task.demand = (GrRes){ { cpu, memory, 0, 0 } };
   task.task.declared_run_ms = run_ms;
   task.task.policy.kind = SCH_POLICY_BATCH;
@@ -153,7 +153,8 @@
   /* Enough arrivals to measure, of work that runs for a tenth of the time shown. */
   for (double at = 10; at < 9000;) {
     at += bench_exponential (&r, 500.0 / running);
-    gr_list_push (&load, batch_task (&r, size, (int64_t) at, 400 + (int64_t) (bench_random (&r) % 200)));
+    gr_list_push (&load,
+                  batch_task (&r, size, (int64_t) at, 400 + (int64_t) (bench_random (&r) % 200)));
     if (load.count >= 150000)
       break;
   }
@@ -197,8 +198,8 @@
   }
   for (double at = 1000; at < 20000;) {
     at += bench_exponential (&r, 1000 / rate);
-    BenchTask task = batch_task (&r, size, (int64_t) at,
-                                 1000 + (int64_t) bench_exponential (&r, full / 4750 / rate * 1000));
+    BenchTask task = batch_task (
+        &r, size, (int64_t) at, 1000 + (int64_t) bench_exponential (&r, full / 4750 / rate * 1000));
     task.task.policy.batch.preemptible = true;
     if (bench_random (&r) % 20 == 0) {
       task.task.policy.kind = SCH_POLICY_REQUEST;
@@ -256,7 +257,8 @@
     workers = 200;
   for (double at = 100; at < 40000;) {
     at += bench_exponential (&r, 4750.0 * 1.0 / (32000.0 * workers) * 1000 / 0.8);
-    BenchTask task = batch_task (&r, size, (int64_t) at, 500 + (int64_t) (bench_random (&r) % 1000));
+    BenchTask task
+        = batch_task (&r, size, (int64_t) at, 500 + (int64_t) (bench_random (&r) % 1000));
     task.bad = at > 10000 && at < 30000 && bench_random (&r) % 10 == 0;
     gr_list_push (&load, task);
   }
--- a/bench/bench.h
+++ b/bench/bench.h
@@ -22,11 +22,11 @@
 typedef struct {
   SchTask task;
   int64_t arrive_ms;
-  int64_t run_ms;     /* true run time */
-  GrRes used;         /* true size; cpu and memory */
-  bool bad;           /* fails wherever it runs */
-  int64_t cancel_ms;  /* 0: not cancelled */
-  int32_t swing;      /* crest to which it belongs; -1: none */
+  int64_t run_ms;    /* true run time */
+  GrRes used;        /* true size; cpu and memory */
+  bool bad;          /* fails wherever it runs */
+  int64_t cancel_ms; /* 0: not cancelled */
+  int32_t swing;     /* crest to which it belongs; -1: none */
   /* results */
   int64_t start_ms; /* -1: never */
   int64_t end_ms;   /* -1: did not succeed */
@@ -60,7 +60,7 @@
   double *step_us;
   size_t steps;
   int64_t starts;
-  double cpu_s;       /* in the scheduler's steps */
+  double cpu_s;                  /* in the scheduler's steps */
   double used_avg[GR_RES_COUNT]; /* share of the capacity in use, over the measured time */
   size_t bytes_per_task;
   size_t bytes_per_target;
--- a/bench/cell.c
+++ b/bench/cell.c
@@ -90,7 +90,7 @@
 account (Run *run)
 {
   int64_t from = run->used_from_ms > run->cell->measure_from_ms ? run->used_from_ms
-                                                                 : run->cell->measure_from_ms;
+                                                                : run->cell->measure_from_ms;
   int64_t to = run->now_ms < run->cell->measure_to_ms ? run->now_ms : run->cell->measure_to_ms;
   if (to > from) {
     for (int d = 0; d < GR_RES_COUNT; d++)
@@ -439,7 +439,8 @@
   account (&run);
   double span = (double) (cell->measure_to_ms - cell->measure_from_ms);
   for (int d = 0; d < GR_RES_COUNT; d++)
-    cell->used_avg[d] = run.total.v[d] > 0 && span > 0 ? run.used_sum[d] / span / run.total.v[d] : 0;
+    cell->used_avg[d]
+        = run.total.v[d] > 0 && span > 0 ? run.used_sum[d] / span / run.total.v[d] : 0;
   cell->bytes_per_target = (target_bytes - before_bytes) / (size_t) cell->count;
   cell->bytes_per_task = tasks_max > 0 ? (task_bytes - target_bytes) / tasks_max : 0;
   sch_free (run.sch);
--- a/bench/swings.c
+++ b/bench/swings.c
@@ -4,8 +4,8 @@
 #define SLOTS 8
 
 static BenchTask
-request (BenchRandom *r, const BenchSize *size, int64_t arrive_ms, const char *kind,
-         int64_t run_ms, int64_t window_ms)
+request (BenchRandom *r, const BenchSize *size, int64_t arrive_ms, const char *kind, int64_t run_ms,
+         int64_t window_ms)
 {
   static int64_t next;
   BenchTask task = { .arrive_ms = arrive_ms, .run_ms = run_ms, .swing = -1 };
--- a/src/sch/sch_fill.c
+++ b/src/sch/sch_fill.c
@@ -14,8 +14,12 @@
     return a->head->aged;
   if (a->key.priority != b->key.priority)
     return a->key.priority > b->key.priority;
-  if (a->key.team != b->key.team && a->key.team->share != b->key.team->share)
-    return a->key.team->share < b->key.team->share;
+  /* Long work of a team does not put its short work behind that of other teams. */
+  bool now = a->key.class <= SCH_CLASS_SERVICE;
+  double share_a = now ? a->key.team->share_now : a->key.team->share;
+  double share_b = now ? b->key.team->share_now : b->key.team->share;
+  if (share_a != share_b)
+    return share_a < share_b;
   if (a->key.class <= SCH_CLASS_SHORT && a->head->run_ms != b->head->run_ms)
     return a->head->run_ms < b->head->run_ms;
   return a->head->submit_ms < b->head->submit_ms;
--- a/src/sch/sch_priv.h
+++ b/src/sch/sch_priv.h
@@ -35,7 +35,9 @@
   int32_t weight;
   GrRes quota;
   GrRes used;
+  GrRes used_now;     /* part of it by work that is neither batch nor long */
   double share;       /* dominant share of the usable targets, divided by the weight */
+  double share_now;   /* as share, of used_now */
   bool quota_blocked; /* a queue of the team waits for its quota part */
   bool retry;         /* in retry_teams */
   UT_hash_handle hh;
@@ -355,7 +357,9 @@
 /* False if the quota part alone is too small. */
 bool sch_team_could_allow (const SchState *s, const SchTeam *team, const GrRes *need,
                            GrResDim *dim);
-void sch_team_use (SchState *s, SchTeam *team, const GrRes *change, int sign);
+/* Counts a change of use; bulk tells that batch or long work holds it. */
+void sch_team_use (SchState *s, SchTeam *team, const GrRes *change, int sign, bool bulk);
+void sch_team_now_bulk (SchState *s, SchTeam *team, const GrRes *change);
 void sch_teams_update_shares (SchState *s);
 
 /* sch_kind.c: estimates */
--- a/src/sch/sch_target.c
+++ b/src/sch/sch_target.c
@@ -230,7 +230,7 @@
     t->long_slots[i] += sign * change->v[GR_RES_SLOTS];
   if (e->bulk && sign < 0)
     s->bulk_freed = true;
-  sch_team_use (s, e->team, change, sign);
+  sch_team_use (s, e->team, change, sign, e->bulk);
   sch_index_update (t, i, sch_target_usable (t, i));
 }
 
@@ -284,6 +284,7 @@
   if (!e->bulk && !e->task.urgent) {
     e->bulk = true;
     gr_res_add (&s->bulk_used, &e->reserve);
+    sch_team_now_bulk (s, e->team, &e->reserve);
   }
 }
 
--- a/src/sch/sch_team.c
+++ b/src/sch/sch_team.c
@@ -15,16 +15,23 @@
   return team;
 }
 
-static void
-update_share (const SchState *s, SchTeam *team)
+static double
+dominant_share (const SchState *s, const GrRes *used)
 {
   double share = 0;
   for (int d = 0; d < GR_RES_COUNT; d++) {
     int32_t total = s->targets.usable_total.v[d];
-    double part = total > 0 ? (double) team->used.v[d] / total : 0;
+    double part = total > 0 ? (double) used->v[d] / total : 0;
     share = part > share ? part : share;
   }
-  team->share = share / team->weight;
+  return share;
+}
+
+static void
+update_share (const SchState *s, SchTeam *team)
+{
+  team->share = dominant_share (s, &team->used) / team->weight;
+  team->share_now = dominant_share (s, &team->used_now) / team->weight;
 }
 
 void
@@ -80,10 +87,19 @@
 }
 
 void
-sch_team_use (SchState *s, SchTeam *team, const GrRes *change, int sign)
+sch_team_now_bulk (SchState *s, SchTeam *team, const GrRes *change)
 {
-  for (int d = 0; d < GR_RES_COUNT; d++)
+  gr_res_sub (&team->used_now, change);
+  update_share (s, team);
+}
+
+void
+sch_team_use (SchState *s, SchTeam *team, const GrRes *change, int sign, bool bulk)
+{
+  for (int d = 0; d < GR_RES_COUNT; d++) {
     team->used.v[d] += sign * change->v[d];
+    team->used_now.v[d] += bulk ? 0 : sign * change->v[d];
+  }
   update_share (s, team);
   if (sign < 0 && team->quota_blocked && !team->retry) {
     team->retry = true;
