sch: size the share of long work by the peak of short work

Cause: long work held half of the slots and cannot be taken back, so a burst of short work to 60% of the slots waited. Change: the share of long work is at most what the peak of short work over the last 5 to 10 minutes leaves.

--- a/src/sch/sch.c
+++ b/src/sch/sch.c
@@ -40,6 +40,7 @@
   SchState *s = gr_calloc (1, sizeof *s);
   s->options = *options;
   s->last_target = -1;
+  s->long_slots_pct = options->long_slots_pct;
   sch_targets_init (&s->targets);
   return s;
 }
@@ -110,6 +111,7 @@
   sch_marks_expire (&s->forgotten, s->now_ms);
   sch_marks_expire (&s->dead_gangs, s->now_ms);
   sch_health_tick (s);
+  sch_target_long_share (s);
   if (s->aged)
     sch_reserve_aged (s);
   s->refill = true;
--- a/src/sch/sch_priv.h
+++ b/src/sch/sch_priv.h
@@ -268,7 +268,12 @@
   GR_LIST (SchQueue *) active[SCH_CLASS_COUNT];
   int64_t queued;
   int64_t running;
-  GrRes bulk_used;   /* reserved by batch and long work */
+  GrRes bulk_used; /* reserved by batch and long work */
+  /* Slots that short work held or waited for, to size the share of long work. */
+  int64_t short_slots;
+  int64_t short_peak, short_peak_before;
+  int64_t short_peak_ms; /* when the present window began */
+  int64_t long_slots_pct;
   bool bulk_blocked; /* a queue waits for the share of batch and long work */
   bool bulk_freed;
   /* Waiting urgent and short work by pool (without and with slots) and octave of run time. */
@@ -324,6 +329,8 @@
 void sch_target_give_back (SchState *s, SchEntry *e);
 /* Adds to what a task on a target holds. */
 void sch_target_grow (SchState *s, SchEntry *e, const GrRes *more);
+/* Adapts the share of long work to the peak of short work. */
+void sch_target_long_share (SchState *s);
 /* Counts a task on a target as long from now on. */
 void sch_target_now_long (SchState *s, SchEntry *e);
 /* Whether e may start on target i now, apart from quota and shares. */
--- a/src/sch/sch_queue.c
+++ b/src/sch/sch_queue.c
@@ -68,6 +68,8 @@
   s->queued++;
   if (runs_soon (e))
     *backlog (s, e) += e->work_ms;
+  if (!e->is_long)
+    s->short_slots += e->reserve.v[GR_RES_SLOTS];
 }
 
 void
@@ -79,6 +81,8 @@
   DL_DELETE2 (queue->head, e, queue_prev, queue_next);
   e->queue = NULL;
   s->queued--;
+  if (!e->is_long)
+    s->short_slots -= e->reserve.v[GR_RES_SLOTS];
   if (runs_soon (e)) {
     double *sum = backlog (s, e);
     *sum = *sum > e->work_ms ? *sum - e->work_ms : 0;
--- a/src/sch/sch_target.c
+++ b/src/sch/sch_target.c
@@ -1,6 +1,11 @@
 /* Targets and what is reserved on them. */
 #include "sch/sch_priv.h"
 
+/* The peak of short work over the last one to two windows bounds long work: a burst that comes
+   within seconds finds its slots free, as long work cannot be taken back. */
+#define PEAK_WINDOW_MS 300000
+#define PEAK_MARGIN_PCT 5
+#define LONG_SHARE_MIN_PCT 10
 /* How long a waiting task avoids the target on which its job failed last. */
 #define AVOID_MS 2000
 
@@ -228,6 +233,8 @@
   }
   if (e->is_long)
     t->long_slots[i] += sign * change->v[GR_RES_SLOTS];
+  else
+    s->short_slots += sign * change->v[GR_RES_SLOTS];
   if (e->bulk && sign < 0)
     s->bulk_freed = true;
   sch_team_use (s, e->team, change, sign, e->bulk);
@@ -280,6 +287,7 @@
   if (e->is_long)
     return;
   e->is_long = true;
+  s->short_slots -= e->reserve.v[GR_RES_SLOTS];
   s->targets.long_slots[e->target] += e->reserve.v[GR_RES_SLOTS];
   if (!e->bulk && !e->task.urgent) {
     e->bulk = true;
@@ -288,6 +296,23 @@
   }
 }
 
+void
+sch_target_long_share (SchState *s)
+{
+  int64_t total = s->targets.usable_total.v[GR_RES_SLOTS];
+  if (s->now_ms >= s->short_peak_ms + PEAK_WINDOW_MS) {
+    s->short_peak_ms = s->now_ms;
+    s->short_peak_before = s->short_peak;
+    s->short_peak = 0;
+  }
+  if (s->short_slots > s->short_peak)
+    s->short_peak = s->short_slots;
+  int64_t peak = s->short_peak > s->short_peak_before ? s->short_peak : s->short_peak_before;
+  int64_t left = total > 0 ? 100 - PEAK_MARGIN_PCT - 100 * peak / total : 100;
+  left = left > LONG_SHARE_MIN_PCT ? left : LONG_SHARE_MIN_PCT;
+  s->long_slots_pct = left < s->options.long_slots_pct ? left : s->options.long_slots_pct;
+}
+
 bool
 sch_target_allows (const SchState *s, int32_t i, const SchEntry *e)
 {
@@ -298,7 +323,7 @@
     return false;
   int32_t slots = e->reserve.v[GR_RES_SLOTS];
   if (e->is_long && slots > 0 && t->long_slots[i] > 0) {
-    int64_t share = (int64_t) t->total[i].v[GR_RES_SLOTS] * s->options.long_slots_pct / 100;
+    int64_t share = (int64_t) t->total[i].v[GR_RES_SLOTS] * s->long_slots_pct / 100;
     if (t->long_slots[i] + slots > share)
       return false;
   }
