--- a/tests/prop_cfg.cc
+++ b/tests/prop_cfg.cc
@@ -517,8 +517,9 @@
   }
 }
 
-// A damaged text is refused or read, but never changes how the next text is read: libconfuse's
-// scanner keeps state between texts.
+// A damaged text is refused or read, alike in every environment, and never changes how the next
+// text is read: libconfuse's scanner keeps state between texts and replaces references to
+// variables.
 void
 damage_leaves_no_trace (const CfgTreeFaults &faults, const std::vector<uint32_t> &choices)
 {
@@ -531,7 +532,7 @@
     "{",
     "}",
     "\\",
-    "${HOME}",
+    "${GR_TEST}",
     "=",
     "+=",
     "kind k {",
@@ -552,6 +553,7 @@
     "\r\n",
     "\xff",
     "priority = 1",
+    "kind z { run_ms = \"${GR_TEST}\" }",
     "team \"y\" {",
   };
   Tape tape (choices);
@@ -562,7 +564,12 @@
   for (int i = 0; i < count; i++)
     text += pieces[tape.pick (static_cast<int> (sizeof pieces / sizeof pieces[0]))];
   RC_LOG () << text << "\n";
+  setenv ("GR_TEST", "1", 1);
   Merged damaged = merge ({ { "a.conf", text } }, faults);
+  setenv ("GR_TEST", "2", 1);
+  Merged elsewhere = merge ({ { "a.conf", text } }, faults);
+  RC_ASSERT (elsewhere.values == damaged.values);
+  RC_ASSERT (same_problems (elsewhere.problems, damaged.problems));
   RC_ASSERT (damaged.ok == damaged.problems.empty ());
   for (const CfgProblem &problem : damaged.problems)
     RC_ASSERT (problem.line >= 1 && problem.line <= 1 + count_lines (text));
