--- a/tests/test_cfg.c
+++ b/tests/test_cfg.c
@@ -239,12 +239,333 @@
   free (text);
 }
 
+/* Guards against a merge that depends on more than file names, "replaces" and strictness. */
+static void
+values_in_force_follow_the_merge_rules (void **state)
+{
+  (void) state;
+  static const struct {
+    TestFile files[FILES_MAX];
+    const char *key;
+    const char *value; /* NULL: a conflict between the two places */
+    const char *file;
+    int64_t line;
+    const char *other_file;
+    int64_t other_line;
+  } cases[] = {
+    { { { "b.conf", "team sport { priority = 5 }" }, { "a.conf", TEAM } },
+      "team.sport.priority",
+      "5",
+      "b.conf",
+      1,
+      NULL,
+      0 },
+    { { { "a.conf", TEAM }, { "b.conf", "\nteam sport { region = attica }" } },
+      "team.sport.region",
+      "attica",
+      "a.conf",
+      1,
+      NULL,
+      0 },
+    { { { "a.conf", TEAM }, { "b.conf", "\nteam sport { region = crete }" } },
+      "team.sport.region",
+      NULL,
+      "b.conf",
+      2,
+      "a.conf",
+      1 },
+    { { { "a.conf", TEAM },
+        { "b.conf", "replaces = {team.sport.region}\nteam sport { region = crete }" } },
+      "team.sport.region",
+      "crete",
+      "b.conf",
+      2,
+      NULL,
+      0 },
+    { { { "a.conf", TEAM },
+        { "b.conf", "team sport {\n region = crete\n replaces = {\"team.sport.region\"}\n}" } },
+      "team.sport.region",
+      "crete",
+      "b.conf",
+      2,
+      NULL,
+      0 },
+    { { { "a.conf", TEAM },
+        { "b.conf", "replaces = {team.sport.region}\nteam sport { region = crete }" },
+        { "c.conf", "team sport { region = attica }" } },
+      "team.sport.region",
+      NULL,
+      "c.conf",
+      1,
+      "b.conf",
+      2 },
+    { { { "a.conf", "team sport {\n region = attica\n region = crete\n}" } },
+      "team.sport.region",
+      NULL,
+      "a.conf",
+      3,
+      "a.conf",
+      2 },
+    { { { "a.conf", "cell { queue_max = 5 }\ncell { queue_max = 6 }" } },
+      "cell.queue_max",
+      NULL,
+      "a.conf",
+      2,
+      "a.conf",
+      1 },
+    { { { "a.conf", TEAM },
+        { "b.conf", "limit sport { quota_slots = 5 }" },
+        { "c.conf", "limit sport { quota_slots = 4 }" },
+        { "d.conf", "limit sport { quota_slots = 6 }" } },
+      "limit.sport.quota_slots",
+      "4",
+      "c.conf",
+      1,
+      NULL,
+      0 },
+    { { { "a.conf", TEAM },
+        { "b.conf", "limit sport { quota_slots = 5 }" },
+        { "c.conf", "limit sport { replaces = {limit.sport.quota_slots} quota_slots = 9 }" },
+        { "d.conf", "limit sport { quota_slots = 7 }" } },
+      "limit.sport.quota_slots",
+      "7",
+      "d.conf",
+      1,
+      NULL,
+      0 },
+    { { { "a.conf", TEAM "limit sport {\n quota_slots = 5\n quota_slots = 4 }" } },
+      "limit.sport.quota_slots",
+      NULL,
+      "a.conf",
+      4,
+      "a.conf",
+      3 },
+  };
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+    CfgProblems problems = { 0 };
+    CfgTree *tree = build (cases[i].files, &problems);
+    GrStr value = { 0 };
+    CfgOrigin origin = { 0 };
+    CfgProblem problem = { 0 };
+    if (tree)
+      cfg_tree_explain (tree, gr_str_from_c (cases[i].key), &value, &origin);
+    if (problems.count > 0)
+      problem = problems.items[0];
+    const GrName *file = tree ? &origin.file : &problem.file;
+    int64_t line = tree ? origin.line : problem.line;
+    bool as_expected
+        = (tree != NULL) == (cases[i].value != NULL) && line == cases[i].line
+          && gr_str_equal (gr_name_str (file), gr_str_from_c (cases[i].file))
+          && (!tree || gr_str_equal (value, gr_str_from_c (cases[i].value)))
+          && (tree
+              || (problem.code == GR_ERR_CONFLICT && problems.count == 1
+                  && problem.other_line == cases[i].other_line
+                  && gr_str_equal (gr_name_str (&problem.key), gr_str_from_c (cases[i].key))
+                  && gr_str_equal (gr_name_str (&problem.other_file),
+                                   gr_str_from_c (cases[i].other_file))));
+    if (!as_expected)
+      fail_msg ("case %zu: value '%.*s' at %.*s:%lld, %zu problems, first '%s'", i,
+                GR_STR_ARG (value), GR_NAME_ARG (*file), (long long) line, problems.count,
+                problem.detail);
+    cfg_tree_free (tree);
+    gr_list_clear (&problems);
+  }
+}
+
+/* Guards against fields that are not filled, and against defaults that differ from the header. */
+static void
+objects_hold_values_and_defaults (void **state)
+{
+  (void) state;
+  static const TestFile files[]
+      = { { "a.conf", "team t { region = r quota_slots = 9 quota_memory_mb = 5\n token_sha256 = "
+                      "0123456789abcdef0123456789abcdef0000000000000000000000000000000f }\n"
+                      "limit t { quota_slots = 4 quota_memory_mb = 6 quota_cpu_milli = 7 }\n"
+                      "kind k {}\nkind m { idempotent = false exclusive = true cpu_milli = 3 }\n"
+                      "gang g { team = t tasks = 3 run_ms = 8 cpu_milli = 1 memory_mb = 2\n"
+                      " accelerators = 3 slots = 4 payload = \"x y\" }\n"
+                      "batch b { team = t cpu_milli = 1 memory_mb = 1 }\n" },
+          { NULL } };
+  CfgProblems problems = { 0 };
+  CfgTree *tree = build (files, &problems);
+  if (!tree)
+    fail_msg ("%s", problems.items[0].detail);
+  const CfgCell *cell = cfg_cell (tree);
+  assert_int_equal (cell->partitions, 16);
+  assert_int_equal (cell->max_attempts, 4);
+  assert_int_equal (cell->task_lease_ms, 10000);
+  assert_int_equal (cell->long_slots_pct, 50);
+  assert_int_equal (cell->long_after_ms, 2000);
+  assert_int_equal (cell->queue_max, 50000);
+  assert_int_equal (cell->batch_share_pct, 90);
+  GrName name = gr_name ("t");
+  const CfgTeam *team = cfg_team (tree, &name);
+  assert_non_null (team);
+  assert_int_equal (team->priority, 100);
+  assert_int_equal (team->quota.v[GR_RES_CPU_MILLI], 7);
+  assert_int_equal (team->quota.v[GR_RES_MEMORY_MB], 5);
+  assert_int_equal (team->quota.v[GR_RES_ACCELERATORS], 0);
+  assert_int_equal (team->quota.v[GR_RES_SLOTS], 4);
+  assert_int_equal (team->token_sha256_a.len, 32);
+  assert_int_equal (team->token_sha256_b.data[31], 'f');
+  name = gr_name ("k");
+  const CfgKind *kind = cfg_kind (tree, &name);
+  assert_true (kind && kind->idempotent && !kind->exclusive && kind->run_ms == 0);
+  assert_int_equal (kind->demand.v[GR_RES_SLOTS], 1);
+  name = gr_name ("m");
+  kind = cfg_kind (tree, &name);
+  assert_true (kind && !kind->idempotent && kind->exclusive);
+  assert_int_equal (kind->demand.v[GR_RES_CPU_MILLI], 3);
+  name = gr_name ("none");
+  assert_null (cfg_kind (tree, &name));
+  assert_null (cfg_team (tree, &name));
+  assert_int_equal (cfg_work_count (tree), 2);
+  const CfgWork *batch = cfg_work_at (tree, 0);
+  const CfgWork *gang = cfg_work_at (tree, 1);
+  assert_true (batch->policy == CFG_POLICY_BATCH && batch->tasks == 1 && batch->payload.len == 0);
+  assert_true (gang->policy == CFG_POLICY_GANG && gang->tasks == 3 && gang->run_ms == 8);
+  for (int d = 0; d < GR_RES_COUNT; d++)
+    assert_int_equal (gang->demand.v[d], d + 1);
+  assert_true (gr_str_equal (gang->payload, GR_STR ("x y")));
+  cfg_tree_free (tree);
+}
+
+/* Guards against keys that do not fit into a name: two of them would then be one. */
+static void
+every_key_fits_with_the_longest_title (void **state)
+{
+  (void) state;
+  size_t count;
+  const CfgOption *options = cfg_options (&count);
+  GrName title = gr_name ("abcdefghijabcdefghijabcdefghijab");
+  assert_int_equal (title.len, CFG_TITLE_MAX);
+  for (size_t i = 0; i < count; i++) {
+    GrName key = cfg_key (options[i].section, &title, options[i].name);
+    assert_true (key.len < GR_NAME_MAX);
+    bool optional = options[i].def != NULL;
+    bool limit = options[i].section == CFG_SECTION_LIMIT;
+    assert_true (!optional || limit
+                 || cfg_option_check (&options[i], gr_str_from_c (options[i].def)));
+  }
+}
+
+/* Guards against records that are taken although a part of them is missing or wrong. */
+static void
+malformed_records_are_rejected (void **state)
+{
+  (void) state;
+  static const char *const records[] = {
+    "",
+    "x",
+    "gentianrelay-config 1",
+    "gentianrelay-config 2\nbase 0\nauthor a\nfiles 0\n",
+    "gentianrelay-config 1\nbase -1\nauthor a\nfiles 0\n",
+    "gentianrelay-config 1\nbase 1\nauthor a\nfiles 0\n",
+    "gentianrelay-config 1\nbase 0x\nauthor a\nfiles 0\n",
+    "gentianrelay-config 1\nbase 0\nauthor \nfiles 0\n",
+    "gentianrelay-config 1\nbase 0\nauthor \x01\nfiles 0\n",
+    "gentianrelay-config 1\nbase 0\nauthor a\nfiles 1\n",
+    "gentianrelay-config 1\nbase 0\nauthor a\nfiles 9999999\n",
+    "gentianrelay-config 1\nbase 0\nauthor a\nfiles 1\nfile a.conf 5\nabc\n",
+    "gentianrelay-config 1\nbase 0\nauthor a\nfiles 1\nfile a.conf 3\nabc",
+    "gentianrelay-config 1\nbase 0\nauthor a\nfiles 1\nfile a.conf -1\n\n",
+    "gentianrelay-config 1\nbase 0\nauthor a\nfiles 1\nfile a.conf 0\n\nmore",
+    "gentianrelay-config 1\nbase 0\nauthor a\nfiles 1\nfile ../a 0\n\n",
+    "gentianrelay-config-state 1\nthrough 0\nversion 1\n",
+    "gentianrelay-config-state 1\nthrough 0\nversion 2\n"
+    "gentianrelay-config 1\nbase 0\nauthor a\nfiles 0\n",
+    "gentianrelay-config-state 1\nversion 1\n"
+    "gentianrelay-config 1\nbase 0\nauthor a\nfiles 0\n",
+  };
+  CfgStore *store = cfg_store_new ();
+  for (size_t i = 0; i < sizeof records / sizeof records[0]; i++) {
+    CfgProblem problem;
+    GrStr record = gr_str_from_c (records[i]);
+    CfgVerdict verdict = cfg_store_record (store, (int64_t) i, record, &problem);
+    if (verdict != CFG_REJECTED || problem.code == GR_ERR_NONE || !problem.detail[0])
+      fail_msg ("case %zu: verdict %d, detail '%s'", i, (int) verdict, problem.detail);
+    assert_int_equal (cfg_store_offer (store, 1, record), CFG_REJECTED);
+    assert_int_equal (cfg_store_version (store), 0);
+    assert_int_equal (cfg_store_record_in_force (store).len, 0);
+  }
+  assert_int_equal (cfg_cell (cfg_store_tree (store))->partitions, 16);
+  cfg_store_free (store);
+}
+
+static GrBuf
+publication (int64_t base, const char *text)
+{
+  CfgFile file = { GR_STR ("a.conf"), gr_str_from_c (text) };
+  GrName author = gr_name ("Ann");
+  GrBuf out = { 0 };
+  cfg_publication_encode (base, &author, &file, 1, &out);
+  return out;
+}
+
+/* Guards against two publications on one version being in force one after the other, and against
+   readers that start late and guess. */
+static void
+verdicts_follow_the_log (void **state)
+{
+  (void) state;
+  static const struct {
+    int64_t offset;
+    int64_t base;
+    const char *text;
+    CfgVerdict verdict;
+    int64_t version; /* afterwards */
+  } steps[] = {
+    { 0, 0, TEAM, CFG_ACCEPTED, 1 },
+    { 0, 1, TEAM, CFG_STALE, 1 }, /* the offset was read already */
+    { 1, 0, TEAM, CFG_STALE, 1 }, /* the same publication again */
+    { 2, 0, "team sport { region = crete }", CFG_CONFLICT, 1 },
+    { 3, 1, "team sport { region = }", CFG_REJECTED, 1 },
+    { 4, 2, TEAM, CFG_REJECTED, 1 }, /* a base that does not exist yet */
+    { 5, 1, "team sport { region = crete }", CFG_ACCEPTED, 2 },
+    { 7, 2, TEAM, CFG_STALE, 2 }, /* offset 6 is missing */
+    { 6, 1, TEAM, CFG_CONFLICT, 2 },
+  };
+  CfgStore *store = cfg_store_new ();
+  for (size_t i = 0; i < sizeof steps / sizeof steps[0]; i++) {
+    GrBuf record = publication (steps[i].base, steps[i].text);
+    CfgVerdict verdict = cfg_store_record (store, steps[i].offset, gr_buf_str (&record), NULL);
+    if (verdict != steps[i].verdict || cfg_store_version (store) != steps[i].version)
+      fail_msg ("step %zu: verdict %d, version %lld", i, (int) verdict,
+                (long long) cfg_store_version (store));
+    gr_buf_clear (&record);
+  }
+  GrName name = gr_name ("sport");
+  assert_true (gr_str_equal (gr_name_str (&cfg_team (cfg_store_tree (store), &name)->region),
+                             GR_STR ("crete")));
+  /* A new reader that starts at offset 7 takes the state from a peer and judges what follows. */
+  CfgStore *late = cfg_store_new ();
+  GrBuf next = publication (2, TEAM);
+  assert_int_equal (cfg_store_record (late, 7, gr_buf_str (&next), NULL), CFG_STALE);
+  assert_false (cfg_store_complete (late));
+  GrStr offer = cfg_store_record_in_force (store);
+  assert_int_equal (cfg_store_offer (late, 3, offer), CFG_REJECTED);
+  assert_int_equal (cfg_store_offer (late, 2, offer), CFG_ACCEPTED);
+  assert_true (cfg_store_complete (late));
+  assert_int_equal (cfg_store_version (late), 3);
+  assert_int_equal (cfg_store_next (late), 8);
+  assert_int_equal (cfg_store_offer (late, 2, offer), CFG_STALE);
+  assert_int_equal (cfg_store_version (late), 3);
+  gr_buf_clear (&next);
+  cfg_store_free (late);
+  cfg_store_free (store);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (problems_name_file_line_key_and_what_is_allowed),
     cmocka_unit_test (every_value_has_its_true_line_author_and_reason),
+    cmocka_unit_test (values_in_force_follow_the_merge_rules),
+    cmocka_unit_test (objects_hold_values_and_defaults),
+    cmocka_unit_test (every_key_fits_with_the_longest_title),
+    cmocka_unit_test (malformed_records_are_rejected),
+    cmocka_unit_test (verdicts_follow_the_log),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/tests/test_docs.c
+++ b/tests/test_docs.c
@@ -67,8 +67,8 @@
   const GrEventInfo *events = gr_log_events (&count);
   for (size_t i = 0; i < count; i++) {
     char start[256];
-    snprintf (start, sizeof start, "| %d | `%s` | %s | %s |", (int) events[i].event,
-              events[i].name, levels[events[i].level], events[i].text);
+    snprintf (start, sizeof start, "| %d | `%s` | %s | %s |", (int) events[i].event, events[i].name,
+              levels[events[i].level], events[i].text);
     check_cells (&page, start, 6);
   }
   size_t rows = 0;
