cfg: tell from which offset the log alone gives the version in force

Cause: a daemon could not know when its state record has to be appended again before retention passes it. Change: cfg_store_latest_start; the property 'readers of one log agree' checks it for every start.

--- a/src/cfg/cfg.h
+++ b/src/cfg/cfg.h
@@ -126,6 +126,9 @@
 int64_t cfg_store_version (const CfgStore *store);
 /* Offset of the first record that the version in force does not reflect: read on from here. */
 int64_t cfg_store_next (const CfgStore *store);
+/* Latest offset at which a new reader of the log can start and learn the version in force without a
+   peer. Append the state record again before retention passes this offset. */
+int64_t cfg_store_latest_start (const CfgStore *store);
 /* False while offsets are missing before the records read last. */
 bool cfg_store_complete (const CfgStore *store);
 /* Never NULL: version 0 is an empty folder with the defaults. */
--- a/src/cfg/cfg_store.c
+++ b/src/cfg/cfg_store.c
@@ -19,6 +19,7 @@
 struct CfgStore {
   int64_t version;
   int64_t next; /* first offset that the version does not reflect */
+  int64_t latest_start;
   CfgTree *tree;
   GrBuf in_force;            /* state record */
   size_t publication;        /* where the publication begins in in_force */
@@ -249,6 +250,10 @@
     verdict = judge_publication (store, record, problem);
   } else {
     verdict = take_state (store, record, &state, problem);
+    /* A reader from there on keeps what follows state.through until it reads this record. */
+    int64_t start = state.through + 1 < offset ? state.through + 1 : offset;
+    if (verdict != CFG_REJECTED && state.version == store->version && start > store->latest_start)
+      store->latest_start = start;
     if (verdict == CFG_STALE)
       set_problem (problem, GR_ERR_CONFLICT, "", "the state record is not newer");
   }
@@ -354,6 +359,12 @@
   return store->next;
 }
 
+int64_t
+cfg_store_latest_start (const CfgStore *store)
+{
+  return store->latest_start;
+}
+
 bool
 cfg_store_complete (const CfgStore *store)
 {
--- a/tests/prop_cfg.cc
+++ b/tests/prop_cfg.cc
@@ -172,6 +172,7 @@
   std::vector<std::string> states;  // state record after each offset; empty at version 0
   std::vector<int64_t> versions;    // after each offset
   std::vector<int64_t> snapshot_of; // last offset that the state record reflects, or -1
+  int64_t latest_start = 0;         // from there on the log alone tells the state
 };
 
 // Publications on the right, an old and a future base, repeated records, late snapshots, garbage.
@@ -207,6 +208,7 @@
     log.versions.push_back (cfg_store_version (truth.store));
     log.snapshot_of.push_back (snapshot_of);
   }
+  log.latest_start = cfg_store_latest_start (truth.store);
   return log;
 }
 
@@ -249,6 +251,8 @@
   RC_CLASSIFY (version > 1, "several versions");
   RC_CLASSIFY (start > 0 && known, "started late, knows the state");
   RC_ASSERT (cfg_store_version (reader.store) <= version);
+  RC_CLASSIFY (start > 0 && start <= log.latest_start, "started late, the log tells the state");
+  RC_ASSERT (known || start > log.latest_start);
   if (!known) {
     offer (reader, log, log.states.size () - 1);
     known = !log.states.back ().empty ();
