--- a/src/job/job_attempt.c
+++ b/src/job/job_attempt.c
@@ -327,10 +327,11 @@
   bool waits = task->phase == JOB_TASK_PLACING || task->phase == JOB_TASK_QUEUED
                || task->phase == JOB_TASK_HELD || task->phase == JOB_TASK_UNRESOLVED;
   /* During a takeover an attempt that was not recorded becomes known by its scheduler. */
-  bool adopted = task->phase == JOB_TASK_UNRESOLVED && msg->place.attempt > task->attempt
-                 && msg->place.result != JOB_PLACE_REFUSED;
-  bool current = msg->place.attempt == task->attempt || adopted;
-  if (job->phase == JOB_ENDED || !waits || !current)
+  bool open = task->phase == JOB_TASK_UNRESOLVED || task->phase == JOB_TASK_IDLE;
+  bool adopted = open && msg->place.attempt > task->attempt
+                 && (msg->place.result == JOB_PLACE_QUEUED || msg->place.result == JOB_PLACE_HELD);
+  bool current = waits && msg->place.attempt == task->attempt;
+  if (job->phase == JOB_ENDED || (!current && !adopted))
     return;
   switch (msg->place.result) {
   case JOB_PLACE_QUEUED:
--- a/src/sch/sch_priv.h
+++ b/src/sch/sch_priv.h
@@ -35,7 +35,9 @@
   int32_t weight;
   GrRes quota;
   GrRes used;
+  GrRes used_now;     /* part of it by work that is neither batch nor long */
   double share;       /* dominant share of the usable targets, divided by the weight */
+  double share_now;   /* as share, of used_now */
   bool quota_blocked; /* a queue of the team waits for its quota part */
   bool retry;         /* in retry_teams */
   UT_hash_handle hh;
@@ -266,7 +268,12 @@
   GR_LIST (SchQueue *) active[SCH_CLASS_COUNT];
   int64_t queued;
   int64_t running;
-  GrRes bulk_used;   /* reserved by batch and long work */
+  GrRes bulk_used; /* reserved by batch and long work */
+  /* Slots that short work held or waited for, to size the share of long work. */
+  int64_t short_slots;
+  int64_t short_peak, short_peak_before;
+  int64_t short_peak_ms; /* when the present window began */
+  int64_t long_slots_pct;
   bool bulk_blocked; /* a queue waits for the share of batch and long work */
   bool bulk_freed;
   /* Waiting urgent and short work by pool (without and with slots) and octave of run time. */
@@ -322,6 +329,8 @@
 void sch_target_give_back (SchState *s, SchEntry *e);
 /* Adds to what a task on a target holds. */
 void sch_target_grow (SchState *s, SchEntry *e, const GrRes *more);
+/* Adapts the share of long work to the peak of short work. */
+void sch_target_long_share (SchState *s);
 /* Counts a task on a target as long from now on. */
 void sch_target_now_long (SchState *s, SchEntry *e);
 /* Whether e may start on target i now, apart from quota and shares. */
@@ -355,7 +364,9 @@
 /* False if the quota part alone is too small. */
 bool sch_team_could_allow (const SchState *s, const SchTeam *team, const GrRes *need,
                            GrResDim *dim);
-void sch_team_use (SchState *s, SchTeam *team, const GrRes *change, int sign);
+/* Counts a change of use; bulk tells that batch or long work holds it. */
+void sch_team_use (SchState *s, SchTeam *team, const GrRes *change, int sign, bool bulk);
+void sch_team_now_bulk (SchState *s, SchTeam *team, const GrRes *change);
 void sch_teams_update_shares (SchState *s);
 
 /* sch_kind.c: estimates */
