standin: answer waiting reads from a detached list

Cause: the static analyzer could not follow the list that was shortened while it was walked. Change: the list is detached before its reads are answered.

--- a/src/standin/standin.h
+++ b/src/standin/standin.h
@@ -173,9 +173,9 @@
 
 StandinRecords *standin_records_new (void);
 StandinTotals *standin_records_totals (StandinRecords *records);
-void standin_records_start (StandinRecords *records, const GrName *task, int32_t attempt,
+void standin_records_start (StandinRecords *records, const GrName *id, int32_t attempt,
                             const GrName *target);
-void standin_records_end (StandinRecords *records, const GrName *task, int32_t attempt,
+void standin_records_end (StandinRecords *records, const GrName *id, int32_t attempt,
                           const GrName *target, StandinTaskState state);
 /* GET /control/records and GET /control/totals. */
 void standin_records_call (StandinRecords *records, StandinCall *call, bool with_tasks);
--- a/src/standin/standin_target_http.c
+++ b/src/standin/standin_target_http.c
@@ -80,26 +80,30 @@
 standin_target_changed (StandinTarget *target)
 {
   target->seq++;
-  while (target->waiters) {
-    StandinWaiter *waiter = target->waiters;
-    StandinCall *call = waiter->call;
-    int64_t after = waiter->after;
-    unlink_waiter (waiter);
-    answer_tasks (target, call, after);
+  StandinWaiter *waiter = target->waiters;
+  target->waiters = NULL;
+  while (waiter) {
+    StandinWaiter *next = waiter->next;
+    answer_tasks (target, waiter->call, waiter->after);
+    free (waiter);
+    waiter = next;
   }
 }
 
 void
 standin_target_refuse_stale_waiters (StandinTarget *target)
 {
-  StandinWaiter *waiter, *next;
-  DL_FOREACH_SAFE (target->waiters, waiter, next)
-  {
-    if (waiter->epoch >= target->epoch)
-      continue;
-    StandinCall *call = waiter->call;
-    unlink_waiter (waiter);
-    answer_stale (target, call);
+  StandinWaiter *waiter = target->waiters;
+  target->waiters = NULL;
+  while (waiter) {
+    StandinWaiter *next = waiter->next;
+    if (waiter->epoch < target->epoch) {
+      answer_stale (target, waiter->call);
+      free (waiter);
+    } else {
+      DL_APPEND (target->waiters, waiter);
+    }
+    waiter = next;
   }
 }
 
@@ -338,10 +342,13 @@
   StandinList *list = target->standin->list;
   target->down = down;
   if (down) {
-    while (target->waiters) {
-      StandinCall *call = target->waiters->call;
-      unlink_waiter (target->waiters);
-      standin_call_drop (call);
+    StandinWaiter *waiter = target->waiters;
+    target->waiters = NULL;
+    while (waiter) {
+      StandinWaiter *next = waiter->next;
+      standin_call_drop (waiter->call);
+      free (waiter);
+      waiter = next;
     }
     standin_target_kill (target);
     standin_list_remove (list, &target->vm.id, standin_list_lag (list));
