load: an open fate is a true outcome once the deadline has passed

Cause: unknown was only accepted for non-idempotent requests, but a request whose last attempt has no known fate at its deadline has no other true outcome. Change: unknown counts as lost only before the deadline of idempotent work.

--- a/src/load/load.h
+++ b/src/load/load.h
@@ -56,12 +56,14 @@
   bool fails;
   bool impossible; /* the deadline cannot be met */
   GrBuf payload;
-  GrBuf body; /* as submitted, the same for every repetition */
+  GrBuf body;          /* as submitted, the same for every repetition */
+  int64_t deadline_ms; /* Unix time */
   int64_t give_up_ms;
   int64_t cancel_at_ms; /* 0: not cancelled */
   bool cancel_sent;
   int64_t cancelled_ms; /* when the cancellation was acknowledged, 0 if not */
   int64_t told_not_run_ms;
+  int64_t told_ms;
   bool accepted; /* a job was acknowledged */
   bool ended;
   bool answer_wrong;
--- a/src/load/load_item.c
+++ b/src/load/load_item.c
@@ -54,7 +54,8 @@
   json_decref (json);
   gr_buf_append_str (&item->body, gr_str_from_c (text));
   free (text);
-  item->give_up_ms = load_now () + deadline_ms + GRACE_MS;
+  item->deadline_ms = load_now () + deadline_ms;
+  item->give_up_ms = item->deadline_ms + GRACE_MS;
 }
 
 static void
@@ -132,6 +133,7 @@
     return;
   item->ended = true;
   item->told = told;
+  item->told_ms = load_now ();
   item->why = gr_name (why);
   uv_timer_stop (&item->timer);
   load_item_ended (item->load);
--- a/src/load/load_verdict.c
+++ b/src/load/load_verdict.c
@@ -102,9 +102,8 @@
   case LOAD_TOLD_CANCELLED:
     return item->cancel_at_ms > 0;
   case LOAD_TOLD_UNKNOWN:
-    /* Idempotent work can be run again, so its fate does not stay unknown; but a request that still
-       runs at its deadline has not ended for its caller. */
-    return !item->idempotent || (item->impossible && seen->started > 0);
+    /* Idempotent work is run again until its deadline; only then its fate may stay open. */
+    return !item->idempotent || item->told_ms >= item->deadline_ms;
   }
   return false;
 }
