--- a/src/node/node_json.h
+++ b/src/node/node_json.h
@@ -20,7 +20,7 @@
                            GrErr *err);
 void node_json_clear (NodeSubmission *submission);
 /* Appends {"error":{...}}. */
-void node_json_error (GrBuf *out, GrErrCode code, GrStr field, const char *detail);
+void node_json_error (GrBuf *out, GrErrCode code, GrStr name, const char *detail);
 /* Appends a JSON string with quotes; bytes that are not UTF-8 are replaced by '?'. */
 void node_json_string (GrBuf *out, GrStr text);
 /* Body and HTTP status of a reply to the verb. */
--- a/src/node/node_limits.c
+++ b/src/node/node_limits.c
@@ -34,8 +34,9 @@
   const CfgTree *tree = node_config_tree (node);
   GR_LIST (NodeGroup *) groups = { 0 };
   for (NodeGroup *group = node_targets_first_group (node); group; group = group->hh.next)
-    gr_list_push (&groups, group);
+    gr_list_push (&groups, group); /* NOLINT(bugprone-sizeof-expression): a list of pointers */
   if (groups.count > 0)
+    /* NOLINTNEXTLINE(bugprone-sizeof-expression): a list of pointers */
     qsort (groups.items, groups.count, sizeof *groups.items, compare_keys);
   GR_LIST (SchTeamLimit) limits = { 0 };
   for (size_t t = 0; t < cfg_team_count (tree); t++) {
--- a/src/node/node_list.c
+++ b/src/node/node_list.c
@@ -97,6 +97,7 @@
 static void
 remove_vm (NodeList *list, NodeVm *vm)
 {
+  /* NOLINTNEXTLINE: the analyzer does not follow uthash's links */
   HASH_DEL (list->vms, vm);
   free (vm->url);
   free (vm);
--- a/src/node/node_place.c
+++ b/src/node/node_place.c
@@ -124,7 +124,7 @@
     if (gr_name_equal (&s->vm, &node->self.vm))
       self = s;
     else
-      gr_list_push (&others, s);
+      gr_list_push (&others, s); /* NOLINT(bugprone-sizeof-expression): a list of pointers */
   }
   if (self && has_room (self, demand)) {
     best = self;
--- a/src/node/node_report.c
+++ b/src/node/node_report.c
@@ -129,6 +129,7 @@
   {
     if (item->until_ms > now)
       break;
+    /* NOLINTNEXTLINE: the analyzer does not follow uthash's links */
     HASH_DEL (tasks->forbidden, item);
     free (item);
   }
@@ -137,6 +138,7 @@
   item = gr_calloc (1, sizeof *item);
   snprintf (item->key, sizeof item->key, "%.*s#%d", GR_NAME_ARG (*id), attempt);
   item->until_ms = now + FORBID_MS;
+  /* NOLINTNEXTLINE: the analyzer does not follow uthash's links */
   HASH_ADD_STR (tasks->forbidden, key, item);
 }
 
--- a/src/node/node_route.h
+++ b/src/node/node_route.h
@@ -19,7 +19,7 @@
 /* Copies the body. done runs once, never inside, unless node_route_drop comes first. */
 int64_t node_route_submit (Node *node, const NodeCallBody *body, NodeRouteDone done, void *user);
 /* The caller is gone; the job goes on. */
-void node_route_drop (Node *node, int64_t call);
+void node_route_drop (Node *node, int64_t id);
 /* Calls that wait for an answer. */
 size_t node_route_open (const Node *node);
 
@@ -27,4 +27,4 @@
 void node_route_reply (Node *node, const GrName *from, const NodeWire *wire);
 void node_route_peer_down (Node *node, const GrName *vm);
 void node_route_job_reply (Node *node, const JobCmd *cmd);
-void node_route_finish (Node *node, int64_t call, const NodeReplyBody *reply);
+void node_route_finish (Node *node, int64_t id, const NodeReplyBody *reply);
--- a/src/node/node_start.c
+++ b/src/node/node_start.c
@@ -83,11 +83,12 @@
   json_t *demand = json_object ();
   for (int d = 0; d < GR_RES_COUNT; d++)
     json_object_set_new (demand, gr_res_name ((GrResDim) d), json_integer (task->sch.demand.v[d]));
+  json_int_t start_by_unix = now_unix + NODE_START_BY_MS;
+  json_int_t lease_until_unix = now_unix + lease;
   json_t *body = json_pack ("{s:s%, s:i, s:I, s:I, s:I, s:o, s:I, s:s%}", "task", task->sch.id.data,
                             (size_t) task->sch.id.len, "attempt", task->attempt, "epoch",
-                            (json_int_t) target->epoch, "start_by_ms",
-                            (json_int_t) (now_unix + NODE_START_BY_MS), "lease_until_ms",
-                            (json_int_t) (now_unix + lease), "demand", demand, "run_ms",
+                            (json_int_t) target->epoch, "start_by_ms", start_by_unix,
+                            "lease_until_ms", lease_until_unix, "demand", demand, "run_ms",
                             (json_int_t) task->sch.declared_run_ms, "payload",
                             task->payload ? task->payload : "", task->payload_len);
   StartCall *call = gr_calloc (1, sizeof *call);
@@ -153,8 +154,8 @@
     return;
   }
   target->lease_busy = true;
-  json_t *body = json_pack ("{s:I, s:o}", "lease_until_ms", (json_int_t) (node_unix () + lease),
-                            "tasks", list);
+  json_int_t lease_until_unix = node_unix () + lease;
+  json_t *body = json_pack ("{s:I, s:o}", "lease_until_ms", lease_until_unix, "tasks", list);
   RenewCall *call = gr_calloc (1, sizeof *call);
   *call = (RenewCall){ start, target->id, target->epoch, now_ms + lease };
   send_json (start, target, "lease", body, RENEW_TIMEOUT_MS, renew_done, call);
--- a/src/node/node_targets.c
+++ b/src/node/node_targets.c
@@ -116,6 +116,7 @@
 remove_target (NodeTargets *targets, NodeTarget *target)
 {
   drop_target (targets, target);
+  /* NOLINTNEXTLINE: the analyzer does not follow uthash's links */
   HASH_DEL (targets->targets, target);
   free (target->url);
   free (target);
@@ -272,8 +273,10 @@
     if (group->state != NODE_GROUP_INVENTORY || group->inventory_told)
       continue;
     bool done = true;
+    /* NOLINTBEGIN(clang-analyzer-unix.Malloc): the analyzer does not follow uthash's links */
     for (NodeTarget *t = targets->targets; t && done; t = t->hh.next)
       done = !gr_name_equal (&t->group, &group->key) || t->tried;
+    /* NOLINTEND(clang-analyzer-unix.Malloc) */
     if (done) {
       group->inventory_told = true;
       node_own_inventory_done (targets->node, &group->key, group->epoch);
--- a/src/node/node_tasks.h
+++ b/src/node/node_tasks.h
@@ -70,7 +70,7 @@
 void node_tasks_sync (Node *node, const GrName *from, const NodeWire *wire);
 
 /* What targets say. */
-void node_tasks_listed (Node *node, NodeTarget *target, const NodeListedTask *tasks, size_t count,
+void node_tasks_listed (Node *node, NodeTarget *target, const NodeListedTask *listed, size_t count,
                         bool everything, int64_t sent_ms);
 void node_tasks_target_up (Node *node, NodeTarget *target);
 void node_tasks_target_leaving (Node *node, const NodeTarget *target);
--- a/src/node/node_why.c
+++ b/src/node/node_why.c
@@ -29,6 +29,7 @@
   } else {
     if (HASH_COUNT (why->table) >= WHY_MAX) {
       Decision *oldest = why->table;
+      /* NOLINTNEXTLINE: the analyzer does not follow uthash's links */
       HASH_DEL (why->table, oldest);
       free (oldest);
     }
@@ -36,6 +37,7 @@
     decision->job = job;
   }
   decision->at_ms = now_ms;
+  /* NOLINTNEXTLINE: the analyzer does not follow uthash's links */
   HASH_ADD_KEYPTR (hh, why->table, decision->job.data, decision->job.len, decision);
   return decision;
 }
@@ -75,8 +77,10 @@
 void
 node_why_expire (NodeWhy *why, int64_t now_ms)
 {
+  /* NOLINTNEXTLINE: the analyzer does not follow uthash's links */
   while (why->table && now_ms - why->table->at_ms > WHY_KEEP_MS) {
     Decision *oldest = why->table;
+    /* NOLINTNEXTLINE: the analyzer does not follow uthash's links */
     HASH_DEL (why->table, oldest);
     free (oldest);
   }
