--- a/src/cfg/cfg.h
+++ b/src/cfg/cfg.h
@@ -100,7 +100,8 @@
 bool cfg_tree_explain (const CfgTree *tree, GrStr key, GrStr *value, CfgOrigin *origin);
 
 /* Text encoding of one publication: base version, author and the files. Each append to the stream
-   "config" is exactly one publication or one state record, without the framing of lgs. */
+   "config" is exactly one publication or one state record, without the framing of lgs. Author and
+   file names must be ones that cfg_tree_new() accepts, without line ends. */
 void cfg_publication_encode (int64_t base_version, const GrName *author, const CfgFile *files,
                              size_t count, GrBuf *out);
 
--- a/src/cfg/cfg_parse.c
+++ b/src/cfg/cfg_parse.c
@@ -46,6 +46,9 @@
   va_start (args, format);
   vsnprintf (problem.detail, sizeof problem.detail, format, args);
   va_end (args);
+  cfg_text_clean (problem.detail, strlen (problem.detail));
+  cfg_text_clean (problem.file.data, problem.file.len);
+  cfg_text_clean (problem.key.data, problem.key.len);
   gr_list_push (problems, problem);
 }
 
@@ -128,7 +131,7 @@
   *reason = gr_str_dup (gr_str_from_c (value));
 }
 
-static bool
+static void
 common_value (Parse *parse, cfg_t *cfg, const char *name, const char *value, bool top)
 {
   GrStr text = gr_str_from_c (value);
@@ -138,10 +141,10 @@
     if (!gr_name_set (&replace.key, text) || !cfg_text_valid (text, GR_NAME_MAX)) {
       cfg_problem_add (parse->problems, GR_ERR_INVALID, parse->file->name, cfg->line, &key,
                        "'%.80s' is not a key; allowed is SECTION.NAME.OPTION", value);
-      return true;
+      return;
     }
     gr_list_push (&parse->out->replaces, replace);
-    return true;
+    return;
   }
   bool author = strcmp (name, "author") == 0;
   size_t max = author ? AUTHOR_MAX : REASON_MAX;
@@ -150,13 +153,12 @@
                      "'%.80s' is not allowed; allowed is UTF-8 text of at most %zu bytes without "
                      "control characters",
                      value, max);
-    return true;
+    return;
   }
   if (author)
     gr_name_set (top ? &parse->file_author : &parse->section_author, text);
   else
     set_reason (top ? &parse->file_reason : &parse->section_reason, value);
-  return true;
 }
 
 /* Runs for every value while the scanner stands on it, so that cfg->line is its line. */
--- a/src/cfg/cfg_store.c
+++ b/src/cfg/cfg_store.c
@@ -84,6 +84,7 @@
   va_start (args, format);
   vsnprintf (problem->detail, sizeof problem->detail, format, args);
   va_end (args);
+  cfg_text_clean (problem->detail, strlen (problem->detail));
 }
 
 static GrStr
--- a/src/cfg/cfg_table.c
+++ b/src/cfg/cfg_table.c
@@ -275,6 +275,20 @@
   return true;
 }
 
+void
+cfg_text_clean (char *text, size_t len)
+{
+  for (size_t i = 0; i < len;) {
+    unsigned char c = (unsigned char) text[i];
+    size_t size = c < 0xc0 ? 1 : c < 0xe0 ? 2 : c < 0xf0 ? 3 : 4;
+    if (size <= len - i && cfg_text_valid ((GrStr){ text + i, size }, size)) {
+      i += size;
+    } else {
+      text[i++] = '?';
+    }
+  }
+}
+
 GrName
 cfg_key (CfgSectionId section, const GrName *title, const char *option)
 {
--- a/src/cfg/cfg_table.h
+++ b/src/cfg/cfg_table.h
@@ -69,6 +69,8 @@
 bool cfg_name_valid (GrStr name, size_t max);
 /* True for UTF-8 text of at most max bytes without control characters. */
 bool cfg_text_valid (GrStr text, size_t max);
+/* Replaces control characters and bytes that are not UTF-8, for messages that quote input. */
+void cfg_text_clean (char *text, size_t len);
 /* "section.title.option", or "section.option" for a section without title. */
 GrName cfg_key (CfgSectionId section, const GrName *title, const char *option);
 
--- a/src/cfg/cfg_tree.c
+++ b/src/cfg/cfg_tree.c
@@ -141,20 +141,17 @@
 static void
 report_conflict (const Merge *merge, const CfgAssign *earlier, const CfgAssign *later)
 {
-  CfgProblem problem = {
-    .code = GR_ERR_CONFLICT, .line = later->line, .other_line = earlier->line, .key = later->key
-  };
-  gr_name_set (&problem.file, merge->files[later->file]->name);
-  gr_name_set (&problem.other_file, merge->files[earlier->file]->name);
   bool same_file = later->file == earlier->file;
-  snprintf (problem.detail, sizeof problem.detail,
-            same_file
-                ? "'%.60s' differs from '%.60s' in line %lld of the same file; allowed is one "
-                  "value per file"
+  cfg_problem_add (
+      merge->problems, GR_ERR_CONFLICT, merge->files[later->file]->name, later->line, &later->key,
+      same_file ? "'%.60s' differs from '%.60s' in line %lld of the same file; allowed is "
+                  "one value per file"
                 : "'%.60s' changes '%.60s' of line %lld of the earlier file; allowed is a "
                   "change whose file lists the key in 'replaces'",
-            later->value, earlier->value, (long long) earlier->line);
-  gr_list_push (merge->problems, problem);
+      later->value, earlier->value, (long long) earlier->line);
+  CfgProblem *problem = &merge->problems->items[merge->problems->count - 1];
+  gr_name_set (&problem->other_file, merge->files[earlier->file]->name);
+  problem->other_line = earlier->line;
 }
 
 /* The assignment in force of items [first, end), which share a key. */
--- a/src/cli/cli_publish.c
+++ b/src/cli/cli_publish.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <time.h>
 
+#include "cfg/cfg_table.h"
 #include "cli/cli_http.h"
 #include "cli/cli_stream.h"
 #include "cli/cli_values.h"
@@ -150,9 +151,11 @@
   GrName author;
   GrErr err = { 0 };
   CliStream stream = { .settings = settings, .store = cfg_store_new () };
-  if (!gr_name_set (&author, gr_str_from_c (settings->author)) || author.len == 0) {
+  GrStr given = gr_str_from_c (settings->author);
+  if (given.len == 0 || !cfg_text_valid (given, GR_NAME_MAX) || !gr_name_set (&author, given)) {
     exit_code = cli_fail (GR_EXIT_USAGE,
-                          "invalid: author: '%s' is not allowed; allowed are 1 to %d bytes",
+                          "invalid: author: '%s' is not allowed; allowed is UTF-8 text of 1 to %d "
+                          "bytes without control characters",
                           settings->author, GR_NAME_MAX);
     goto done;
   }
--- a/tests/e2e_cli.sh
+++ b/tests/e2e_cli.sh
@@ -53,6 +53,12 @@
 expect "range" 2 "a.conf:3: invalid: team.x.priority: '2000' is not allowed; allowed is a whole number from 0 to 1000" \
   "$cli" config check "$dir"
 expect "range as JSON" 2 '"line": 3' "$cli" config check "$dir" --json
+dir=$(folder bytes)
+printf 'team "\xff" { region = "\xc3\x28\xe2\x82" }\n' > "$dir/a.conf"
+expect "bytes that are not UTF-8" 2 "a.conf:1: invalid: team.?.region: '?(??' is not allowed" \
+  "$cli" config check "$dir"
+expect "bytes that are not UTF-8, as JSON" 2 "'?(??' is not allowed" \
+  "$cli" config check "$dir" --json
 dir=$(folder conflict)
 printf 'team x { region = r }\n' > "$dir/1.conf"
 printf '\nteam x { region = s }\n' > "$dir/2.conf"
