own, lgs: property tests over generated schedules; fixes that they led to

Cause: schedules found a farewell that overtook a handover in flight, a key gained while its own handover was pending, and readers of a trimmed log that disagreed on a key. Change: farewell waits for a log read after the stop was announced; a refresh settles what retention left open; an owner whose record may have left the log ends its incarnation; lgs readers can be saved and restored. Tests: prop_own, prop_own_handover, prop_own_rules, prop_lgs.

--- a/src/lgs/lgs.h
+++ b/src/lgs/lgs.h
@@ -73,6 +73,11 @@
 
 LgsReader *lgs_reader_new (const LgsOptions *options, int64_t from_offset, GrErr *err);
 void lgs_reader_free (LgsReader *reader);
+/* State that a snapshot of the stream has to carry: the next offset and the newest sequence number
+   of each writer, so that a late second copy of an append is recognised after the snapshot. */
+void lgs_reader_save (const LgsReader *reader, GrBuf *out);
+/* Reader that goes on from such a state. Error GR_ERR_PROTOCOL for malformed bytes. */
+LgsReader *lgs_reader_restore (const LgsOptions *options, GrStr saved, GrErr *err);
 /* Offset of the next read. */
 int64_t lgs_reader_next (const LgsReader *reader);
 /* Number of appends that were skipped because their body is malformed. */
--- a/src/lgs/lgs_reader.c
+++ b/src/lgs/lgs_reader.c
@@ -211,3 +211,67 @@
   msgpack_unpacked_destroy (&unpacked);
   return ok;
 }
+
+static int
+write_buf (void *user, const char *data, size_t len)
+{
+  gr_buf_append (user, data, len);
+  return 0;
+}
+
+void
+lgs_reader_save (const LgsReader *reader, GrBuf *out)
+{
+  msgpack_packer packer;
+  msgpack_packer_init (&packer, out, write_buf);
+  msgpack_pack_array (&packer, 2);
+  msgpack_pack_int64 (&packer, reader->next);
+  msgpack_pack_array (&packer, reader->seen.count);
+  for (size_t i = 0; i < reader->seen.count; i++) {
+    const Seen *seen = &reader->seen.items[i];
+    msgpack_pack_array (&packer, 3);
+    msgpack_pack_str (&packer, seen->writer.vm.len);
+    msgpack_pack_str_body (&packer, seen->writer.vm.data, seen->writer.vm.len);
+    msgpack_pack_int64 (&packer, seen->writer.incarnation);
+    msgpack_pack_int64 (&packer, seen->seq);
+  }
+}
+
+static bool
+load_seen (LgsReader *reader, const msgpack_object *entry)
+{
+  if (entry->type != MSGPACK_OBJECT_ARRAY || entry->via.array.size < 3)
+    return false;
+  const msgpack_object *items = entry->via.array.ptr;
+  Seen seen = { 0 };
+  if (items[0].type != MSGPACK_OBJECT_STR
+      || !gr_name_set (&seen.writer.vm, (GrStr){ items[0].via.str.ptr, items[0].via.str.size })
+      || !get_int (&items[1], &seen.writer.incarnation) || !get_int (&items[2], &seen.seq))
+    return false;
+  find_seen (reader, &seen.writer)->seq = seen.seq;
+  return true;
+}
+
+LgsReader *
+lgs_reader_restore (const LgsOptions *options, GrStr saved, GrErr *err)
+{
+  LgsReader *reader = lgs_reader_new (options, 0, err);
+  if (!reader)
+    return NULL;
+  msgpack_unpacked unpacked;
+  msgpack_unpacked_init (&unpacked);
+  bool ok = unpack (saved, &unpacked) && unpacked.data.via.array.size >= 2
+            && get_int (&unpacked.data.via.array.ptr[0], &reader->next)
+            && unpacked.data.via.array.ptr[1].type == MSGPACK_OBJECT_ARRAY;
+  if (ok) {
+    const msgpack_object_array *entries = &unpacked.data.via.array.ptr[1].via.array;
+    for (size_t i = 0; ok && i < entries->size; i++)
+      ok = load_seen (reader, &entries->ptr[i]);
+  }
+  msgpack_unpacked_destroy (&unpacked);
+  if (ok)
+    return reader;
+  gr_err_set (err, GR_ERR_PROTOCOL, "saved", "malformed reader state of %zu bytes", saved.len);
+  lgs_reader_free (reader);
+  return NULL;
+}
--- a/src/own/own.c
+++ b/src/own/own.c
@@ -62,7 +62,8 @@
   state->options = checked;
   /* Two readers of the list may lag by different amounts, so the lag counts once for the VM that
      declares and once for the VM that is declared; the margin covers clock rates. */
-  int64_t gone_delay = checked.list_max_age_ms + 2 * checked.list_lag_ms + checked.margin_ms;
+  int64_t gone_delay = checked.list_max_age_ms + checked.margin_ms
+                       + (checked.faults.single_list_lag ? 1 : 2) * checked.list_lag_ms;
   MbrOptions members = { .self = checked.self,
                          .suspect_after_ms = checked.suspect_after_ms,
                          .list_max_age_ms = checked.list_max_age_ms,
@@ -134,6 +135,12 @@
   return state->log_sent_ms >= 0 && now_ms < state->log_sent_ms + state->options.lease_ms;
 }
 
+bool
+own_joined (const OwnState *state)
+{
+  return state->join.epoch > 1 || (state->join.epoch == 1 && state->join.state == OWN_PENDING_NONE);
+}
+
 int64_t
 own_random (OwnState *state, int64_t bound)
 {
@@ -168,6 +175,8 @@
   if (key->gained || !own_key_is_self (state, key) || state->dead || now_ms < key->usable_at_ms
       || !lease_holds (state, now_ms))
     return;
+  if (key->pending.state != OWN_PENDING_NONE && key->pending.kind == OWN_RECORD_HANDOVER)
+    return;
   bool has_targets = gr_str_starts_with (gr_name_str (&key->key), GR_STR ("group/"));
   if (has_targets && !key->inventory_taken) {
     if (!key->inventory_sent)
@@ -176,6 +185,7 @@
     return;
   }
   key->gained = true;
+  key->gained_ms = now_ms;
   own_emit_key (out, OWN_CMD_KEY_GAINED, key);
 }
 
@@ -228,6 +238,8 @@
     for (size_t i = 0; i < state->keys.count; i++)
       own_key_advance (state, &state->keys.items[i], now_ms, out);
     own_rules_tick (state, now_ms, out);
+    if (state->dead)
+      break;
     own_peer_tick (state, now_ms, out);
     report_members (state, now_ms, out);
     break;
@@ -295,6 +307,9 @@
   if ((key->pending.state != OWN_PENDING_NONE && key->pending.kind == OWN_RECORD_HANDOVER)
       || state->farewell.state != OWN_PENDING_NONE)
     return false;
+  if (now_ms - key->recorded_ms
+      >= state->options.refresh_interval_ms + state->options.refresh_interval_ms / 2)
+    return false;
   return lease_holds (state, now_ms);
 }
 
--- a/src/own/own_log.c
+++ b/src/own/own_log.c
@@ -12,7 +12,9 @@
 schedule_refresh (OwnState *state, OwnKey *key, int64_t now_ms)
 {
   int64_t interval = state->options.refresh_interval_ms;
-  key->refresh_at_ms = now_ms + interval - own_random (state, interval / 10 + 1);
+  /* The record was not in the log at the read before this one. */
+  key->recorded_ms = state->log_sent_ms >= 0 ? state->log_sent_ms : now_ms;
+  key->refresh_at_ms = key->recorded_ms + interval - own_random (state, interval / 10 + 1);
 }
 
 static void
@@ -80,18 +82,23 @@
     /* The owner itself may raise the epoch, when targets know a higher one. */
     bool raise = key->has_owner && record->epoch > key->epoch
                  && gr_vm_ref_equal (&record->writer, &key->owner);
+    /* Its writer has not read what this VM knows: retention had removed it. Tell it. */
+    if (own_key_is_self (state, key) && record->epoch <= key->epoch
+        && !gr_vm_ref_equal (&record->writer, &state->options.self))
+      key->refresh_at_ms = now_ms;
     if (first || raise || record->epoch == key->epoch + 1) {
       set_owner (state, key, record, &record->writer, now_ms, out);
-      key->tentative = first && record->epoch > 1;
+      key->tentative = first;
     }
     break;
   }
   case OWN_RECORD_HANDOVER: {
     bool by_owner = key->has_owner && gr_vm_ref_equal (&record->writer, &key->owner);
-    if ((by_owner && record->epoch == key->epoch + 1) || !key->has_owner) {
-      bool first = !key->has_owner;
+    /* A reader that may lack earlier records cannot tell that the writer is not the owner. */
+    bool unproven = !key->has_owner || (key->tentative && record->epoch > key->epoch);
+    if ((by_owner && record->epoch == key->epoch + 1) || unproven) {
       set_owner (state, key, record, &record->to, now_ms, out);
-      key->tentative = first;
+      key->tentative = unproven && !by_owner;
     }
     break;
   }
@@ -114,8 +121,8 @@
   settle (key);
 }
 
-static void
-die (OwnState *state, OwnCmds *out)
+void
+own_die (OwnState *state, OwnCmds *out)
 {
   if (state->dead)
     return;
@@ -148,8 +155,11 @@
 {
   const GrVmRef *self = &state->options.self;
   MbrMember *writer = mbr_find (&state->members, &record->writer.vm);
+  bool newest = writer->log_incarnation == record->writer.incarnation;
   switch (record->kind) {
   case OWN_RECORD_JOIN:
+    if (!newest)
+      break;
     if (record->epoch > writer->log_join)
       writer->log_join = record->epoch;
     /* A new join restarts the count of its absence, so that it ends every older `gone`. */
@@ -171,11 +181,12 @@
       break;
     target->log_ended = true;
     if (gr_vm_ref_equal (&record->to, self))
-      die (state, out);
+      own_die (state, out);
     break;
   }
   case OWN_RECORD_FAREWELL:
-    writer->log_ended = true;
+    if (newest)
+      writer->log_ended = true;
     if (gr_vm_ref_equal (&record->writer, self) && !state->farewell_done) {
       state->farewell.state = OWN_PENDING_NONE;
       state->farewell_done = true;
@@ -198,7 +209,7 @@
   observe_in_log (state, &record->writer, now_ms);
   if (gr_name_equal (&record->writer.vm, &state->options.self.vm)
       && record->writer.incarnation > state->options.self.incarnation)
-    die (state, out);
+    own_die (state, out);
   switch (record->kind) {
   case OWN_RECORD_JOIN:
   case OWN_RECORD_GONE:
--- a/src/own/own_rules.c
+++ b/src/own/own_rules.c
@@ -148,8 +148,8 @@
     *ownerless = false;
     return false;
   }
-  if (!current)
-    return false; /* the join of its next incarnation will end it */
+  if (!current) /* a newer process runs on the owner's VM, so the owner has ended */
+    return owner && owner->ref.incarnation > key->owner.incarnation;
   /* An owner that does not count this VM in its set would not ask it for a promise. */
   if (!owner->acknowledged && !state->options.faults.no_acknowledged_rule)
     return false;
@@ -170,11 +170,11 @@
 static void
 tick_claims (OwnState *state, int64_t now_ms, OwnCmds *out)
 {
-  bool joined = state->join.epoch > 0 && state->join.state == OWN_PENDING_NONE;
   /* Before heartbeats had time to arrive this VM would take every key for itself. */
   bool settled
       = state->caught_up_ms >= 0 && now_ms - state->caught_up_ms >= state->options.suspect_after_ms;
-  bool able = joined && settled && own_log_fresh (state, now_ms) && state->stopping_since_ms < 0;
+  bool able = own_joined (state) && settled && own_log_fresh (state, now_ms)
+              && state->stopping_since_ms < 0;
   for (size_t i = 0; i < state->keys.count; i++) {
     OwnKey *key = &state->keys.items[i];
     if (!key->configured || own_key_is_self (state, key))
@@ -197,6 +197,19 @@
   }
 }
 
+/* Once the record of a key may have left the log, another VM can claim the key as a new one. */
+static bool
+record_lapsed (const OwnState *state, int64_t now_ms)
+{
+  int64_t limit = state->options.refresh_interval_ms + state->options.refresh_interval_ms / 2;
+  for (size_t i = 0; i < state->keys.count; i++) {
+    const OwnKey *key = &state->keys.items[i];
+    if (own_key_is_self (state, key) && now_ms - key->recorded_ms >= limit)
+      return true;
+  }
+  return false;
+}
+
 static void
 tick_own_keys (OwnState *state, int64_t now_ms, OwnCmds *out)
 {
@@ -224,6 +237,7 @@
     if (to && !mbr_is_self (&state->members, to)
         && (leaving
             || (key->gained && now_ms >= state->next_handover_ms
+                && now_ms - key->gained_ms >= state->options.handover_interval_ms
                 && now_ms - to->live_since_ms >= state->options.suspect_after_ms))) {
       append_for_key (state, key, OWN_RECORD_HANDOVER, key->epoch + 1, &to->ref, now_ms, out);
       state->next_handover_ms = now_ms + state->options.handover_interval_ms
@@ -259,6 +273,9 @@
     if (!due (&state->farewell, now_ms))
       return;
   } else {
+    /* Another VM may have handed a key over before it heard of the stop. */
+    if (state->log_sent_ms < state->stopping_since_ms + state->options.heartbeat_interval_ms)
+      return;
     bool others = false;
     for (size_t i = 0; i < state->members.members.count; i++) {
       const MbrMember *member = &state->members.members.items[i];
@@ -287,6 +304,10 @@
   MbrMember *self = mbr_find (&state->members, &state->options.self.vm);
   if (self)
     self->leaving = state->stopping_since_ms >= 0;
+  if (record_lapsed (state, now_ms)) {
+    own_die (state, out);
+    return;
+  }
   tick_join (state, now_ms, out);
   tick_gone (state, now_ms, out);
   rank_keys (state, now_ms);
--- a/src/own/own_state.h
+++ b/src/own/own_state.h
@@ -26,14 +26,14 @@
   GrName key;
   bool configured; /* in the newest OWN_MSG_KEYS */
   bool has_owner;
-  bool tentative; /* first record read was a claim above epoch 1: a refresh of the epoch decides */
+  bool tentative; /* retention may have removed an earlier record: a refresh of the epoch decides */
   int64_t epoch;
   GrVmRef owner;
-  GrVmRef preferred;          /* live member of the first rank; incarnation 0: none */
-  int self_rank;              /* of this VM among the live members; -1: it is not live */
-  int64_t not_before_ms;      /* earliest next claim after a failed append */
-  int64_t lost_at_ms;         /* when this VM lost the key to a claim */
-  int64_t hold_until_ms;      /* until then it does not claim the key back */
+  GrVmRef preferred;     /* live member of the first rank; incarnation 0: none */
+  int self_rank;         /* of this VM among the live members; -1: it is not live */
+  int64_t not_before_ms; /* earliest next claim after a failed append */
+  int64_t lost_at_ms;    /* when this VM lost the key to a claim */
+  int64_t hold_until_ms; /* until then it does not claim the key back */
   int hold_streak;
   int64_t ownerless_since_ms; /* when the owner was first found to be missing; -1 if it is not */
   /* While this VM is the owner. */
@@ -41,6 +41,8 @@
   bool inventory_taken;
   bool inventory_sent;
   bool gained; /* OWN_CMD_KEY_GAINED was emitted for this epoch */
+  int64_t gained_ms;
+  int64_t recorded_ms; /* no later than the newest record that states this ownership */
   int64_t refresh_at_ms;
   OwnPending pending;
 } OwnKey;
@@ -88,10 +90,15 @@
 /* own_log.c */
 void own_log_record (OwnState *state, const OwnRecord *record, int64_t now_ms, OwnCmds *out);
 
+/* Ends this incarnation: all keys are lost and it has to start with a new one. */
+void own_die (OwnState *state, OwnCmds *out);
+
 /* own.c */
 OwnKey *own_key_find (const OwnState *state, const GrName *name);
 OwnKey *own_key_observe (OwnState *state, const GrName *name);
 bool own_key_is_self (const OwnState *state, const OwnKey *key);
+/* True once this VM has read its first join. */
+bool own_joined (const OwnState *state);
 /* True if the read of the log is recent enough to act on. */
 bool own_log_fresh (const OwnState *state, int64_t now_ms);
 /* Uniform in [0, bound). */
--- a/tests/own_world.hh
+++ b/tests/own_world.hh
@@ -49,8 +49,11 @@
   /* Fixed choices of hand-built schedules; negative: drawn from the seed. */
   int list_lag_ms = -1;
   int late_append_ms = -1;
+  bool list_lag_extremes = false; /* each read of the list lags by nothing or by the maximum */
   int64_t retention_ms = 0; /* 0: the log keeps everything */
   int64_t refresh_ms = 0;
+  int64_t list_max_age_ms = 0;   /* options of the VMs; 0: the defaults */
+  int64_t list_lag_option_ms = 0;
   int64_t max_rate_ppm = 20000;
   bool quiet_network = false; /* no loss, duplication or spikes */
   int64_t end_ms = 0;         /* 0: faults end + time for liveness */
@@ -197,6 +200,7 @@
   void send_heartbeat (int from, const OwnCmd &cmd);
   void append (int from, const OwnCmd &cmd);
   void land (const OwnRecord &record);
+  void check_ended_writer (const OwnRecord &record, int64_t before);
   void take_read (const Event &event);
   void take_list (const Event &event);
   void start_fault (const Fault &fault);
@@ -230,6 +234,7 @@
     GrVmRef by;
   };
   std::vector<Ack> m_acks;
+  std::vector<GrVmRef> m_ended; /* gone or said farewell, in the log */
 };
 
 /* A schedule drawn from a seed: up to `most` faults of the kinds in `kinds`. */
