own: readers of a trimmed log accept a claim of a later epoch

Cause: a new VM that had read only a trimmed log claimed a key at epoch 1 and held on to it against the claim of a VM that had kept the higher epoch.

--- a/src/own/own_log.c
+++ b/src/own/own_log.c
@@ -78,9 +78,12 @@
     if (own_key_is_self (state, key) && record->epoch <= key->epoch
         && !gr_vm_ref_equal (&record->writer, &state->options.self))
       key->refresh_at_ms = now_ms;
-    if (first || raise || record->epoch == key->epoch + 1) {
+    /* A reader that may lack earlier records cannot tell that the epoch does not follow. */
+    bool unproven = first || (key->tentative && record->epoch > key->epoch);
+    if (unproven || raise || record->epoch == key->epoch + 1) {
+      bool follows = record->epoch == key->epoch + 1 && !first;
       set_owner (state, key, record, &record->writer, now_ms, out);
-      key->tentative = first;
+      key->tentative = unproven && !follows;
     }
     break;
   }
