--- a/src/own/own_peer.c
+++ b/src/own/own_peer.c
@@ -5,7 +5,7 @@
 
 /* Entries of the peers list per heartbeat: the receiver and a rotating part of the others. A full
    list would make the bytes per VM grow with the square of the members. */
-#define PEERS_PER_HEARTBEAT 8
+#define PEERS_PER_HEARTBEAT 4
 
 static void
 add_peer (OwnHeartbeat *heartbeat, const MbrMember *member, int64_t now_ms)
--- a/tests/test_own.c
+++ b/tests/test_own.c
@@ -1,6 +1,6 @@
-/* Ownership: codecs, the meaning of records, and one VM driven step by step. Guards against decoders
-   that accept malformed bytes, readers that disagree on a record, keys that are refreshed or handed
-   over at the wrong time, and a stop that keeps keys. */
+/* Ownership: codecs, the meaning of records, and one VM driven step by step. Guards against
+   decoders that accept malformed bytes, readers that disagree on a record, keys that are refreshed
+   or handed over at the wrong time, and a stop that keeps keys. */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -91,12 +91,12 @@
     gr_buf_clear (&buf);
   }
   const OwnRecord incomplete[] = {
-    record (OWN_RECORD_CLAIM, "", 5, 3, NULL, 0),        /* no writer */
-    record (OWN_RECORD_CLAIM, "e1", 5, 0, NULL, 0),      /* no epoch */
-    record (OWN_RECORD_HANDOVER, "e1", 5, 4, NULL, 0),   /* no new owner */
-    record (OWN_RECORD_GONE, "e1", 5, 1, NULL, 0),       /* nobody gone */
-    record ((OwnRecordKind) 6, "e1", 5, 1, NULL, 0),     /* unknown kind */
-    record (OWN_RECORD_CLAIM, "e1", -5, 1, NULL, 0),     /* negative incarnation */
+    record (OWN_RECORD_CLAIM, "", 5, 3, NULL, 0),           /* no writer */
+    record (OWN_RECORD_CLAIM, "e1", 5, 0, NULL, 0),         /* no epoch */
+    record (OWN_RECORD_HANDOVER, "e1", 5, 4, NULL, 0),      /* no new owner */
+    record (OWN_RECORD_GONE, "e1", 5, 1, NULL, 0),          /* nobody gone */
+    record ((OwnRecordKind) 6, "e1", 5, 1, NULL, 0),        /* unknown kind */
+    record (OWN_RECORD_CLAIM, "e1", -5, 1, NULL, 0),        /* negative incarnation */
     record (OWN_RECORD_CLAIM, "e1", 5, INT64_MAX, NULL, 0), /* no epoch can follow */
   };
   for (size_t i = 0; i < sizeof incomplete / sizeof incomplete[0]; i++) {
@@ -220,10 +220,9 @@
     OwnCmds cmds = { 0 };
     for (size_t n = 0; n < 5 && cases[i].records[n].writer; n++) {
       OwnMsg msg = { .kind = OWN_MSG_RECORD };
-      msg.record = record (
-          (OwnRecordKind) cases[i].records[n].kind, cases[i].records[n].writer,
-          cases[i].records[n].incarnation, cases[i].records[n].epoch, cases[i].records[n].to,
-          cases[i].records[n].to_incarnation);
+      msg.record = record ((OwnRecordKind) cases[i].records[n].kind, cases[i].records[n].writer,
+                           cases[i].records[n].incarnation, cases[i].records[n].epoch,
+                           cases[i].records[n].to, cases[i].records[n].to_incarnation);
       own_step (own, &msg, 1000, &cmds);
     }
     GrVmRef owner = { 0 };
@@ -251,8 +250,7 @@
   int64_t stale_fence; /* the targets' fence; answers inventories below it */
 } Driver;
 
-static void
-driver_take (Driver *driver, OwnCmds *cmds);
+static void driver_take (Driver *driver, OwnCmds *cmds);
 
 static void
 driver_step (Driver *driver, const OwnMsg *msg)
