--- a/src/job/job.h
+++ b/src/job/job.h
@@ -113,7 +113,8 @@
 typedef enum {
   JOB_PLACE_QUEUED,  /* the scheduler took the attempt */
   JOB_PLACE_HELD,    /* gang: the part holds a reservation */
-  JOB_PLACE_REFUSED, /* certainly not started and will not start there */
+  JOB_PLACE_REFUSED, /* certainly not started and will not start there; never for an attempt that
+                        the scheduler knows, also not as the answer to an old message */
   JOB_PLACE_UNKNOWN  /* no word; the attempt may start or run */
 } JobPlaceResult;
 
--- /dev/null
+++ b/src/sch/sch_queue.c
@@ -0,0 +1,118 @@
+/* Waiting tasks, in first-come first-served queues by class, team, priority and similar size. */
+#include "sch/sch_priv.h"
+
+static int32_t
+log2_of (int64_t value)
+{
+  if (value <= 0)
+    return 0;
+  return 32 - __builtin_clz ((unsigned) (value > INT32_MAX ? INT32_MAX : value));
+}
+
+static bool
+runs_soon (const SchEntry *e)
+{
+  return e->class <= SCH_CLASS_SHORT;
+}
+
+static SchQueueKey
+queue_key (const SchEntry *e)
+{
+  SchQueueKey key;
+  memset (&key, 0, sizeof key);
+  key.team = e->team;
+  key.class = (int32_t) e->class;
+  key.priority = e->task.priority;
+  key.shape = log2_of (e->reserve.v[GR_RES_CPU_MILLI]) << 16
+              | log2_of (e->reserve.v[GR_RES_MEMORY_MB]) << 10
+              | (log2_of (e->reserve.v[GR_RES_ACCELERATORS]) & 7) << 7
+              | (log2_of (e->reserve.v[GR_RES_SLOTS]) & 3) << 5;
+  /* The shortest work goes first within a class and team; its order is kept by run time too. */
+  if (runs_soon (e))
+    key.shape |= log2_of (e->run_ms) & 31;
+  return key;
+}
+
+static double *
+backlog (SchState *s, const SchEntry *e)
+{
+  return &s->backlog_ms[e->reserve.v[GR_RES_SLOTS] > 0][log2_of (e->run_ms) & 31];
+}
+
+int64_t
+sch_queue_wait_ms (const SchState *s, bool slots, int64_t run_ms)
+{
+  double sum = 0;
+  for (int octave = 0; octave <= (log2_of (run_ms) & 31); octave++)
+    sum += s->backlog_ms[slots][octave];
+  return sum > 0 ? (int64_t) sum : 0;
+}
+
+void
+sch_queue_push (SchState *s, SchEntry *e)
+{
+  SchQueueKey key = queue_key (e);
+  SchQueue *queue;
+  HASH_FIND (hh, s->queues, &key, sizeof key, queue);
+  if (!queue) {
+    queue = gr_calloc (1, sizeof *queue);
+    queue->key = key;
+    queue->active_at = (int32_t) s->active[e->class].count;
+    queue->why = SCH_WHY_NO_TARGET;
+    HASH_ADD (hh, s->queues, key, sizeof queue->key, queue);
+    gr_list_push (&s->active[e->class], queue); // NOLINT(bugprone-sizeof-expression): pointers
+  }
+  DL_APPEND2 (queue->head, e, queue_prev, queue_next);
+  queue->count++;
+  e->queue = queue;
+  s->queued++;
+  if (runs_soon (e))
+    *backlog (s, e) += e->work_ms;
+  if (!e->is_long)
+    s->short_slots += e->reserve.v[GR_RES_SLOTS];
+}
+
+void
+sch_queue_remove (SchState *s, SchEntry *e)
+{
+  SchQueue *queue = e->queue;
+  if (!queue)
+    return;
+  DL_DELETE2 (queue->head, e, queue_prev, queue_next);
+  e->queue = NULL;
+  s->queued--;
+  if (!e->is_long)
+    s->short_slots -= e->reserve.v[GR_RES_SLOTS];
+  if (runs_soon (e)) {
+    double *sum = backlog (s, e);
+    *sum = *sum > e->work_ms ? *sum - e->work_ms : 0;
+  }
+  if (e->aged) {
+    DL_DELETE2 (s->aged, e, aged_prev, aged_next);
+    e->aged = false;
+  }
+  sch_unreserve (s, e);
+  sch_unpromise (s, e);
+  if (--queue->count > 0)
+    return;
+  int class = queue->key.class;
+  int32_t at = queue->active_at;
+  gr_list_swap_remove (&s->active[class], (size_t) at);
+  if ((size_t) at < s->active[class].count)
+    s->active[class].items[at]->active_at = at;
+  HASH_DEL (s->queues, queue);
+  free (queue);
+}
+
+void
+sch_queues_clear (SchState *s)
+{
+  SchQueue *queue = s->queues;
+  HASH_CLEAR (hh, s->queues);
+  for (SchQueue *next; queue; queue = next) {
+    next = queue->hh.next;
+    free (queue);
+  }
+  for (int c = 0; c < SCH_CLASS_COUNT; c++)
+    gr_list_clear (&s->active[c]);
+}
