--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -27,6 +27,8 @@
        "highest level written: 3 errors to 7 debugging"),
   OPT ("shutdown-deadline-ms", GR_OPT_INT, shutdown_deadline_ms, "MS", "30000", 0, 3600000,
        "time for a planned stop"),
+  OPT ("snapshot-interval-ms", GR_OPT_INT, snapshot_interval_ms, "MS", "1800000", 1000, 86400000,
+       "live records are appended anew this often; at most half of the store's retention"),
 };
 
 int
--- a/src/job/job.c
+++ b/src/job/job.c
@@ -104,8 +104,8 @@
     JobTask *task = &job->tasks[i];
     if (task->phase != JOB_TASK_IDLE && task->phase != JOB_TASK_RECORDING)
       continue;
-    JobOutcome outcome = task->maybe_ran ? JOB_OUTCOME_FAILED : JOB_OUTCOME_NOT_RUN;
-    job_finish_task (state, job, i, outcome, GR_ERR_DEADLINE, GR_STR (""), now_ms, out);
+    job_finish_task (state, job, i, job_expired_outcome (task), GR_ERR_DEADLINE, GR_STR (""),
+                     now_ms, out);
   }
 }
 
--- a/src/job/job_attempt.c
+++ b/src/job/job_attempt.c
@@ -67,6 +67,15 @@
   return !job->spec.idempotent && !state->options.faults.start_before_commit;
 }
 
+/* Outcome of a task that has no open attempt at its deadline. */
+JobOutcome
+job_expired_outcome (const JobTask *task)
+{
+  if (!task->maybe_ran)
+    return JOB_OUTCOME_NOT_RUN;
+  return task->failures > 0 ? JOB_OUTCOME_FAILED : JOB_OUTCOME_UNKNOWN;
+}
+
 static bool
 may_place (const JobState *state, const Job *job, int64_t now_ms)
 {
@@ -91,8 +100,8 @@
     return;
   }
   if (job->spec.deadline_ms <= now_ms) {
-    JobOutcome outcome = task->maybe_ran ? JOB_OUTCOME_FAILED : JOB_OUTCOME_NOT_RUN;
-    job_finish_task (state, job, index, outcome, GR_ERR_DEADLINE, GR_STR (""), now_ms, out);
+    job_finish_task (state, job, index, job_expired_outcome (task), GR_ERR_DEADLINE, GR_STR (""),
+                     now_ms, out);
     return;
   }
   open_attempt (state, job, task);
--- a/src/job/job_private.h
+++ b/src/job/job_private.h
@@ -195,6 +195,7 @@
 void job_drop_call (JobState *state, const GrName *id, int64_t call);
 
 /* job_attempt.c */
+JobOutcome job_expired_outcome (const JobTask *task);
 void job_advance_task (JobState *state, Job *job, int32_t index, int64_t now_ms, JobCmds *out);
 void job_advance_all (JobState *state, Job *job, int64_t now_ms, JobCmds *out);
 void job_task_unresolved (JobState *state, Job *job, int32_t index, int64_t now_ms, JobCmds *out);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -19,7 +19,8 @@
   const char *peer_key_previous; /* also accepted during a rotation; may be empty */
   int64_t log_level;
   int64_t shutdown_deadline_ms;
-  char **argv; /* to start again under a new incarnation */
+  int64_t snapshot_interval_ms; /* live records are appended anew; half of the store's retention */
+  char **argv;                  /* to start again under a new incarnation */
 } NodeSettings;
 
 /* Runs until a planned stop ended. Returns an exit code of gr_opt.h. */
--- a/src/node/node_config.c
+++ b/src/node/node_config.c
@@ -3,12 +3,14 @@
 #include <stdlib.h>
 
 #include "node/node_list.h"
+#include "node/node_own.h"
 #include "node/node_peers.h"
 #include "node/node_stream.h"
 #include "node/node_tasks.h"
 #include "node/node_work.h"
 
 #define CONFIG_POLL_MS 500
+#define CONFIG_RETRY_MS 5000
 
 struct NodeConfig {
   Node *node;
@@ -16,6 +18,7 @@
   CfgStore *store;
   NodeStream *stream;
   bool ready;
+  int64_t snapshot_next_ms;
 };
 
 static void
@@ -51,12 +54,38 @@
   }
 }
 
+static void
+snapshot_done (void *user, bool ok)
+{
+  NodeConfig *config = user;
+  if (!ok)
+    config->snapshot_next_ms = node_now (config->node) + CONFIG_RETRY_MS;
+}
+
+/* One VM of the cell appends the version in force anew ahead of retention, so that it survives a
+   restart of all VMs: the owner of the first partition of the first region. */
+static void
+append_snapshot (NodeConfig *config)
+{
+  Node *node = config->node;
+  int64_t now = node_now (node);
+  if (now < config->snapshot_next_ms || cfg_store_version (config->store) == 0)
+    return;
+  config->snapshot_next_ms = now + node->settings->snapshot_interval_ms;
+  GrName region = node_list_first_region (node);
+  GrName key = node_part_key (&region, 0);
+  if (node_own_is_self (node, &key))
+    node_stream_append_raw (config->stream, cfg_store_record_in_force (config->store),
+                            snapshot_done);
+}
+
 static void
 on_at_end (void *user, int64_t sent_ms)
 {
   NodeConfig *config = user;
   (void) sent_ms;
   config->ready = true;
+  append_snapshot (config);
 }
 
 static void
@@ -75,6 +104,7 @@
   config->node = node;
   config->log = node_log_context (node, "config");
   config->store = cfg_store_new ();
+  config->snapshot_next_ms = node_now (node) + node->settings->snapshot_interval_ms;
   config->stream = node_stream_new (node, "config", CONFIG_POLL_MS, &events, config, err);
   if (!config->stream) {
     cfg_store_free (config->store);
@@ -116,6 +146,12 @@
   node_peers_send (node, vm, &wire, NULL);
 }
 
+GrStr
+node_config_record (const Node *node)
+{
+  return cfg_store_record_in_force (node->config->store);
+}
+
 /* A peer first names its version; the record is sent only to a peer that asks for it. */
 void
 node_config_offer (Node *node, const GrName *from, const NodeWire *wire)
--- a/src/node/node_config.h
+++ b/src/node/node_config.h
@@ -13,6 +13,8 @@
 bool node_config_ready (const Node *node);
 const CfgTree *node_config_tree (const Node *node);
 int64_t node_config_version (const Node *node);
+/* State record of the version in force. */
+GrStr node_config_record (const Node *node);
 void node_config_peer_up (Node *node, const GrName *vm);
 void node_config_offer (Node *node, const GrName *from, const NodeWire *wire);
 /* Home region of a team's callers. */
--- a/src/node/node_front_ops.c
+++ b/src/node/node_front_ops.c
@@ -1,4 +1,7 @@
 /* Pages for operators. */
+#include <openssl/evp.h>
+#include <stdlib.h>
+
 #include "node/node_config.h"
 #include "node/node_front.h"
 #include "node/node_json.h"
@@ -150,11 +153,23 @@
   gr_buf_printf (values->out, "}");
 }
 
+static void
+append_base64 (GrBuf *out, GrStr bytes)
+{
+  size_t size = 4 * ((bytes.len + 2) / 3) + 1;
+  unsigned char *text = gr_calloc (size, 1);
+  int len = EVP_EncodeBlock (text, (const unsigned char *) bytes.data, (int) bytes.len);
+  gr_buf_append (out, text, (size_t) len);
+  free (text);
+}
+
 void
 node_front_config (Node *node, GrBuf *out)
 {
   Values values = { .out = out };
-  gr_buf_printf (out, "{\"version\":%lld,\"values\":[", (long long) node_config_version (node));
+  gr_buf_printf (out, "{\"version\":%lld,\"record\":\"", (long long) node_config_version (node));
+  append_base64 (out, node_config_record (node));
+  gr_buf_printf (out, "\",\"values\":[");
   cfg_tree_values (node_config_tree (node), append_value, &values);
   gr_buf_printf (out, "]}\n");
 }
--- a/src/node/node_own.c
+++ b/src/node/node_own.c
@@ -178,7 +178,9 @@
   NodeOwn *own = gr_calloc (1, sizeof *own);
   own->node = node;
   own->log = node_log_context (node, "own");
-  OwnOptions options = { .self = node->self, .region = node->region };
+  OwnOptions options = { .self = node->self,
+                         .region = node->region,
+                         .refresh_interval_ms = node->settings->snapshot_interval_ms };
   own_options_defaults (&options);
   own->state = own_new (&options, err);
   GrName stream = gr_name_format ("ownership-%.*s", GR_NAME_ARG (node->region));
--- a/src/node/node_parts.c
+++ b/src/node/node_parts.c
@@ -155,8 +155,9 @@
 static void
 tell_active (NodeParts *parts, NodePart *part)
 {
-  JobMsg msg = { .kind = JOB_MSG_PART_ACTIVE,
-                 .part = { part->number, node_own_until (parts->node, &part->key) } };
+  JobMsg msg
+      = { .kind = JOB_MSG_PART_ACTIVE,
+          .part = { .part = part->number, .until_ms = node_own_until (parts->node, &part->key) } };
   node_parts_step (parts, &msg);
 }
 
@@ -171,7 +172,8 @@
     if (!part->owned || part->told || sent_ms < part->gained_ms)
       continue;
     part->told = true;
-    JobMsg msg = { .kind = JOB_MSG_PART_GAINED, .part = { .part = part->number } };
+    JobMsg msg
+        = { .kind = JOB_MSG_PART_GAINED, .part = { .part = part->number, .epoch = part->epoch } };
     node_parts_step (parts, &msg);
     tell_active (parts, part);
     node_sync_part (parts, part);
@@ -212,6 +214,7 @@
     return false;
   }
   parts->count = options.parts;
+  parts->snapshot_next_ms = node_now (node) + node->settings->snapshot_interval_ms;
   parts->items = gr_calloc ((size_t) parts->count, sizeof *parts->items);
   for (int32_t i = 0; i < parts->count; i++) {
     parts->items[i].number = i;
@@ -404,6 +407,10 @@
   for (size_t i = 0; i < deferred; i++)
     node_parts_step (parts, &items[i]);
   free (items);
+  if (now >= parts->snapshot_next_ms) {
+    parts->snapshot_next_ms = now + node->settings->snapshot_interval_ms;
+    node_parts_step (parts, &(JobMsg){ .kind = JOB_MSG_SNAPSHOT });
+  }
   JobMsg tick = { .kind = JOB_MSG_TICK };
   node_parts_step (parts, &tick);
   if (now >= parts->sync_next_ms) {
--- a/src/node/node_parts_priv.h
+++ b/src/node/node_parts_priv.h
@@ -43,6 +43,7 @@
   uv_timer_t timer;
   int64_t active_next_ms;
   int64_t sync_next_ms;
+  int64_t snapshot_next_ms;
 };
 
 void node_parts_step (NodeParts *parts, const JobMsg *msg);
--- a/src/node/node_stream.c
+++ b/src/node/node_stream.c
@@ -311,6 +311,34 @@
   return true;
 }
 
+typedef struct {
+  NodeStream *stream;
+  void (*done) (void *user, bool ok);
+} RawCall;
+
+static void
+raw_append_done (void *user, const NetHttpAnswer *answer)
+{
+  RawCall call = *(RawCall *) user;
+  free (user);
+  if (!call.stream->closed)
+    call.done (call.stream->user, answer->status == 200);
+}
+
+void
+node_stream_append_raw (NodeStream *stream, GrStr record, void (*done) (void *user, bool ok))
+{
+  RawCall *call = gr_calloc (1, sizeof *call);
+  *call = (RawCall){ stream, done };
+  NetHttpCall http = { .method = "POST",
+                       .url = gr_str_from_c (stream->url),
+                       .content_type = GR_STR ("application/octet-stream"),
+                       .body = record,
+                       .timeout_at_ms = node_now (stream->node) + STORE_TIMEOUT_MS };
+  gr_metric_add (&stream->node->metrics, GR_METRIC_LOG_APPENDS, 1);
+  net_http_client_send (stream->client, &http, raw_append_done, call);
+}
+
 void
 node_stream_read_soon (NodeStream *stream)
 {
--- a/src/node/node_stream.h
+++ b/src/node/node_stream.h
@@ -24,6 +24,9 @@
 void node_stream_free (NodeStream *stream);
 /* Error GR_ERR_OVERLOADED: certainly not written. */
 bool node_stream_append (NodeStream *stream, int64_t token, GrStr record, GrErr *err);
+/* Appends the bytes as one record of a raw stream, once and without a retry; done runs with the
+   outcome. The caller makes sure that a second copy does no harm. */
+void node_stream_append_raw (NodeStream *stream, GrStr record, void (*done) (void *user, bool ok));
 /* Starts a read now; if one is in flight, another follows it. */
 void node_stream_read_soon (NodeStream *stream);
 /* False after a failed append or read until the next success. */
