--- a/src/net/net_peer.c
+++ b/src/net/net_peer.c
@@ -1,5 +1,6 @@
 #include "net/net_peer.h"
 
+#include <netinet/tcp.h>
 #include <signal.h>
 #include <stdlib.h>
 
@@ -12,6 +13,10 @@
 #define READ_BYTES 65536
 /* A link without a finished handshake is closed after this. */
 #define HANDSHAKE_TIMEOUT_MS 3000
+/* A peer that vanished without closing is noticed when sent bytes stay unacknowledged for this
+   long, or keep-alive probes on a quiet link. */
+#define UNACKNOWLEDGED_MAX_MS 10000
+#define KEEPALIVE_S 5
 #define REDIAL_MIN_MS 100
 #define REDIAL_MAX_MS 1000
 /* Accepted connections without a finished handshake; more are closed at once. */
@@ -426,6 +431,11 @@
 start_link (Link *link)
 {
   uv_tcp_nodelay (&link->tcp, 1);
+  uv_tcp_keepalive (&link->tcp, 1, KEEPALIVE_S);
+  uv_os_fd_t fd;
+  unsigned int limit_ms = UNACKNOWLEDGED_MAX_MS;
+  if (uv_fileno ((uv_handle_t *) &link->tcp, &fd) == 0)
+    setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit_ms, sizeof limit_ms);
   link->state = LINK_HELLO;
   if (uv_read_start ((uv_stream_t *) &link->tcp, on_alloc, on_read) != 0) {
     close_link (link);
