sch: drop work at the crest that would mostly miss its window

Cause: a start was allowed until the deadline less the median run time, so half of the last starts missed, and refusal on arrival counted all work ahead although some of it expires. Change: the 9-in-10 run time is used, and half of the work ahead.

--- a/src/sch/sch_submit.c
+++ b/src/sch/sch_submit.c
@@ -29,7 +29,8 @@
   e->submit_ms = s->now_ms;
   set_reserve (s, e);
   sch_classify (s, e);
-  e->latest_ms = task->deadline_ms > 0 ? task->deadline_ms - e->run_ms : INT64_MAX;
+  /* Nine of ten that start by then end in time; later starts would mostly waste their slot. */
+  e->latest_ms = task->deadline_ms > 0 ? task->deadline_ms - e->high_ms : INT64_MAX;
   return e;
 }
 
@@ -73,7 +74,8 @@
     return false;
   bool slots = e->reserve.v[GR_RES_SLOTS] > 0;
   bool soon = e->class <= SCH_CLASS_SHORT;
-  int64_t wait_ms = soon ? sch_queue_wait_ms (s, slots, e->run_ms) : 0;
+  /* Half of the work ahead: some of it expires, and a refusal in error loses a request. */
+  int64_t wait_ms = soon ? sch_queue_wait_ms (s, slots, e->run_ms) / 2 : 0;
   return s->now_ms + wait_ms >= e->latest_ms;
 }
 
