sch: tell a wave of bad jobs from a bad target

Cause: every second job being bad put a good target into quarantine, as three first failures of jobs of a kind with a 1% failure rate counted 4.6 each. Change: the failure rate of a kind follows faster (0.2 instead of 0.05), counts at least 5%, and the evidence needed is 1 in 10,000 instead of 1 in 1,000.

--- a/bench/swings.c
+++ b/bench/swings.c
@@ -130,7 +130,8 @@
 static double
 crest_bound (const BenchLoad *load, int32_t swing, int32_t slots, int64_t window_ms)
 {
-  const BenchTask **tasks = gr_calloc (load->count, sizeof *tasks);
+  const BenchTask **tasks
+      = gr_calloc (load->count, sizeof *tasks); // NOLINT(bugprone-sizeof-expression): pointers
   int64_t first_ms = INT64_MAX;
   size_t count = 0;
   for (size_t k = 0; k < load->count; k++) {
@@ -140,7 +141,8 @@
     first_ms = task->arrive_ms < first_ms ? task->arrive_ms : first_ms;
     tasks[count++] = task;
   }
-  qsort (tasks, count, sizeof *tasks, compare_runs);
+  qsort (tasks, count, sizeof *tasks, // NOLINT(bugprone-sizeof-expression): pointers
+         compare_runs);
   double work[BUCKETS] = { 0 };
   double served = 0;
   double per_bucket = (double) slots * BUCKET_MS;
--- a/bench/tools.c
+++ b/bench/tools.c
@@ -44,7 +44,7 @@
 void
 bench_add_targets (BenchCell *cell, int32_t count, GrRes capacity)
 {
-  size_t total = (size_t) (cell->count + count);
+  size_t total = (size_t) cell->count + (size_t) count;
   cell->targets = gr_realloc_items (cell->targets, total, sizeof *cell->targets);
   for (int32_t i = 0; i < count; i++)
     cell->targets[cell->count++] = (BenchTarget){ .capacity = capacity };
--- a/src/sch/sch_health.c
+++ b/src/sch/sch_health.c
@@ -6,15 +6,17 @@
 
 #include "sch/sch_priv.h"
 
-/* A target is quarantined when chance explains its failures with less than 1 in 1,000 ... */
-#define EVIDENCE_MIN 6.9
+/* A target is quarantined when chance explains its failures with less than 1 in 10,000 ... */
+#define EVIDENCE_MIN 9.2
 /* ... and at least this many of them count. */
 #define RECORDS_MIN 3
 /* No kind is taken to fail less often; one of few outcomes not less often than NEW_FAIL_RATE. */
-#define FAIL_RATE_MIN 0.01
+#define FAIL_RATE_MIN 0.05
 #define NEW_FAIL_RATE 0.2
 #define NEW_OUTCOMES 8
-#define FAIL_RATE_STEP 0.05
+/* Large, so that a wave of bad jobs is noticed before it condemns a target; between two failures
+   of a bad target the kind succeeds elsewhere and its rate falls again. */
+#define FAIL_RATE_STEP 0.2
 /* Weight of the rate of the kind against the outcomes of one job. */
 #define JOB_PRIOR 4.0
 /* Only the first failures in a row on a target count for the kind, as a target that fails all its
