--- a/bench/swings.c
+++ b/bench/swings.c
@@ -118,6 +118,7 @@
   return ((*x)->run_ms > (*y)->run_ms) - ((*x)->run_ms < (*y)->run_ms);
 }
 
+#define CREST_WINDOW_MS 2000
 #define BUCKET_MS 100
 #define BUCKETS 128
 
@@ -169,8 +170,6 @@
   return served;
 }
 
-#define CREST_WINDOW_MS 2000
-
 static double
 crest_ratio (const BenchLoad *load, int32_t swings, int32_t slots, double *share)
 {
@@ -211,7 +210,10 @@
     at += bench_exponential (&r, SHORT_MEAN_MS / (slots * (0.2 + 1.8 * up)));
     BenchTask task = short_request (&r, size, (int64_t) at, CREST_WINDOW_MS);
     /* What arrives during the last window competes with the crest, so it belongs to the swing. */
-    task.swing = (int64_t) at % 15000 >= 9000 ? (int32_t) (at / 15000) : -1;
+    int64_t since_ms = (int64_t) at - 9000;
+    task.swing = since_ms >= 0 && since_ms % 15000 < 5000 + CREST_WINDOW_MS
+                     ? (int32_t) (since_ms / 15000)
+                     : -1;
     gr_list_push (&load, task);
   }
   bench_sort_load (&load);
--- a/src/sch/sch.h
+++ b/src/sch/sch.h
@@ -3,7 +3,14 @@
    It holds the targets' capacity and reservations and the queue of tasks that wait for them. A task
    enters by SCH_MSG_SUBMIT, is started on a target by SCH_CMD_START, and leaves by SCH_CMD_ENDED or
    SCH_CMD_REFUSED. The caller reports what targets say. One thread uses a state; times are local
-   monotonic ms. */
+   monotonic ms.
+
+   Each submitted attempt gets exactly one SCH_CMD_REFUSED or SCH_CMD_ENDED, except that nothing is
+   said of tasks on a target at SCH_MSG_TARGET_GONE: report a lapse before it if there will be no
+   next owner. A submit of an attempt that is known, or was within the last 10 minutes, is ignored.
+   The end of a task found in an inventory is told once, also if it was not submitted here. A
+   leaving target stays so until it is gone. A start that the target refused is final for the
+   attempt; SCH_CMD_STOP may be repeated until the end is reported. */
 #pragma once
 
 #include "base/gr_err.h"
