--- a/src/own/own.h
+++ b/src/own/own.h
@@ -23,6 +23,7 @@
   bool no_list_age_check;
   bool no_gone_delay;
   bool no_void_rule;
+  bool single_list_lag; /* counts the lag of the list once in the delay before `gone` */
 } OwnFaults;
 
 typedef struct {
@@ -35,6 +36,8 @@
   int64_t list_max_age_ms;       /* X; default 5000 */
   int64_t list_lag_ms;           /* default 5000 */
   int64_t handover_interval_ms;  /* at most one key per interval is rebalanced; default 1000 */
+  int64_t refresh_interval_ms;   /* half of the retention of the log; default 1800000 */
+  uint64_t seed;                 /* jitter of rebalancing and refreshes */
   OwnFaults faults;
 } OwnOptions;
 
@@ -43,15 +46,17 @@
   OWN_RECORD_CLAIM,
   OWN_RECORD_HANDOVER,
   OWN_RECORD_GONE,
-  OWN_RECORD_FAREWELL
+  OWN_RECORD_FAREWELL,
+  OWN_RECORD_REFRESH /* repeats epoch and owner of a key before retention removes its claim */
 } OwnRecordKind;
 
 /* One record of the stream ownership-REGION. */
 typedef struct {
   OwnRecordKind kind;
   GrVmRef writer;
-  GrName key;    /* claim, handover */
-  int64_t epoch; /* claim, handover: the epoch that begins */
+  GrName key;    /* claim, handover, refresh */
+  int64_t epoch; /* claim, handover: the epoch that begins; refresh: the epoch in force;
+                    join: number of this join, from 1; gone: number of the join that it ends */
   GrVmRef to;    /* handover: the new owner; gone: the VM declared gone */
 } OwnRecord;
 
@@ -71,6 +76,9 @@
   bool promise_wanted; /* request: promise not to claim my keys */
   bool promise_given;  /* reply: promised for lease_ms from receipt of the request */
   bool leaving;        /* the sender began a planned stop */
+  bool joining;        /* the sender has not read its own join yet */
+  uint64_t owned_hash; /* over keys and epochs that the sender owns: a promise is refused by a peer
+                          that knows of another owner for one of them */
   size_t peer_count;
   OwnPeerAge peers[OWN_PEERS_MAX];
 } OwnHeartbeat;
@@ -91,7 +99,8 @@
   OWN_MSG_APPEND_RESULT,  /* outcome of OWN_CMD_APPEND */
   OWN_MSG_HEARTBEAT,      /* a heartbeat or reply arrived */
   OWN_MSG_INVENTORY_DONE, /* every reachable target of a group was fenced and listed */
-  OWN_MSG_STOP            /* planned stop: hand over all keys, then say farewell */
+  OWN_MSG_STOP,           /* planned stop: hand over all keys, then say farewell */
+  OWN_MSG_STALE_EPOCH     /* a target refused an epoch of this VM; its fence is at fence_epoch */
 } OwnMsgKind;
 
 typedef enum {
@@ -125,6 +134,10 @@
       GrName key;
       int64_t epoch;
     } inventory_done;
+    struct {
+      GrName key;
+      int64_t fence_epoch;
+    } stale_epoch;
   };
 } OwnMsg;
 
