own, lgs: declared sizes are checked before unpacking; a stale epoch is remembered

Cause: five malformed bytes made the unpacker ask for gigabytes, found by the sanitizer run of the codec tests. A schedule with short retention lost the one answer that told of a higher fence, and the key stayed without an owner. Change: gr_pack_sizes_fit in base; the fence of a key is kept until the claim above it is read.

--- a/src/lgs/lgs_reader.c
+++ b/src/lgs/lgs_reader.c
@@ -4,6 +4,8 @@
 #include <msgpack.h>
 #include <stdlib.h>
 
+#include "base/gr_pack.h"
+
 /* Newest sequence number of one writer. */
 typedef struct {
   GrVmRef writer;
@@ -103,7 +105,8 @@
 unpack (GrStr bytes, msgpack_unpacked *unpacked)
 {
   size_t offset = 0;
-  return msgpack_unpack_next (unpacked, bytes.data, bytes.len, &offset) == MSGPACK_UNPACK_SUCCESS
+  return gr_pack_sizes_fit (bytes)
+         && msgpack_unpack_next (unpacked, bytes.data, bytes.len, &offset) == MSGPACK_UNPACK_SUCCESS
          && offset == bytes.len && unpacked->data.type == MSGPACK_OBJECT_ARRAY;
 }
 
--- a/src/own/own.c
+++ b/src/own/own.c
@@ -284,8 +284,8 @@
     break;
   case OWN_MSG_STALE_EPOCH: {
     OwnKey *key = own_key_find (state, &msg->stale_epoch.key);
-    if (key && !state->dead)
-      own_rules_stale_epoch (state, key, msg->stale_epoch.fence_epoch, now_ms, out);
+    if (key && msg->stale_epoch.fence_epoch > key->fence_epoch)
+      key->fence_epoch = msg->stale_epoch.fence_epoch;
     break;
   }
   }
--- a/src/own/own_codec.c
+++ b/src/own/own_codec.c
@@ -7,6 +7,8 @@
 
 #include <msgpack.h>
 
+#include "base/gr_pack.h"
+
 enum {
   FLAG_REPLY = 1,
   FLAG_PROMISE_WANTED = 2,
@@ -118,7 +120,8 @@
   msgpack_unpacked_init (&unpacked);
   size_t offset = 0;
   bool ok
-      = msgpack_unpack_next (&unpacked, bytes.data, bytes.len, &offset) == MSGPACK_UNPACK_SUCCESS
+      = gr_pack_sizes_fit (bytes)
+        && msgpack_unpack_next (&unpacked, bytes.data, bytes.len, &offset) == MSGPACK_UNPACK_SUCCESS
         && offset == bytes.len && read_record (&unpacked.data, record);
   msgpack_unpacked_destroy (&unpacked);
   if (!ok)
@@ -200,7 +203,8 @@
   msgpack_unpacked_init (&unpacked);
   size_t offset = 0;
   bool ok
-      = msgpack_unpack_next (&unpacked, bytes.data, bytes.len, &offset) == MSGPACK_UNPACK_SUCCESS
+      = gr_pack_sizes_fit (bytes)
+        && msgpack_unpack_next (&unpacked, bytes.data, bytes.len, &offset) == MSGPACK_UNPACK_SUCCESS
         && offset == bytes.len && read_heartbeat (&unpacked.data, heartbeat);
   msgpack_unpacked_destroy (&unpacked);
   if (!ok)
--- a/src/own/own_log.c
+++ b/src/own/own_log.c
@@ -43,12 +43,11 @@
   key->gained = false;
   /* After a handover the previous owner had stopped before it wrote the record. An owner that
      raises its own epoch excludes nobody else. */
-  if (state->options.faults.no_claim_wait)
-    key->usable_at_ms = now_ms;
-  else if (record->kind != OWN_RECORD_HANDOVER && !was_self)
-    key->usable_at_ms = now_ms + state->options.lease_ms + state->options.margin_ms;
-  else if (!was_self || key->usable_at_ms < now_ms)
-    key->usable_at_ms = now_ms;
+  bool wait
+      = record->kind != OWN_RECORD_HANDOVER && !was_self && !state->options.faults.no_claim_wait;
+  int64_t usable_ms = wait ? now_ms + state->options.lease_ms + state->options.margin_ms : now_ms;
+  if (!was_self || key->usable_at_ms < usable_ms)
+    key->usable_at_ms = usable_ms;
   schedule_refresh (state, key, now_ms);
 }
 
--- a/src/own/own_rules.c
+++ b/src/own/own_rules.c
@@ -229,6 +229,11 @@
       }
       continue;
     }
+    /* The targets have served a higher epoch that retention removed from the log. */
+    if (key->fence_epoch > key->epoch) {
+      append_for_key (state, key, OWN_RECORD_CLAIM, key->fence_epoch + 1, NULL, now_ms, out);
+      continue;
+    }
     /* The next owner does not wait, so the wait of this one has to be over. */
     if (now_ms < key->usable_at_ms || now_ms < key->not_before_ms)
       continue;
@@ -323,16 +328,6 @@
   own_rules_tick (state, now_ms, out);
 }
 
-void
-own_rules_stale_epoch (OwnState *state, OwnKey *key, int64_t fence_epoch, int64_t now_ms,
-                       OwnCmds *out)
-{
-  if (!own_key_is_self (state, key) || key->pending.state != OWN_PENDING_NONE
-      || fence_epoch <= key->epoch || !own_log_fresh (state, now_ms))
-    return;
-  append_for_key (state, key, OWN_RECORD_CLAIM, fence_epoch + 1, NULL, now_ms, out);
-}
-
 static bool
 take_result (OwnPending *pending, int64_t token, OwnAppendOutcome outcome, int64_t now_ms)
 {
--- a/src/own/own_state.h
+++ b/src/own/own_state.h
@@ -44,6 +44,7 @@
   int64_t gained_ms;
   int64_t recorded_ms; /* no later than the newest record that states this ownership */
   int64_t refresh_at_ms;
+  int64_t fence_epoch; /* highest epoch that a target is known to have served */
   OwnPending pending;
 } OwnKey;
 
@@ -76,8 +77,6 @@
 /* own_rules.c */
 void own_rules_tick (OwnState *state, int64_t now_ms, OwnCmds *out);
 void own_rules_stop (OwnState *state, int64_t now_ms, OwnCmds *out);
-void own_rules_stale_epoch (OwnState *state, OwnKey *key, int64_t fence_epoch, int64_t now_ms,
-                            OwnCmds *out);
 void own_rules_append_result (OwnState *state, int64_t token, OwnAppendOutcome outcome,
                               int64_t now_ms, OwnCmds *out);
 
--- a/tests/test_lgs.c
+++ b/tests/test_lgs.c
@@ -95,8 +95,8 @@
   size_t first_len = cmds.items[0].bytes.len;
   /* A record added meanwhile belongs to the next append. */
   lgs_writer_add (writer, 3, GR_STR ("c"), NULL);
-  static const LgsAppendOutcome failures[] = { LGS_APPEND_UNKNOWN, LGS_APPEND_REFUSED,
-                                               LGS_APPEND_UNKNOWN };
+  static const LgsAppendOutcome failures[]
+      = { LGS_APPEND_UNKNOWN, LGS_APPEND_REFUSED, LGS_APPEND_UNKNOWN };
   int64_t now_ms = 1000;
   for (size_t i = 0; i < sizeof failures / sizeof failures[0]; i++) {
     gr_list_reset (&cmds);
@@ -145,9 +145,14 @@
 }
 
 /* msgpack of the appends used below: [ "e1", 9, SEQ, [ bin LETTER ] ], 11 bytes. */
-#define APPEND(seq, letter) "\x94\xa2" "e1\x09" seq "\x91\xc4\x01" letter
+#define APPEND(seq, letter)                                                                        \
+  "\x94\xa2"                                                                                       \
+  "e1\x09" seq "\x91\xc4\x01" letter
 #define ENTRY(offset, seq, letter) "\x92" offset "\xc4\x0a" APPEND (seq, letter)
-#define BYTES(literal) { literal, sizeof (literal) - 1 }
+#define BYTES(literal)                                                                             \
+  {                                                                                                \
+    literal, sizeof (literal) - 1                                                                  \
+  }
 
 static void
 answers_are_applied_whole_or_not_at_all (void **state)
@@ -172,11 +177,12 @@
       2, true, false },
     { "more to come", BYTES ("\x93\x00\x05\x91" ENTRY ("\x00", "\x01", "a")), true, "a", 1, false,
       false },
-    { "retention passed", BYTES ("\x93\x03\x04\x91" ENTRY ("\x03", "\x01", "a")), true, "a", 4, true,
-      true },
+    { "retention passed", BYTES ("\x93\x03\x04\x91" ENTRY ("\x03", "\x01", "a")), true, "a", 4,
+      true, true },
     { "a foreign append is skipped",
-      BYTES ("\x93\x00\x02\x92" "\x92\x00\xc4\x01\xc1" ENTRY ("\x01", "\x01", "a")), true, "a", 2,
-      true, false },
+      BYTES ("\x93\x00\x02\x92"
+             "\x92\x00\xc4\x01\xc1" ENTRY ("\x01", "\x01", "a")),
+      true, "a", 2, true, false },
     { "a hole", BYTES ("\x93\x00\x03\x92" ENTRY ("\x00", "\x01", "a") ENTRY ("\x02", "\x02", "b")),
       false, "", 0, false, false },
     { "a start above what was asked for", BYTES ("\x93\x00\x03\x91" ENTRY ("\x01", "\x01", "a")),
@@ -187,7 +193,10 @@
     { "not an array", BYTES ("\x01"), false, "", 0, false, false },
     { "nothing", BYTES (""), false, "", 0, false, false },
     { "negative offset", BYTES ("\x93\xff\x01\x90"), false, "", 0, false, false },
-    { "a text for bytes", BYTES ("\x93\x00\x01\x91\x92\x00\xa1" "a"), false, "", 0, false, false },
+    { "a text for bytes",
+      BYTES ("\x93\x00\x01\x91\x92\x00\xa1"
+             "a"),
+      false, "", 0, false, false },
     { "trailing bytes", BYTES ("\x93\x00\x00\x90\x00"), false, "", 0, false, false },
     { "declared size that is not there", BYTES ("\x93\x00\x01\xdd\xff\xff\xff\xff"), false, "", 0,
       false, false },
@@ -198,8 +207,7 @@
     Delivered delivered = { "" };
     bool at_end = true, gap = true;
     GrErr err = { 0 };
-    bool ok
-        = lgs_reader_take (reader, cases[i].answer, on_record, &delivered, &at_end, &gap, &err);
+    bool ok = lgs_reader_take (reader, cases[i].answer, on_record, &delivered, &at_end, &gap, &err);
     if (ok != cases[i].ok || strcmp (delivered.text, cases[i].delivered) != 0
         || lgs_reader_next (reader) != cases[i].next || at_end != cases[i].at_end
         || gap != cases[i].gap || err.code != (ok ? GR_ERR_NONE : GR_ERR_PROTOCOL))
