--- a/tests/own_gen.hh
+++ b/tests/own_gen.hh
@@ -39,17 +39,16 @@
 {
   return rc::gen::mapcat (whole_range (2, 5), [=] (int vm_count) {
     return rc::gen::mapcat (whole_range (least, most), [=] (int fault_count) {
-      return rc::gen::map (
-          rc::gen::pair (rc::gen::arbitrary<uint64_t> (),
-                         rc::gen::container<std::vector<Fault>> ((size_t) fault_count,
-                                                                 gen_fault (kinds, vm_count))),
-          [=] (const std::pair<uint64_t, std::vector<Fault>> &drawn) {
-            Schedule schedule;
-            schedule.seed = drawn.first;
-            schedule.vm_count = vm_count;
-            schedule.faults = drawn.second;
-            return schedule;
-          });
+      return rc::gen::map (rc::gen::pair (rc::gen::arbitrary<uint64_t> (),
+                                          rc::gen::container<std::vector<Fault>> (
+                                              (size_t) fault_count, gen_fault (kinds, vm_count))),
+                           [=] (const std::pair<uint64_t, std::vector<Fault>> &drawn) {
+                             Schedule schedule;
+                             schedule.seed = drawn.first;
+                             schedule.vm_count = vm_count;
+                             schedule.faults = drawn.second;
+                             return schedule;
+                           });
     });
   });
 }
--- a/tests/own_world.hh
+++ b/tests/own_world.hh
@@ -50,9 +50,9 @@
   int list_lag_ms = -1;
   int late_append_ms = -1;
   bool list_lag_extremes = false; /* each read of the list lags by nothing or by the maximum */
-  int64_t retention_ms = 0; /* 0: the log keeps everything */
+  int64_t retention_ms = 0;       /* 0: the log keeps everything */
   int64_t refresh_ms = 0;
-  int64_t list_max_age_ms = 0;   /* options of the VMs; 0: the defaults */
+  int64_t list_max_age_ms = 0; /* options of the VMs; 0: the defaults */
   int64_t list_lag_option_ms = 0;
   int64_t max_rate_ppm = 20000;
   bool quiet_network = false; /* no loss, duplication or spikes */
@@ -149,7 +149,7 @@
     std::shared_ptr<OwnRecord> record;
 
     bool
-    operator< (const Event &other) const
+    operator<(const Event &other) const
     {
       return at != other.at ? at > other.at : order > other.order;
     }
--- a/tests/own_world_impl.hh
+++ b/tests/own_world_impl.hh
@@ -2,10 +2,7 @@
 #pragma once
 
 #include "own_world.hh"
-
-extern "C" {
-#include "own/own_state.h"
-}
+#include "own_world_ports.hh"
 
 #include <algorithm>
 #include <cstdio>
@@ -29,8 +26,9 @@
     Vm &vm = m_vms[(size_t) i];
     vm.name = gr_name_format ("e%d", i);
     vm.rate_ppm = m_rng.range (-schedule.max_rate_ppm, schedule.max_rate_ppm);
-    vm.lag_ms = schedule.list_lag_ms >= 0 ? schedule.list_lag_ms
-                                          : (m_rng.chance (500) ? m_rng.range (0, MAX_LAG_MS) : 200);
+    vm.lag_ms = schedule.list_lag_ms >= 0
+                    ? schedule.list_lag_ms
+                    : (m_rng.chance (500) ? m_rng.range (0, MAX_LAG_MS) : 200);
     vm.list_history.push_back ({ INT64_MIN / 2, false, 0 });
     int64_t boot_at = m_now + m_rng.range (0, 400);
     for (const Fault &fault : m_schedule.faults) {
@@ -245,8 +243,8 @@
       if ((int) j != i && other.up && m_now >= other.paused_until
           && own_may_start (other.own, &m_keys[k], local (other, m_now))) {
         m_verdict.two_starters = true;
-        violate ("e" + std::to_string (i) + " and e" + std::to_string (j) + " may both start on key "
-                 + std::to_string (k));
+        violate ("e" + std::to_string (i) + " and e" + std::to_string (j)
+                 + " may both start on key " + std::to_string (k));
       }
     }
     /* A start is sent after its check; a pause in between delays it past any lease. */
@@ -264,8 +262,8 @@
     const OwnCmd &cmd = cmds->items[c];
     Vm &vm = m_vms[(size_t) i];
     if (m_schedule.trace && cmd.kind != OWN_CMD_HEARTBEAT) {
-      static const char *const kinds[] = { "append", "", "inventory", "gained", "lost", "member",
-                                           "reidentify", "stopped" };
+      static const char *const kinds[]
+          = { "append", "", "inventory", "gained", "lost", "member", "reidentify", "stopped" };
       const GrName &name = cmd.kind == OWN_CMD_MEMBER_STATE ? cmd.member.vm.vm : cmd.key.key;
       if (cmd.kind == OWN_CMD_APPEND)
         fprintf (stderr, "%8lld e%d append kind %d %.*s\n", (long long) m_now, i,
@@ -306,206 +304,6 @@
   }
 }
 
-inline void
-World::send_heartbeat (int from, const OwnCmd &cmd)
-{
-  int to = -1;
-  for (size_t j = 0; j < m_vms.size (); j++) {
-    if (gr_name_equal (&m_vms[j].name, &cmd.heartbeat.to.vm))
-      to = (int) j;
-  }
-  if (to < 0 || to == from || !link_up (from, to) || !m_vms[(size_t) to].up
-      || m_vms[(size_t) to].incarnation != cmd.heartbeat.to.incarnation)
-    return;
-  bool slow = vm_fault (FAULT_SLOW_LINKS, from) || vm_fault (FAULT_SLOW_LINKS, to);
-  bool quiet = m_schedule.quiet_network || m_now >= m_faults_end;
-  if (!quiet && m_rng.chance (slow ? 200 : 10))
-    return;
-  int copies = !quiet && m_rng.chance (slow ? 200 : 10) ? 2 : 1;
-  auto heartbeat = std::make_shared<OwnHeartbeat> ();
-  /* The unused part of the peers list is not copied. */
-  memcpy (heartbeat.get (), cmd.heartbeat.heartbeat,
-          offsetof (OwnHeartbeat, peers)
-              + cmd.heartbeat.heartbeat->peer_count * sizeof (OwnPeerAge));
-  for (int n = 0; n < copies; n++) {
-    int64_t delay = m_rng.range (1, 15);
-    if (slow)
-      delay = m_rng.range (1, 2000);
-    else if (!quiet && m_rng.chance (5))
-      delay = m_rng.range (500, 6000);
-    push_event ({ m_now + delay, 0, EVENT_HEARTBEAT, to, m_vms[(size_t) to].life, 0, 0, 0, heartbeat,
-                  nullptr });
-  }
-}
-
-inline void
-World::append (int from, const OwnCmd &cmd)
-{
-  auto record = std::make_shared<OwnRecord> (cmd.append.record);
-  auto land_at = [&] (int64_t at) {
-    push_event ({ at, 0, EVENT_APPEND_LAND, -1, 0, 0, 0, 0, nullptr, record });
-  };
-  int64_t token = cmd.append.token;
-  int64_t late = m_schedule.late_append_ms >= 0 ? m_schedule.late_append_ms : m_rng.range (1000, 15000);
-  const Fault *outage = nullptr;
-  for (const Fault &fault : m_schedule.faults) {
-    if (active (fault, FAULT_STORE_DOWN) || (fault.vm == from && active (fault, FAULT_STORE_CUT)))
-      outage = &fault;
-  }
-  if (vm_fault (FAULT_APPEND_LATE, from)) {
-    if (m_rng.chance (800)) {
-      land_at (m_now + late);
-      m_faults_end = std::max (m_faults_end, m_now + late);
-    }
-    push (m_now + RPC_TIMEOUT_MS, EVENT_APPEND_RESULT, from, token, OWN_APPEND_UNKNOWN);
-    return;
-  }
-  if (outage) {
-    switch (outage->mode % 4) {
-    case 0: /* refused */
-      push (m_now + 10, EVENT_APPEND_RESULT, from, token, OWN_APPEND_FAILED);
-      return;
-    case 1: /* lost */
-      break;
-    case 2: /* the answer is lost */
-      land_at (m_now + 10);
-      break;
-    case 3: /* the append waits somewhere */
-      land_at (m_now + late);
-      m_faults_end = std::max (m_faults_end, m_now + late);
-      break;
-    }
-    push (m_now + RPC_TIMEOUT_MS, EVENT_APPEND_RESULT, from, token, OWN_APPEND_UNKNOWN);
-    return;
-  }
-  int64_t delay = m_rng.range (2, 30);
-  land_at (m_now + delay);
-  if (!m_schedule.quiet_network && m_now < m_faults_end && m_rng.chance (10))
-    push (m_now + RPC_TIMEOUT_MS, EVENT_APPEND_RESULT, from, token, OWN_APPEND_UNKNOWN);
-  else
-    push (m_now + delay + m_rng.range (2, 30), EVENT_APPEND_RESULT, from, token,
-          OWN_APPEND_COMMITTED);
-}
-
-inline void
-World::land (const OwnRecord &record)
-{
-  if (m_schedule.trace) {
-    static const char *const kinds[] = { "join", "claim", "handover", "gone", "farewell", "refresh" };
-    fprintf (stderr, "%8lld log %s %.*s/%lld key %.*s epoch %lld to %.*s/%lld\n", (long long) m_now,
-             kinds[record.kind], GR_NAME_ARG (record.writer.vm),
-             (long long) record.writer.incarnation, GR_NAME_ARG (record.key),
-             (long long) record.epoch, GR_NAME_ARG (record.to.vm), (long long) record.to.incarnation);
-  }
-  m_log.push_back ({ record, m_now });
-  m_verdict.handovers += record.kind == OWN_RECORD_HANDOVER;
-  m_verdict.claims += record.kind == OWN_RECORD_CLAIM;
-  m_verdict.gone_records += record.kind == OWN_RECORD_GONE;
-  const OwnKey *known = own_key_find (m_observer, &record.key);
-  int64_t log_epoch_before = known ? known->epoch : 0;
-  int64_t before[KEY_COUNT] = {};
-  GrVmRef owner;
-  for (int k = 0; k < KEY_COUNT; k++)
-    own_owner (m_observer, &m_keys[k], &owner, &before[k]);
-  OwnMsg msg = {};
-  msg.kind = OWN_MSG_RECORD;
-  msg.record = record;
-  OwnCmds cmds = {};
-  own_step (m_observer, &msg, m_now + 2 * WARM_UP_MS, &cmds);
-  own_cmds_clear (&cmds);
-  for (int k = 0; k < KEY_COUNT; k++) {
-    int64_t after = 0;
-    if (!own_owner (m_observer, &m_keys[k], &owner, &after))
-      continue;
-    if (after < before[k])
-      violate ("the epoch of a key fell in the log");
-  }
-  check_ended_writer (record, log_epoch_before);
-}
-
-/* A record that lands after the gone or farewell of its writer changes no owner. */
-inline void
-World::check_ended_writer (const OwnRecord &record, int64_t before)
-{
-  bool ended = false;
-  for (const GrVmRef &ref : m_ended)
-    ended = ended || gr_vm_ref_equal (&ref, &record.writer);
-  /* The join of a later process on the same VM ends the earlier one. */
-  for (const GrVmRef &ref : m_joined)
-    ended = ended
-            || (gr_name_equal (&ref.vm, &record.writer.vm)
-                && ref.incarnation > record.writer.incarnation);
-  if (record.kind == OWN_RECORD_JOIN)
-    m_joined.push_back (record.writer);
-  if (record.kind == OWN_RECORD_FAREWELL)
-    m_ended.push_back (record.writer);
-  if (record.kind == OWN_RECORD_GONE && mbr_ended (&m_observer->members, &record.to))
-    m_ended.push_back (record.to);
-  const OwnKey *key = own_key_find (m_observer, &record.key);
-  if (ended && key && key->epoch == record.epoch && before < record.epoch && gr_vm_ref_equal (&key->owner, &record.writer))
-    violate ("a record by a VM that had ended took a key");
-}
-
-inline void
-World::take_read (const Event &event)
-{
-  int i = event.vm;
-  int64_t life = m_vms[(size_t) i].life;
-  /* a: sent, local; b: end of the log when it answered; c: first retained offset then. */
-  if (event.c > m_vms[(size_t) i].read_next) {
-    /* Retention passed this reader: it cannot know what it missed, and starts anew. */
-    end_process (i);
-    push (m_now + 200, EVENT_BOOT, i);
-    return;
-  }
-  while (m_vms[(size_t) i].read_next < event.b) {
-    OwnMsg msg = {};
-    msg.kind = OWN_MSG_RECORD;
-    msg.record = m_log[(size_t) m_vms[(size_t) i].read_next++].record;
-    step (i, &msg);
-    Vm &vm = m_vms[(size_t) i];
-    if (!vm.up || vm.life != life)
-      return;
-    for (int k = 0; k < KEY_COUNT; k++) {
-      int64_t epoch = 0;
-      GrVmRef owner;
-      if (!own_owner (vm.own, &m_keys[k], &owner, &epoch))
-        continue;
-      if (epoch < vm.epochs[k])
-        violate ("the epoch of a key fell for a reader");
-      vm.epochs[k] = epoch;
-    }
-  }
-  OwnMsg msg = {};
-  msg.kind = OWN_MSG_LOG_READ;
-  msg.log_read.sent_ms = event.a;
-  step (i, &msg);
-}
-
-inline void
-World::take_list (const Event &event)
-{
-  Vm &vm = m_vms[(size_t) event.vm];
-  /* b: the state of the list that the answer shows. */
-  std::vector<OwnListedVm> listed;
-  for (const Vm &other : m_vms) {
-    const ListState *shown = nullptr;
-    for (const ListState &state : other.list_history) {
-      if (state.at <= event.b)
-        shown = &state;
-    }
-    if (shown && shown->present)
-      listed.push_back ({ other.name, m_list_shows_incarnation ? shown->incarnation : 0, false });
-  }
-  vm.list_shown_at = std::max (vm.list_shown_at, event.b);
-  OwnMsg msg = {};
-  msg.kind = OWN_MSG_LIST_READ;
-  msg.list_read.sent_ms = event.a;
-  msg.list_read.vms = listed.data ();
-  msg.list_read.count = listed.size ();
-  step (event.vm, &msg);
-}
-
 inline void
 World::start_fault (const Fault &fault)
 {
@@ -797,8 +595,8 @@
 describe (const Schedule &schedule)
 {
   static const char *const names[]
-      = { "pause",    "crash",     "link_cut",   "isolate",   "store_down", "store_cut", "append_late",
-          "list_cut", "list_drop", "slow_links", "late_boot", "stop" };
+      = { "pause",       "crash",    "link_cut",  "isolate",    "store_down", "store_cut",
+          "append_late", "list_cut", "list_drop", "slow_links", "late_boot",  "stop" };
   std::string text = "seed " + std::to_string (schedule.seed) + ", "
                      + std::to_string (schedule.vm_count) + " VMs";
   for (const Fault &fault : schedule.faults) {
