own: one key moves at a time and promises leave it out

Cause: e2e_store_away saw idempotent requests refused for a whole outage. A handover whose answer the outage took made owner and peers disagree about one key, and a promise covers all keys of an owner or none. Change: a request for promises names the key whose handover may be in the log; both sides leave it out; its owner does not act on it until it has read the log again. At most one key moves at a time. Conclusion: at most one key per VM has no owner for the outage.

--- a/src/own/own.c
+++ b/src/own/own.c
@@ -161,19 +161,22 @@
   gr_list_push (out, cmd);
 }
 
-/* True while no other VM can have become owner of a key that this VM owns by its own reading. */
+/* True while no other VM can have become owner of a key that this VM owns by its own reading. A key
+   that a request for promises left out is not covered until the log has been read again. */
 static bool
-lease_holds (const OwnState *state, int64_t now_ms)
+lease_holds (const OwnState *state, const OwnKey *key, int64_t now_ms)
 {
-  return own_log_fresh (state, now_ms) || state->options.faults.no_read_age_check
-         || own_peer_promises_hold (state, now_ms);
+  if (own_log_fresh (state, now_ms) || state->options.faults.no_read_age_check)
+    return true;
+  bool covered = key->left_out_ms == 0 || key->left_out_ms < state->log_sent_ms;
+  return covered && own_peer_promises_hold (state, now_ms);
 }
 
 void
 own_key_advance (OwnState *state, OwnKey *key, int64_t now_ms, OwnCmds *out)
 {
   if (key->gained || !own_key_is_self (state, key) || state->dead || now_ms < key->usable_at_ms
-      || !lease_holds (state, now_ms))
+      || !lease_holds (state, key, now_ms))
     return;
   if (key->pending.state != OWN_PENDING_NONE && key->pending.kind == OWN_RECORD_HANDOVER)
     return;
@@ -310,7 +313,7 @@
   if (now_ms - key->recorded_ms
       >= state->options.refresh_interval_ms + state->options.refresh_interval_ms / 2)
     return false;
-  return lease_holds (state, now_ms);
+  return lease_holds (state, key, now_ms);
 }
 
 bool
--- a/src/own/own.h
+++ b/src/own/own.h
@@ -79,6 +79,8 @@
   bool joining;        /* the sender has not read its own join yet */
   uint64_t owned_hash; /* over keys and epochs that the sender owns: a promise is refused by a peer
                           that knows of another owner for one of them */
+  GrName moving_key;   /* a key whose handover may be in the log; owned_hash leaves it out, and the
+                          sender does not act on it; empty if there is none */
   size_t peer_count;
   OwnPeerAge peers[OWN_PEERS_MAX];
 } OwnHeartbeat;
--- a/src/own/own_codec.c
+++ b/src/own/own_codec.c
@@ -139,7 +139,7 @@
               | (heartbeat->leaving ? FLAG_LEAVING : 0) | (heartbeat->joining ? FLAG_JOINING : 0);
   msgpack_packer packer;
   msgpack_packer_init (&packer, out, write_buf);
-  msgpack_pack_array (&packer, 6);
+  msgpack_pack_array (&packer, 7);
   pack_ref (&packer, &heartbeat->from);
   msgpack_pack_int64 (&packer, heartbeat->seq);
   msgpack_pack_int (&packer, flags);
@@ -154,6 +154,7 @@
     else
       msgpack_pack_false (&packer);
   }
+  pack_name (&packer, &heartbeat->moving_key);
 }
 
 static bool
@@ -171,7 +172,7 @@
 static bool
 read_heartbeat (const msgpack_object *root, OwnHeartbeat *heartbeat)
 {
-  if (root->type != MSGPACK_OBJECT_ARRAY || root->via.array.size < 6)
+  if (root->type != MSGPACK_OBJECT_ARRAY || root->via.array.size < 7)
     return false;
   const msgpack_object *items = root->via.array.ptr;
   int64_t flags;
@@ -179,7 +180,7 @@
       || !get_int (&items[2], 0, INT64_MAX, &heartbeat->seq)
       || !get_int (&items[3], 0, INT32_MAX, &flags)
       || items[4].type != MSGPACK_OBJECT_POSITIVE_INTEGER || items[5].type != MSGPACK_OBJECT_ARRAY
-      || items[5].via.array.size > OWN_PEERS_MAX)
+      || items[5].via.array.size > OWN_PEERS_MAX || !get_name (&items[6], &heartbeat->moving_key))
     return false;
   heartbeat->owned_hash = items[4].via.u64;
   heartbeat->reply = flags & FLAG_REPLY;
--- a/src/own/own_peer.c
+++ b/src/own/own_peer.c
@@ -16,14 +16,27 @@
                       .acknowledged = member->known };
 }
 
-/* Over the keys and epochs that the owner has by the log as read so far; 0 for none. */
+OwnKey *
+own_moving_key (const OwnState *state)
+{
+  for (size_t i = 0; i < state->keys.count; i++) {
+    OwnKey *key = &state->keys.items[i];
+    if (key->pending.state != OWN_PENDING_NONE && key->pending.kind == OWN_RECORD_HANDOVER)
+      return key;
+  }
+  return NULL;
+}
+
+/* Over the keys and epochs that the owner has by the log as read so far, less the one that moves;
+   0 for none. */
 static uint64_t
-owned_hash (const OwnState *state, const GrVmRef *owner)
+owned_hash (const OwnState *state, const GrVmRef *owner, const GrName *moving_key)
 {
   uint64_t hash = 0;
   for (size_t i = 0; i < state->keys.count; i++) {
     const OwnKey *key = &state->keys.items[i];
-    if (key->has_owner && gr_vm_ref_equal (&key->owner, owner))
+    if (key->has_owner && gr_vm_ref_equal (&key->owner, owner)
+        && !gr_name_equal (&key->key, moving_key))
       hash ^= gr_name_hash (&key->key, (uint64_t) key->epoch);
   }
   return hash;
@@ -37,7 +50,10 @@
   heartbeat->leaving = state->stopping_since_ms >= 0;
   heartbeat->joining
       = state->caught_up_ms < 0 || state->join.state != OWN_PENDING_NONE || state->join.epoch == 0;
-  heartbeat->owned_hash = owned_hash (state, &state->options.self);
+  const OwnKey *moving = own_moving_key (state);
+  if (moving)
+    heartbeat->moving_key = moving->key;
+  heartbeat->owned_hash = owned_hash (state, &state->options.self, &heartbeat->moving_key);
   add_peer (heartbeat, to, now_ms);
   const MbrMembers *members = &state->members.members;
   for (size_t n = 0; n < members->count && heartbeat->peer_count < PEERS_PER_HEARTBEAT; n++) {
@@ -78,6 +94,9 @@
      without a gap. They cost a reply each and are not asked for while the log answers. */
   bool want = owns_any (state) && now_ms - state->log_sent_ms >= state->options.lease_ms / 3;
   state->heartbeat_seq++;
+  OwnKey *moving = own_moving_key (state);
+  if (want && moving)
+    moving->left_out_ms = now_ms;
   const MbrMembers *members = &state->members.members;
   for (size_t i = 0; i < members->count; i++) {
     MbrMember *member = &members->items[i];
@@ -106,7 +125,7 @@
     return false;
   if (state->options.faults.no_unknown_claim_rule)
     return true;
-  if (request->owned_hash != owned_hash (state, &to->ref))
+  if (request->owned_hash != owned_hash (state, &to->ref, &request->moving_key))
     return false;
   for (size_t i = 0; i < state->keys.count; i++) {
     const OwnKey *key = &state->keys.items[i];
--- a/src/own/own_rules.c
+++ b/src/own/own_rules.c
@@ -218,6 +218,9 @@
   const MbrMember *self = mbr_find (&state->members, &state->options.self.vm);
   bool leaving = state->stopping_since_ms >= 0
                  || (self && mbr_state_of (&state->members, self, now_ms) == MBR_LEAVING);
+  /* At most one key moves at a time: a store outage that begins now leaves it without an owner
+     until the store is back. */
+  bool moving = own_moving_key (state) != NULL;
   for (size_t i = 0; i < state->keys.count; i++) {
     OwnKey *key = &state->keys.items[i];
     if (!own_key_is_self (state, key))
@@ -241,10 +244,11 @@
         = key->preferred.incarnation > 0 ? mbr_find (&state->members, &key->preferred.vm) : NULL;
     if (to && !mbr_is_self (&state->members, to)
         && (leaving
-            || (key->gained && now_ms >= state->next_handover_ms
+            || (!moving && key->gained && now_ms >= state->next_handover_ms
                 && now_ms - key->gained_ms >= state->options.handover_interval_ms
                 && now_ms - to->live_since_ms >= state->options.suspect_after_ms))) {
       append_for_key (state, key, OWN_RECORD_HANDOVER, key->epoch + 1, &to->ref, now_ms, out);
+      moving = true;
       state->next_handover_ms = now_ms + state->options.handover_interval_ms
                                 + own_random (state, state->options.handover_interval_ms / 4 + 1);
       continue;
--- a/src/own/own_state.h
+++ b/src/own/own_state.h
@@ -44,6 +44,7 @@
   int64_t gained_ms;
   int64_t recorded_ms; /* no later than the newest record that states this ownership */
   int64_t refresh_at_ms;
+  int64_t left_out_ms; /* when a request for promises last left the key out */
   int64_t fence_epoch; /* highest epoch that a target is known to have served */
   OwnPending pending;
 } OwnKey;
@@ -99,6 +100,8 @@
 /* True once this VM has read its first join. */
 bool own_joined (const OwnState *state);
 /* True if the read of the log is recent enough to act on. */
+/* The key whose handover by this VM may be in the log, or NULL. */
+OwnKey *own_moving_key (const OwnState *state);
 bool own_log_fresh (const OwnState *state, int64_t now_ms);
 /* Uniform in [0, bound). */
 int64_t own_random (OwnState *state, int64_t bound);
--- a/tests/test_own.c
+++ b/tests/test_own.c
@@ -118,6 +118,7 @@
   heartbeat->seq = 77;
   heartbeat->reply = heartbeat->promise_given = heartbeat->joining = true;
   heartbeat->owned_hash = UINT64_MAX;
+  heartbeat->moving_key = gr_name ("part/south/03");
   heartbeat->peer_count = 2;
   heartbeat->peers[0] = (OwnPeerAge){ ref ("e2", 11), 250, true };
   heartbeat->peers[1] = (OwnPeerAge){ ref ("e3", 12), -1, false };
