node: settle what a paused or replaced scheduler holds; hints after ownership records

Cause: attempts that waited at a paused owner stayed there until their deadline, and one could start after its partition had settled it without asking a VM that owned no group any more; calls forwarded to a paused owner were not repeated. Change: suspicion asks for the fate of attempts, a VM that loses its last group returns its queue, calls follow the owner in the log, and a committed ownership record is hinted to the peers, which shortens takeovers.

--- a/src/node/node_own.c
+++ b/src/node/node_own.c
@@ -80,7 +80,8 @@
       gr_log (&own->log, GR_EV_MEMBER_STATE, "%.*s inc %lld state %d",
               GR_NAME_ARG (cmd->member.vm.vm), (long long) cmd->member.vm.incarnation,
               (int) cmd->member.state);
-      if (cmd->member.state == OWN_MEMBER_GONE)
+      /* A paused scheduler keeps its links, but what waits there may have to run elsewhere. */
+      if (cmd->member.state == OWN_MEMBER_GONE || cmd->member.state == OWN_MEMBER_SUSPECTED)
         node_parts_peer_down (node, &cmd->member.vm.vm);
       break;
     case OWN_CMD_REIDENTIFY:
@@ -127,6 +128,8 @@
   NodeOwn *own = user;
   OwnMsg msg = { .kind = OWN_MSG_APPEND_RESULT, .append_result = { token, OWN_APPEND_COMMITTED } };
   take_step (own, &msg);
+  NodeWire hint = { .kind = NODE_WIRE_LOG_HINT };
+  node_peers_broadcast (own->node, &own->node->region, &hint);
 }
 
 static void
@@ -241,6 +244,12 @@
   free (heartbeat);
 }
 
+void
+node_own_log_hint (Node *node)
+{
+  node_stream_read_soon (node->own->stream);
+}
+
 void
 node_own_inventory_done (Node *node, const GrName *key, int64_t epoch)
 {
--- a/src/node/node_own.h
+++ b/src/node/node_own.h
@@ -10,6 +10,8 @@
 void node_own_free (NodeOwn *own);
 void node_own_list_read (Node *node, int64_t sent_ms, bool changed);
 void node_own_heartbeat (Node *node, GrStr bytes);
+/* A peer committed a record: read the stream before the next poll. */
+void node_own_log_hint (Node *node);
 /* Every target of the group that answers was fenced with the epoch and listed. */
 void node_own_inventory_done (Node *node, const GrName *key, int64_t epoch);
 /* A target refused an epoch of this VM because its fence is higher. */
--- a/src/node/node_parts.c
+++ b/src/node/node_parts.c
@@ -15,7 +15,7 @@
 
 #define PARTS_TICK_MS 10
 #define JOBS_POLL_MS 500
-#define SYNC_RETRY_MS 500
+#define SYNC_RETRY_MS 50
 /* A placement that arrives later is refused; less than the claimer's wait of 3,500 ms. */
 #define PLACE_BY_MS 1000
 
--- a/src/node/node_peers.c
+++ b/src/node/node_peers.c
@@ -81,6 +81,9 @@
   case NODE_WIRE_FAREWELL:
     node_place_forget (node, from);
     break;
+  case NODE_WIRE_LOG_HINT:
+    node_own_log_hint (node);
+    break;
   }
   node_wire_clear (&wire);
 }
--- a/src/node/node_route.c
+++ b/src/node/node_route.c
@@ -13,6 +13,8 @@
 #define UNREACHABLE_MS 2000
 /* A peer's call that is not for a partition of this VM is forwarded at most this often. */
 #define HOPS_MAX 2
+/* A call to another region is repeated at another of its VMs after this long without an answer. */
+#define FOREIGN_REPEAT_MS 5000
 #define PEERS_MAX 128
 
 typedef enum {
@@ -29,6 +31,7 @@
   GrName peer; /* FORWARDED */
   bool sent;   /* an owner may have seen it */
   int64_t begin_ms;
+  int64_t forwarded_ms;
   int64_t retry_at_ms;
   NodeRouteDone done; /* from the front */
   void *user;
@@ -132,6 +135,7 @@
       call->state = CALL_FORWARDED;
       call->peer = peer;
       call->sent = true;
+      call->forwarded_ms = node_now (node);
       gr_metric_add (&node->metrics, GR_METRIC_CALLS_FORWARDED, 1);
       gr_log (&route->log, GR_EV_ROUTED, "%.*s: to %.*s, %s", GR_NAME_ARG (call->body.id),
               GR_NAME_ARG (peer),
@@ -286,6 +290,20 @@
   finish (route, call, &reply);
 }
 
+/* A paused owner keeps its link but does not answer: the call goes to the new owner, or to another
+   VM of the region that is asked again at intervals. */
+static bool
+owner_changed (NodeRoute *route, const Call *call, int64_t now)
+{
+  Node *node = route->node;
+  GrVmRef owner;
+  int64_t epoch;
+  if (!gr_name_equal (&call->body.region, &node->region))
+    return now - call->forwarded_ms > FOREIGN_REPEAT_MS;
+  GrName key = node_part_key (&node->region, job_part (&call->body.id, node_own_parts (node)));
+  return node_own_owner (node, &key, &owner, &epoch) && !gr_name_equal (&owner.vm, &call->peer);
+}
+
 static void
 route_tick (uv_timer_t *timer)
 {
@@ -306,6 +324,8 @@
       give_up (route, call);
     else if (call->state == CALL_WAITING && now >= call->retry_at_ms)
       try_call (route, call);
+    else if (call->state == CALL_FORWARDED && owner_changed (route, call, now))
+      moved (route, call);
   }
 }
 
--- a/src/node/node_sync.c
+++ b/src/node/node_sync.c
@@ -6,6 +6,9 @@
 #include "node/node_peers.h"
 #include "node/node_targets.h"
 
+/* A takeover waits for the groups that change hands at the same time, so it asks often. */
+#define SYNC_REPEAT_MS 100
+
 static void
 ask (NodeParts *parts, NodeSync *sync)
 {
@@ -144,7 +147,7 @@
 {
   int64_t now = node_now (parts->node);
   for (NodeSync *sync = parts->syncs; sync; sync = sync->hh.next) {
-    if (sync->task.len == 0 && now - sync->asked_ms >= 400)
+    if (sync->task.len == 0 && now - sync->asked_ms >= SYNC_REPEAT_MS)
       ask (parts, sync);
   }
 }
--- a/src/node/node_targets.c
+++ b/src/node/node_targets.c
@@ -218,6 +218,10 @@
       drop_target (targets, target);
   }
   node_tasks_limits_changed (node);
+  for (group = targets->groups; group && group->state == NODE_GROUP_FOREIGN;)
+    group = group->hh.next;
+  if (!group)
+    node_tasks_return_queue (node);
 }
 
 static void
--- a/src/node/node_tasks.c
+++ b/src/node/node_tasks.c
@@ -70,7 +70,8 @@
 static void
 remove_task (NodeTasks *tasks, NodeTask *task)
 {
-  HASH_DEL (tasks->table, task);
+  if (!task->dropped)
+    HASH_DEL (tasks->table, task);
   HASH_DELETE (hh_local, tasks->by_local, task);
   free (task->payload);
   free (task->answer);
@@ -128,6 +129,8 @@
   Node *node = tasks->node;
   GrVmRef owner;
   int64_t epoch;
+  if (task->dropped)
+    return "returned to its partition";
   if (!target || target->state != NODE_TARGET_LISTED)
     return "target not listed";
   if (!node_own_may_start (node, &target->group))
@@ -171,7 +174,8 @@
   gr_log (&tasks->log, GR_EV_REFUSED, "%s: %s (%s)%s%s", task->key, sch_why_name (cmd->why),
           gr_err_name (why), cmd->why == SCH_WHY_NEVER_FITS ? " in " : "",
           cmd->why == SCH_WHY_NEVER_FITS ? gr_res_name (cmd->dim) : "");
-  node_report_place (tasks->node, task, JOB_PLACE_REFUSED, why);
+  if (!task->dropped)
+    node_report_place (tasks->node, task, JOB_PLACE_REFUSED, why);
   node_tasks_set_target (tasks, task, &(GrName){ 0 });
   remove_task (tasks, task);
 }
@@ -208,7 +212,7 @@
       break;
     case SCH_CMD_HELD: {
       NodeTask *task = find_local (tasks, cmd->attempt);
-      if (task) {
+      if (task && !task->dropped) {
         task->phase = NODE_TASK_HELD;
         node_report_place (tasks->node, task, JOB_PLACE_HELD, GR_ERR_NONE);
       }
@@ -507,16 +511,16 @@
 void
 node_tasks_return_queue (Node *node)
 {
-  GR_LIST (GrName) waiting = { 0 };
-  for (NodeTask *task = node->tasks->table; task; task = task->hh.next) {
-    if (task->phase == NODE_TASK_QUEUED || task->phase == NODE_TASK_HELD)
-      gr_list_push (&waiting, task->sch.id);
-  }
-  for (size_t i = 0; i < waiting.count; i++) {
-    SchMsg msg = { .kind = SCH_MSG_CANCEL, .ref = { waiting.items[i] } };
-    node_tasks_step (node->tasks, &msg);
+  NodeTasks *tasks = node->tasks;
+  NodeTask *task, *next;
+  HASH_ITER (hh, tasks->table, task, next)
+  {
+    if (task->phase != NODE_TASK_QUEUED && task->phase != NODE_TASK_HELD)
+      continue;
+    node_report_place (node, task, JOB_PLACE_REFUSED, GR_ERR_UNAVAILABLE);
+    HASH_DEL (tasks->table, task);
+    task->dropped = true;
   }
-  gr_list_clear (&waiting);
 }
 
 static void
--- a/src/node/node_tasks.h
+++ b/src/node/node_tasks.h
@@ -38,7 +38,8 @@
   JobTaskState end;
   char *answer;
   size_t answer_len;
-  bool acked; /* the partition owner took the end */
+  bool dropped; /* answered as refused; only the scheduler still holds it */
+  bool acked;   /* the partition owner took the end */
   int64_t report_next_ms;
   int64_t ended_ms;
   UT_hash_handle hh;       /* by key */
@@ -84,7 +85,8 @@
 bool node_tasks_explain (const Node *node, const GrName *job, GrBuf *out);
 /* Attempts that have not ended. */
 size_t node_tasks_open (const Node *node);
-/* Refuses all waiting tasks, so that they are placed elsewhere. */
+/* Refuses all waiting tasks, so that they are placed elsewhere. None of them starts here later:
+   once this VM owns no group, the fate of its tasks is settled without asking it. */
 void node_tasks_return_queue (Node *node);
 
 /* For node_start.c: results of what was sent to targets. */
--- a/src/node/node_wire.c
+++ b/src/node/node_wire.c
@@ -75,7 +75,7 @@
     [NODE_WIRE_REPLY] = 6,        [NODE_WIRE_PLACE] = 6,      [NODE_WIRE_PLACE_RESULT] = 4,
     [NODE_WIRE_REPORT] = 4,       [NODE_WIRE_REPORT_ACK] = 2, [NODE_WIRE_CANCEL] = 1,
     [NODE_WIRE_GANG] = 2,         [NODE_WIRE_SYNC] = 5,       [NODE_WIRE_SYNC_DONE] = 4,
-    [NODE_WIRE_CONFIG_OFFER] = 3, [NODE_WIRE_FAREWELL] = 0,
+    [NODE_WIRE_CONFIG_OFFER] = 3, [NODE_WIRE_FAREWELL] = 0,   [NODE_WIRE_LOG_HINT] = 0,
   };
   msgpack_pack_array (&pk, (size_t) fields[wire->kind] + 1);
   msgpack_pack_int (&pk, (int) wire->kind);
@@ -170,6 +170,7 @@
     pack_str (&pk, wire->config.record);
     break;
   case NODE_WIRE_FAREWELL:
+  case NODE_WIRE_LOG_HINT:
     break;
   }
 }
@@ -412,6 +413,7 @@
     wire->config.record = take_str (f, "record");
     break;
   case NODE_WIRE_FAREWELL:
+  case NODE_WIRE_LOG_HINT:
     break;
   }
 }
@@ -433,7 +435,7 @@
                .count = unpacked.data.via.array.size,
                .ok = true,
                .err = err };
-  wire->kind = (NodeWireKind) take_int (&f, "type", NODE_WIRE_HEARTBEAT, NODE_WIRE_FAREWELL);
+  wire->kind = (NodeWireKind) take_int (&f, "type", NODE_WIRE_HEARTBEAT, NODE_WIRE_LOG_HINT);
   if (f.ok)
     decode_fields (&f, wire);
   if (f.ok && f.next != f.count)
--- a/src/node/node_wire.h
+++ b/src/node/node_wire.h
@@ -25,7 +25,8 @@
   NODE_WIRE_SYNC,      /* ask a scheduler for the tasks of a partition, or for one attempt */
   NODE_WIRE_SYNC_DONE, /* all that the scheduler holds was sent before */
   NODE_WIRE_CONFIG_OFFER,
-  NODE_WIRE_FAREWELL
+  NODE_WIRE_FAREWELL,
+  NODE_WIRE_LOG_HINT /* the sender committed an ownership record: read the stream now */
 } NodeWireKind;
 
 typedef enum {
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -91,6 +91,7 @@
                          .sync_done = { 4, gr_name ("part/attica/03"), true, sample_groups, 2 } };
   out[n++] = (NodeWire){ .kind = NODE_WIRE_CONFIG_OFFER, .config = { 6, true, GR_STR ("record") } };
   out[n++] = (NodeWire){ .kind = NODE_WIRE_FAREWELL };
+  out[n++] = (NodeWire){ .kind = NODE_WIRE_LOG_HINT };
   return n;
 }
 
@@ -182,7 +183,7 @@
     const char *field;
   } cases[] = {
     { "\x91\x00", 2, "type" },                 /* no such kind */
-    { "\x91\x0f", 2, "type" },                 /* no such kind */
+    { "\x91\x10", 2, "type" },                 /* no such kind */
     { "\x91\xc0", 2, "type" },                 /* nil */
     { "\x01", 1, "frame" },                    /* no array */
     { "\x92\x01\xa4text", 7, "heartbeat" },    /* text instead of bytes */
