--- a/src/sch/sch_submit.c
+++ b/src/sch/sch_submit.c
@@ -29,7 +29,8 @@
   e->submit_ms = s->now_ms;
   set_reserve (s, e);
   sch_classify (s, e);
-  e->latest_ms = task->deadline_ms > 0 ? task->deadline_ms - e->run_ms : INT64_MAX;
+  /* Nine of ten that start by then end in time; later starts would mostly waste their slot. */
+  e->latest_ms = task->deadline_ms > 0 ? task->deadline_ms - e->high_ms : INT64_MAX;
   return e;
 }
 
@@ -65,14 +66,25 @@
   return false;
 }
 
+/* Urgent and short work that would wait too long is told so at once. */
+static bool
+misses_deadline (const SchState *s, const SchEntry *e)
+{
+  if (e->latest_ms == INT64_MAX)
+    return false;
+  bool slots = e->reserve.v[GR_RES_SLOTS] > 0;
+  bool soon = e->class <= SCH_CLASS_SHORT;
+  /* Half of the work ahead: some of it expires, and a refusal in error loses a request. */
+  int64_t wait_ms = soon ? sch_queue_wait_ms (s, slots, e->run_ms) / 2 : 0;
+  return s->now_ms + wait_ms >= e->latest_ms;
+}
+
 static bool
 refuse_at_once (SchState *s, SchEntry *e, SchCmds *out)
 {
   const SchTask *task = &e->task;
   GrResDim dim = GR_RES_CPU_MILLI;
   SchWhy why;
-  bool slots = e->reserve.v[GR_RES_SLOTS] > 0;
-  bool soon = e->class <= SCH_CLASS_SHORT;
   if (sch_marked (&s->cancelled, gr_name_hash (&task->id, 0)))
     why = SCH_WHY_CANCELLED;
   else if (s->queued >= s->options.queue_max)
@@ -84,14 +96,11 @@
     why = SCH_WHY_NEVER_FITS;
   else if (!sch_team_could_allow (s, e->team, &e->reserve, &dim))
     why = SCH_WHY_QUOTA;
-  else if (s->now_ms >= e->latest_ms)
+  else if (misses_deadline (s, e))
     why = SCH_WHY_DEADLINE;
-  else if (soon && e->latest_ms < INT64_MAX
-           && s->now_ms + sch_queue_wait_ms (s, slots, e->run_ms) >= e->latest_ms)
-    why = SCH_WHY_DEADLINE;
-  else if (e->gang && sch_marked (&s->dead_gangs, e->gang->key))
-    why = SCH_WHY_HOLD_EXPIRED;
-  else if (e->gang && s->now_ms >= task->policy.gang.hold_deadline_ms)
+  else if (e->gang
+           && (sch_marked (&s->dead_gangs, e->gang->key)
+               || s->now_ms >= task->policy.gang.hold_deadline_ms))
     why = SCH_WHY_HOLD_EXPIRED;
   else if (!e->gang || !gang_never_fits (s, e->gang, &why, &dim))
     return false;
--- a/tests/prop_cfg.cc
+++ b/tests/prop_cfg.cc
@@ -172,6 +172,7 @@
   std::vector<std::string> states;  // state record after each offset; empty at version 0
   std::vector<int64_t> versions;    // after each offset
   std::vector<int64_t> snapshot_of; // last offset that the state record reflects, or -1
+  int64_t latest_start = 0;         // from there on the log alone tells the state
 };
 
 // Publications on the right, an old and a future base, repeated records, late snapshots, garbage.
@@ -207,6 +208,7 @@
     log.versions.push_back (cfg_store_version (truth.store));
     log.snapshot_of.push_back (snapshot_of);
   }
+  log.latest_start = cfg_store_latest_start (truth.store);
   return log;
 }
 
@@ -249,6 +251,8 @@
   RC_CLASSIFY (version > 1, "several versions");
   RC_CLASSIFY (start > 0 && known, "started late, knows the state");
   RC_ASSERT (cfg_store_version (reader.store) <= version);
+  RC_CLASSIFY (start > 0 && start <= log.latest_start, "started late, the log tells the state");
+  RC_ASSERT (known || start > log.latest_start);
   if (!known) {
     offer (reader, log, log.states.size () - 1);
     known = !log.states.back ().empty ();
@@ -517,8 +521,9 @@
   }
 }
 
-// A damaged text is refused or read, but never changes how the next text is read: libconfuse's
-// scanner keeps state between texts.
+// A damaged text is refused or read, alike in every environment, and never changes how the next
+// text is read: libconfuse's scanner keeps state between texts and replaces references to
+// variables.
 void
 damage_leaves_no_trace (const CfgTreeFaults &faults, const std::vector<uint32_t> &choices)
 {
@@ -531,7 +536,7 @@
     "{",
     "}",
     "\\",
-    "${HOME}",
+    "${GR_TEST}",
     "=",
     "+=",
     "kind k {",
@@ -552,6 +557,7 @@
     "\r\n",
     "\xff",
     "priority = 1",
+    "kind z { run_ms = \"${GR_TEST}\" }",
     "team \"y\" {",
   };
   Tape tape (choices);
@@ -562,7 +568,12 @@
   for (int i = 0; i < count; i++)
     text += pieces[tape.pick (static_cast<int> (sizeof pieces / sizeof pieces[0]))];
   RC_LOG () << text << "\n";
+  setenv ("GR_TEST", "1", 1);
   Merged damaged = merge ({ { "a.conf", text } }, faults);
+  setenv ("GR_TEST", "2", 1);
+  Merged elsewhere = merge ({ { "a.conf", text } }, faults);
+  RC_ASSERT (elsewhere.values == damaged.values);
+  RC_ASSERT (same_problems (elsewhere.problems, damaged.problems));
   RC_ASSERT (damaged.ok == damaged.problems.empty ());
   for (const CfgProblem &problem : damaged.problems)
     RC_ASSERT (problem.line >= 1 && problem.line <= 1 + count_lines (text));
--- a/tests/prop_job.cc
+++ b/tests/prop_job.cc
@@ -316,10 +316,14 @@
   void
   arrive (const Place &place)
   {
-    if (place.epoch < fence_ || tombstones_.count (place.key))
-      return send_place_result (place.owner, place.key, JOB_PLACE_REFUSED, -1);
+    /* An attempt that is known is answered with its state, also to an old message: a refusal would
+       be taken as proof that it does not run. */
     if (attempts_.count (place.key))
       return report_attempt (place.owner, place.key);
+    if (lapsed_.count (place.key))
+      return send_report (place.owner, place.key, JOB_TASK_LAPSED);
+    if (place.epoch < fence_ || tombstones_.count (place.key))
+      return send_place_result (place.owner, place.key, JOB_PLACE_REFUSED, -1);
     if (choices_.one_in (4) || now_ms_ >= place.deadline_ms) {
       tombstones_.insert (place.key);
       return send_place_result (place.owner, place.key, JOB_PLACE_REFUSED, place.scheduler);
