--- a/bench/capacity_cell.c
+++ b/bench/capacity_cell.c
@@ -11,8 +11,8 @@
 #define WARM_UP_MS 30000
 #define MEASURED_MS 60000
 #define MEMBERS_MAX 36
-/* Keys of one region at the scale in two years: 4,900 workers in racks of 8, in 2 regions, and 64 job
-   partitions. */
+/* Keys of one region at the scale in two years: 4,900 workers in racks of 8, in 2 regions, and 64
+   job partitions. */
 #define KEYS 370
 
 typedef struct {
@@ -41,8 +41,7 @@
   return (double) t.tv_sec + (double) t.tv_nsec / 1e9;
 }
 
-static void
-step (Cell *cell, size_t index, const OwnMsg *msg);
+static void step (Cell *cell, size_t index, const OwnMsg *msg);
 
 static void
 take (Cell *cell, size_t index, OwnCmds *cmds)
@@ -189,11 +188,11 @@
   cell->measuring = true;
   run (cell, MEASURED_MS);
   double vm_seconds = (double) members * MEASURED_MS / 1000;
-  Cost cost = { .tick_us = cell->tick_s / (double) cell->ticks * 1e6,
-                .core_pct = (cell->tick_s + cell->other_s) / vm_seconds * 100,
-                .heartbeat_b_s = (double) cell->heartbeat_bytes / vm_seconds,
-                .heartbeat_bytes
-                = (double) cell->heartbeat_bytes / (double) cell->heartbeat_count };
+  Cost cost
+      = { .tick_us = cell->tick_s / (double) cell->ticks * 1e6,
+          .core_pct = (cell->tick_s + cell->other_s) / vm_seconds * 100,
+          .heartbeat_b_s = (double) cell->heartbeat_bytes / vm_seconds,
+          .heartbeat_bytes = (double) cell->heartbeat_bytes / (double) cell->heartbeat_count };
   for (size_t v = 0; v < members; v++)
     own_free (cell->vms[v].own);
   for (size_t i = 0; i < cell->heartbeats.count; i++)
@@ -225,7 +224,8 @@
     msg.keys.count = counts[i];
     own_step (own, &msg, 1000, &cmds);
     struct mallinfo2 after = mallinfo2 ();
-    bytes[i] = (double) (after.uordblks + after.hblkhd) - (double) (before.uordblks + before.hblkhd);
+    bytes[i]
+        = (double) (after.uordblks + after.hblkhd) - (double) (before.uordblks + before.hblkhd);
     own_cmds_clear (&cmds);
     own_free (own);
     free (names);
@@ -237,7 +237,9 @@
 main (void)
 {
   static const size_t members[] = { 3, 9, 18, 36 };
-  enum { SIZES = sizeof members / sizeof members[0] };
+  enum {
+    SIZES = sizeof members / sizeof members[0]
+  };
   Cost costs[SIZES];
   for (size_t i = 0; i < SIZES; i++) {
     costs[i] = measure (members[i], KEYS);
