own: broken variant that acts on the moving key

Cause: the rule that an owner does not act on a key whose handover may be in the log had no variant that shows it is needed. Change: switch act_on_moving_key in OwnFaults and its case.

--- a/src/own/own.c
+++ b/src/own/own.c
@@ -307,8 +307,9 @@
   if (!key || state->dead || !own_key_is_self (state, key) || !key->gained)
     return false;
   /* Once a handover or farewell may be in the log, the next owner does not wait. */
-  if ((key->pending.state != OWN_PENDING_NONE && key->pending.kind == OWN_RECORD_HANDOVER)
-      || state->farewell.state != OWN_PENDING_NONE)
+  bool moving = key->pending.state != OWN_PENDING_NONE && key->pending.kind == OWN_RECORD_HANDOVER
+                && !state->options.faults.act_on_moving_key;
+  if (moving || state->farewell.state != OWN_PENDING_NONE)
     return false;
   if (now_ms - key->recorded_ms
       >= state->options.refresh_interval_ms + state->options.refresh_interval_ms / 2)
--- a/src/own/own.h
+++ b/src/own/own.h
@@ -24,6 +24,7 @@
   bool no_gone_delay;
   bool no_void_rule;
   bool single_list_lag; /* counts the lag of the list once in the delay before `gone` */
+  bool act_on_moving_key;
 } OwnFaults;
 
 typedef struct {
--- a/tests/prop_own_rules.cc
+++ b/tests/prop_own_rules.cc
@@ -105,6 +105,7 @@
   { "no_list_age_check", &OwnFaults::no_list_age_check, wrong_list, 200 },
   { "no_gone_delay", &OwnFaults::no_gone_delay, wrong_list, 4000 },
   { "no_void_rule", &OwnFaults::no_void_rule, late_claims, 200 },
+  { "act_on_moving_key", &OwnFaults::act_on_moving_key, any_faults, 4000 },
 };
 
 bool
