--- a/src/own/own_rules.c
+++ b/src/own/own_rules.c
@@ -218,6 +218,9 @@
   const MbrMember *self = mbr_find (&state->members, &state->options.self.vm);
   bool leaving = state->stopping_since_ms >= 0
                  || (self && mbr_state_of (&state->members, self, now_ms) == MBR_LEAVING);
+  /* At most one key moves at a time: a store outage that begins now leaves it without an owner
+     until the store is back. */
+  bool moving = own_moving_key (state) != NULL;
   for (size_t i = 0; i < state->keys.count; i++) {
     OwnKey *key = &state->keys.items[i];
     if (!own_key_is_self (state, key))
@@ -229,6 +232,11 @@
       }
       continue;
     }
+    /* The targets have served a higher epoch that retention removed from the log. */
+    if (key->fence_epoch > key->epoch) {
+      append_for_key (state, key, OWN_RECORD_CLAIM, key->fence_epoch + 1, NULL, now_ms, out);
+      continue;
+    }
     /* The next owner does not wait, so the wait of this one has to be over. */
     if (now_ms < key->usable_at_ms || now_ms < key->not_before_ms)
       continue;
@@ -236,10 +244,11 @@
         = key->preferred.incarnation > 0 ? mbr_find (&state->members, &key->preferred.vm) : NULL;
     if (to && !mbr_is_self (&state->members, to)
         && (leaving
-            || (key->gained && now_ms >= state->next_handover_ms
+            || (!moving && key->gained && now_ms >= state->next_handover_ms
                 && now_ms - key->gained_ms >= state->options.handover_interval_ms
                 && now_ms - to->live_since_ms >= state->options.suspect_after_ms))) {
       append_for_key (state, key, OWN_RECORD_HANDOVER, key->epoch + 1, &to->ref, now_ms, out);
+      moving = true;
       state->next_handover_ms = now_ms + state->options.handover_interval_ms
                                 + own_random (state, state->options.handover_interval_ms / 4 + 1);
       continue;
@@ -323,16 +332,6 @@
   own_rules_tick (state, now_ms, out);
 }
 
-void
-own_rules_stale_epoch (OwnState *state, OwnKey *key, int64_t fence_epoch, int64_t now_ms,
-                       OwnCmds *out)
-{
-  if (!own_key_is_self (state, key) || key->pending.state != OWN_PENDING_NONE
-      || fence_epoch <= key->epoch || !own_log_fresh (state, now_ms))
-    return;
-  append_for_key (state, key, OWN_RECORD_CLAIM, fence_epoch + 1, NULL, now_ms, out);
-}
-
 static bool
 take_result (OwnPending *pending, int64_t token, OwnAppendOutcome outcome, int64_t now_ms)
 {
