--- a/src/own/own.c
+++ b/src/own/own.c
@@ -62,8 +62,7 @@
   state->options = checked;
   /* Two readers of the list may lag by different amounts, so the lag counts once for the VM that
      declares and once for the VM that is declared; the margin covers clock rates. */
-  int64_t gone_delay = checked.list_max_age_ms + checked.margin_ms
-                       + (checked.faults.single_list_lag ? 1 : 2) * checked.list_lag_ms;
+  int64_t gone_delay = checked.list_max_age_ms + 2 * checked.list_lag_ms + checked.margin_ms;
   MbrOptions members = { .self = checked.self,
                          .suspect_after_ms = checked.suspect_after_ms,
                          .list_max_age_ms = checked.list_max_age_ms,
--- a/src/own/own.h
+++ b/src/own/own.h
@@ -23,7 +23,6 @@
   bool no_list_age_check;
   bool no_gone_delay;
   bool no_void_rule;
-  bool single_list_lag; /* counts the lag of the list once in the delay before `gone` */
 } OwnFaults;
 
 typedef struct {
