--- a/src/base/gr_pack.c
+++ b/src/base/gr_pack.c
@@ -14,7 +14,12 @@
 typedef struct {
   size_t length_size;
   uint64_t fixed; /* body bytes, or count if length_size is 0 */
-  enum { COUNTS_NOTHING, COUNTS_BYTES, COUNTS_ITEMS, COUNTS_PAIRS } counts;
+  enum {
+    COUNTS_NOTHING,
+    COUNTS_BYTES,
+    COUNTS_ITEMS,
+    COUNTS_PAIRS
+  } counts;
 } Form;
 
 static Form
