job, node, net, cli: declared sizes are checked before unpacking; ended jobs keep less

Cause: under the address sanitizer five malformed bytes made the unpacker ask for 128 GB in test_job. Change: every msgpack decoder calls gr_pack_sizes_fit first; an ended job drops its tasks and its payload and compares repeated ids by hash.

--- a/src/cli/cli_stream.c
+++ b/src/cli/cli_stream.c
@@ -3,6 +3,7 @@
 #include <msgpack.h>
 #include <stdio.h>
 
+#include "base/gr_pack.h"
 #include "cli/cli_http.h"
 
 #define READ_RECORDS 100
@@ -76,8 +77,9 @@
     msgpack_unpacked_init (&unpacked);
     int64_t before = next;
     if (ok
-        && msgpack_unpack_next (&unpacked, answer.body.data, answer.body.len, NULL)
-               != MSGPACK_UNPACK_SUCCESS)
+        && (!gr_pack_sizes_fit (gr_buf_str (&answer.body))
+            || msgpack_unpack_next (&unpacked, answer.body.data, answer.body.len, NULL)
+                   != MSGPACK_UNPACK_SUCCESS))
       ok = gr_err_set (err, GR_ERR_PROTOCOL, "log", "the answer is not msgpack");
     ok = ok && take_answer (stream, &unpacked.data, &next, err);
     msgpack_unpacked_destroy (&unpacked);
--- a/src/job/job.c
+++ b/src/job/job.c
@@ -46,9 +46,16 @@
   return state;
 }
 
+/* What the commands of the last step refer to. */
 static void
 release_kept (JobState *state)
 {
+  for (size_t i = 0; i < state->ended.count; i++) {
+    Job *job = job_find (state, &state->ended.items[i]);
+    if (job && job->phase == JOB_ENDED && !job->end_pending)
+      job_release_work (job);
+  }
+  gr_list_reset (&state->ended);
   for (size_t i = 0; i < state->kept.count; i++)
     free ((char *) state->kept.items[i].data);
   gr_list_reset (&state->kept);
@@ -72,6 +79,7 @@
   }
   release_kept (state);
   gr_list_clear (&state->kept);
+  gr_list_clear (&state->ended);
   gr_list_clear (&state->timers);
   free (state);
 }
@@ -129,9 +137,9 @@
 static void
 task_timer_due (JobState *state, Job *job, int32_t index, int64_t now_ms, JobCmds *out)
 {
-  JobTask *task = &job->tasks[index];
   if (job->phase == JOB_ENDED || !state->parts[job->part].owned)
     return;
+  JobTask *task = &job->tasks[index];
   if (!job_part_acting (state, job->part, now_ms)) {
     job_timer_add (state, now_ms + JOB_SUSPENDED_RETRY_MS, &job->id, index);
     return;
--- a/src/job/job_accept.c
+++ b/src/job/job_accept.c
@@ -23,11 +23,12 @@
 }
 
 static bool
-same_work (const JobSpec *a, const JobSpec *b)
+same_work (const Job *job, const JobSpec *b)
 {
+  const JobSpec *a = &job->spec;
   return gr_name_equal (&a->team, &b->team) && gr_name_equal (&a->kind, &b->kind)
          && a->policy == b->policy && a->tasks == b->tasks && a->idempotent == b->idempotent
-         && gr_str_equal (a->payload, b->payload);
+         && job->payload_hash == job_payload_hash (b->payload);
 }
 
 static void
@@ -35,7 +36,7 @@
 {
   int64_t call = msg->submit.call;
   /* A job known only by its end record has no specification to compare with. */
-  if (job->spec.team.len > 0 && !same_work (&job->spec, msg->submit.spec)) {
+  if (job->spec.team.len > 0 && !same_work (job, msg->submit.spec)) {
     job_reply_refusal (call, &job->id, JOB_OUTCOME_NONE, GR_ERR_CONFLICT, out);
     return;
   }
--- a/src/job/job_attempt.c
+++ b/src/job/job_attempt.c
@@ -89,6 +89,8 @@
 void
 job_advance_task (JobState *state, Job *job, int32_t index, int64_t now_ms, JobCmds *out)
 {
+  if (job->phase == JOB_ENDED)
+    return;
   JobTask *task = &job->tasks[index];
   if (task->phase != JOB_TASK_IDLE || task->due_ms > now_ms)
     return;
@@ -123,6 +125,8 @@
 job_attempt_recorded (JobState *state, Job *job, int32_t index, int32_t attempt, int64_t now_ms,
                       JobCmds *out)
 {
+  if (job->phase == JOB_ENDED)
+    return;
   JobTask *task = &job->tasks[index];
   if (task->phase != JOB_TASK_RECORDING || task->attempt != attempt)
     return;
@@ -332,6 +336,8 @@
     place_result_of_orphan (state, msg, now_ms);
     return;
   }
+  if (job->phase == JOB_ENDED)
+    return;
   JobTask *task = &job->tasks[index];
   bool waits = task->phase == JOB_TASK_PLACING || task->phase == JOB_TASK_QUEUED
                || task->phase == JOB_TASK_HELD || task->phase == JOB_TASK_UNRESOLVED;
@@ -340,7 +346,7 @@
   bool adopted = open && msg->place.attempt > task->attempt
                  && (msg->place.result == JOB_PLACE_QUEUED || msg->place.result == JOB_PLACE_HELD);
   bool current = waits && msg->place.attempt == task->attempt;
-  if (job->phase == JOB_ENDED || (!current && !adopted))
+  if (!current && !adopted)
     return;
   switch (msg->place.result) {
   case JOB_PLACE_QUEUED:
--- a/src/job/job_codec.c
+++ b/src/job/job_codec.c
@@ -1,6 +1,7 @@
 /* msgpack codec of the records of jobs-REGION. */
 #include <msgpack.h>
 
+#include "base/gr_pack.h"
 #include "job/job_private.h"
 
 /* Numbers of fields of each record after kind, id and epoch. */
@@ -224,9 +225,10 @@
   msgpack_unpacked unpacked;
   msgpack_unpacked_init (&unpacked);
   size_t offset = 0;
-  msgpack_unpack_return result = msgpack_unpack_next (&unpacked, bytes.data, bytes.len, &offset);
-  bool ok = (result == MSGPACK_UNPACK_SUCCESS || result == MSGPACK_UNPACK_EXTRA_BYTES)
-            && offset == bytes.len && unpacked.data.type == MSGPACK_OBJECT_ARRAY;
+  bool ok
+      = gr_pack_sizes_fit (bytes)
+        && msgpack_unpack_next (&unpacked, bytes.data, bytes.len, &offset) == MSGPACK_UNPACK_SUCCESS
+        && offset == bytes.len && unpacked.data.type == MSGPACK_OBJECT_ARRAY;
   if (ok) {
     FieldReader reader = { unpacked.data.via.array.ptr, unpacked.data.via.array.size, 0, true };
     read_fields (&reader, record);
--- a/src/job/job_end.c
+++ b/src/job/job_end.c
@@ -113,9 +113,9 @@
 job_finish_task (JobState *state, Job *job, int32_t index, JobOutcome outcome, GrErrCode why,
                  GrStr answer, int64_t now_ms, JobCmds *out)
 {
-  JobTask *task = &job->tasks[index];
-  if (task->phase == JOB_TASK_DONE || job->phase == JOB_ENDED)
+  if (job->phase == JOB_ENDED || job->tasks[index].phase == JOB_TASK_DONE)
     return;
+  JobTask *task = &job->tasks[index];
   task->phase = JOB_TASK_DONE;
   task->outcome = outcome;
   task->why = why;
@@ -219,8 +219,10 @@
                   JobTaskState task_state, const GrName *scheduler, GrStr answer, int64_t now_ms,
                   JobCmds *out)
 {
+  if (job->phase == JOB_ENDED)
+    return;
   JobTask *task = &job->tasks[index];
-  if (job->phase == JOB_ENDED || task->phase == JOB_TASK_DONE || attempt < task->attempt)
+  if (task->phase == JOB_TASK_DONE || attempt < task->attempt)
     return;
   if (attempt > task->attempt) {
     task->attempt = attempt;
--- a/src/job/job_private.h
+++ b/src/job/job_private.h
@@ -69,6 +69,7 @@
   GrName id;
   JobSpec spec; /* payload points to payload_copy */
   char *payload_copy;
+  uint64_t payload_hash;
   int32_t part;
   JobPhase phase;
   JobOutcome outcome;
@@ -83,7 +84,7 @@
   bool end_pending;  /* callers are told once the end is in the log */
   int32_t done_tasks;
   int64_t forget_ms; /* ENDED: when the outcome is dropped */
-  JobTask *tasks;
+  JobTask *tasks;    /* NULL once the end was told */
   GR_LIST (JobWaiter) waiters;
   UT_hash_handle hh;
 } Job;
@@ -162,7 +163,8 @@
   size_t unfinished;
   double retry_tokens;
   unsigned short random[3];
-  GR_LIST (GrStr) kept; /* heap copies that the commands of the last step refer to */
+  GR_LIST (GrName) ended; /* jobs that ended in the last step: their tasks and payloads can go */
+  GR_LIST (GrStr) kept;   /* heap copies that the commands of the last step refer to */
 };
 
 /* job_codec.c */
@@ -173,6 +175,8 @@
 Job *job_find (JobState *state, const GrName *id);
 Job *job_create (JobState *state, const JobSpec *spec, bool must_record);
 void job_delete (JobState *state, Job *job);
+void job_release_work (Job *job);
+uint64_t job_payload_hash (GrStr payload);
 GrName job_task_id (const Job *job, int32_t index);
 /* Splits JOB/INDEX; false if malformed or the job does not have that task. */
 Job *job_find_task (JobState *state, const GrName *task_id, int32_t *index);
--- a/src/job/job_replay.c
+++ b/src/job/job_replay.c
@@ -55,7 +55,7 @@
 replay_attempt (JobState *state, const JobRecord *record, int64_t now_ms, JobCmds *out)
 {
   Job *job = job_find (state, &record->id);
-  if (!job || record->index >= job->spec.tasks)
+  if (!job || job->phase == JOB_ENDED || record->index >= job->spec.tasks)
     return;
   JobTask *task = &job->tasks[record->index];
   if (record->attempt < task->attempt)
--- a/src/job/job_reply.c
+++ b/src/job/job_reply.c
@@ -49,6 +49,8 @@
   for (size_t i = 0; i < job->waiters.count; i++)
     job_reply_status (state, job, job->waiters.items[i].call, out);
   gr_list_reset (&job->waiters);
+  if (job->phase == JOB_ENDED && !job->end_pending)
+    gr_list_push (&state->ended, job->id);
 }
 
 void
--- a/src/job/job_table.c
+++ b/src/job/job_table.c
@@ -19,6 +19,7 @@
   job->id = spec->id;
   job->spec = *spec;
   job->payload_copy = gr_str_dup (spec->payload);
+  job->payload_hash = job_payload_hash (spec->payload);
   job->spec.payload = (GrStr){ job->payload_copy, spec->payload.len };
   job->part = job_part (&spec->id, state->options.parts);
   job->phase = JOB_ACCEPTING;
@@ -29,6 +30,23 @@
   return job;
 }
 
+uint64_t
+job_payload_hash (GrStr payload)
+{
+  return XXH64 (payload.data, payload.len, 0);
+}
+
+/* An ended job answers repeated ids for a long time and needs its outcome and answer only. */
+void
+job_release_work (Job *job)
+{
+  free (job->tasks);
+  free (job->payload_copy);
+  job->tasks = NULL;
+  job->payload_copy = NULL;
+  job->spec.payload = GR_STR ("");
+}
+
 void
 job_delete (JobState *state, Job *job)
 {
@@ -37,8 +55,7 @@
   HASH_DEL (state->jobs, job);
   gr_list_clear (&job->waiters);
   gr_buf_clear (&job->answer);
-  free (job->tasks);
-  free (job->payload_copy);
+  job_release_work (job);
   free (job);
 }
 
--- a/src/net/net_proof.c
+++ b/src/net/net_proof.c
@@ -5,6 +5,8 @@
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
 
+#include "base/gr_pack.h"
+
 /* Depth and size of a handshake message are small; larger ones are refused before unpacking. */
 #define HANDSHAKE_MAX_BYTES 1024
 
@@ -107,7 +109,7 @@
 unpack_whole (msgpack_unpacked *unpacked, GrStr body)
 {
   size_t at = 0;
-  return body.len <= HANDSHAKE_MAX_BYTES
+  return body.len <= HANDSHAKE_MAX_BYTES && gr_pack_sizes_fit (body)
          && msgpack_unpack_next (unpacked, body.data, body.len, &at) == MSGPACK_UNPACK_SUCCESS
          && at == body.len && unpacked->data.type == MSGPACK_OBJECT_ARRAY;
 }
--- a/src/node/node_stream.c
+++ b/src/node/node_stream.c
@@ -4,6 +4,8 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "base/gr_pack.h"
+
 /* The whole system stays under this number of appends per second to all streams. */
 #define APPENDS_PER_S 200
 #define APPEND_INTERVAL_MIN_MS 5
@@ -149,7 +151,8 @@
   int64_t offset = 0;
   GrStr bytes = { NULL, 0 };
   bool ok
-      = msgpack_unpack_next (&unpacked, answer.data, answer.len, &used) == MSGPACK_UNPACK_SUCCESS
+      = gr_pack_sizes_fit (answer)
+        && msgpack_unpack_next (&unpacked, answer.data, answer.len, &used) == MSGPACK_UNPACK_SUCCESS
         && unpacked.data.type == MSGPACK_OBJECT_ARRAY && unpacked.data.via.array.size == 3;
   const msgpack_object *parts = ok ? unpacked.data.via.array.ptr : NULL;
   ok = ok && raw_int (&parts[0], &first) && raw_int (&parts[1], &end)
--- a/src/node/node_wire.c
+++ b/src/node/node_wire.c
@@ -3,6 +3,8 @@
 #include <msgpack.h>
 #include <stdlib.h>
 
+#include "base/gr_pack.h"
+
 /* Groups of a region: 4,900 workers in racks of 8 make 613. */
 #define GROUPS_MAX 4096
 
@@ -426,7 +428,8 @@
   msgpack_unpacked_init (&unpacked);
   size_t offset = 0;
   bool ok = false;
-  if (msgpack_unpack_next (&unpacked, body.data, body.len, &offset) != MSGPACK_UNPACK_SUCCESS
+  if (!gr_pack_sizes_fit (body)
+      || msgpack_unpack_next (&unpacked, body.data, body.len, &offset) != MSGPACK_UNPACK_SUCCESS
       || offset != body.len || unpacked.data.type != MSGPACK_OBJECT_ARRAY) {
     gr_err_set (err, GR_ERR_PROTOCOL, "frame", "not one msgpack array");
     goto done;
--- a/tests/prop_job.cc
+++ b/tests/prop_job.cc
@@ -474,9 +474,11 @@
   hand_over (const Message &message)
   {
     JobMsg msg = message.msg;
-    trace ("deliver to " + std::to_string (message.to_owner) + " message "
-           + std::to_string (msg.kind) + " " + text (msg.place.id) + " attempt "
-           + std::to_string (msg.place.attempt) + " state " + std::to_string (msg.place.result));
+    trace (
+        "deliver to " + std::to_string (message.to_owner) + " message " + std::to_string (msg.kind)
+        + " " + text (msg.place.id) + " attempt " + std::to_string (msg.place.attempt) + " state "
+        + std::to_string (msg.kind == JOB_MSG_TASK_REPORT ? static_cast<int> (msg.report.state)
+                                                          : static_cast<int> (msg.place.result)));
     if (msg.kind == JOB_MSG_TASK_REPORT)
       msg.report.answer = { message.answer.data (), message.answer.size () };
     deliver (message.to_owner, msg);
