--- a/src/node/node_own.c
+++ b/src/node/node_own.c
@@ -39,8 +39,13 @@
     const OwnCmd *cmd = &cmds.items[i];
     switch (cmd->kind) {
     case OWN_CMD_APPEND: {
+      const OwnRecord *record = &cmd->append.record;
       GrBuf bytes = { 0 };
-      own_record_encode (&cmd->append.record, &bytes);
+      /* From here on this VM starts nothing under the key. */
+      if (record->kind == OWN_RECORD_HANDOVER)
+        gr_log (&own->log, GR_EV_KEY_HANDOVER, "%.*s epoch %lld to %.*s", GR_NAME_ARG (record->key),
+                (long long) record->epoch, GR_NAME_ARG (record->to.vm));
+      own_record_encode (record, &bytes);
       if (!node_stream_append (own->stream, cmd->append.token, gr_buf_str (&bytes), NULL)) {
         OwnMsg failed = { .kind = OWN_MSG_APPEND_RESULT,
                           .append_result = { cmd->append.token, OWN_APPEND_FAILED } };
