--- a/src/own/own.c
+++ b/src/own/own.c
@@ -62,8 +62,7 @@
   state->options = checked;
   /* Two readers of the list may lag by different amounts, so the lag counts once for the VM that
      declares and once for the VM that is declared; the margin covers clock rates. */
-  int64_t gone_delay = checked.list_max_age_ms + checked.margin_ms
-                       + (checked.faults.single_list_lag ? 1 : 2) * checked.list_lag_ms;
+  int64_t gone_delay = checked.list_max_age_ms + 2 * checked.list_lag_ms + checked.margin_ms;
   MbrOptions members = { .self = checked.self,
                          .suspect_after_ms = checked.suspect_after_ms,
                          .list_max_age_ms = checked.list_max_age_ms,
@@ -161,19 +160,22 @@
   gr_list_push (out, cmd);
 }
 
-/* True while no other VM can have become owner of a key that this VM owns by its own reading. */
+/* True while no other VM can have become owner of a key that this VM owns by its own reading. A key
+   that a request for promises left out is not covered until the log has been read again. */
 static bool
-lease_holds (const OwnState *state, int64_t now_ms)
+lease_holds (const OwnState *state, const OwnKey *key, int64_t now_ms)
 {
-  return own_log_fresh (state, now_ms) || state->options.faults.no_read_age_check
-         || own_peer_promises_hold (state, now_ms);
+  if (own_log_fresh (state, now_ms) || state->options.faults.no_read_age_check)
+    return true;
+  bool covered = key->left_out_ms == 0 || key->left_out_ms < state->log_sent_ms;
+  return covered && own_peer_promises_hold (state, now_ms);
 }
 
 void
 own_key_advance (OwnState *state, OwnKey *key, int64_t now_ms, OwnCmds *out)
 {
   if (key->gained || !own_key_is_self (state, key) || state->dead || now_ms < key->usable_at_ms
-      || !lease_holds (state, now_ms))
+      || !lease_holds (state, key, now_ms))
     return;
   if (key->pending.state != OWN_PENDING_NONE && key->pending.kind == OWN_RECORD_HANDOVER)
     return;
@@ -304,13 +306,14 @@
   if (!key || state->dead || !own_key_is_self (state, key) || !key->gained)
     return false;
   /* Once a handover or farewell may be in the log, the next owner does not wait. */
-  if ((key->pending.state != OWN_PENDING_NONE && key->pending.kind == OWN_RECORD_HANDOVER)
-      || state->farewell.state != OWN_PENDING_NONE)
+  bool moving = key->pending.state != OWN_PENDING_NONE && key->pending.kind == OWN_RECORD_HANDOVER
+                && !state->options.faults.act_on_moving_key;
+  if (moving || state->farewell.state != OWN_PENDING_NONE)
     return false;
   if (now_ms - key->recorded_ms
       >= state->options.refresh_interval_ms + state->options.refresh_interval_ms / 2)
     return false;
-  return lease_holds (state, now_ms);
+  return lease_holds (state, key, now_ms);
 }
 
 bool
