--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,9 @@
 SEED ?= 1
 SIZE ?= target
 
-.PHONY: all deps build test run format format-check lint bench bench-cell bench-capacity soak install clean
+SAN_BUILD ?= build-sanitize
+
+.PHONY: all deps build test test-sanitize fuzz run format format-check lint bench bench-cell bench-capacity soak install clean
 
 all: build
 
@@ -17,6 +19,17 @@
 test: build
 	@scripts/run-tests $(BUILD)
 
+# Unit tests and short property runs under address and undefined-behaviour sanitizers.
+test-sanitize: deps
+	@cmake -S . -B $(SAN_BUILD) -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo -DGR_SANITIZE=ON > /dev/null
+	@cmake --build $(SAN_BUILD)
+	@scripts/run-sanitized $(SAN_BUILD)
+
+# Mutated input for every decoder; INPUTS and SEED select a longer run.
+INPUTS ?= 300000
+fuzz: test-sanitize
+	@ASAN_OPTIONS=detect_leaks=0 GR_FUZZ_INPUTS=$(INPUTS) GR_FUZZ_SEED=$(SEED) $(SAN_BUILD)/test_fuzz
+
 run: build
 	@scripts/run-demo $(BUILD)
 
--- a/src/job/job_attempt.c
+++ b/src/job/job_attempt.c
@@ -73,7 +73,7 @@
 {
   if (!task->maybe_ran)
     return JOB_OUTCOME_NOT_RUN;
-  return task->failures > 0 ? JOB_OUTCOME_FAILED : JOB_OUTCOME_UNKNOWN;
+  return task->ran ? JOB_OUTCOME_FAILED : JOB_OUTCOME_UNKNOWN;
 }
 
 static bool
--- a/src/job/job_end.c
+++ b/src/job/job_end.c
@@ -181,7 +181,7 @@
   if (!may_retry (state, job, task)) {
     JobOutcome outcome = outcome_of (state, task_state);
     /* The last of several attempts of idempotent work lapsed: it has failed for the caller. */
-    if (outcome == JOB_OUTCOME_UNKNOWN && job->spec.idempotent)
+    if (outcome == JOB_OUTCOME_UNKNOWN && job->spec.idempotent && task->ran)
       outcome = JOB_OUTCOME_FAILED;
     GrErrCode why = outcome == JOB_OUTCOME_UNKNOWN ? GR_ERR_UNKNOWN : GR_ERR_FAILED;
     job_finish_task (state, job, index, outcome, why, GR_STR (""), now_ms, out);
@@ -232,6 +232,7 @@
   if (!task->attempt_open && task->phase == JOB_TASK_IDLE)
     return;
   task->maybe_ran = true;
+  task->ran = task->ran || task_state != JOB_TASK_LAPSED;
   switch (task_state) {
   case JOB_TASK_RUNNING:
     attempt_running (state, job, index, scheduler, out);
--- a/src/job/job_private.h
+++ b/src/job/job_private.h
@@ -49,6 +49,7 @@
   bool attempt_open;     /* the number is in use: not refused, not ended */
   bool attempt_recorded; /* its record is in the log or on the way */
   bool end_recorded;     /* its end is in the log or on the way */
+  bool ran;              /* a target is known to have started some attempt */
   bool maybe_ran;        /* some attempt ran or may have run */
   bool all_unplaceable;  /* every refusal of this round said that it never fits */
   JobOutcome outcome;
--- a/src/node/node_json.c
+++ b/src/node/node_json.c
@@ -295,6 +295,9 @@
     return error_reply (out, 409, GR_ERR_CONFLICT, GR_ERR_NONE, "the id is in use for other work");
   if (reply->outcome == JOB_OUTCOME_NONE && reply->why == GR_ERR_NOT_FOUND)
     return error_reply (out, 404, GR_ERR_NOT_FOUND, GR_ERR_NONE, "no job has this id");
+  if (reply->outcome == JOB_OUTCOME_NONE && reply->why == GR_ERR_UNAVAILABLE)
+    return error_reply (out, 503, GR_ERR_UNAVAILABLE, GR_ERR_NONE,
+                        "no owner was reached; repeat the id at any VM");
   switch (verb) {
   case NODE_VERB_REQUEST:
     return outcome_reply (out, id, reply);
--- a/src/node/node_route.c
+++ b/src/node/node_route.c
@@ -279,9 +279,10 @@
 static void
 give_up (NodeRoute *route, Call *call)
 {
+  /* Not "not run" even if no owner was reached: the same id may have run by way of another VM. */
   NodeReplyBody reply = { .status = NODE_REPLY_DONE,
-                          .phase = JOB_ENDED,
-                          .outcome = call->sent ? JOB_OUTCOME_UNKNOWN : JOB_OUTCOME_NOT_RUN,
+                          .phase = call->sent ? JOB_ENDED : JOB_ACCEPTING,
+                          .outcome = call->sent ? JOB_OUTCOME_UNKNOWN : JOB_OUTCOME_NONE,
                           .why = call->sent ? GR_ERR_UNKNOWN : GR_ERR_UNAVAILABLE };
   if (call->state == CALL_LOCAL)
     node_parts_call_closed (route->node, call->id, &call->body.id);
--- /dev/null
+++ b/tests/test_fuzz.c
@@ -0,0 +1,352 @@
+/* Mutated input for every decoder: a decoder may refuse or accept it, but never crashes, reads out
+   of bounds or asks for unbounded memory. The seed is fixed; GR_FUZZ_INPUTS sets the number of
+   inputs per decoder and GR_FUZZ_SEED another seed. Meant to run under the sanitizers as well. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include <cmocka.h>
+
+#include "cfg/cfg.h"
+#include "job/job_private.h"
+#include "lgs/lgs.h"
+#include "net/net_peer.h"
+#include "node/node_json.h"
+#include "node/node_stream.h"
+#include "node/node_wire.h"
+#include "own/own.h"
+
+#define DEFAULT_INPUTS 20000
+#define DEFAULT_SEED 20261204
+#define MUTATIONS_MAX 8
+#define INPUT_MAX 4096
+
+typedef struct {
+  unsigned short random[3];
+  long inputs;
+} Fuzzer;
+
+typedef void (*Decoder) (GrStr input);
+
+static long
+env_number (const char *name, long fallback)
+{
+  int64_t value;
+  const char *text = getenv (name);
+  return text && gr_str_to_int64 (gr_str_from_c (text), &value) ? (long) value : fallback;
+}
+
+static size_t
+below (Fuzzer *fuzzer, size_t bound)
+{
+  return bound == 0 ? 0 : (size_t) nrand48 (fuzzer->random) % bound;
+}
+
+/* Changes, inserts, removes or repeats bytes. */
+static size_t
+mutate (Fuzzer *fuzzer, char *data, size_t len)
+{
+  static const unsigned char telling[]
+      = { 0x00, 0x7f, 0x80, 0xff, 0xc1, 0xc6, 0xdd, 0xdf, 0xcf, '{', '"', '\\', '\n', '}', '=' };
+  size_t at = below (fuzzer, len);
+  switch (below (fuzzer, 5)) {
+  case 0:
+    if (len > 0)
+      data[at] = (char) below (fuzzer, 256);
+    return len;
+  case 1:
+    if (len > 0)
+      data[at] = (char) telling[below (fuzzer, sizeof telling)];
+    return len;
+  case 2:
+    if (len == 0 || len >= INPUT_MAX)
+      return len;
+    memmove (data + at + 1, data + at, len - at);
+    data[at] = (char) below (fuzzer, 256);
+    return len + 1;
+  case 3: {
+    size_t gone = 1 + below (fuzzer, 4);
+    if (len < at + gone)
+      return at;
+    memmove (data + at, data + at + gone, len - at - gone);
+    return len - gone;
+  }
+  default: {
+    size_t piece = below (fuzzer, 32);
+    if (at + piece > len || len + piece > INPUT_MAX)
+      return len;
+    memmove (data + at + piece, data + at, len - at);
+    return len + piece;
+  }
+  }
+}
+
+static void
+fuzz (const GrBuf *seeds, size_t seed_count, Decoder decoder)
+{
+  uint64_t seed = (uint64_t) env_number ("GR_FUZZ_SEED", DEFAULT_SEED);
+  Fuzzer fuzzer = { { (unsigned short) seed, (unsigned short) (seed >> 16), 7 },
+                    env_number ("GR_FUZZ_INPUTS", DEFAULT_INPUTS) };
+  char *data = gr_calloc (INPUT_MAX + 64, 1);
+  for (long i = 0; i < fuzzer.inputs; i++) {
+    const GrBuf *from = &seeds[below (&fuzzer, seed_count)];
+    size_t len = from->len < INPUT_MAX ? from->len : INPUT_MAX;
+    if (len > 0)
+      memcpy (data, from->data, len);
+    size_t mutations = below (&fuzzer, MUTATIONS_MAX + 1);
+    for (size_t m = 0; m < mutations; m++)
+      len = mutate (&fuzzer, data, len);
+    /* An exact copy, so that the sanitizer sees a read beyond it. */
+    char *exact = gr_calloc (len ? len : 1, 1);
+    if (len > 0)
+      memcpy (exact, data, len);
+    decoder ((GrStr){ exact, len });
+    free (exact);
+  }
+  free (data);
+}
+
+static void
+clear_seeds (GrBuf *seeds, size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    gr_buf_clear (&seeds[i]);
+}
+
+static void
+decode_job_record (GrStr input)
+{
+  JobRecord record;
+  if (job_record_decode (input, &record, NULL))
+    assert_true (record.kind <= JOB_RECORD_OPEN);
+}
+
+static void
+job_records (void **state)
+{
+  (void) state;
+  GrBuf seeds[3] = { 0 };
+  JobSpec spec = { .id = gr_name ("r1"), .team = gr_name ("desk"), .tasks = 2 };
+  spec.payload = GR_STR ("payload");
+  JobRecord records[]
+      = { { .kind = JOB_RECORD_ACCEPT, .id = spec.id, .spec = spec },
+          { .kind = JOB_RECORD_END, .id = spec.id, .outcome = 2, .answer = GR_STR ("answer") },
+          { .kind = JOB_RECORD_OPEN, .index = 3, .epoch = 9 } };
+  for (size_t i = 0; i < 3; i++)
+    job_record_encode (&records[i], &seeds[i]);
+  fuzz (seeds, 3, decode_job_record);
+  clear_seeds (seeds, 3);
+}
+
+static void
+decode_own (GrStr input)
+{
+  OwnRecord record;
+  if (own_record_decode (input, &record, NULL))
+    assert_true (record.writer.vm.len <= GR_NAME_MAX);
+  OwnHeartbeat heartbeat;
+  if (own_heartbeat_decode (input, &heartbeat, NULL))
+    assert_true (heartbeat.peer_count <= OWN_PEERS_MAX);
+}
+
+static void
+ownership_records_and_heartbeats (void **state)
+{
+  (void) state;
+  GrBuf seeds[2] = { 0 };
+  GrVmRef vm = { gr_name ("e1"), 5 };
+  OwnRecord record = { .kind = OWN_RECORD_HANDOVER, .writer = vm, .key = gr_name ("part/a/01") };
+  record.epoch = 4;
+  record.to = vm;
+  own_record_encode (&record, &seeds[0]);
+  OwnHeartbeat *heartbeat = gr_calloc (1, sizeof *heartbeat);
+  heartbeat->from = vm;
+  heartbeat->peer_count = 2;
+  heartbeat->peers[0].vm = vm;
+  heartbeat->peers[1].vm = vm;
+  own_heartbeat_encode (heartbeat, &seeds[1]);
+  free (heartbeat);
+  fuzz (seeds, 2, decode_own);
+  clear_seeds (seeds, 2);
+}
+
+static void
+decode_wire (GrStr input)
+{
+  NodeWire wire;
+  if (node_wire_decode (input, &wire, NULL))
+    node_wire_clear (&wire);
+}
+
+static void
+peer_messages (void **state)
+{
+  (void) state;
+  GrBuf seeds[3] = { 0 };
+  NodeWireGroup group = { gr_name ("group/a/r1"), 3 };
+  JobSpec spec = { .id = gr_name ("r1"), .tasks = 1, .payload = GR_STR ("x") };
+  NodeWire wires[] = {
+    { .kind = NODE_WIRE_PLACE, .place = { .id = gr_name ("r1/0"), .attempt = 1, .spec = spec } },
+    { .kind = NODE_WIRE_SYNC_DONE, .sync_done = { 4, gr_name ("part/a/1"), true, &group, 1 } },
+    { .kind = NODE_WIRE_CONFIG_OFFER, .config = { .version = 3, .record = GR_STR ("rec") } },
+  };
+  for (size_t i = 0; i < 3; i++)
+    node_wire_encode (&wires[i], &seeds[i]);
+  fuzz (seeds, 3, decode_wire);
+  clear_seeds (seeds, 3);
+}
+
+static void
+ignore_frame (void *user, GrStr body)
+{
+  (void) user;
+  assert_true (body.len <= NET_FRAME_MAX);
+}
+
+static void
+decode_frames (GrStr input)
+{
+  NetFrameReader reader = { 0 };
+  GrErr err = { 0 };
+  if (!net_frame_feed (&reader, input, ignore_frame, NULL, &err))
+    assert_int_not_equal (err.code, GR_ERR_NONE);
+  net_frame_reader_clear (&reader);
+}
+
+static void
+peer_frames (void **state)
+{
+  (void) state;
+  GrBuf seed = { 0 };
+  net_frame_append (&seed, GR_STR ("first"));
+  net_frame_append (&seed, GR_STR (""));
+  net_frame_append (&seed, GR_STR ("third frame"));
+  fuzz (&seed, 1, decode_frames);
+  gr_buf_clear (&seed);
+}
+
+static void
+ignore_record (void *user, int64_t offset, const GrVmRef *writer, GrStr record)
+{
+  (void) user;
+  (void) offset;
+  (void) writer;
+  (void) record;
+}
+
+static void
+decode_log_answer (GrStr input)
+{
+  LgsOptions options = { .self = { gr_name ("e1"), 1 }, .stream = gr_name ("jobs-a") };
+  lgs_options_defaults (&options);
+  LgsReader *reader = lgs_reader_new (&options, 0, NULL);
+  assert_non_null (reader);
+  bool at_end;
+  bool gap;
+  lgs_reader_take (reader, input, ignore_record, NULL, &at_end, &gap, NULL);
+  lgs_reader_free (reader);
+  int64_t next = 0;
+  node_stream_take_raw (input, &next, ignore_record, NULL, &at_end, &gap, NULL);
+}
+
+static void
+log_answers (void **state)
+{
+  (void) state;
+  /* [0, 2, [[0, append of e1], [1, raw bytes]]] */
+  static const char answer[] = "\x93\x00\x02\x92\x92\x00\xc4\x0c\x94\xc4\x02"
+                               "e1\x01\x01\x91\xc4\x02"
+                               "ab\x92\x01\xc4\x03raw";
+  GrBuf seed = { 0 };
+  gr_buf_append (&seed, answer, sizeof answer - 1);
+  fuzz (&seed, 1, decode_log_answer);
+  gr_buf_clear (&seed);
+}
+
+static void
+decode_config (GrStr input)
+{
+  CfgFile file = { GR_STR ("10-a.conf"), input };
+  CfgProblems problems = { 0 };
+  CfgTree *tree = cfg_tree_new (&file, 1, &problems);
+  assert_true (tree != NULL || problems.count > 0);
+  cfg_tree_free (tree);
+  gr_list_clear (&problems);
+  CfgStore *store = cfg_store_new ();
+  CfgProblem problem;
+  cfg_store_record (store, 0, input, &problem);
+  cfg_store_offer (store, 3, input);
+  assert_non_null (cfg_store_tree (store));
+  cfg_store_free (store);
+}
+
+static void
+read_file (const char *path, GrBuf *out)
+{
+  FILE *stream = fopen (path, "rb");
+  assert_non_null (stream);
+  char chunk[1024];
+  size_t len;
+  while ((len = fread (chunk, 1, sizeof chunk, stream)) > 0)
+    gr_buf_append (out, chunk, len);
+  fclose (stream);
+}
+
+static void
+configuration_files_and_publications (void **state)
+{
+  (void) state;
+  static const char *const paths[]
+      = { "examples/agora/10-teams.conf", "examples/agora/20-kinds.conf",
+          "examples/caroni/10-teams.conf" };
+  GrBuf seeds[4] = { 0 };
+  for (size_t i = 0; i < 3; i++)
+    read_file (paths[i], &seeds[i]);
+  CfgFile file = { GR_STR ("10-teams.conf"), gr_buf_str (&seeds[0]) };
+  GrName author = gr_name ("maria");
+  cfg_publication_encode (0, &author, &file, 1, &seeds[3]);
+  fuzz (seeds, 4, decode_config);
+  clear_seeds (seeds, 4);
+}
+
+static void
+decode_body (GrStr input)
+{
+  CfgStore *store = cfg_store_new ();
+  for (int request = 0; request < 2; request++) {
+    NodeSubmission submission;
+    GrErr err = { 0 };
+    if (node_json_submission (input, request != 0, cfg_store_tree (store), &submission, &err))
+      node_json_clear (&submission);
+    else
+      assert_int_not_equal (err.code, GR_ERR_NONE);
+  }
+  cfg_store_free (store);
+}
+
+static void
+http_bodies (void **state)
+{
+  (void) state;
+  GrBuf seed = { 0 };
+  gr_buf_printf (&seed, "{\"id\":\"r1\",\"team\":\"desk\",\"kind\":\"review\",\"idempotent\":true,"
+                        "\"deadline_ms\":1790000000000,\"payload\":\"x\\u00e9\",\"run_ms\":5,"
+                        "\"policy\":\"batch\",\"tasks\":3,\"demand\":{\"cpu_milli\":10}}");
+  fuzz (&seed, 1, decode_body);
+  gr_buf_clear (&seed);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (job_records),   cmocka_unit_test (ownership_records_and_heartbeats),
+    cmocka_unit_test (peer_messages), cmocka_unit_test (peer_frames),
+    cmocka_unit_test (log_answers),   cmocka_unit_test (configuration_files_and_publications),
+    cmocka_unit_test (http_bodies),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/tests/test_job.c
+++ b/tests/test_job.c
@@ -252,6 +252,33 @@
   clear_bench (&bench);
 }
 
+/* An attempt that lapsed may never have started; "failed" would say that it ran. */
+static void
+expired_work_is_failed_only_if_it_ran (void **unused)
+{
+  (void) unused;
+  static const struct {
+    JobTaskState state;
+    JobOutcome outcome;
+  } cases[] = {
+    { JOB_TASK_LAPSED, JOB_OUTCOME_UNKNOWN },
+    { JOB_TASK_FAILED, JOB_OUTCOME_FAILED },
+  };
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+    Bench bench = new_bench ();
+    JobSpec spec = request_spec ("r1", true);
+    submit (&bench, &spec, 1, true);
+    report (&bench, "r1/0", 1, cases[i].state, "");
+    bench.now_ms = DEADLINE_MS + 1;
+    step (&bench, (JobMsg){ .kind = JOB_MSG_TICK });
+    read_back (&bench);
+    const JobCmd *reply = only (&bench, JOB_CMD_REPLY);
+    assert_non_null (reply);
+    assert_int_equal (reply->outcome, cases[i].outcome);
+    clear_bench (&bench);
+  }
+}
+
 static void
 cancelled_job_never_starts (void **unused)
 {
@@ -371,6 +398,7 @@
     cmocka_unit_test (refusals_without_a_start_are_not_run),
     cmocka_unit_test (non_idempotent_outcomes_are_truthful),
     cmocka_unit_test (failed_idempotent_attempt_is_retried_within_bounds),
+    cmocka_unit_test (expired_work_is_failed_only_if_it_ran),
     cmocka_unit_test (cancelled_job_never_starts),
     cmocka_unit_test (suspended_owner_tells_nothing),
     cmocka_unit_test (gang_commits_only_when_every_part_holds),
