--- a/src/job/job_end.c
+++ b/src/job/job_end.c
@@ -58,7 +58,7 @@
     record.answer = answer;
     job_append (state, &record, out);
   }
-  job->forget_ms = now_ms + state->options.keep_ended_ms;
+  job->forget_ms = job_forget_ms (state, &job->id, now_ms);
   job_timer_add (state, job->forget_ms, &job->id, JOB_TIMER_JOB);
   if (!job->end_pending) {
     job_answer_all (state, job, out);
--- a/src/job/job_private.h
+++ b/src/job/job_private.h
@@ -177,6 +177,7 @@
 Job *job_create (JobState *state, const JobSpec *spec, bool must_record);
 void job_delete (JobState *state, Job *job);
 void job_release_work (Job *job);
+int64_t job_forget_ms (const JobState *state, const GrName *id, int64_t now_ms);
 uint64_t job_payload_hash (GrStr payload);
 GrName job_task_id (const Job *job, int32_t index);
 /* Splits JOB/INDEX; false if malformed or the job does not have that task. */
--- a/src/job/job_replay.c
+++ b/src/job/job_replay.c
@@ -103,7 +103,7 @@
   gr_buf_clear (&job->answer);
   gr_buf_append_str (&job->answer, record->answer);
   job_answer_all (state, job, out);
-  job->forget_ms = now_ms + state->options.keep_ended_ms;
+  job->forget_ms = job_forget_ms (state, &job->id, now_ms);
   job_timer_add (state, job->forget_ms, &job->id, JOB_TIMER_JOB);
 }
 
@@ -253,6 +253,18 @@
   advance_part (state, part, now_ms, out);
 }
 
+static void
+snapshot_end (JobState *state, const Job *job, JobCmds *out)
+{
+  if (job->forget_ms != JOB_NEVER || job->end_pending)
+    return;
+  JobRecord end = { .kind = JOB_RECORD_END, .id = job->id };
+  end.outcome = job->outcome;
+  end.why = job->why;
+  end.answer = gr_buf_str (&job->answer);
+  job_append (state, &end, out);
+}
+
 /* Records that are appended twice change nothing, so the live state is its own snapshot. */
 void
 job_snapshot (JobState *state, JobCmds *out)
@@ -263,8 +275,12 @@
       job_append (state, &open, out);
   }
   for (Job *job = state->jobs; job; job = job->hh.next) {
-    if (!state->parts[job->part].owned || job->phase == JOB_ENDED || !job->durable)
+    if (!state->parts[job->part].owned || !job->durable)
+      continue;
+    if (job->phase == JOB_ENDED) {
+      snapshot_end (state, job, out);
       continue;
+    }
     JobRecord record;
     job_record_accept (job, &record);
     job_append (state, &record, out);
--- a/src/sch/sch.h
+++ b/src/sch/sch.h
@@ -120,7 +120,7 @@
 typedef struct {
   GrName team;
   int32_t weight;
-  GrRes quota_part; /* this VM's part; 0 in a dimension: not limited */
+  GrRes quota_part; /* this VM's part; 0 in a dimension: not limited, negative: none of it */
 } SchTeamLimit;
 
 typedef struct {
--- a/src/sch/sch_team.c
+++ b/src/sch/sch_team.c
@@ -63,7 +63,7 @@
   if (s->options.faults.no_quota_check)
     return true;
   for (int d = 0; d < GR_RES_COUNT; d++) {
-    if (team->quota.v[d] > 0 && need->v[d] > 0
+    if (team->quota.v[d] != 0 && need->v[d] > 0
         && (int64_t) team->used.v[d] + need->v[d] > team->quota.v[d]) {
       *dim = (GrResDim) d;
       return false;
@@ -78,7 +78,7 @@
   if (s->options.faults.no_quota_check)
     return true;
   for (int d = 0; d < GR_RES_COUNT; d++) {
-    if (team->quota.v[d] > 0 && need->v[d] > team->quota.v[d]) {
+    if (team->quota.v[d] != 0 && need->v[d] > 0 && need->v[d] > team->quota.v[d]) {
       *dim = (GrResDim) d;
       return false;
     }
--- a/tests/test_job.c
+++ b/tests/test_job.c
@@ -3,6 +3,7 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <stdio.h>
 #include <stdlib.h>
 
 #include <cmocka.h>
@@ -279,6 +280,37 @@
   }
 }
 
+/* Work of the configuration is submitted again by each new owner and must not run twice. */
+static void
+outcome_of_standing_work_is_never_forgotten (void **unused)
+{
+  (void) unused;
+  static const struct {
+    const char *id;
+    bool runs_again;
+  } cases[] = {
+    { "conf:night", false },
+    { "night", true },
+  };
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+    Bench bench = new_bench ();
+    JobSpec spec = request_spec (cases[i].id, true);
+    spec.policy = JOB_POLICY_BATCH;
+    spec.deadline_ms = spec.deadline_unix_ms = INT64_MAX;
+    submit (&bench, &spec, 1, false);
+    commit (&bench, only (&bench, JOB_CMD_APPEND)->token);
+    char task[GR_NAME_MAX + 1];
+    snprintf (task, sizeof task, "%s/0", cases[i].id);
+    report (&bench, task, 1, JOB_TASK_SUCCEEDED, "");
+    bench.now_ms += 3600000;
+    step (&bench, (JobMsg){ .kind = JOB_MSG_TICK });
+    submit (&bench, &spec, 2, false);
+    const JobCmd *reply = only (&bench, JOB_CMD_REPLY);
+    assert_int_equal (reply == NULL, cases[i].runs_again);
+    clear_bench (&bench);
+  }
+}
+
 static void
 cancelled_job_never_starts (void **unused)
 {
@@ -399,6 +431,7 @@
     cmocka_unit_test (non_idempotent_outcomes_are_truthful),
     cmocka_unit_test (failed_idempotent_attempt_is_retried_within_bounds),
     cmocka_unit_test (expired_work_is_failed_only_if_it_ran),
+    cmocka_unit_test (outcome_of_standing_work_is_never_forgotten),
     cmocka_unit_test (cancelled_job_never_starts),
     cmocka_unit_test (suspended_owner_tells_nothing),
     cmocka_unit_test (gang_commits_only_when_every_part_holds),
--- a/tests/test_sch.c
+++ b/tests/test_sch.c
@@ -532,6 +532,23 @@
   assert_int_equal (count_cmds (bench, SCH_CMD_START, SCH_WHY_BEST_FIT), 1);
 }
 
+/* A VM whose groups carry no part of a quota must not treat the team as unlimited. */
+static void
+no_quota_part_admits_no_work (void **state)
+{
+  Bench *bench = *state;
+  SchTeamLimit limit = { .weight = 1, .quota_part = { { -1, 0, 0, 0 } } };
+  limit.team = gr_name ("team");
+  SchMsg msg = { .kind = SCH_MSG_LIMITS };
+  msg.limits.teams = &limit;
+  msg.limits.count = 1;
+  target (bench, SCH_MSG_TARGET_UP, "w1", worker);
+  step (bench, msg);
+  SchTask task = make_task ("a/0", small);
+  submit (bench, &task);
+  expect_one (bench, SCH_CMD_REFUSED, "a/0", SCH_WHY_QUOTA);
+}
+
 int
 main (void)
 {
@@ -559,6 +576,7 @@
     cmocka_unit_test_setup_teardown (replicas_of_a_service_are_spread_over_groups, set_up,
                                      tear_down),
     cmocka_unit_test_setup_teardown (long_work_leaves_slots_to_short_work, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (no_quota_part_admits_no_work, set_up, tear_down),
     cmocka_unit_test_setup_teardown (work_above_a_quota_part_waits_or_is_refused, set_up,
                                      tear_down),
   };
