--- a/src/base/gr_pack.c
+++ b/src/base/gr_pack.c
@@ -72,3 +72,42 @@
   }
   return true;
 }
+
+static int
+append_to_buf (void *out, const char *data, size_t len)
+{
+  gr_buf_append (out, data, len);
+  return 0;
+}
+
+void
+gr_pack_init (msgpack_packer *packer, GrBuf *out)
+{
+  msgpack_packer_init (packer, out, append_to_buf);
+}
+
+void
+gr_pack_bool (msgpack_packer *packer, bool value)
+{
+  if (value)
+    msgpack_pack_true (packer);
+  else
+    msgpack_pack_false (packer);
+}
+
+void
+gr_pack_bin (msgpack_packer *packer, GrStr bytes)
+{
+  msgpack_pack_bin (packer, bytes.len);
+  if (bytes.len > 0)
+    msgpack_pack_bin_body (packer, bytes.data, bytes.len);
+}
+
+bool
+gr_unpack_array (msgpack_unpacked *unpacked, GrStr bytes)
+{
+  size_t offset = 0;
+  return gr_pack_sizes_fit (bytes)
+         && msgpack_unpack_next (unpacked, bytes.data, bytes.len, &offset) == MSGPACK_UNPACK_SUCCESS
+         && offset == bytes.len && unpacked->data.type == MSGPACK_OBJECT_ARRAY;
+}
--- a/src/job/job_codec.c
+++ b/src/job/job_codec.c
@@ -15,47 +15,24 @@
   OPEN_FIELDS = 1
 };
 
-static int
-buf_write (void *user, const char *data, size_t len)
-{
-  gr_buf_append (user, data, len);
-  return 0;
-}
-
-static void
-pack_str (msgpack_packer *packer, GrStr s)
-{
-  msgpack_pack_bin (packer, s.len);
-  msgpack_pack_bin_body (packer, s.data, s.len);
-}
-
-static void
-pack_bool (msgpack_packer *packer, bool value)
-{
-  if (value)
-    msgpack_pack_true (packer);
-  else
-    msgpack_pack_false (packer);
-}
-
 static void
 pack_accept (msgpack_packer *packer, const JobRecord *record)
 {
   const JobSpec *spec = &record->spec;
-  pack_bool (packer, record->must_record);
-  pack_str (packer, gr_name_str (&spec->team));
-  pack_str (packer, gr_name_str (&spec->kind));
+  gr_pack_bool (packer, record->must_record);
+  gr_pack_bin (packer, gr_name_str (&spec->team));
+  gr_pack_bin (packer, gr_name_str (&spec->kind));
   msgpack_pack_int (packer, spec->policy);
-  pack_bool (packer, spec->idempotent);
-  pack_bool (packer, spec->exclusive);
-  pack_bool (packer, spec->urgent);
+  gr_pack_bool (packer, spec->idempotent);
+  gr_pack_bool (packer, spec->exclusive);
+  gr_pack_bool (packer, spec->urgent);
   msgpack_pack_int32 (packer, spec->tasks);
   msgpack_pack_int32 (packer, spec->priority);
   for (int d = 0; d < GR_RES_COUNT; d++)
     msgpack_pack_int32 (packer, spec->demand.v[d]);
   msgpack_pack_int64 (packer, spec->run_ms);
   msgpack_pack_int64 (packer, spec->deadline_unix_ms);
-  pack_str (packer, spec->payload);
+  gr_pack_bin (packer, spec->payload);
 }
 
 void
@@ -67,10 +44,10 @@
     [JOB_RECORD_CANCEL] = CANCEL_FIELDS,     [JOB_RECORD_OPEN] = OPEN_FIELDS,
   };
   msgpack_packer packer;
-  msgpack_packer_init (&packer, out, buf_write);
+  gr_pack_init (&packer, out);
   msgpack_pack_array (&packer, COMMON_FIELDS + field_counts[record->kind]);
   msgpack_pack_int (&packer, record->kind);
-  pack_str (&packer, gr_name_str (&record->id));
+  gr_pack_bin (&packer, gr_name_str (&record->id));
   msgpack_pack_int64 (&packer, record->epoch);
   switch (record->kind) {
   case JOB_RECORD_ACCEPT:
@@ -84,12 +61,12 @@
     msgpack_pack_int32 (&packer, record->index);
     msgpack_pack_int (&packer, record->outcome);
     msgpack_pack_int (&packer, record->why);
-    pack_str (&packer, record->answer);
+    gr_pack_bin (&packer, record->answer);
     break;
   case JOB_RECORD_END:
     msgpack_pack_int (&packer, record->outcome);
     msgpack_pack_int (&packer, record->why);
-    pack_str (&packer, record->answer);
+    gr_pack_bin (&packer, record->answer);
     break;
   case JOB_RECORD_CANCEL:
     break;
@@ -224,11 +201,7 @@
   memset (record, 0, sizeof *record);
   msgpack_unpacked unpacked;
   msgpack_unpacked_init (&unpacked);
-  size_t offset = 0;
-  bool ok
-      = gr_pack_sizes_fit (bytes)
-        && msgpack_unpack_next (&unpacked, bytes.data, bytes.len, &offset) == MSGPACK_UNPACK_SUCCESS
-        && offset == bytes.len && unpacked.data.type == MSGPACK_OBJECT_ARRAY;
+  bool ok = gr_unpack_array (&unpacked, bytes);
   if (ok) {
     FieldReader reader = { unpacked.data.via.array.ptr, unpacked.data.via.array.size, 0, true };
     read_fields (&reader, record);
--- a/src/lgs/lgs_reader.c
+++ b/src/lgs/lgs_reader.c
@@ -101,15 +101,6 @@
   return object->type == MSGPACK_OBJECT_BIN;
 }
 
-static bool
-unpack (GrStr bytes, msgpack_unpacked *unpacked)
-{
-  size_t offset = 0;
-  return gr_pack_sizes_fit (bytes)
-         && msgpack_unpack_next (unpacked, bytes.data, bytes.len, &offset) == MSGPACK_UNPACK_SUCCESS
-         && offset == bytes.len && unpacked->data.type == MSGPACK_OBJECT_ARRAY;
-}
-
 /* Checks the form of [vm, incarnation, seq, [record, ...]]. */
 static bool
 check_body (const msgpack_object *root, GrVmRef *writer, int64_t *seq)
@@ -136,7 +127,7 @@
   msgpack_unpacked_init (&unpacked);
   GrVmRef writer;
   int64_t seq;
-  if (unpack (body, &unpacked) && check_body (&unpacked.data, &writer, &seq)) {
+  if (gr_unpack_array (&unpacked, body) && check_body (&unpacked.data, &writer, &seq)) {
     Seen *seen = find_seen (reader, &writer);
     if (seq > seen->seq || reader->options.fault_no_dedupe) {
       if (seq > seen->seq)
@@ -185,7 +176,7 @@
   msgpack_unpacked unpacked;
   msgpack_unpacked_init (&unpacked);
   int64_t first = 0, end = 0;
-  bool ok = unpack (answer, &unpacked) && check_answer (&unpacked.data, &first, &end);
+  bool ok = gr_unpack_array (&unpacked, answer) && check_answer (&unpacked.data, &first, &end);
   if (ok) {
     const msgpack_object_array *entries = &unpacked.data.via.array.ptr[2].via.array;
     int64_t expected = first > reader->next ? first : reader->next;
@@ -215,18 +206,11 @@
   return ok;
 }
 
-static int
-write_buf (void *user, const char *data, size_t len)
-{
-  gr_buf_append (user, data, len);
-  return 0;
-}
-
 void
 lgs_reader_save (const LgsReader *reader, GrBuf *out)
 {
   msgpack_packer packer;
-  msgpack_packer_init (&packer, out, write_buf);
+  gr_pack_init (&packer, out);
   msgpack_pack_array (&packer, 2);
   msgpack_pack_int64 (&packer, reader->next);
   msgpack_pack_array (&packer, reader->seen.count);
@@ -263,7 +247,7 @@
     return NULL;
   msgpack_unpacked unpacked;
   msgpack_unpacked_init (&unpacked);
-  bool ok = unpack (saved, &unpacked) && unpacked.data.via.array.size >= 2
+  bool ok = gr_unpack_array (&unpacked, saved) && unpacked.data.via.array.size >= 2
             && get_int (&unpacked.data.via.array.ptr[0], &reader->next)
             && unpacked.data.via.array.ptr[1].type == MSGPACK_OBJECT_ARRAY;
   if (ok) {
--- a/src/lgs/lgs_writer.c
+++ b/src/lgs/lgs_writer.c
@@ -1,4 +1,5 @@
 /* Group commit: one append in flight, repeated with its number until it is in the log. */
+#include "base/gr_pack.h"
 #include "lgs/lgs.h"
 
 #include <msgpack.h>
@@ -131,13 +132,6 @@
   return true;
 }
 
-static int
-write_buf (void *user, const char *data, size_t len)
-{
-  gr_buf_append (user, data, len);
-  return 0;
-}
-
 /* Body of an append: [vm, incarnation, seq, [record, ...]]. */
 static void
 build_body (LgsWriter *writer)
@@ -145,7 +139,7 @@
   const GrVmRef *self = &writer->options.self;
   writer->body.len = 0;
   msgpack_packer packer;
-  msgpack_packer_init (&packer, &writer->body, write_buf);
+  gr_pack_init (&packer, &writer->body);
   msgpack_pack_array (&packer, 4);
   msgpack_pack_str (&packer, self->vm.len);
   msgpack_pack_str_body (&packer, self->vm.data, self->vm.len);
--- a/src/net/net_proof.c
+++ b/src/net/net_proof.c
@@ -56,18 +56,11 @@
   msgpack_pack_str_body (packer, s.data, s.len);
 }
 
-static int
-write_buf (void *data, const char *bytes, size_t len)
-{
-  gr_buf_append (data, bytes, len);
-  return 0;
-}
-
 void
 net_hello_encode (const NetHello *hello, GrBuf *out)
 {
   msgpack_packer packer;
-  msgpack_packer_init (&packer, out, write_buf);
+  gr_pack_init (&packer, out);
   msgpack_pack_array (&packer, 5);
   pack_str (&packer, GR_STR ("hello"));
   pack_str (&packer, gr_name_str (&hello->vm.vm));
@@ -108,10 +101,7 @@
 static bool
 unpack_whole (msgpack_unpacked *unpacked, GrStr body)
 {
-  size_t at = 0;
-  return body.len <= HANDSHAKE_MAX_BYTES && gr_pack_sizes_fit (body)
-         && msgpack_unpack_next (unpacked, body.data, body.len, &at) == MSGPACK_UNPACK_SUCCESS
-         && at == body.len && unpacked->data.type == MSGPACK_OBJECT_ARRAY;
+  return body.len <= HANDSHAKE_MAX_BYTES && gr_unpack_array (unpacked, body);
 }
 
 static bool
@@ -143,7 +133,7 @@
 net_proof_encode (const unsigned char proofs[][NET_PROOF_BYTES], size_t count, GrBuf *out)
 {
   msgpack_packer packer;
-  msgpack_packer_init (&packer, out, write_buf);
+  gr_pack_init (&packer, out);
   msgpack_pack_array (&packer, 2);
   pack_str (&packer, GR_STR ("proof"));
   msgpack_pack_array (&packer, count);
--- a/src/node/node_wire.c
+++ b/src/node/node_wire.c
@@ -8,27 +8,10 @@
 /* Groups of a region: 4,900 workers in racks of 8 make 613. */
 #define GROUPS_MAX 4096
 
-static void
-pack_str (msgpack_packer *pk, GrStr s)
-{
-  msgpack_pack_bin (pk, s.len);
-  if (s.len > 0)
-    msgpack_pack_bin_body (pk, s.data, s.len);
-}
-
 static void
 pack_name (msgpack_packer *pk, const GrName *name)
 {
-  pack_str (pk, gr_name_str (name));
-}
-
-static void
-pack_bool (msgpack_packer *pk, bool value)
-{
-  if (value)
-    msgpack_pack_true (pk);
-  else
-    msgpack_pack_false (pk);
+  gr_pack_bin (pk, gr_name_str (name));
 }
 
 static void
@@ -49,29 +32,22 @@
   pack_name (pk, &spec->team);
   pack_name (pk, &spec->kind);
   msgpack_pack_int (pk, (int) spec->policy);
-  pack_bool (pk, spec->idempotent);
-  pack_bool (pk, spec->exclusive);
-  pack_bool (pk, spec->urgent);
+  gr_pack_bool (pk, spec->idempotent);
+  gr_pack_bool (pk, spec->exclusive);
+  gr_pack_bool (pk, spec->urgent);
   msgpack_pack_int32 (pk, spec->tasks);
   msgpack_pack_int32 (pk, spec->priority);
   pack_res (pk, &spec->demand);
   msgpack_pack_int64 (pk, spec->run_ms);
   msgpack_pack_int64 (pk, spec->deadline_unix_ms);
-  pack_str (pk, spec->payload);
-}
-
-static int
-append_buf (void *data, const char *bytes, size_t len)
-{
-  gr_buf_append (data, bytes, len);
-  return 0;
+  gr_pack_bin (pk, spec->payload);
 }
 
 void
 node_wire_encode (const NodeWire *wire, GrBuf *out)
 {
   msgpack_packer pk;
-  msgpack_packer_init (&pk, out, append_buf);
+  gr_pack_init (&pk, out);
   static const int fields[] = {
     [NODE_WIRE_HEARTBEAT] = 1,    [NODE_WIRE_SUMMARY] = 7,    [NODE_WIRE_CALL] = 8,
     [NODE_WIRE_REPLY] = 6,        [NODE_WIRE_PLACE] = 6,      [NODE_WIRE_PLACE_RESULT] = 4,
@@ -83,7 +59,7 @@
   msgpack_pack_int (&pk, (int) wire->kind);
   switch (wire->kind) {
   case NODE_WIRE_HEARTBEAT:
-    pack_str (&pk, wire->heartbeat);
+    gr_pack_bin (&pk, wire->heartbeat);
     break;
   case NODE_WIRE_SUMMARY:
     pack_res (&pk, &wire->summary.load.free);
@@ -116,7 +92,7 @@
     msgpack_pack_int (&pk, (int) wire->reply.body.phase);
     msgpack_pack_int (&pk, (int) wire->reply.body.outcome);
     msgpack_pack_int (&pk, (int) wire->reply.body.why);
-    pack_str (&pk, wire->reply.body.text);
+    gr_pack_bin (&pk, wire->reply.body.text);
     break;
   case NODE_WIRE_PLACE:
     pack_name (&pk, &wire->place.id);
@@ -136,7 +112,7 @@
     pack_name (&pk, &wire->report.id);
     msgpack_pack_int32 (&pk, wire->report.attempt);
     msgpack_pack_int (&pk, (int) wire->report.state);
-    pack_str (&pk, wire->report.answer);
+    gr_pack_bin (&pk, wire->report.answer);
     break;
   case NODE_WIRE_REPORT_ACK:
     pack_name (&pk, &wire->report_ack.id);
@@ -147,7 +123,7 @@
     break;
   case NODE_WIRE_GANG:
     pack_name (&pk, &wire->gang.job);
-    pack_bool (&pk, wire->gang.commit);
+    gr_pack_bool (&pk, wire->gang.commit);
     break;
   case NODE_WIRE_SYNC:
     msgpack_pack_int64 (&pk, wire->sync.sync);
@@ -159,7 +135,7 @@
   case NODE_WIRE_SYNC_DONE:
     msgpack_pack_int64 (&pk, wire->sync_done.sync);
     pack_name (&pk, &wire->sync_done.part);
-    pack_bool (&pk, wire->sync_done.present);
+    gr_pack_bool (&pk, wire->sync_done.present);
     msgpack_pack_array (&pk, wire->sync_done.count * 2);
     for (size_t i = 0; i < wire->sync_done.count; i++) {
       pack_name (&pk, &wire->sync_done.groups[i].key);
@@ -168,8 +144,8 @@
     break;
   case NODE_WIRE_CONFIG_OFFER:
     msgpack_pack_int64 (&pk, wire->config.version);
-    pack_bool (&pk, wire->config.want);
-    pack_str (&pk, wire->config.record);
+    gr_pack_bool (&pk, wire->config.want);
+    gr_pack_bin (&pk, wire->config.record);
     break;
   case NODE_WIRE_FAREWELL:
   case NODE_WIRE_LOG_HINT:
@@ -426,11 +402,8 @@
   memset (wire, 0, sizeof *wire);
   msgpack_unpacked unpacked;
   msgpack_unpacked_init (&unpacked);
-  size_t offset = 0;
   bool ok = false;
-  if (!gr_pack_sizes_fit (body)
-      || msgpack_unpack_next (&unpacked, body.data, body.len, &offset) != MSGPACK_UNPACK_SUCCESS
-      || offset != body.len || unpacked.data.type != MSGPACK_OBJECT_ARRAY) {
+  if (!gr_unpack_array (&unpacked, body)) {
     gr_err_set (err, GR_ERR_PROTOCOL, "frame", "not one msgpack array");
     goto done;
   }
--- a/src/own/own_codec.c
+++ b/src/own/own_codec.c
@@ -17,13 +17,6 @@
   FLAG_JOINING = 16
 };
 
-static int
-write_buf (void *user, const char *data, size_t len)
-{
-  gr_buf_append (user, data, len);
-  return 0;
-}
-
 static void
 pack_name (msgpack_packer *packer, const GrName *name)
 {
@@ -67,7 +60,7 @@
 own_record_encode (const OwnRecord *record, GrBuf *out)
 {
   msgpack_packer packer;
-  msgpack_packer_init (&packer, out, write_buf);
+  gr_pack_init (&packer, out);
   msgpack_pack_array (&packer, 7);
   msgpack_pack_int (&packer, record->kind);
   pack_ref (&packer, &record->writer);
@@ -118,11 +111,7 @@
   memset (record, 0, sizeof *record);
   msgpack_unpacked unpacked;
   msgpack_unpacked_init (&unpacked);
-  size_t offset = 0;
-  bool ok
-      = gr_pack_sizes_fit (bytes)
-        && msgpack_unpack_next (&unpacked, bytes.data, bytes.len, &offset) == MSGPACK_UNPACK_SUCCESS
-        && offset == bytes.len && read_record (&unpacked.data, record);
+  bool ok = gr_unpack_array (&unpacked, bytes) && read_record (&unpacked.data, record);
   msgpack_unpacked_destroy (&unpacked);
   if (!ok)
     gr_err_set (err, GR_ERR_PROTOCOL, "record", "malformed ownership record of %zu bytes",
@@ -138,7 +127,7 @@
               | (heartbeat->promise_given ? FLAG_PROMISE_GIVEN : 0)
               | (heartbeat->leaving ? FLAG_LEAVING : 0) | (heartbeat->joining ? FLAG_JOINING : 0);
   msgpack_packer packer;
-  msgpack_packer_init (&packer, out, write_buf);
+  gr_pack_init (&packer, out);
   msgpack_pack_array (&packer, 7);
   pack_ref (&packer, &heartbeat->from);
   msgpack_pack_int64 (&packer, heartbeat->seq);
@@ -202,11 +191,7 @@
   memset (heartbeat, 0, sizeof *heartbeat);
   msgpack_unpacked unpacked;
   msgpack_unpacked_init (&unpacked);
-  size_t offset = 0;
-  bool ok
-      = gr_pack_sizes_fit (bytes)
-        && msgpack_unpack_next (&unpacked, bytes.data, bytes.len, &offset) == MSGPACK_UNPACK_SUCCESS
-        && offset == bytes.len && read_heartbeat (&unpacked.data, heartbeat);
+  bool ok = gr_unpack_array (&unpacked, bytes) && read_heartbeat (&unpacked.data, heartbeat);
   msgpack_unpacked_destroy (&unpacked);
   if (!ok)
     gr_err_set (err, GR_ERR_PROTOCOL, "heartbeat", "malformed heartbeat of %zu bytes", bytes.len);
