job: drop options that nothing reads

Cause: lease length and margin stood in JobOptions, but the owner of a target decides when a lease has lapsed. Change: task_lease_ms and lapse_margin_ms removed.

--- a/src/job/job.h
+++ b/src/job/job.h
@@ -33,8 +33,6 @@
 
 typedef struct {
   int64_t max_attempts;     /* default 4 */
-  int64_t task_lease_ms;    /* default 10000 */
-  int64_t lapse_margin_ms;  /* default 2000 */
   int64_t backoff_min_ms;   /* default 100 */
   int64_t backoff_max_ms;   /* default 5000 */
   int64_t retry_budget_pct; /* retries per 100 first attempts; default 10, at least 10 retries */
--- a/src/node/node_parts.c
+++ b/src/node/node_parts.c
@@ -197,7 +197,6 @@
   GrErr err = { 0 };
   JobOptions options = { .parts = node_own_parts (node),
                          .max_attempts = cell->max_attempts,
-                         .task_lease_ms = cell->task_lease_ms,
                          .seed = node_random (),
                          .unix_offset_ms = node_unix () - node_now (node) };
   job_options_defaults (&options);
