job: records are not copied a second time; drop an unused parameter

Cause: job_append encoded a record into a buffer and then copied it to keep it for the step's commands; its result and a parameter of job_restart_gang had no use. Change: the buffer itself is kept; result and parameter are gone. Behaviour and assertions are unchanged.

--- a/src/job/job_attempt.c
+++ b/src/job/job_attempt.c
@@ -194,9 +194,8 @@
 
 /* A part was refused: drop all holds; the parts that wait or hold answer REFUSED themselves. */
 void
-job_restart_gang (JobState *state, Job *job, JobCmds *out)
+job_restart_gang (Job *job, JobCmds *out)
 {
-  (void) state;
   if (job->gang_restart)
     return;
   job->gang_restart = true;
@@ -284,7 +283,7 @@
     return;
   }
   bool committed = task->phase == JOB_TASK_QUEUED && job->phase == JOB_RUNNING;
-  job_restart_gang (state, job, out);
+  job_restart_gang (job, out);
   if (committed)
     job_apply_report (state, job, index, task->attempt, JOB_TASK_STOPPED, &msg->place.scheduler,
                       GR_STR (""), now_ms, out);
--- a/src/job/job_end.c
+++ b/src/job/job_end.c
@@ -98,7 +98,7 @@
   if (job->abandoned)
     return;
   job->abandoned = true;
-  job_restart_gang (state, job, out);
+  job_restart_gang (job, out);
   for (int32_t i = 0; i < job->spec.tasks && job->phase != JOB_ENDED; i++) {
     JobTask *task = &job->tasks[i];
     if (task->phase == JOB_TASK_IDLE || task->phase == JOB_TASK_RECORDING)
@@ -191,7 +191,7 @@
   if (job->spec.policy != JOB_POLICY_GANG)
     return;
   if (!job->gang_restart) {
-    job_restart_gang (state, job, out);
+    job_restart_gang (job, out);
     for (int32_t i = 0; i < job->spec.tasks; i++) {
       JobTaskPhase phase = job->tasks[i].phase;
       if (phase == JOB_TASK_QUEUED || phase == JOB_TASK_ON_TARGET || phase == JOB_TASK_UNRESOLVED)
--- a/src/job/job_private.h
+++ b/src/job/job_private.h
@@ -186,7 +186,7 @@
 bool job_part_acting (const JobState *state, int32_t part, int64_t now_ms);
 void job_timer_add (JobState *state, int64_t due_ms, const GrName *id, int32_t index);
 bool job_timer_pop (JobState *state, int64_t now_ms, JobTimer *timer);
-int64_t job_append (JobState *state, const JobRecord *record, JobCmds *out);
+void job_append (JobState *state, const JobRecord *record, JobCmds *out);
 GrStr job_keep_bytes (JobState *state, GrStr bytes);
 
 /* job_reply.c */
@@ -210,7 +210,7 @@
 void job_take_place_result (JobState *state, const JobMsg *msg, int64_t now_ms, JobCmds *out);
 void job_attempt_recorded (JobState *state, Job *job, int32_t index, int32_t attempt,
                            int64_t now_ms, JobCmds *out);
-void job_restart_gang (JobState *state, Job *job, JobCmds *out);
+void job_restart_gang (Job *job, JobCmds *out);
 void job_gang_settle (JobState *state, Job *job, int64_t now_ms);
 void job_emit_task_cmd (Job *job, int32_t index, JobCmdKind kind, JobCmds *out);
 void job_cancel_now (JobState *state, Job *job, int64_t now_ms, JobCmds *out);
--- a/src/job/job_table.c
+++ b/src/job/job_table.c
@@ -175,7 +175,7 @@
   return state->kept.items[state->kept.count - 1];
 }
 
-int64_t
+void
 job_append (JobState *state, const JobRecord *record, JobCmds *out)
 {
   JobRecord fenced = *record;
@@ -193,8 +193,8 @@
   pending->attempt = record->attempt;
   HASH_ADD (hh, state->pending, token, sizeof pending->token, pending);
   JobCmd cmd = { .kind = JOB_CMD_APPEND, .token = pending->token, .id = record->id };
-  cmd.bytes = job_keep_bytes (state, gr_buf_str (&bytes));
+  /* The buffer's memory is kept until the next step, so it need not be copied. */
+  cmd.bytes = gr_buf_str (&bytes);
+  gr_list_push (&state->kept, cmd.bytes);
   gr_list_push (out, cmd);
-  gr_buf_clear (&bytes);
-  return pending->token;
 }
