--- a/src/base/gr_log.c
+++ b/src/base/gr_log.c
@@ -15,6 +15,7 @@
 };
 
 static GrLogLevel max_level = GR_LOG_INFO;
+static FILE *log_stream; /* NULL: standard error */
 
 static const GrEventInfo *
 find_event (GrEvent event)
@@ -32,6 +33,12 @@
   max_level = level;
 }
 
+void
+gr_log_set_stream (FILE *stream)
+{
+  log_stream = stream;
+}
+
 bool
 gr_log_enabled (GrEvent event)
 {
@@ -62,7 +69,9 @@
   if (total > sizeof head - 2)
     total = sizeof head - 2;
   head[total++] = '\n';
-  fwrite (head, 1, total, stderr);
+  FILE *stream = log_stream ? log_stream : stderr;
+  fwrite (head, 1, total, stream);
+  fflush (stream);
 }
 
 const GrEventInfo *
--- a/src/base/gr_log.h
+++ b/src/base/gr_log.h
@@ -1,6 +1,8 @@
 /* Syslog-style lines on standard error: numbered events with a component prefix. */
 #pragma once
 
+#include <stdio.h>
+
 #include "base/gr_str.h"
 
 #ifdef __cplusplus
@@ -34,6 +36,8 @@
   const char *text;
 } GrEventInfo;
 
+/* Where lines go; default standard error. */
+void gr_log_set_stream (FILE *stream);
 /* Highest level that is written; default GR_LOG_INFO. Applies to the whole process. */
 void gr_log_set_level (GrLogLevel level);
 bool gr_log_enabled (GrEvent event);
--- a/src/base/gr_pack.c
+++ b/src/base/gr_pack.c
@@ -103,6 +103,90 @@
     msgpack_pack_bin_body (packer, bytes.data, bytes.len);
 }
 
+void
+gr_pack_str (msgpack_packer *packer, GrStr text)
+{
+  msgpack_pack_str (packer, text.len);
+  if (text.len > 0)
+    msgpack_pack_str_body (packer, text.data, text.len);
+}
+
+void
+gr_pack_name (msgpack_packer *packer, const GrName *name)
+{
+  gr_pack_str (packer, gr_name_str (name));
+}
+
+bool
+gr_unpack_int (const msgpack_object *object, int64_t *value)
+{
+  if (object->type == MSGPACK_OBJECT_POSITIVE_INTEGER) {
+    *value = (int64_t) object->via.u64;
+    return object->via.u64 <= INT64_MAX;
+  }
+  *value = object->via.i64;
+  return object->type == MSGPACK_OBJECT_NEGATIVE_INTEGER;
+}
+
+bool
+gr_unpack_int32 (const msgpack_object *object, int32_t *value)
+{
+  int64_t wide;
+  if (!gr_unpack_int (object, &wide) || wide < INT32_MIN || wide > INT32_MAX)
+    return false;
+  *value = (int32_t) wide;
+  return true;
+}
+
+bool
+gr_unpack_double (const msgpack_object *object, double *value)
+{
+  int64_t whole;
+  if (gr_unpack_int (object, &whole)) {
+    *value = (double) whole;
+    return true;
+  }
+  if (object->type != MSGPACK_OBJECT_FLOAT64 && object->type != MSGPACK_OBJECT_FLOAT32)
+    return false;
+  *value = object->via.f64;
+  return true;
+}
+
+bool
+gr_unpack_bool (const msgpack_object *object, bool *value)
+{
+  *value = object->type == MSGPACK_OBJECT_BOOLEAN && object->via.boolean;
+  return object->type == MSGPACK_OBJECT_BOOLEAN;
+}
+
+bool
+gr_unpack_bytes (const msgpack_object *object, GrStr *bytes)
+{
+  switch ((int) object->type) {
+  case MSGPACK_OBJECT_STR:
+    *bytes = (GrStr){ object->via.str.ptr, object->via.str.size };
+    return true;
+  case MSGPACK_OBJECT_BIN:
+    *bytes = (GrStr){ object->via.bin.ptr, object->via.bin.size };
+    return true;
+  default:
+    return false;
+  }
+}
+
+bool
+gr_unpack_name (const msgpack_object *object, GrName *name)
+{
+  GrStr text;
+  return gr_unpack_bytes (object, &text) && gr_name_set (name, text);
+}
+
+bool
+gr_unpack_is_array (const msgpack_object *object, uint32_t size)
+{
+  return object->type == MSGPACK_OBJECT_ARRAY && object->via.array.size == size;
+}
+
 bool
 gr_unpack_array (msgpack_unpacked *unpacked, GrStr bytes)
 {
--- /dev/null
+++ b/src/cell/cell.c
@@ -0,0 +1,387 @@
+/* Wiring of one VM: election, membership, configuration and the loop's timer. */
+#include "cell/cell.h"
+
+#include <stdlib.h>
+
+#include "cell/cell_priv.h"
+
+#define TICK_MS 20
+#define IDLE_TICK_MS 50
+#define CLAIM_TIMEOUT_MS 1200
+#define JOIN_TIMEOUT_MS 1200
+#define JOIN_RETRY_MS 300
+/* Reads wait this long at the store for news; a silent link to it is noticed a little later. */
+#define FOLLOW_WAIT_MS 2000
+
+static const GrStr election_key = { "leader", 6 };
+
+static void
+on_store_result (void *user, bool ok)
+{
+  Cell *cell = user;
+  ldr_store_result (cell->ldr, ok, cell_now (cell));
+}
+
+static void
+on_election_entry (void *user, const CellEntry *entry, int64_t offset)
+{
+  Cell *cell = user;
+  LdrRecord record = { .term = offset + 1 };
+  if (!cell_member_decode (entry->value, &record.member)) {
+    gr_log (&cell->log, GR_EV_BAD_INPUT, "election record of %zu bytes", entry->value.len);
+    return;
+  }
+  cell->newest_claim = record;
+}
+
+static void
+on_election_read (void *user, int64_t end)
+{
+  Cell *cell = user;
+  /* A listing does not tell offsets: the newest claim is the last record of its topic. */
+  if (cell->newest_claim.member.vm.vm.len > 0 && cell->newest_claim.term == 0)
+    cell->newest_claim.term = end;
+  ldr_read (cell->ldr, &cell->newest_claim, end, cell_now (cell));
+}
+
+static void
+set_known_peers (Cell *cell)
+{
+  GR_LIST (NetPeerAddress) known = { 0 };
+  for (size_t i = 0; i < cell->members.count; i++)
+    gr_list_push (&known,
+                  (NetPeerAddress){ cell->members.items[i].vm.vm, cell->members.items[i].address });
+  net_peers_set_known (cell->peers, known.items, known.count);
+  gr_list_clear (&known);
+}
+
+static void
+on_member_entry (void *user, const CellEntry *entry, int64_t offset)
+{
+  (void) offset;
+  Cell *cell = user;
+  LdrMember member = { 0 };
+  if (entry->value.len == 0)
+    return;
+  if (!cell_member_decode (entry->value, &member)) {
+    gr_log (&cell->log, GR_EV_BAD_INPUT, "member record of %zu bytes", entry->value.len);
+    return;
+  }
+  for (size_t i = 0; i < cell->members.count; i++) {
+    LdrMember *known = &cell->members.items[i];
+    if (!gr_name_equal (&known->vm.vm, &member.vm.vm))
+      continue;
+    if (member.vm.incarnation > known->vm.incarnation) {
+      *known = member;
+      cell->members_changed = true;
+    }
+    return;
+  }
+  gr_list_push (&cell->members, member);
+  cell->members_changed = true;
+}
+
+static void
+on_members_read (void *user, int64_t end)
+{
+  (void) end;
+  Cell *cell = user;
+  if (!cell->members_changed)
+    return;
+  cell->members_changed = false;
+  ldr_set_members (cell->ldr, cell->members.items, cell->members.count);
+  set_known_peers (cell);
+  if (cell->leader)
+    cell_leader_members (cell->leader);
+}
+
+void
+cell_take_config (Cell *cell, GrStr doc, const char *source)
+{
+  CellConfig config = { 0 };
+  GrErr err = { 0 };
+  if (!cell->platform->decode_config (cell->platform->adapter, doc, &config, &err)) {
+    gr_log (&cell->log, GR_EV_CONFIG_REJECTED, "source=%s field=%.*s %s", source,
+            GR_NAME_ARG (err.field), err.detail);
+    cell_config_clear (&config);
+    return;
+  }
+  if (config.version <= cell->config.version) {
+    cell_config_clear (&config);
+    return;
+  }
+  cell_config_clear (&cell->config);
+  cell->config = config;
+  gr_buf_clear (&cell->config_doc);
+  gr_buf_append_str (&cell->config_doc, doc);
+  gr_log (&cell->log, GR_EV_CONFIG_IN_FORCE, "version=%lld routes=%zu source=%s",
+          (long long) config.version, config.routes.count, source);
+  if (cell->leader)
+    cell_leader_config (cell->leader);
+}
+
+static void
+on_config_entry (void *user, const CellEntry *entry, int64_t offset)
+{
+  (void) offset;
+  Cell *cell = user;
+  if (gr_str_equal (entry->key, cell->platform->config_key) && entry->value.len > 0)
+    cell_take_config (cell, entry->value, "store");
+}
+
+static void
+on_config_read (void *user, int64_t end)
+{
+  (void) user;
+  (void) end;
+}
+
+static void
+on_joined (void *user, CellStoreResult result, int64_t offset)
+{
+  (void) offset;
+  Cell *cell = user;
+  cell->joining = false;
+  if (cell->freeing)
+    return;
+  on_store_result (cell, result == CELL_STORE_OK);
+  cell->joined = result == CELL_STORE_OK;
+  cell->join_retry_at = cell_now (cell) + JOIN_RETRY_MS;
+}
+
+static void
+join_if_due (Cell *cell)
+{
+  int64_t now_ms = cell_now (cell);
+  if (cell->joined || cell->joining || now_ms < cell->join_retry_at)
+    return;
+  cell->joining = true;
+  GrBuf value = { 0 };
+  cell_member_encode (&cell->options.self, &value);
+  CellEntry entry = { gr_name_str (&cell->options.self.vm.vm), gr_buf_str (&value) };
+  CellAppend append = { .topic = CELL_TOPIC_MEMBERS,
+                        .entries = &entry,
+                        .count = 1,
+                        .expected_end = -1,
+                        .timeout_at_ms = now_ms + JOIN_TIMEOUT_MS };
+  cell->platform->append (cell->platform->adapter, &append, on_joined, cell);
+  gr_buf_clear (&value);
+}
+
+static void
+on_claimed (void *user, CellStoreResult result, int64_t offset)
+{
+  Cell *cell = user;
+  if (cell->freeing)
+    return;
+  LdrClaimResult claim = LDR_CLAIM_UNKNOWN;
+  switch (result) {
+  case CELL_STORE_OK:
+    claim = LDR_CLAIM_WON;
+    break;
+  case CELL_STORE_MOVED:
+    claim = LDR_CLAIM_LOST;
+    break;
+  case CELL_STORE_FENCED:
+  case CELL_STORE_TRIMMED:
+  case CELL_STORE_FAILED:
+    claim = LDR_CLAIM_FAILED;
+    break;
+  case CELL_STORE_UNKNOWN:
+    break;
+  }
+  gr_log (&cell->log, GR_EV_KEY_GAINED, "claim result=%d offset=%lld", (int) claim,
+          (long long) offset);
+  on_store_result (cell, result == CELL_STORE_OK || result == CELL_STORE_MOVED);
+  ldr_claimed (cell->ldr, claim, offset, cell_now (cell));
+  cell_tick_soon (cell);
+}
+
+static void
+send_claim (Cell *cell, int64_t offset)
+{
+  GrBuf value = { 0 };
+  cell_member_encode (&cell->options.self, &value);
+  CellEntry entry = { election_key, gr_buf_str (&value) };
+  CellAppend append = { .topic = CELL_TOPIC_ELECTION,
+                        .entries = &entry,
+                        .count = 1,
+                        .expected_end = offset,
+                        .timeout_at_ms = cell_now (cell) + CLAIM_TIMEOUT_MS };
+  cell->platform->append (cell->platform->adapter, &append, on_claimed, cell);
+  gr_buf_clear (&value);
+}
+
+static void
+stop_leading (Cell *cell)
+{
+  if (!cell->leader)
+    return;
+  gr_log (&cell->log, GR_EV_KEY_LOST, "term=%lld", (long long) cell_leader_term (cell->leader));
+  cell_leader_free (cell->leader);
+  cell->leader = NULL;
+  cell_calls_resend (cell);
+}
+
+static void
+run_election (Cell *cell)
+{
+  gr_list_reset (&cell->ldr_cmds);
+  ldr_tick (cell->ldr, cell_now (cell), &cell->ldr_cmds);
+  for (size_t i = 0; i < cell->ldr_cmds.count; i++) {
+    const LdrCmd *cmd = &cell->ldr_cmds.items[i];
+    switch (cmd->type) {
+    case LDR_CMD_CLAIM:
+      send_claim (cell, cmd->offset);
+      break;
+    case LDR_CMD_LEAD:
+      stop_leading (cell);
+      gr_log (&cell->log, GR_EV_KEY_GAINED, "leads term=%lld", (long long) cmd->term);
+      cell->leader = cell_leader_new (cell, cmd->term);
+      cell->heartbeat_at = 0;
+      break;
+    case LDR_CMD_STEP_DOWN:
+      stop_leading (cell);
+      break;
+    }
+  }
+}
+
+static void
+on_timer (uv_timer_t *timer)
+{
+  Cell *cell = timer->data;
+  cell->tick_at = INT64_MAX;
+  run_election (cell);
+  cell_heartbeat (cell);
+  join_if_due (cell);
+  cell_calls_tick (cell);
+  if (cell->leader)
+    cell_leader_tick (cell->leader);
+  int64_t now_ms = cell_now (cell);
+  cell_tick_at (cell, now_ms + (cell->leader || cell->calls ? TICK_MS : IDLE_TICK_MS));
+}
+
+void
+cell_tick_at (Cell *cell, int64_t at_ms)
+{
+  if (cell->freeing || at_ms >= cell->tick_at)
+    return;
+  int64_t now_ms = cell_now (cell);
+  cell->tick_at = at_ms;
+  uv_timer_start (&cell->timer, on_timer, at_ms > now_ms ? (uint64_t) (at_ms - now_ms) : 0, 0);
+}
+
+void
+cell_tick_soon (Cell *cell)
+{
+  cell_tick_at (cell, cell_now (cell));
+}
+
+static CellFollow *
+follow (Cell *cell, CellTopic topic,
+        void (*entry) (void *user, const CellEntry *entry, int64_t offset),
+        void (*read) (void *user, int64_t end))
+{
+  CellFollowOptions options = { .topic = topic,
+                                .wait_ms = FOLLOW_WAIT_MS,
+                                .entry = entry,
+                                .read = read,
+                                .result = on_store_result,
+                                .user = cell };
+  return cell_follow_new (cell->loop, cell->platform, &options);
+}
+
+Cell *
+cell_new (uv_loop_t *loop, const CellOptions *options, const CellPlatform *platform, GrErr *err)
+{
+  static const NetPeerEvents events
+      = { .up = cell_peer_up, .down = cell_peer_down, .frame = cell_peer_frame };
+  Cell *cell = gr_calloc (1, sizeof *cell);
+  cell->loop = loop;
+  cell->options = *options;
+  cell->platform = platform;
+  cell->log = options->log;
+  cell->log.component = "cell";
+  NetPeerOptions peer_options = { .self = options->self.vm,
+                                  .region = options->region,
+                                  .zone = options->self.zone,
+                                  .listen_host = options->peer_host,
+                                  .listen_port = options->peer_port,
+                                  .key = options->peer_key,
+                                  .log = options->log };
+  peer_options.log.component = "peer";
+  cell->peers = net_peers_new (loop, &peer_options, &events, cell, err);
+  if (!cell->peers) {
+    free (cell);
+    return NULL;
+  }
+  LdrOptions ldr_options = { .self = options->self, .log = options->log };
+  ldr_options.log.component = "election";
+  cell->ldr = ldr_new (&ldr_options);
+  uv_timer_init (loop, &cell->timer);
+  cell->timer.data = cell;
+  cell->tick_at = INT64_MAX;
+  cell->follow_election = follow (cell, CELL_TOPIC_ELECTION, on_election_entry, on_election_read);
+  cell->follow_members = follow (cell, CELL_TOPIC_MEMBERS, on_member_entry, on_members_read);
+  cell->follow_config = follow (cell, CELL_TOPIC_CONFIG, on_config_entry, on_config_read);
+  cell_tick_soon (cell);
+  return cell;
+}
+
+const CellConfig *
+cell_config (const Cell *cell)
+{
+  return cell->config.version > 0 ? &cell->config : NULL;
+}
+
+bool
+cell_is_ready (const Cell *cell)
+{
+  return cell->config.version > 0 && !cell->leaving
+         && ldr_leader (cell->ldr, cell_now (cell)) != NULL;
+}
+
+void
+cell_leave (Cell *cell)
+{
+  cell->leaving = true;
+  ldr_leave (cell->ldr);
+  cell->heartbeat_at = 0;
+  cell_tick_soon (cell);
+}
+
+bool
+cell_is_idle (const Cell *cell)
+{
+  return !cell->calls && !cell->leader;
+}
+
+static void
+on_timer_closed (uv_handle_t *handle)
+{
+  Cell *cell = handle->data;
+  gr_list_clear (&cell->members);
+  gr_list_clear (&cell->peer_states);
+  gr_list_clear (&cell->ldr_cmds);
+  cell_config_clear (&cell->config);
+  gr_buf_clear (&cell->config_doc);
+  free (cell);
+}
+
+void
+cell_free (Cell *cell)
+{
+  if (!cell)
+    return;
+  cell->freeing = true;
+  cell_leader_free (cell->leader);
+  cell->leader = NULL;
+  cell_follow_free (cell->follow_election);
+  cell_follow_free (cell->follow_members);
+  cell_follow_free (cell->follow_config);
+  net_peers_free (cell->peers);
+  cell_calls_clear (cell);
+  ldr_free (cell->ldr);
+  uv_close ((uv_handle_t *) &cell->timer, on_timer_closed);
+}
--- /dev/null
+++ b/src/cell/cell_calls.c
@@ -0,0 +1,193 @@
+/* Calls at the VM that took them: they are passed on to the leader, again after a change of leader,
+   until they are answered or their caller stops waiting. Repeating one is harmless, since the job
+   id makes it idempotent. */
+#include <stdlib.h>
+
+#include "cell/cell_priv.h"
+
+/* A call that could not be sent to any leader for this long is refused. */
+#define NO_LEADER_MS 900
+/* The answer leaves so long before the caller stops waiting. */
+#define ANSWER_MARGIN_MS 150
+/* Pause before a call is tried again. */
+#define RETRY_MS 60
+/* Callers come back after this when no leader was found. */
+#define COME_BACK_MS 1000
+
+static CellOpenCall *
+find_call (const Cell *cell, uint64_t id)
+{
+  for (CellOpenCall *call = cell->calls; call; call = call->next) {
+    if (call->id == id)
+      return call;
+  }
+  return NULL;
+}
+
+static void
+remove_call (Cell *cell, CellOpenCall *call)
+{
+  if (call->prev)
+    call->prev->next = call->next;
+  else
+    cell->calls = call->next;
+  if (call->next)
+    call->next->prev = call->prev;
+  gr_buf_clear (&call->spec);
+  free (call);
+}
+
+static void
+finish (Cell *cell, CellOpenCall *call, CellAnswer answer)
+{
+  /* A refusal must be true for all tries. */
+  if (answer.kind == CELL_ANSWER_REFUSED && call->maybe_done)
+    answer.kind = CELL_ANSWER_UNKNOWN;
+  gr_log (&cell->log, GR_EV_ROUTED,
+          "id=%.*s queue=%.*s verb=%d answer=%d value=%lld term=%lld after_ms=%lld",
+          GR_NAME_ARG (call->job), GR_NAME_ARG (call->queue), (int) call->verb, (int) answer.kind,
+          (long long) answer.value, (long long) call->term,
+          (long long) (cell_now (cell) - call->taken_at));
+  CellCallDone done = call->done;
+  void *user = call->user;
+  remove_call (cell, call);
+  if (done)
+    done (user, &answer);
+}
+
+static void
+dispatch (Cell *cell, CellOpenCall *call)
+{
+  int64_t now_ms = cell_now (cell);
+  const LdrRecord *leader = ldr_leader (cell->ldr, now_ms);
+  call->retry_at = now_ms + RETRY_MS;
+  if (!leader)
+    return;
+  CellWireMsg msg = { .type = CELL_WIRE_CALL };
+  msg.u.call = (CellWireCall){
+    .id = (int64_t) call->id,
+    .verb = call->verb,
+    .config_version = call->config_version,
+    .queue = call->queue,
+    .job = call->job,
+    .spec = gr_buf_str (&call->spec),
+  };
+  call->term = leader->term;
+  if (gr_vm_ref_equal (&leader->member.vm, &cell->options.self.vm)) {
+    if (!cell->leader)
+      return;
+    call->sent = true;
+    cell_leader_call (cell->leader, &(GrName){ 0 }, call->id, &msg.u.call);
+    return;
+  }
+  GrBuf body = { 0 };
+  cell_wire_encode (&msg, &body);
+  call->sent = cell_send (cell, &leader->member.vm.vm, &body);
+  gr_buf_clear (&body);
+}
+
+uint64_t
+cell_call (Cell *cell, const CellCall *request, CellCallDone done, void *user)
+{
+  CellOpenCall *call = gr_calloc (1, sizeof *call);
+  int64_t now_ms = cell_now (cell);
+  call->id = ++cell->next_call;
+  call->verb = request->verb;
+  call->queue = request->queue;
+  call->job = request->job;
+  if (request->spec)
+    dag_pack_job_spec (request->spec, &call->spec);
+  call->config_version = cell->config.version;
+  call->taken_at = now_ms;
+  call->deadline_at = request->deadline_at_ms - ANSWER_MARGIN_MS;
+  call->done = done;
+  call->user = user;
+  call->next = cell->calls;
+  if (call->next)
+    call->next->prev = call;
+  cell->calls = call;
+  /* The leader on this VM may answer at once, and the call with it: that happens from the tick. */
+  call->retry_at = now_ms;
+  uint64_t id = call->id;
+  const LdrRecord *leader = ldr_leader (cell->ldr, now_ms);
+  if (leader && !gr_vm_ref_equal (&leader->member.vm, &cell->options.self.vm))
+    dispatch (cell, call);
+  else
+    cell_tick_soon (cell);
+  return id;
+}
+
+void
+cell_calls_clear (Cell *cell)
+{
+  while (cell->calls)
+    remove_call (cell, cell->calls);
+}
+
+void
+cell_cancel_call (Cell *cell, uint64_t id)
+{
+  CellOpenCall *call = find_call (cell, id);
+  if (!call)
+    return;
+  call->done = NULL;
+  /* One that never left this VM has no effect. */
+  if (!call->sent && !call->maybe_done)
+    remove_call (cell, call);
+}
+
+void
+cell_calls_answered (Cell *cell, uint64_t id, const CellAnswer *answer)
+{
+  CellOpenCall *call = find_call (cell, id);
+  if (!call)
+    return;
+  if (answer->kind == CELL_ANSWER_NOT_LEADER) {
+    call->sent = false;
+    call->retry_at = cell_now (cell) + RETRY_MS;
+    return;
+  }
+  finish (cell, call, *answer);
+}
+
+void
+cell_calls_resend (Cell *cell)
+{
+  for (CellOpenCall *call = cell->calls; call; call = call->next) {
+    if (!call->sent)
+      continue;
+    call->sent = false;
+    call->maybe_done = true;
+    call->retry_at = cell_now (cell);
+  }
+}
+
+void
+cell_calls_tick (Cell *cell)
+{
+  int64_t now_ms = cell_now (cell);
+  const LdrRecord *leader = ldr_leader (cell->ldr, now_ms);
+  CellOpenCall *next;
+  for (CellOpenCall *call = cell->calls; call; call = next) {
+    next = call->next;
+    if (call->sent && (!leader || leader->term != call->term)) {
+      call->sent = false;
+      call->maybe_done = true;
+      call->retry_at = now_ms;
+    }
+    if (now_ms >= call->deadline_at) {
+      bool unknown = call->sent || call->maybe_done;
+      finish (cell, call,
+              (CellAnswer){ unknown ? CELL_ANSWER_UNKNOWN : CELL_ANSWER_REFUSED, COME_BACK_MS });
+      continue;
+    }
+    if (call->sent)
+      continue;
+    if (!call->maybe_done && now_ms - call->taken_at >= NO_LEADER_MS) {
+      finish (cell, call, (CellAnswer){ CELL_ANSWER_REFUSED, COME_BACK_MS });
+      continue;
+    }
+    if (now_ms >= call->retry_at)
+      dispatch (cell, call);
+  }
+}
--- /dev/null
+++ b/src/cell/cell_config.c
@@ -0,0 +1,50 @@
+#include "cell/cell_config.h"
+
+#include <stdlib.h>
+
+void
+cell_config_clear (CellConfig *config)
+{
+  for (size_t i = 0; i < config->routes.count; i++)
+    free ((char *) config->routes.items[i].prefix.data);
+  gr_list_clear (&config->routes);
+  gr_list_clear (&config->queues);
+  config->version = 0;
+}
+
+void
+cell_config_add (CellConfig *config, const GrName *host, GrStr prefix, const DagQueue *queue)
+{
+  CellRoute route = { .host = *host, .queue = config->queues.count };
+  route.prefix = (GrStr){ gr_str_dup (prefix), prefix.len };
+  gr_list_push (&config->queues, *queue);
+  gr_list_push (&config->routes, route);
+}
+
+const CellRoute *
+cell_config_find (const CellConfig *config, GrStr host, GrStr path)
+{
+  const CellRoute *best = NULL;
+  const char *colon = host.len > 0 ? memchr (host.data, ':', host.len) : NULL;
+  if (colon)
+    host.len = (size_t) (colon - host.data);
+  for (size_t i = 0; i < config->routes.count; i++) {
+    const CellRoute *route = &config->routes.items[i];
+    if (!gr_str_equal (gr_name_str (&route->host), host)
+        || !gr_str_starts_with (path, route->prefix))
+      continue;
+    if (!best || route->prefix.len > best->prefix.len)
+      best = route;
+  }
+  return best;
+}
+
+const DagQueue *
+cell_config_queue (const CellConfig *config, const GrName *name)
+{
+  for (size_t i = 0; i < config->queues.count; i++) {
+    if (gr_name_equal (&config->queues.items[i].name, name))
+      return &config->queues.items[i];
+  }
+  return NULL;
+}
--- /dev/null
+++ b/src/cell/cell_config.h
@@ -0,0 +1,23 @@
+/* Configuration of a cell as its operators publish it: which calls go to which queue. */
+#pragma once
+
+#include "dag/dag.h"
+
+typedef struct {
+  GrName host;  /* of the call, without a port */
+  GrStr prefix; /* of the path; owned */
+  size_t queue; /* index into queues */
+} CellRoute;
+
+typedef struct {
+  int64_t version;
+  GR_LIST (CellRoute) routes;
+  GR_LIST (DagQueue) queues;
+} CellConfig;
+
+void cell_config_clear (CellConfig *config);
+/* Adds a route to a queue; copies all. */
+void cell_config_add (CellConfig *config, const GrName *host, GrStr prefix, const DagQueue *queue);
+/* The route of the host with the longest prefix that the path begins with, or NULL. */
+const CellRoute *cell_config_find (const CellConfig *config, GrStr host, GrStr path);
+const DagQueue *cell_config_queue (const CellConfig *config, const GrName *name);
--- /dev/null
+++ b/src/cell/cell_follow.c
@@ -0,0 +1,236 @@
+#include "cell/cell_follow.h"
+
+#include <stdlib.h>
+
+#define CALL_TIMEOUT_MS 1200
+#define RETRY_MIN_MS 100
+#define RETRY_MAX_MS 400
+
+struct CellFollow {
+  uv_loop_t *loop;
+  const CellPlatform *platform;
+  CellFollowOptions options;
+  uv_timer_t timer;
+  bool open;   /* a call is under way */
+  bool listed; /* the newest records were told */
+  bool freeing;
+  bool timer_closed;
+  int64_t next; /* offset of the next record to read */
+  int64_t listing_end;
+  bool listing_started;
+  GrBuf last_key;
+  int64_t retry_ms;
+  /* Keys told in the listing under way, and those told before it. */
+  GR_LIST (char *) seen;
+  GR_LIST (char *) known;
+};
+
+static void follow_next (CellFollow *follow);
+
+static void
+clear_keys (CellFollow *follow, bool known)
+{
+  if (known) {
+    for (size_t i = 0; i < follow->known.count; i++)
+      free (follow->known.items[i]);
+    gr_list_clear (&follow->known);
+    return;
+  }
+  for (size_t i = 0; i < follow->seen.count; i++)
+    free (follow->seen.items[i]);
+  gr_list_clear (&follow->seen);
+}
+
+static void
+release (CellFollow *follow)
+{
+  if (!follow->freeing || !follow->timer_closed || follow->open)
+    return;
+  clear_keys (follow, true);
+  clear_keys (follow, false);
+  gr_buf_clear (&follow->last_key);
+  free (follow);
+}
+
+static void
+on_timer (uv_timer_t *timer)
+{
+  follow_next (timer->data);
+}
+
+static void
+call_failed (CellFollow *follow)
+{
+  follow->retry_ms = follow->retry_ms == 0 ? RETRY_MIN_MS : follow->retry_ms * 2;
+  if (follow->retry_ms > RETRY_MAX_MS)
+    follow->retry_ms = RETRY_MAX_MS;
+  follow->options.result (follow->options.user, false);
+  uv_timer_start (&follow->timer, on_timer, (uint64_t) follow->retry_ms, 0);
+}
+
+static int
+compare_keys (const void *a, const void *b)
+{
+  return strcmp (*(char *const *) a, *(char *const *) b);
+}
+
+/* Tells which keys of the listing before are missing now, and keeps the new ones. */
+static void
+finish_listing (CellFollow *follow)
+{
+  if (follow->options.missing) {
+    qsort (follow->seen.items, follow->seen.count, sizeof (char *), compare_keys);
+    for (size_t i = 0; i < follow->known.count; i++) {
+      char **key = &follow->known.items[i];
+      if (follow->seen.count == 0
+          || !bsearch (key, follow->seen.items, follow->seen.count, sizeof (char *), compare_keys))
+        follow->options.missing (follow->options.user, gr_str_from_c (*key));
+    }
+    clear_keys (follow, true);
+    for (size_t i = 0; i < follow->seen.count; i++)
+      gr_list_push (&follow->known, follow->seen.items[i]);
+    gr_list_reset (&follow->seen);
+  }
+  follow->listed = true;
+  follow->next = follow->listing_end;
+  gr_buf_clear (&follow->last_key);
+  follow->options.read (follow->options.user, follow->next);
+}
+
+static void
+on_newest (void *user, CellStoreResult result, const CellEntry *entries, size_t count, bool more,
+           int64_t end)
+{
+  CellFollow *follow = user;
+  follow->open = false;
+  if (follow->freeing) {
+    release (follow);
+    return;
+  }
+  if (result != CELL_STORE_OK) {
+    call_failed (follow);
+    return;
+  }
+  follow->retry_ms = 0;
+  follow->options.result (follow->options.user, true);
+  if (!follow->listing_started) {
+    /* Pages are no snapshot: reading goes on where the first page ended. */
+    follow->listing_started = true;
+    follow->listing_end = end;
+  }
+  for (size_t i = 0; i < count; i++) {
+    follow->options.entry (follow->options.user, &entries[i], -1);
+    if (follow->options.missing)
+      gr_list_push (&follow->seen, gr_str_dup (entries[i].key));
+  }
+  if (more && count > 0) {
+    gr_buf_clear (&follow->last_key);
+    gr_buf_append_str (&follow->last_key, entries[count - 1].key);
+  } else {
+    finish_listing (follow);
+  }
+  follow_next (follow);
+}
+
+static void
+note_key (CellFollow *follow, GrStr key)
+{
+  for (size_t i = 0; i < follow->known.count; i++) {
+    if (gr_str_equal (gr_str_from_c (follow->known.items[i]), key))
+      return;
+  }
+  gr_list_push (&follow->known, gr_str_dup (key));
+}
+
+static void
+on_read (void *user, CellStoreResult result, const CellEntry *entries, size_t count, int64_t offset,
+         int64_t end)
+{
+  CellFollow *follow = user;
+  follow->open = false;
+  if (follow->freeing) {
+    release (follow);
+    return;
+  }
+  if (result == CELL_STORE_TRIMMED) {
+    follow->options.result (follow->options.user, true);
+    follow->listed = false;
+    follow->listing_started = false;
+    follow_next (follow);
+    return;
+  }
+  if (result != CELL_STORE_OK) {
+    call_failed (follow);
+    return;
+  }
+  follow->retry_ms = 0;
+  follow->options.result (follow->options.user, true);
+  for (size_t i = 0; i < count; i++) {
+    follow->options.entry (follow->options.user, &entries[i], offset + (int64_t) i);
+    if (follow->options.missing && entries[i].value.len > 0)
+      note_key (follow, entries[i].key);
+  }
+  if (count > 0)
+    follow->next = offset + (int64_t) count;
+  (void) end;
+  follow->options.read (follow->options.user, follow->next);
+  if (follow->options.pause_ms > 0)
+    uv_timer_start (&follow->timer, on_timer, (uint64_t) follow->options.pause_ms, 0);
+  else
+    follow_next (follow);
+}
+
+static void
+follow_next (CellFollow *follow)
+{
+  if (follow->open || follow->freeing)
+    return;
+  follow->open = true;
+  uv_timer_stop (&follow->timer);
+  int64_t timeout_at = (int64_t) uv_now (follow->loop) + CALL_TIMEOUT_MS
+                       + (follow->listed ? follow->options.wait_ms : 0);
+  const CellPlatform *platform = follow->platform;
+  if (follow->listed)
+    platform->read (platform->adapter, follow->options.topic, follow->next, follow->options.wait_ms,
+                    timeout_at, on_read, follow);
+  else
+    platform->newest (platform->adapter, follow->options.topic, gr_buf_str (&follow->last_key),
+                      timeout_at, on_newest, follow);
+}
+
+CellFollow *
+cell_follow_new (uv_loop_t *loop, const CellPlatform *platform, const CellFollowOptions *options)
+{
+  CellFollow *follow = gr_calloc (1, sizeof *follow);
+  follow->loop = loop;
+  follow->platform = platform;
+  follow->options = *options;
+  uv_timer_init (loop, &follow->timer);
+  follow->timer.data = follow;
+  follow_next (follow);
+  return follow;
+}
+
+void
+cell_follow_poke (CellFollow *follow)
+{
+  if (!follow->open)
+    follow_next (follow);
+}
+
+static void
+on_timer_closed (uv_handle_t *handle)
+{
+  CellFollow *follow = handle->data;
+  follow->timer_closed = true;
+  release (follow);
+}
+
+void
+cell_follow_free (CellFollow *follow)
+{
+  if (!follow)
+    return;
+  follow->freeing = true;
+  uv_close ((uv_handle_t *) &follow->timer, on_timer_closed);
+}
--- /dev/null
+++ b/src/cell/cell_follow.h
@@ -0,0 +1,28 @@
+/* Follows a topic of the platform's log: the newest record of each key first, then every change. */
+#pragma once
+
+#include <uv.h>
+
+#include "cell/cell_port.h"
+
+typedef struct CellFollow CellFollow;
+
+typedef struct {
+  CellTopic topic;
+  int64_t wait_ms;  /* how long a read may wait at the store for a record */
+  int64_t pause_ms; /* between two reads, so that records are read several at a time */
+  void (*entry) (void *user, const CellEntry *entry, int64_t offset);
+  /* A key is missing from a new listing of the newest records. May be NULL. */
+  void (*missing) (void *user, GrStr key);
+  /* Everything up to end was told. */
+  void (*read) (void *user, int64_t end);
+  /* Outcome of each call. */
+  void (*result) (void *user, bool ok);
+  void *user;
+} CellFollowOptions;
+
+CellFollow *cell_follow_new (uv_loop_t *loop, const CellPlatform *platform,
+                             const CellFollowOptions *options);
+/* Reads at once, where a pause or the wait after a failure is under way. */
+void cell_follow_poke (CellFollow *follow);
+void cell_follow_free (CellFollow *follow);
--- /dev/null
+++ b/src/cell/cell_leader.c
@@ -0,0 +1,826 @@
+/* The scheduler of the cell while this VM leads: recovery, the store pipeline, and the commands of
+   the pure scheduler carried out through the platform. */
+#include <stdlib.h>
+
+#include "cell/cell_priv.h"
+
+#define FENCE_TIMEOUT_MS 1200
+#define LOAD_TIMEOUT_MS 2500
+#define APPEND_TIMEOUT_MS 1500
+#define RETRY_MS 120
+/* Batches begin at least so far apart, so that records are written several at a time. */
+#define BATCH_INTERVAL_MS 12
+/* New submissions are refused while the store has failed for so long. */
+#define STORE_AWAY_MS 500
+#define ORDER_TIMEOUT_MS 700
+#define HOLD_MARGIN_MS 700
+/* A follow of the targets' entries pauses so long between two reads. */
+#define TARGETS_PAUSE_MS 250
+/* A target that vanished from the list soon after an outage of the store may only have lapsed. */
+#define STORE_RETURN_MS 2500
+/* A leader that lost the store and its peers gives up within this; orders of the term before it
+   may come until then. */
+#define FORMER_LEADER_MS 2700
+#define CLOCK_RATE_MIN 0.98
+#define COME_BACK_MS 1000
+
+typedef enum {
+  LEADER_FENCING, /* earlier terms are shut out from the store */
+  LEADER_LOADING,
+  LEADER_LISTING, /* waits for the list of targets */
+  LEADER_ACTIVE
+} LeaderState;
+
+/* A call that waits for a record to be stored. */
+typedef struct {
+  int64_t token;
+  GrName from; /* empty: this VM */
+  uint64_t id;
+} WaitingCall;
+
+typedef struct {
+  GrName target;
+  int64_t at;
+} Unlisted;
+
+typedef struct {
+  GrBuf key;
+  GrBuf value;
+} LoadedRecord;
+
+struct CellLeader {
+  Cell *cell;
+  int64_t term;
+  LeaderState state;
+  DagState *dag;
+  CellFollow *follow_targets;
+  CellLanes *lanes;
+  GR_LIST (WaitingCall) waiting;
+  int64_t next_token;
+  GR_LIST (Unlisted) unlisted;
+  GR_LIST (LoadedRecord) loaded;
+  GrBuf load_after;
+  /* Store pipeline: one append at a time. */
+  bool store_open;
+  int64_t sequence;
+  int64_t batch;
+  DagRecords records;
+  int64_t batch_began_at;
+  int64_t retry_at;
+  int64_t failing_since;   /* 0: the last append succeeded */
+  int64_t store_failed_at; /* last failure of any append or list read */
+  int refs;                /* open calls to the platform, and the owner */
+  bool freeing;
+};
+
+static void run_commands (CellLeader *leader);
+static void pump_store (CellLeader *leader);
+
+static int64_t
+now_of (const CellLeader *leader)
+{
+  return cell_now (leader->cell);
+}
+
+static void
+unref (CellLeader *leader)
+{
+  if (--leader->refs > 0)
+    return;
+  free (leader);
+}
+
+/* True if the leader that a late answer belongs to is gone. */
+static bool
+is_over (CellLeader *leader)
+{
+  bool over = leader->freeing;
+  unref (leader);
+  return over;
+}
+
+static void
+fenced (CellLeader *leader)
+{
+  gr_log (&leader->cell->log, GR_EV_FENCED, "term=%lld", (long long) leader->term);
+  ldr_fenced (leader->cell->ldr, now_of (leader));
+  cell_tick_soon (leader->cell);
+}
+
+static void
+store_result (CellLeader *leader, bool ok)
+{
+  int64_t now_ms = now_of (leader);
+  ldr_store_result (leader->cell->ldr, ok, now_ms);
+  if (ok) {
+    leader->failing_since = 0;
+    return;
+  }
+  leader->store_failed_at = now_ms;
+  if (leader->failing_since == 0)
+    leader->failing_since = now_ms;
+}
+
+/* --- Recovery --- */
+
+static void load_page (CellLeader *leader);
+
+static void
+on_target_entry (void *user, const CellEntry *entry, int64_t offset)
+{
+  (void) offset;
+  CellLeader *leader = user;
+  DagTargetInfo info = { 0 };
+  GrErr err = { 0 };
+  GrName id;
+  if (entry->value.len == 0) {
+    if (gr_name_set (&id, entry->key))
+      gr_list_push (&leader->unlisted, (Unlisted){ id, now_of (leader) });
+    return;
+  }
+  const CellPlatform *platform = leader->cell->platform;
+  if (!platform->decode_target (platform->adapter, entry->key, entry->value, &info, &err)) {
+    gr_log (&leader->cell->log, GR_EV_BAD_INPUT, "target entry: %.*s %s", GR_NAME_ARG (err.field),
+            err.detail);
+    return;
+  }
+  for (size_t i = leader->unlisted.count; i-- > 0;) {
+    if (gr_name_equal (&leader->unlisted.items[i].target, &info.id))
+      gr_list_swap_remove (&leader->unlisted, i);
+  }
+  dag_target_seen (leader->dag, &info, now_of (leader));
+}
+
+static void
+on_target_missing (void *user, GrStr key)
+{
+  CellLeader *leader = user;
+  GrName id;
+  if (gr_name_set (&id, key))
+    gr_list_push (&leader->unlisted, (Unlisted){ id, now_of (leader) });
+}
+
+static void
+on_targets_read (void *user, int64_t end)
+{
+  (void) end;
+  CellLeader *leader = user;
+  if (leader->state == LEADER_LISTING) {
+    leader->state = LEADER_ACTIVE;
+    dag_loaded (leader->dag, now_of (leader));
+    DagCounts counts = dag_counts (leader->dag);
+    gr_log (&leader->cell->log, GR_EV_KEY_GAINED,
+            "active term=%lld jobs=%zu open=%zu targets=%zu runs=%zu", (long long) leader->term,
+            counts.jobs, counts.open_jobs, counts.targets, counts.runs);
+  }
+  run_commands (leader);
+}
+
+static void
+on_targets_result (void *user, bool ok)
+{
+  CellLeader *leader = user;
+  ldr_store_result (leader->cell->ldr, ok, now_of (leader));
+  if (!ok)
+    leader->store_failed_at = now_of (leader);
+}
+
+static void
+list_targets (CellLeader *leader)
+{
+  leader->state = LEADER_LISTING;
+  CellFollowOptions options = { .topic = CELL_TOPIC_TARGETS,
+                                .wait_ms = 1000,
+                                .pause_ms = TARGETS_PAUSE_MS,
+                                .entry = on_target_entry,
+                                .missing = on_target_missing,
+                                .read = on_targets_read,
+                                .result = on_targets_result,
+                                .user = leader };
+  leader->follow_targets = cell_follow_new (leader->cell->loop, leader->cell->platform, &options);
+}
+
+static void
+load_records (CellLeader *leader)
+{
+  /* Submissions first: progress refers to them. */
+  for (int pass = 0; pass < 2; pass++) {
+    for (size_t i = 0; i < leader->loaded.count; i++) {
+      LoadedRecord *record = &leader->loaded.items[i];
+      bool submission = record->key.len > 0 && record->key.data[0] == 'j';
+      if (submission != (pass == 0))
+        continue;
+      GrErr err = { 0 };
+      if (!dag_load (leader->dag, gr_buf_str (&record->key), gr_buf_str (&record->value),
+                     now_of (leader), &err))
+        gr_log (&leader->cell->log, GR_EV_BAD_INPUT, "job record: %s", err.detail);
+    }
+  }
+}
+
+static void
+clear_loaded (CellLeader *leader)
+{
+  for (size_t i = 0; i < leader->loaded.count; i++) {
+    gr_buf_clear (&leader->loaded.items[i].key);
+    gr_buf_clear (&leader->loaded.items[i].value);
+  }
+  gr_list_clear (&leader->loaded);
+  gr_buf_clear (&leader->load_after);
+}
+
+static void
+on_page (void *user, CellStoreResult result, const CellEntry *entries, size_t count, bool more,
+         int64_t end)
+{
+  (void) end;
+  CellLeader *leader = user;
+  if (is_over (leader))
+    return;
+  leader->store_open = false;
+  store_result (leader, result == CELL_STORE_OK);
+  if (result != CELL_STORE_OK) {
+    leader->retry_at = now_of (leader) + RETRY_MS;
+    return;
+  }
+  for (size_t i = 0; i < count; i++) {
+    LoadedRecord record = { 0 };
+    gr_buf_append_str (&record.key, entries[i].key);
+    gr_buf_append_str (&record.value, entries[i].value);
+    gr_list_push (&leader->loaded, record);
+  }
+  if (more && count > 0) {
+    gr_buf_clear (&leader->load_after);
+    gr_buf_append_str (&leader->load_after, entries[count - 1].key);
+    load_page (leader);
+    return;
+  }
+  load_records (leader);
+  clear_loaded (leader);
+  list_targets (leader);
+}
+
+static void
+load_page (CellLeader *leader)
+{
+  const CellPlatform *platform = leader->cell->platform;
+  leader->store_open = true;
+  leader->refs++;
+  platform->newest (platform->adapter, CELL_TOPIC_JOBS, gr_buf_str (&leader->load_after),
+                    now_of (leader) + LOAD_TIMEOUT_MS, on_page, leader);
+}
+
+static void
+on_fenced (void *user, CellStoreResult result, int64_t offset)
+{
+  (void) offset;
+  CellLeader *leader = user;
+  if (is_over (leader))
+    return;
+  leader->store_open = false;
+  if (result == CELL_STORE_FENCED) {
+    fenced (leader);
+    return;
+  }
+  store_result (leader, result == CELL_STORE_OK);
+  if (result != CELL_STORE_OK) {
+    leader->retry_at = now_of (leader) + RETRY_MS;
+    return;
+  }
+  leader->state = LEADER_LOADING;
+  load_page (leader);
+}
+
+static void
+send_fence (CellLeader *leader)
+{
+  CellAppend append = { .topic = CELL_TOPIC_JOBS,
+                        .expected_end = -1,
+                        .term = leader->term,
+                        .sequence = 0,
+                        .timeout_at_ms = now_of (leader) + FENCE_TIMEOUT_MS };
+  const CellPlatform *platform = leader->cell->platform;
+  leader->store_open = true;
+  leader->refs++;
+  platform->append (platform->adapter, &append, on_fenced, leader);
+}
+
+/* --- Store pipeline --- */
+
+static void
+on_appended (void *user, CellStoreResult result, int64_t offset)
+{
+  (void) offset;
+  CellLeader *leader = user;
+  if (is_over (leader))
+    return;
+  leader->store_open = false;
+  if (result == CELL_STORE_FENCED) {
+    fenced (leader);
+    return;
+  }
+  store_result (leader, result == CELL_STORE_OK);
+  if (result != CELL_STORE_OK) {
+    /* The same sequence number makes the repeat harmless. */
+    leader->retry_at = now_of (leader) + RETRY_MS;
+    if (leader->failing_since == now_of (leader))
+      gr_log (&leader->cell->log, GR_EV_APPEND_RETRY, "sequence=%lld result=%d",
+              (long long) leader->sequence, (int) result);
+    return;
+  }
+  dag_records_clear (&leader->records);
+  int64_t batch = leader->batch;
+  leader->batch = 0;
+  dag_stored (leader->dag, batch, now_of (leader));
+  run_commands (leader);
+}
+
+static void
+send_batch (CellLeader *leader)
+{
+  GR_LIST (CellEntry) entries = { 0 };
+  for (size_t i = 0; i < leader->records.count; i++)
+    gr_list_push (&entries, (CellEntry){ gr_buf_str (&leader->records.items[i].key),
+                                         gr_buf_str (&leader->records.items[i].value) });
+  CellAppend append = { .topic = CELL_TOPIC_JOBS,
+                        .entries = entries.items,
+                        .count = entries.count,
+                        .expected_end = -1,
+                        .term = leader->term,
+                        .sequence = leader->sequence,
+                        .timeout_at_ms = now_of (leader) + APPEND_TIMEOUT_MS };
+  const CellPlatform *platform = leader->cell->platform;
+  leader->store_open = true;
+  leader->refs++;
+  platform->append (platform->adapter, &append, on_appended, leader);
+  if (leader->cell->options.metrics)
+    gr_metric_add (leader->cell->options.metrics, GR_METRIC_LOG_APPENDS, 1);
+  gr_list_clear (&entries);
+}
+
+static void
+pump_store (CellLeader *leader)
+{
+  int64_t now_ms = now_of (leader);
+  if (leader->store_open || now_ms < leader->retry_at)
+    return;
+  switch (leader->state) {
+  case LEADER_FENCING:
+    send_fence (leader);
+    return;
+  case LEADER_LOADING:
+    load_page (leader);
+    return;
+  case LEADER_LISTING:
+    return;
+  case LEADER_ACTIVE:
+    break;
+  }
+  if (leader->batch != 0) {
+    send_batch (leader);
+    return;
+  }
+  if (!dag_has_changes (leader->dag))
+    return;
+  if (now_ms - leader->batch_began_at < BATCH_INTERVAL_MS) {
+    cell_tick_at (leader->cell, leader->batch_began_at + BATCH_INTERVAL_MS);
+    return;
+  }
+  leader->batch = dag_take_batch (leader->dag, &leader->records, now_ms);
+  if (leader->batch == 0)
+    return;
+  leader->batch_began_at = now_ms;
+  leader->sequence++;
+  send_batch (leader);
+}
+
+/* --- Commands --- */
+
+typedef struct {
+  CellLeader *leader;
+  GrName target;
+  DagTaskRef task;
+  int64_t run; /* or the token of a hold */
+} OrderContext;
+
+static OrderContext *
+order_context (CellLeader *leader, const GrName *target, const DagTaskRef *task, int64_t run)
+{
+  OrderContext *context = gr_calloc (1, sizeof *context);
+  context->leader = leader;
+  context->target = *target;
+  if (task)
+    context->task = *task;
+  context->run = run;
+  leader->refs++;
+  return context;
+}
+
+static void
+on_started (void *user, DagOrderResult result, int64_t clock_ms)
+{
+  OrderContext *context = user;
+  CellLeader *leader = context->leader;
+  if (!is_over (leader)) {
+    dag_started (leader->dag, &context->task, context->run, result, clock_ms, now_of (leader));
+    run_commands (leader);
+  }
+  free (context);
+}
+
+static void
+on_stopped (void *user, DagOrderResult result, int64_t clock_ms)
+{
+  (void) clock_ms;
+  OrderContext *context = user;
+  CellLeader *leader = context->leader;
+  if (!is_over (leader)) {
+    dag_stopped (leader->dag, &context->task, context->run, result, now_of (leader));
+    run_commands (leader);
+  }
+  free (context);
+}
+
+static void
+on_held (void *user, DagOrderResult result, const DagInventory *inventory)
+{
+  OrderContext *context = user;
+  CellLeader *leader = context->leader;
+  if (!is_over (leader)) {
+    dag_held (leader->dag, &context->target, context->run, result, inventory, now_of (leader));
+    run_commands (leader);
+  }
+  free (context);
+}
+
+static void
+answer_call (CellLeader *leader, const GrName *from, uint64_t id, CellAnswer answer)
+{
+  if (from->len == 0) {
+    cell_calls_answered (leader->cell, id, &answer);
+    return;
+  }
+  CellWireMsg msg = { .type = CELL_WIRE_ANSWER };
+  msg.u.answer = (CellWireAnswer){ (int64_t) id, answer };
+  GrBuf body = { 0 };
+  cell_wire_encode (&msg, &body);
+  cell_send (leader->cell, from, &body);
+  gr_buf_clear (&body);
+}
+
+static void
+answer_waiting (CellLeader *leader, int64_t token, CellAnswerKind kind)
+{
+  for (size_t i = 0; i < leader->waiting.count; i++) {
+    if (leader->waiting.items[i].token != token)
+      continue;
+    WaitingCall call = leader->waiting.items[i];
+    gr_list_swap_remove (&leader->waiting, i);
+    answer_call (leader, &call.from, call.id, (CellAnswer){ kind, 0 });
+    return;
+  }
+}
+
+static void
+queue_ask (CellLeader *leader, const DagCmd *cmd)
+{
+  CellAsk ask = { .token = cmd->u.advise.token,
+                  .job = cmd->u.advise.job,
+                  .step = cmd->u.advise.step,
+                  .priority = cmd->u.advise.priority,
+                  .expected_ms = cmd->u.advise.expected_ms,
+                  .count = cmd->u.advise.count };
+  ask.targets = gr_calloc (ask.count ? ask.count : 1, sizeof *ask.targets);
+  memcpy (ask.targets, cmd->u.advise.targets, ask.count * sizeof *ask.targets);
+  cell_lanes_push (leader->lanes, &ask);
+}
+
+static void
+run_command (CellLeader *leader, const DagCmd *cmd)
+{
+  const CellPlatform *platform = leader->cell->platform;
+  int64_t now_ms = now_of (leader);
+  switch (cmd->type) {
+  case DAG_CMD_ACCEPTED:
+    answer_waiting (leader, cmd->u.call, CELL_ANSWER_ACCEPTED);
+    return;
+  case DAG_CMD_CANCELLED:
+    answer_waiting (leader, cmd->u.call, CELL_ANSWER_CANCELLED);
+    return;
+  case DAG_CMD_START:
+    platform->start (
+        platform->adapter, cmd, leader->term, now_ms + ORDER_TIMEOUT_MS, on_started,
+        order_context (leader, &cmd->u.start.target.target, &cmd->u.start.task, cmd->u.start.run));
+    return;
+  case DAG_CMD_STOP:
+    platform->stop (
+        platform->adapter, cmd, leader->term, now_ms + ORDER_TIMEOUT_MS, on_stopped,
+        order_context (leader, &cmd->u.stop.target.target, &cmd->u.stop.task, cmd->u.stop.run));
+    return;
+  case DAG_CMD_HOLD:
+    platform->hold (platform->adapter, cmd, leader->term,
+                    now_ms + cmd->u.hold.wait_ms + HOLD_MARGIN_MS, on_held,
+                    order_context (leader, &cmd->u.hold.target.target, NULL, cmd->u.hold.token));
+    return;
+  case DAG_CMD_ADVISE:
+    queue_ask (leader, cmd);
+    return;
+  case DAG_CMD_DEPOSED:
+    fenced (leader);
+    return;
+  }
+}
+
+/* --- Advice --- */
+
+static void
+on_own_advice (void *user, bool ok, const DagAllowed *allowed, size_t count)
+{
+  OrderContext *context = user;
+  CellLeader *leader = context->leader;
+  if (!is_over (leader)) {
+    CellWireAdvice advice = { context->run, ok, allowed, count };
+    cell_leader_advised (leader, &advice);
+  }
+  free (context);
+}
+
+static void
+send_ask (CellLeader *leader, const CellAsk *ask, const GrName *vm)
+{
+  Cell *cell = leader->cell;
+  if (gr_name_equal (vm, &cell->options.self.vm.vm)) {
+    int64_t timeout_at = now_of (leader) + CELL_ADVICE_TIMEOUT_MS + 2 * ask->expected_ms;
+    cell->platform->advise (cell->platform->adapter, &ask->job, ask->step, ask->targets, ask->count,
+                            timeout_at, on_own_advice,
+                            order_context (leader, vm, NULL, ask->token));
+    return;
+  }
+  CellWireMsg msg = { .type = CELL_WIRE_ASK };
+  msg.u.ask = (CellWireAsk){ ask->token,       ask->job,     ask->step,
+                             ask->expected_ms, ask->targets, ask->count };
+  GrBuf body = { 0 };
+  cell_wire_encode (&msg, &body);
+  cell_send (cell, vm, &body);
+  gr_buf_clear (&body);
+}
+
+static void
+pump_lanes (CellLeader *leader)
+{
+  int64_t token;
+  while ((token = cell_lanes_overdue (leader->lanes, now_of (leader))) != 0) {
+    CellWireAdvice advice = { .token = token };
+    cell_leader_advised (leader, &advice);
+  }
+  GrName vm;
+  const CellAsk *ask;
+  while ((ask = cell_lanes_next (leader->lanes, &vm, now_of (leader))) != NULL)
+    send_ask (leader, ask, &vm);
+}
+
+void
+cell_leader_advised (CellLeader *leader, const CellWireAdvice *advice)
+{
+  CellAsk ask;
+  int64_t sent_at;
+  int64_t now_ms = now_of (leader);
+  if (!cell_lanes_done (leader->lanes, advice->token, advice->ok, now_ms, &ask, &sent_at))
+    return;
+  /* A ticket may have been issued as soon as the service was done with the call. */
+  int64_t age_ms = now_ms - sent_at - ask.expected_ms;
+  dag_advised (leader->dag, &ask.job, ask.step, ask.token, advice->ok, advice->allowed,
+               advice->count, ask.count, age_ms > 0 ? age_ms : 0, now_ms);
+  free (ask.targets);
+  run_commands (leader);
+}
+
+/* The lanes are this VM and those it has a link to. */
+void
+cell_leader_members (CellLeader *leader)
+{
+  Cell *cell = leader->cell;
+  GR_LIST (GrName) vms = { 0 };
+  gr_list_push (&vms, cell->options.self.vm.vm);
+  for (size_t i = 0; i < cell->members.count; i++) {
+    const GrName *vm = &cell->members.items[i].vm.vm;
+    if (!gr_name_equal (vm, &cell->options.self.vm.vm) && net_peers_is_up (cell->peers, vm))
+      gr_list_push (&vms, *vm);
+  }
+  cell_lanes_set (leader->lanes, vms.items, vms.count);
+  gr_list_clear (&vms);
+}
+
+void
+cell_leader_peer_down (CellLeader *leader, const GrName *vm)
+{
+  (void) vm;
+  cell_leader_members (leader);
+}
+
+/* --- Calls --- */
+
+static void
+wait_for_store (CellLeader *leader, const GrName *from, uint64_t id, int64_t token)
+{
+  gr_list_push (&leader->waiting, (WaitingCall){ token, *from, id });
+}
+
+static CellAnswer
+submit (CellLeader *leader, const GrName *from, uint64_t id, const CellWireCall *call, bool *waits)
+{
+  msgpack_unpacked unpacked;
+  msgpack_unpacked_init (&unpacked);
+  DagStepSpec steps[DAG_MAX_STEPS];
+  DagJobSpec spec = { 0 };
+  CellAnswer answer = { CELL_ANSWER_INVALID, 0 };
+  GrErr err = { 0 };
+  if (dag_unpack_job_spec (call->spec, &unpacked, steps, &spec)) {
+    int64_t token = ++leader->next_token;
+    int64_t retry_after_ms = 0;
+    switch (dag_submit (leader->dag, &spec, token, now_of (leader), &retry_after_ms, &err)) {
+    case DAG_SUBMIT_PENDING:
+      wait_for_store (leader, from, id, token);
+      *waits = true;
+      break;
+    case DAG_SUBMIT_KNOWN:
+      answer.kind = CELL_ANSWER_ACCEPTED;
+      break;
+    case DAG_SUBMIT_NO_QUEUE:
+      answer.kind = CELL_ANSWER_NO_QUEUE;
+      break;
+    case DAG_SUBMIT_OVERLOAD:
+      answer = (CellAnswer){ CELL_ANSWER_REFUSED, retry_after_ms };
+      break;
+    case DAG_SUBMIT_INVALID:
+      gr_log (&leader->cell->log, GR_EV_BAD_INPUT, "id=%.*s field=%.*s %s", GR_NAME_ARG (call->job),
+              GR_NAME_ARG (err.field), err.detail);
+      break;
+    }
+  }
+  msgpack_unpacked_destroy (&unpacked);
+  return answer;
+}
+
+static bool
+store_is_away (const CellLeader *leader)
+{
+  return leader->failing_since > 0 && now_of (leader) - leader->failing_since > STORE_AWAY_MS;
+}
+
+void
+cell_leader_call (CellLeader *leader, const GrName *from, uint64_t id, const CellWireCall *call)
+{
+  CellAnswer answer = { CELL_ANSWER_NOT_LEADER, 0 };
+  bool waits = false;
+  /* A VM that took the call may have a newer configuration: this one has it in a moment. */
+  if (leader->state != LEADER_ACTIVE || call->config_version > leader->cell->config.version) {
+    answer_call (leader, from, id, answer);
+    return;
+  }
+  switch (call->verb) {
+  case CELL_VERB_SUBMIT:
+    if (store_is_away (leader) && dag_status (leader->dag, &call->job) == DAG_JOB_UNKNOWN)
+      answer = (CellAnswer){ CELL_ANSWER_REFUSED, COME_BACK_MS };
+    else
+      answer = submit (leader, from, id, call, &waits);
+    break;
+  case CELL_VERB_STATUS: {
+    DagJobState state = dag_status (leader->dag, &call->job);
+    answer.kind = state == DAG_JOB_UNKNOWN ? CELL_ANSWER_NO_JOB : CELL_ANSWER_STATE;
+    answer.value = state;
+    break;
+  }
+  case CELL_VERB_CANCEL: {
+    int64_t token = ++leader->next_token;
+    waits = dag_cancel (leader->dag, &call->job, token, now_of (leader));
+    if (waits)
+      wait_for_store (leader, from, id, token);
+    answer.kind = CELL_ANSWER_NO_JOB;
+    break;
+  }
+  case CELL_VERB_PENDING:
+    answer = (CellAnswer){ CELL_ANSWER_PENDING, dag_pending (leader->dag, &call->queue) };
+    break;
+  }
+  if (!waits)
+    answer_call (leader, from, id, answer);
+  run_commands (leader);
+}
+
+/* --- Life --- */
+
+static void
+settle_unlisted (CellLeader *leader)
+{
+  int64_t now_ms = now_of (leader);
+  for (size_t i = leader->unlisted.count; i-- > 0;) {
+    const Unlisted *entry = &leader->unlisted.items[i];
+    int64_t due = entry->at;
+    if (leader->store_failed_at > 0 && leader->store_failed_at + STORE_RETURN_MS > due)
+      due = leader->store_failed_at + STORE_RETURN_MS;
+    if (now_ms < due)
+      continue;
+    dag_target_unlisted (leader->dag, &entry->target, now_ms);
+    gr_list_swap_remove (&leader->unlisted, i);
+  }
+}
+
+static void
+run_commands (CellLeader *leader)
+{
+  /* Commands are carried out in order; none of them calls back into the scheduler. */
+  const DagCmds *cmds = dag_cmds (leader->dag);
+  for (size_t i = 0; i < cmds->count && !leader->freeing; i++) {
+    DagCmd cmd = cmds->items[i];
+    run_command (leader, &cmd);
+  }
+  dag_cmds_reset (leader->dag);
+  if (leader->state == LEADER_ACTIVE)
+    pump_lanes (leader);
+  pump_store (leader);
+  if (leader->state == LEADER_ACTIVE)
+    cell_tick_at (leader->cell, dag_next_tick (leader->dag, now_of (leader)));
+}
+
+void
+cell_leader_tick (CellLeader *leader)
+{
+  settle_unlisted (leader);
+  cell_leader_members (leader);
+  if (leader->state == LEADER_ACTIVE)
+    dag_tick (leader->dag, now_of (leader));
+  run_commands (leader);
+}
+
+void
+cell_leader_config (CellLeader *leader)
+{
+  DagQueues queues = { leader->cell->config.queues.items, leader->cell->config.queues.count };
+  dag_set_queues (leader->dag, &queues, now_of (leader));
+}
+
+int64_t
+cell_leader_term (const CellLeader *leader)
+{
+  return leader->term;
+}
+
+CellLeader *
+cell_leader_new (Cell *cell, int64_t term)
+{
+  CellLeader *leader = gr_calloc (1, sizeof *leader);
+  leader->cell = cell;
+  leader->term = term;
+  leader->refs = 1;
+  leader->lanes = cell_lanes_new ();
+  const CellOptions *options = &cell->options;
+  int64_t now_ms = cell_now (cell);
+  uv_timeval64_t unix_now;
+  uv_gettimeofday (&unix_now);
+  int64_t unix_ms = unix_now.tv_sec * 1000 + unix_now.tv_usec / 1000;
+  DagOptions dag_options = {
+    .lease_ms = options->lease_ms,
+    .lease_max_ms = options->lease_max_ms,
+    .stop_timeout_ms = options->stop_timeout_ms,
+    .status_keep_ms = options->status_keep_ms,
+    .former_term_over_at_ms
+    = now_ms + FORMER_LEADER_MS + (int64_t) ((double) options->lease_ms / CLOCK_RATE_MIN),
+    .unix_offset_ms = unix_ms - now_ms,
+    .metrics = options->metrics,
+    .log = options->log,
+  };
+  dag_options.log.component = "sched";
+  GrErr err = { 0 };
+  leader->dag = dag_new (&dag_options, &err);
+  if (!leader->dag) {
+    gr_log (&cell->log, GR_EV_BAD_SETTING, "%.*s %s", GR_NAME_ARG (err.field), err.detail);
+    abort ();
+  }
+  cell_leader_config (leader);
+  cell_leader_members (leader);
+  pump_store (leader);
+  return leader;
+}
+
+void
+cell_leader_free (CellLeader *leader)
+{
+  if (!leader)
+    return;
+  leader->freeing = true;
+  cell_follow_free (leader->follow_targets);
+  /* Their VMs send these calls again to the next leader. */
+  for (size_t i = 0; i < leader->waiting.count; i++) {
+    const WaitingCall *call = &leader->waiting.items[i];
+    if (call->from.len > 0)
+      answer_call (leader, &call->from, call->id, (CellAnswer){ CELL_ANSWER_NOT_LEADER, 0 });
+  }
+  gr_list_clear (&leader->waiting);
+  gr_list_clear (&leader->unlisted);
+  clear_loaded (leader);
+  dag_records_clear (&leader->records);
+  cell_lanes_free (leader->lanes);
+  dag_free (leader->dag);
+  unref (leader);
+}
--- /dev/null
+++ b/src/cell/cell_peer.c
@@ -0,0 +1,184 @@
+/* Messages between VMs: heartbeats, passed-on calls, advice and configurations. */
+#include <stdlib.h>
+
+#include "cell/cell_priv.h"
+
+#define HEARTBEAT_MS 300
+/* A link on which nothing was heard for so long is closed and dialled again. */
+#define LINK_SILENCE_MS 1500
+
+bool
+cell_send (Cell *cell, const GrName *vm, const GrBuf *body)
+{
+  GrErr err = { 0 };
+  return net_peers_send (cell->peers, vm, gr_buf_str (body), &err);
+}
+
+static void
+send_status (Cell *cell, const GrName *vm)
+{
+  CellWireMsg msg = { .type = CELL_WIRE_STATUS };
+  msg.u.status.status = ldr_status (cell->ldr, cell_now (cell));
+  msg.u.status.config_version = cell->config.version;
+  GrBuf body = { 0 };
+  cell_wire_encode (&msg, &body);
+  cell_send (cell, vm, &body);
+  gr_buf_clear (&body);
+}
+
+static void
+send_config (Cell *cell, const GrName *vm)
+{
+  CellWireMsg msg = { .type = CELL_WIRE_CONFIG };
+  msg.u.config = gr_buf_str (&cell->config_doc);
+  GrBuf body = { 0 };
+  cell_wire_encode (&msg, &body);
+  cell_send (cell, vm, &body);
+  gr_buf_clear (&body);
+}
+
+static CellPeerState *
+peer_state (Cell *cell, const GrName *vm)
+{
+  for (size_t i = 0; i < cell->peer_states.count; i++) {
+    if (gr_name_equal (&cell->peer_states.items[i].vm, vm))
+      return &cell->peer_states.items[i];
+  }
+  gr_list_push (&cell->peer_states, (CellPeerState){ .vm = *vm });
+  return &cell->peer_states.items[cell->peer_states.count - 1];
+}
+
+void
+cell_heartbeat (Cell *cell)
+{
+  int64_t now_ms = cell_now (cell);
+  if (now_ms < cell->heartbeat_at)
+    return;
+  cell->heartbeat_at = now_ms + HEARTBEAT_MS;
+  for (size_t i = 0; i < cell->members.count; i++) {
+    const GrName *vm = &cell->members.items[i].vm.vm;
+    if (gr_name_equal (vm, &cell->options.self.vm.vm) || !net_peers_is_up (cell->peers, vm))
+      continue;
+    CellPeerState *state = peer_state (cell, vm);
+    if (state->heard_at > 0 && now_ms - state->heard_at > LINK_SILENCE_MS) {
+      state->heard_at = now_ms;
+      net_peers_reset (cell->peers, vm);
+      continue;
+    }
+    send_status (cell, vm);
+  }
+}
+
+typedef struct {
+  Cell *cell;
+  GrName vm;
+  int64_t token;
+} AskContext;
+
+static void
+on_advice (void *user, bool ok, const DagAllowed *allowed, size_t count)
+{
+  AskContext *context = user;
+  CellWireMsg msg = { .type = CELL_WIRE_ADVICE };
+  msg.u.advice = (CellWireAdvice){ context->token, ok, allowed, count };
+  GrBuf body = { 0 };
+  cell_wire_encode (&msg, &body);
+  if (!context->cell->freeing)
+    cell_send (context->cell, &context->vm, &body);
+  gr_buf_clear (&body);
+  free (context);
+}
+
+static void
+take_ask (Cell *cell, const GrName *vm, const CellWireAsk *ask)
+{
+  AskContext *context = gr_calloc (1, sizeof *context);
+  *context = (AskContext){ .cell = cell, .vm = *vm, .token = ask->token };
+  int64_t timeout_at = cell_now (cell) + CELL_ADVICE_TIMEOUT_MS + 2 * ask->expected_ms;
+  cell->platform->advise (cell->platform->adapter, &ask->job, ask->step, ask->targets, ask->count,
+                          timeout_at, on_advice, context);
+}
+
+static void
+take_call (Cell *cell, const GrName *vm, const CellWireCall *call)
+{
+  if (cell->leader) {
+    cell_leader_call (cell->leader, vm, (uint64_t) call->id, call);
+    return;
+  }
+  CellWireMsg msg = { .type = CELL_WIRE_ANSWER };
+  msg.u.answer = (CellWireAnswer){ call->id, { CELL_ANSWER_NOT_LEADER, 0 } };
+  GrBuf body = { 0 };
+  cell_wire_encode (&msg, &body);
+  cell_send (cell, vm, &body);
+  gr_buf_clear (&body);
+}
+
+static void
+take_status (Cell *cell, const CellWireStatus *status)
+{
+  ldr_heard (cell->ldr, &status->status, cell_now (cell));
+  if (status->config_version < cell->config.version)
+    send_config (cell, &status->status.vm.vm);
+}
+
+void
+cell_peer_frame (void *user, const NetPeerInfo *peer, GrStr body)
+{
+  Cell *cell = user;
+  msgpack_unpacked unpacked;
+  msgpack_unpacked_init (&unpacked);
+  CellWireMsg msg;
+  GrErr err = { 0 };
+  peer_state (cell, &peer->vm.vm)->heard_at = cell_now (cell);
+  if (!cell_wire_decode (body, &unpacked, &msg, &err)) {
+    gr_log (&cell->log, GR_EV_BAD_INPUT, "vm=%.*s %s", GR_NAME_ARG (peer->vm.vm), err.detail);
+    msgpack_unpacked_destroy (&unpacked);
+    return;
+  }
+  switch (msg.type) {
+  case CELL_WIRE_STATUS:
+    take_status (cell, &msg.u.status);
+    break;
+  case CELL_WIRE_CALL:
+    take_call (cell, &peer->vm.vm, &msg.u.call);
+    break;
+  case CELL_WIRE_ANSWER:
+    cell_calls_answered (cell, (uint64_t) msg.u.answer.id, &msg.u.answer.answer);
+    break;
+  case CELL_WIRE_ASK:
+    take_ask (cell, &peer->vm.vm, &msg.u.ask);
+    break;
+  case CELL_WIRE_ADVICE:
+    if (cell->leader)
+      cell_leader_advised (cell->leader, &msg.u.advice);
+    break;
+  case CELL_WIRE_CONFIG:
+    cell_take_config (cell, msg.u.config, "peer");
+    break;
+  }
+  cell_wire_clear (&msg);
+  msgpack_unpacked_destroy (&unpacked);
+}
+
+void
+cell_peer_up (void *user, const NetPeerInfo *peer)
+{
+  Cell *cell = user;
+  peer_state (cell, &peer->vm.vm)->heard_at = cell_now (cell);
+  send_status (cell, &peer->vm.vm);
+}
+
+void
+cell_peer_down (void *user, const NetPeerInfo *peer)
+{
+  Cell *cell = user;
+  int64_t now_ms = cell_now (cell);
+  const LdrRecord *leader = ldr_leader (cell->ldr, now_ms);
+  bool was_leader = leader && gr_name_equal (&leader->member.vm.vm, &peer->vm.vm);
+  ldr_link_down (cell->ldr, &peer->vm.vm, now_ms);
+  if (was_leader)
+    cell_calls_resend (cell);
+  if (cell->leader)
+    cell_leader_peer_down (cell->leader, &peer->vm.vm);
+}
--- /dev/null
+++ b/src/cell/cell_port.h
@@ -0,0 +1,75 @@
+/* Ports of a cell: what the scheduler needs from the platform that it runs on. An adapter fills in
+   the functions; none of them blocks, and each done function runs exactly once, later. Times are
+   uv_now() of the loop. */
+#pragma once
+
+#include "cell/cell_config.h"
+#include "dag/dag.h"
+
+typedef enum {
+  CELL_TOPIC_ELECTION, /* one key: the newest claim */
+  CELL_TOPIC_MEMBERS,  /* entry VMs by id */
+  CELL_TOPIC_JOBS,     /* records of the scheduler */
+  CELL_TOPIC_CONFIG,   /* written by the operator */
+  CELL_TOPIC_TARGETS,  /* written by the targets */
+  CELL_TOPIC_COUNT
+} CellTopic;
+
+/* One record of a topic. An empty value drops the key. */
+typedef struct {
+  GrStr key;
+  GrStr value;
+} CellEntry;
+
+typedef enum {
+  CELL_STORE_OK,
+  CELL_STORE_MOVED,   /* append: the topic does not end at the expected offset */
+  CELL_STORE_FENCED,  /* append: a later term was seen */
+  CELL_STORE_TRIMMED, /* read: records from there on were deleted */
+  CELL_STORE_FAILED,  /* certainly nothing was done */
+  CELL_STORE_UNKNOWN  /* append: it may have been done, or be done later */
+} CellStoreResult;
+
+typedef struct {
+  CellTopic topic;
+  const CellEntry *entries; /* none: only the term is set */
+  size_t count;
+  int64_t expected_end; /* -1: no condition */
+  int64_t term;         /* 0: no fencing */
+  int64_t sequence;     /* within the term; repeats of one append carry the same */
+  int64_t timeout_at_ms;
+} CellAppend;
+
+typedef void (*CellAppendDone) (void *user, CellStoreResult result, int64_t offset);
+/* offset is that of the first entry; end that after the newest record of the topic. */
+typedef void (*CellReadDone) (void *user, CellStoreResult result, const CellEntry *entries,
+                              size_t count, int64_t offset, int64_t end);
+typedef void (*CellNewestDone) (void *user, CellStoreResult result, const CellEntry *entries,
+                                size_t count, bool more, int64_t end);
+
+typedef void (*CellOrderDone) (void *user, DagOrderResult result, int64_t clock_ms);
+typedef void (*CellHoldDone) (void *user, DagOrderResult result, const DagInventory *inventory);
+typedef void (*CellAdviceDone) (void *user, bool ok, const DagAllowed *allowed, size_t count);
+
+typedef struct {
+  void *adapter;
+  void (*append) (void *adapter, const CellAppend *append, CellAppendDone done, void *user);
+  void (*read) (void *adapter, CellTopic topic, int64_t from, int64_t wait_ms,
+                int64_t timeout_at_ms, CellReadDone done, void *user);
+  /* Newest record of each key, in pages; after is the last key of the page before. */
+  void (*newest) (void *adapter, CellTopic topic, GrStr after, int64_t timeout_at_ms,
+                  CellNewestDone done, void *user);
+  void (*start) (void *adapter, const DagCmd *start, int64_t term, int64_t timeout_at_ms,
+                 CellOrderDone done, void *user);
+  void (*stop) (void *adapter, const DagCmd *stop, int64_t term, int64_t timeout_at_ms,
+                CellOrderDone done, void *user);
+  void (*hold) (void *adapter, const DagCmd *hold, int64_t term, int64_t timeout_at_ms,
+                CellHoldDone done, void *user);
+  void (*advise) (void *adapter, const GrName *job, uint32_t step, const GrName *targets,
+                  size_t count, int64_t timeout_at_ms, CellAdviceDone done, void *user);
+  /* Decoders of what operators and targets write. Errors: GR_ERR_PROTOCOL. */
+  bool (*decode_config) (void *adapter, GrStr value, CellConfig *config, GrErr *err);
+  bool (*decode_target) (void *adapter, GrStr key, GrStr value, DagTargetInfo *info, GrErr *err);
+  /* Key of the configuration in CELL_TOPIC_CONFIG. */
+  GrStr config_key;
+} CellPlatform;
--- /dev/null
+++ b/src/cell/cell_priv.h
@@ -0,0 +1,107 @@
+/* Private state of a cell's VM, shared by the cell_*.c files only. */
+#pragma once
+
+#include "cell/cell.h"
+#include "cell/cell_follow.h"
+#include "cell/cell_lanes.h"
+#include "cell/cell_wire.h"
+#include "net/net_peer.h"
+
+typedef struct CellLeader CellLeader;
+
+/* One caller's call at the VM that took it. */
+typedef struct CellOpenCall {
+  uint64_t id;
+  CellVerb verb;
+  GrName queue;
+  GrName job;
+  GrBuf spec; /* packed */
+  int64_t config_version;
+  int64_t taken_at;
+  int64_t deadline_at;
+  bool sent;       /* to the leader of the term */
+  bool maybe_done; /* an earlier try may have taken effect */
+  int64_t term;
+  int64_t retry_at;
+  CellCallDone done;
+  void *user;
+  struct CellOpenCall *prev, *next;
+} CellOpenCall;
+
+typedef struct {
+  GrName vm;
+  int64_t heard_at;
+} CellPeerState;
+
+/* Added to the expected time of a call for advice. */
+#define CELL_ADVICE_TIMEOUT_MS 800
+
+struct Cell {
+  uv_loop_t *loop;
+  CellOptions options;
+  const CellPlatform *platform;
+  GrLog log;
+  LdrState *ldr;
+  LdrCmds ldr_cmds;
+  NetPeers *peers;
+  uv_timer_t timer;
+  CellFollow *follow_election;
+  CellFollow *follow_members;
+  CellFollow *follow_config;
+  GR_LIST (LdrMember) members;
+  bool members_changed;
+  GR_LIST (CellPeerState) peer_states;
+  LdrRecord newest_claim;
+  bool joined;
+  bool joining;
+  int64_t join_retry_at;
+  CellConfig config;
+  GrBuf config_doc;   /* as published, for peers that cannot reach the store */
+  CellLeader *leader; /* while this VM leads */
+  CellOpenCall *calls;
+  uint64_t next_call;
+  int64_t heartbeat_at;
+  int64_t tick_at;
+  bool leaving;
+  bool freeing;
+};
+
+static inline int64_t
+cell_now (const Cell *cell)
+{
+  return (int64_t) uv_now (cell->loop);
+}
+
+/* cell.c */
+void cell_tick_soon (Cell *cell);
+/* Runs the timer at the time at the latest. */
+void cell_tick_at (Cell *cell, int64_t at_ms);
+
+/* cell_calls.c: calls at the VM that took them. */
+void cell_calls_tick (Cell *cell);
+void cell_calls_answered (Cell *cell, uint64_t id, const CellAnswer *answer);
+/* The leader or the link to it is lost: calls sent there are sent again. */
+void cell_calls_resend (Cell *cell);
+void cell_calls_clear (Cell *cell);
+
+/* cell_leader.c: the scheduler of the cell, while this VM leads. */
+CellLeader *cell_leader_new (Cell *cell, int64_t term);
+void cell_leader_free (CellLeader *leader);
+int64_t cell_leader_term (const CellLeader *leader);
+void cell_leader_config (CellLeader *leader);
+void cell_leader_tick (CellLeader *leader);
+/* from is empty for calls of this VM. */
+void cell_leader_call (CellLeader *leader, const GrName *from, uint64_t id,
+                       const CellWireCall *call);
+void cell_leader_advised (CellLeader *leader, const CellWireAdvice *advice);
+void cell_leader_members (CellLeader *leader);
+void cell_leader_peer_down (CellLeader *leader, const GrName *vm);
+
+/* cell_peer.c: messages between VMs. */
+bool cell_send (Cell *cell, const GrName *vm, const GrBuf *body);
+void cell_peer_frame (void *user, const NetPeerInfo *peer, GrStr body);
+void cell_peer_up (void *user, const NetPeerInfo *peer);
+void cell_peer_down (void *user, const NetPeerInfo *peer);
+void cell_heartbeat (Cell *cell);
+/* Takes a configuration if it is newer. */
+void cell_take_config (Cell *cell, GrStr doc, const char *source);
--- /dev/null
+++ b/src/dag/dag.c
@@ -0,0 +1,275 @@
+/* Life of the state, batches for the store, and timers. */
+#include "dag/dag.h"
+
+#include <stdlib.h>
+
+#include "dag/dag_priv.h"
+
+/* One batch holds about this many bytes at most; the rest goes into the next. */
+#define BATCH_MAX_BYTES (512 * 1024)
+/* Longest pause between two ticks while work is open, and while nothing is. */
+#define TICK_MS 20
+#define IDLE_TICK_MS 100
+/* Waiting work is looked at again this often: tickets expire and targets are readmitted. */
+#define REPLACE_MS 50
+/* Ended jobs are looked through for ones to forget this often. */
+#define EXPIRE_INTERVAL_MS 1000
+
+DagState *
+dag_new (const DagOptions *options, GrErr *err)
+{
+  if (options->lease_ms <= 0 || options->lease_ms > options->lease_max_ms) {
+    gr_err_set (err, GR_ERR_INVALID, "lease_ms", "the lease is %lld ms; allowed are 1 to %lld",
+                (long long) options->lease_ms, (long long) options->lease_max_ms);
+    return NULL;
+  }
+  DagState *dag = gr_calloc (1, sizeof *dag);
+  dag->options = *options;
+  return dag;
+}
+
+void
+dag_free (DagState *dag)
+{
+  if (!dag)
+    return;
+  while (dag->jobs)
+    dag_job_free (dag, dag->jobs);
+  DagTarget *target, *next_target;
+  HASH_ITER (hh, dag->targets, target, next_target)
+  {
+    HASH_DEL (dag->targets, target);
+    free (target);
+  }
+  DagLearned *learned, *next_learned;
+  HASH_ITER (hh, dag->learned, learned, next_learned)
+  {
+    HASH_DEL (dag->learned, learned);
+    free (learned);
+  }
+  dag_cmds_reset (dag);
+  gr_list_clear (&dag->cmds);
+  gr_list_clear (&dag->name_blocks);
+  gr_list_clear (&dag->queues);
+  gr_list_clear (&dag->ready);
+  gr_list_clear (&dag->order);
+  free (dag);
+}
+
+void
+dag_loaded (DagState *dag, int64_t now_ms)
+{
+  dag->loaded = true;
+  for (DagJob *job = dag->jobs; job; job = job->hh.next) {
+    if (dag_job_is_open (job)) {
+      dag_queue_ready_steps (dag, job);
+      continue;
+    }
+    for (size_t s = 0; s < job->step_count; s++) {
+      for (int32_t i = 0; i < job->steps[s].spec.count; i++)
+        dag_run_stop (dag, &job->steps[s].tasks[i], now_ms);
+    }
+  }
+  dag->place_wanted = true;
+}
+
+/* Marks the assignments that the batch holds. */
+static void
+mark_assignments (DagJob *job, int64_t batch)
+{
+  for (size_t s = 0; s < job->step_count; s++) {
+    for (int32_t i = 0; i < job->steps[s].spec.count; i++) {
+      DagTask *task = &job->steps[s].tasks[i];
+      if (task->state == TASK_ASSIGNED && task->batch == 0)
+        task->batch = batch;
+    }
+  }
+}
+
+int64_t
+dag_take_batch (DagState *dag, DagRecords *out, int64_t now_ms)
+{
+  (void) now_ms;
+  if (dag->batch_open || !dag->dirty)
+    return 0;
+  dag->batch++;
+  dag->batch_open = true;
+  size_t bytes = 0;
+  while (dag->dirty && bytes < BATCH_MAX_BYTES) {
+    DagJob *job = dag->dirty;
+    dag->dirty = job->dirty_next;
+    job->dirty = false;
+    job->batch = dag->batch;
+    job->batch_state = job->state;
+    job->batch_cancels = job->cancel_calls.count;
+    job->batch_next = dag->batch_jobs;
+    dag->batch_jobs = job;
+    if (job->dropped) {
+      dag_pack_drop (job, out);
+      continue;
+    }
+    mark_assignments (job, dag->batch);
+    bytes += dag_pack_job (dag, job, out);
+  }
+  /* Ends whose job did not fit into this batch are stored with a later one. */
+  if (dag->dirty) {
+    for (size_t i = 0; i < dag->order.count; i++) {
+      if (dag->order.items[i]->end_seen > dag->order.items[i]->acknowledged)
+        dag->order.items[i]->end_batch = dag->batch + 1;
+    }
+  }
+  return dag->batch;
+}
+
+static void
+answer_calls (DagState *dag, DagJob *job)
+{
+  for (size_t i = 0; i < job->submit_calls.count; i++) {
+    DagCmd cmd = { .type = DAG_CMD_ACCEPTED };
+    cmd.u.call = job->submit_calls.items[i];
+    gr_list_push (&dag->cmds, cmd);
+  }
+  gr_list_clear (&job->submit_calls);
+  for (size_t i = 0; i < job->batch_cancels; i++) {
+    DagCmd cmd = { .type = DAG_CMD_CANCELLED };
+    cmd.u.call = job->cancel_calls.items[i];
+    gr_list_push (&dag->cmds, cmd);
+  }
+  size_t left = job->cancel_calls.count - job->batch_cancels;
+  if (left > 0)
+    memmove (job->cancel_calls.items, job->cancel_calls.items + job->batch_cancels,
+             left * sizeof *job->cancel_calls.items);
+  job->cancel_calls.count = left;
+  job->batch_cancels = 0;
+}
+
+static void
+job_stored (DagState *dag, DagJob *job, int64_t batch, int64_t now_ms)
+{
+  job->stored = true;
+  if (job->batch_state != DAG_JOB_QUEUED && job->batch_state != DAG_JOB_IN_PROGRESS)
+    job->shown = job->batch_state;
+  answer_calls (dag, job);
+  for (size_t s = 0; s < job->step_count; s++) {
+    for (int32_t i = 0; i < job->steps[s].spec.count; i++) {
+      DagTask *task = &job->steps[s].tasks[i];
+      if (task->state == TASK_ASSIGNED && task->batch == batch)
+        dag_run_start (dag, task, now_ms);
+    }
+  }
+}
+
+void
+dag_stored (DagState *dag, int64_t batch, int64_t now_ms)
+{
+  if (!dag->batch_open || batch != dag->batch)
+    return;
+  dag->batch_open = false;
+  DagJob *job = dag->batch_jobs;
+  dag->batch_jobs = NULL;
+  while (job) {
+    DagJob *next = job->batch_next;
+    job->batch_next = NULL;
+    job->batch = 0;
+    if (job->dropped)
+      dag_job_free (dag, job);
+    else
+      job_stored (dag, job, batch, now_ms);
+    job = next;
+  }
+  for (size_t i = 0; i < dag->order.count; i++) {
+    DagTarget *target = dag->order.items[i];
+    if (target->end_seen > target->acknowledged && target->end_batch <= batch)
+      target->acknowledged = target->end_seen;
+  }
+  dag_targets_tick (dag, now_ms);
+}
+
+bool
+dag_has_changes (const DagState *dag)
+{
+  return dag->dirty && !dag->batch_open;
+}
+
+static void
+forget_old_jobs (DagState *dag, int64_t now_ms)
+{
+  if (now_ms < dag->expire_at)
+    return;
+  dag->expire_at = now_ms + EXPIRE_INTERVAL_MS;
+  DagJob *job, *next;
+  HASH_ITER (hh, dag->jobs, job, next)
+  {
+    if (job->shown == DAG_JOB_UNKNOWN || job->dirty || job->batch != 0
+        || now_ms - job->ended_at < dag->options.status_keep_ms)
+      continue;
+    if (!job->dropped) {
+      job->dropped = true;
+      dag_job_touch (dag, job);
+    }
+  }
+}
+
+void
+dag_tick (DagState *dag, int64_t now_ms)
+{
+  if (!dag->loaded || dag->deposed)
+    return;
+  dag_targets_tick (dag, now_ms);
+  dag_runs_tick (dag, now_ms);
+  if (dag->ready.count > 0 && now_ms - dag->placed_at >= REPLACE_MS)
+    dag->place_wanted = true;
+  dag_place (dag, now_ms);
+  forget_old_jobs (dag, now_ms);
+}
+
+int64_t
+dag_next_tick (const DagState *dag, int64_t now_ms)
+{
+  return now_ms + (dag->place_wanted ? 5 : dag->open_jobs > 0 ? TICK_MS : IDLE_TICK_MS);
+}
+
+const DagCmds *
+dag_cmds (const DagState *dag)
+{
+  return &dag->cmds;
+}
+
+void
+dag_cmds_reset (DagState *dag)
+{
+  gr_list_reset (&dag->cmds);
+  for (size_t i = 0; i < dag->name_blocks.count; i++)
+    free (dag->name_blocks.items[i]);
+  gr_list_reset (&dag->name_blocks);
+}
+
+DagCounts
+dag_counts (const DagState *dag)
+{
+  DagCounts counts = { .open_jobs = dag->open_jobs };
+  counts.jobs = HASH_COUNT (dag->jobs);
+  for (size_t i = 0; i < dag->ready.count; i++)
+    counts.waiting_tasks += (size_t) dag->ready.items[i]->waiting;
+  for (size_t i = 0; i < dag->order.count; i++) {
+    const DagTarget *target = dag->order.items[i];
+    if (!target->listed)
+      continue;
+    counts.targets++;
+    counts.runs += (size_t) target->run_count;
+    counts.capacity_cpu_milli += target->info.capacity.v[GR_RES_CPU_MILLI];
+    counts.free_cpu_milli += dag_target_free_room (target).v[GR_RES_CPU_MILLI];
+  }
+  return counts;
+}
+
+bool
+dag_target_room (const DagState *dag, const GrName *id, GrRes *used, GrRes *capacity)
+{
+  const DagTarget *target = dag_find_target (dag, id);
+  if (!target)
+    return false;
+  *used = target->used;
+  *capacity = target->info.capacity;
+  return true;
+}
--- /dev/null
+++ b/src/dag/dag_codec.c
@@ -0,0 +1,399 @@
+/* Records of the durable store.
+
+   Key "j" + id: what was submitted, written once and dropped when the job has ended:
+     [format, id, queue policy, accepted Unix ms, payload, [step, ...]].
+   Key "p" + id: progress: [format, state, begun, ended Unix ms, [[task, ...], ...]] with one list
+     per step; a task is 1 if done, 0 if it waits and never ran, else
+     [state, run, failures, target, incarnation, checkpoint]. */
+#include <stdlib.h>
+
+#include "base/gr_pack.h"
+#include "dag/dag_priv.h"
+
+#define FORMAT 1
+#define SPEC_KEY 'j'
+#define PROGRESS_KEY 'p'
+#define SPEC_FIELDS 6
+#define PROGRESS_FIELDS 5
+#define TASK_FIELDS 6
+#define POLICY_FIELDS 10
+#define STEP_FIELDS (GR_RES_COUNT + 7)
+
+enum {
+  FLAG_GANG = 1,
+  FLAG_ONE_RACK = 2,
+  FLAG_CHECKPOINTS = 4,
+  FLAG_FILLS = 8
+};
+
+static void
+pack_policy (msgpack_packer *packer, const DagQueue *queue)
+{
+  msgpack_pack_array (packer, POLICY_FIELDS);
+  gr_pack_name (packer, &queue->name);
+  gr_pack_name (packer, &queue->service);
+  msgpack_pack_int (packer, queue->priority);
+  msgpack_pack_int (packer, queue->max_attempts);
+  msgpack_pack_double (packer, queue->slack_factor);
+  msgpack_pack_int64 (packer, queue->target_latency_ms);
+  gr_pack_bool (packer, queue->advised);
+  msgpack_pack_double (packer, queue->advice_ms);
+  msgpack_pack_double (packer, queue->advice_ms_per_target);
+  msgpack_pack_int64 (packer, queue->advice_valid_ms);
+}
+
+static void
+pack_step (msgpack_packer *packer, const DagStepSpec *step)
+{
+  msgpack_pack_array (packer, STEP_FIELDS);
+  for (int d = 0; d < GR_RES_COUNT; d++)
+    msgpack_pack_int (packer, step->demand.v[d]);
+  msgpack_pack_int (packer, step->count);
+  msgpack_pack_int64 (packer, step->estimate_ms);
+  msgpack_pack_uint64 (packer, step->depends_on);
+  gr_pack_name (packer, &step->label);
+  gr_pack_name (packer, &step->near_rack);
+  msgpack_pack_int (packer, step->max_per_target);
+  msgpack_pack_int (packer, (step->gang ? FLAG_GANG : 0) | (step->one_rack ? FLAG_ONE_RACK : 0)
+                                | (step->checkpoints ? FLAG_CHECKPOINTS : 0)
+                                | (step->fills ? FLAG_FILLS : 0));
+}
+
+void
+dag_pack_spec (const DagState *dag, const DagJob *job, GrBuf *out)
+{
+  msgpack_packer packer;
+  gr_pack_init (&packer, out);
+  msgpack_pack_array (&packer, SPEC_FIELDS);
+  msgpack_pack_int (&packer, FORMAT);
+  gr_pack_name (&packer, &job->id);
+  pack_policy (&packer, &job->queue);
+  msgpack_pack_int64 (&packer, job->accepted_at + dag->options.unix_offset_ms);
+  gr_pack_bin (&packer, (GrStr){ job->payload, job->payload_len });
+  msgpack_pack_array (&packer, job->step_count);
+  for (size_t s = 0; s < job->step_count; s++)
+    pack_step (&packer, &job->steps[s].spec);
+}
+
+void
+dag_pack_job_spec (const DagJobSpec *spec, GrBuf *out)
+{
+  msgpack_packer packer;
+  gr_pack_init (&packer, out);
+  msgpack_pack_array (&packer, 4);
+  gr_pack_name (&packer, &spec->id);
+  gr_pack_name (&packer, &spec->queue);
+  gr_pack_bin (&packer, spec->payload);
+  msgpack_pack_array (&packer, spec->step_count);
+  for (size_t s = 0; s < spec->step_count; s++)
+    pack_step (&packer, &spec->steps[s]);
+}
+
+static void
+pack_task (msgpack_packer *packer, DagTask *task)
+{
+  if (task->state == TASK_DONE) {
+    msgpack_pack_int (packer, 1);
+    return;
+  }
+  if (task->state == TASK_WAITING && task->run == 0) {
+    msgpack_pack_int (packer, 0);
+    return;
+  }
+  msgpack_pack_array (packer, TASK_FIELDS);
+  msgpack_pack_int (packer, (int) task->state);
+  msgpack_pack_int64 (packer, task->run);
+  msgpack_pack_int (packer, task->failures);
+  gr_pack_str (packer, task->target ? gr_name_str (&task->target->info.id) : (GrStr){ "", 0 });
+  msgpack_pack_int64 (packer, task->target ? task->target->info.incarnation : 0);
+  gr_pack_name (packer, dag_checkpoint (task));
+}
+
+/* Tasks of an ended job matter only while they may still run somewhere. */
+static bool
+has_runs (const DagJob *job)
+{
+  for (size_t s = 0; s < job->step_count; s++) {
+    for (int32_t i = 0; i < job->steps[s].spec.count; i++) {
+      if (job->steps[s].tasks[i].target)
+        return true;
+    }
+  }
+  return false;
+}
+
+void
+dag_pack_progress (const DagState *dag, const DagJob *job, GrBuf *out)
+{
+  msgpack_packer packer;
+  gr_pack_init (&packer, out);
+  msgpack_pack_array (&packer, PROGRESS_FIELDS);
+  msgpack_pack_int (&packer, FORMAT);
+  msgpack_pack_int (&packer, (int) job->state);
+  gr_pack_bool (&packer, job->begun);
+  msgpack_pack_int64 (&packer, job->ended_at > 0 ? job->ended_at + dag->options.unix_offset_ms : 0);
+  if (!dag_job_is_open (job) && !has_runs (job)) {
+    msgpack_pack_array (&packer, 0);
+    return;
+  }
+  msgpack_pack_array (&packer, job->step_count);
+  for (size_t s = 0; s < job->step_count; s++) {
+    const DagStep *step = &job->steps[s];
+    msgpack_pack_array (&packer, (size_t) step->spec.count);
+    for (int32_t i = 0; i < step->spec.count; i++)
+      pack_task (&packer, &step->tasks[i]);
+  }
+}
+
+static bool
+read_policy (const msgpack_object *object, DagQueue *queue)
+{
+  if (!gr_unpack_is_array (object, POLICY_FIELDS))
+    return false;
+  const msgpack_object *f = object->via.array.ptr;
+  int64_t priority, attempts;
+  if (!gr_unpack_name (&f[0], &queue->name) || !gr_unpack_name (&f[1], &queue->service)
+      || !gr_unpack_int (&f[2], &priority) || !gr_unpack_int (&f[3], &attempts)
+      || !gr_unpack_double (&f[4], &queue->slack_factor)
+      || !gr_unpack_int (&f[5], &queue->target_latency_ms)
+      || !gr_unpack_bool (&f[6], &queue->advised) || !gr_unpack_double (&f[7], &queue->advice_ms)
+      || !gr_unpack_double (&f[8], &queue->advice_ms_per_target)
+      || !gr_unpack_int (&f[9], &queue->advice_valid_ms))
+    return false;
+  queue->priority = (int32_t) priority;
+  queue->max_attempts = (int32_t) attempts;
+  return true;
+}
+
+static bool
+read_step (const msgpack_object *object, DagStepSpec *step)
+{
+  if (!gr_unpack_is_array (object, STEP_FIELDS))
+    return false;
+  const msgpack_object *f = object->via.array.ptr;
+  int64_t value;
+  for (int d = 0; d < GR_RES_COUNT; d++) {
+    if (!gr_unpack_int (f++, &value))
+      return false;
+    step->demand.v[d] = (int32_t) value;
+  }
+  int64_t count, depends_on, max_per_target, flags;
+  if (!gr_unpack_int (&f[0], &count) || !gr_unpack_int (&f[1], &step->estimate_ms)
+      || !gr_unpack_int (&f[2], &depends_on) || !gr_unpack_name (&f[3], &step->label)
+      || !gr_unpack_name (&f[4], &step->near_rack) || !gr_unpack_int (&f[5], &max_per_target)
+      || !gr_unpack_int (&f[6], &flags) || count < 1 || count > DAG_MAX_TASKS)
+    return false;
+  step->count = (int32_t) count;
+  step->depends_on = (uint64_t) depends_on;
+  step->max_per_target = (int32_t) max_per_target;
+  step->gang = flags & FLAG_GANG;
+  step->one_rack = flags & FLAG_ONE_RACK;
+  step->checkpoints = flags & FLAG_CHECKPOINTS;
+  step->fills = flags & FLAG_FILLS;
+  return true;
+}
+
+static bool
+read_steps (const msgpack_object *object, DagStepSpec *steps, size_t *count)
+{
+  if (object->type != MSGPACK_OBJECT_ARRAY || object->via.array.size > DAG_MAX_STEPS)
+    return false;
+  *count = object->via.array.size;
+  for (size_t s = 0; s < *count; s++) {
+    if (!read_step (&object->via.array.ptr[s], &steps[s]))
+      return false;
+  }
+  return true;
+}
+
+bool
+dag_unpack_job_spec (GrStr bytes, msgpack_unpacked *unpacked, DagStepSpec *steps, DagJobSpec *spec)
+{
+  if (!gr_unpack_array (unpacked, bytes) || !gr_unpack_is_array (&unpacked->data, 4))
+    return false;
+  const msgpack_object *f = unpacked->data.via.array.ptr;
+  memset (steps, 0, DAG_MAX_STEPS * sizeof *steps);
+  spec->steps = steps;
+  return gr_unpack_name (&f[0], &spec->id) && gr_unpack_name (&f[1], &spec->queue)
+         && gr_unpack_bytes (&f[2], &spec->payload) && read_steps (&f[3], steps, &spec->step_count);
+}
+
+static bool
+load_spec (DagState *dag, const msgpack_object *object)
+{
+  if (!gr_unpack_is_array (object, SPEC_FIELDS))
+    return false;
+  const msgpack_object *f = object->via.array.ptr;
+  int64_t format, accepted;
+  DagJobSpec spec = { 0 };
+  DagQueue queue = { 0 };
+  DagStepSpec steps[DAG_MAX_STEPS] = { 0 };
+  if (!gr_unpack_int (&f[0], &format) || format != FORMAT || !gr_unpack_name (&f[1], &spec.id)
+      || !read_policy (&f[2], &queue) || !gr_unpack_int (&f[3], &accepted)
+      || !gr_unpack_bytes (&f[4], &spec.payload) || !read_steps (&f[5], steps, &spec.step_count))
+    return false;
+  spec.queue = queue.name;
+  spec.steps = steps;
+  if (dag_find_job (dag, &spec.id))
+    return true;
+  DagJob *job = dag_job_create (dag, &spec, &queue, accepted - dag->options.unix_offset_ms);
+  job->stored = true;
+  job->spec_written = true;
+  return true;
+}
+
+static bool
+load_task (DagState *dag, const msgpack_object *object, DagTask *task)
+{
+  int64_t value;
+  if (gr_unpack_int (object, &value)) {
+    if (value == 1) {
+      task->state = TASK_DONE;
+      task->step->waiting--;
+      task->step->done++;
+    }
+    return true;
+  }
+  if (!gr_unpack_is_array (object, TASK_FIELDS))
+    return false;
+  const msgpack_object *f = object->via.array.ptr;
+  int64_t state, failures, incarnation;
+  GrName target;
+  if (!gr_unpack_int (&f[0], &state) || !gr_unpack_int (&f[1], &task->run)
+      || !gr_unpack_int (&f[2], &failures) || !gr_unpack_name (&f[3], &target)
+      || !gr_unpack_int (&f[4], &incarnation) || !gr_unpack_name (&f[5], dag_checkpoint (task)))
+    return false;
+  task->failures = (int32_t) failures;
+  if (task->step->run < task->run)
+    task->step->run = task->run;
+  if (target.len == 0)
+    return true;
+  DagTarget *on = dag_target_create (dag, &target);
+  if (on->info.incarnation == 0)
+    on->info.incarnation = incarnation;
+  /* The target has restarted since: nothing of before runs there. */
+  if (on->info.incarnation > incarnation)
+    return true;
+  task->step->waiting--;
+  dag_target_attach (task, on);
+  task->state = TASK_ADOPTED;
+  task->stopped_at = 0;
+  return true;
+}
+
+static bool
+load_progress (DagState *dag, const GrName *id, const msgpack_object *object, int64_t now_ms)
+{
+  if (!gr_unpack_is_array (object, PROGRESS_FIELDS))
+    return false;
+  const msgpack_object *f = object->via.array.ptr;
+  int64_t format, state, ended;
+  bool begun;
+  if (!gr_unpack_int (&f[0], &format) || format != FORMAT || !gr_unpack_int (&f[1], &state)
+      || !gr_unpack_bool (&f[2], &begun) || !gr_unpack_int (&f[3], &ended)
+      || f[4].type != MSGPACK_OBJECT_ARRAY || state < DAG_JOB_QUEUED || state > DAG_JOB_CANCELLED)
+    return false;
+  DagJob *job = dag_find_job (dag, id);
+  if (!job) {
+    /* The submission was dropped when the job ended. */
+    DagJobSpec spec = { .id = *id };
+    job = dag_job_create (dag, &spec, &(DagQueue){ 0 }, now_ms);
+    job->stored = true;
+    job->spec_written = true;
+    job->spec_dropped = true;
+  }
+  job->begun = begun;
+  size_t steps = f[4].via.array.size;
+  for (size_t s = 0; s < steps && s < job->step_count; s++) {
+    const msgpack_object *tasks = &f[4].via.array.ptr[s];
+    DagStep *step = &job->steps[s];
+    if (!gr_unpack_is_array (tasks, (uint32_t) step->spec.count))
+      return false;
+    for (int32_t i = 0; i < step->spec.count; i++) {
+      if (!load_task (dag, &tasks->via.array.ptr[i], &step->tasks[i]))
+        return false;
+    }
+    if (step->done == step->spec.count)
+      job->steps_done |= (uint64_t) 1 << s;
+  }
+  if (state != DAG_JOB_QUEUED && state != DAG_JOB_IN_PROGRESS) {
+    job->state = (DagJobState) state;
+    job->shown = job->state;
+    job->ended_at = ended > 0 ? ended - dag->options.unix_offset_ms : now_ms;
+    dag->open_jobs--;
+  } else if (begun) {
+    job->state = DAG_JOB_IN_PROGRESS;
+  }
+  return true;
+}
+
+bool
+dag_load (DagState *dag, GrStr key, GrStr value, int64_t now_ms, GrErr *err)
+{
+  GrName id;
+  if (key.len < 2 || !gr_name_set (&id, (GrStr){ key.data + 1, key.len - 1 }))
+    return gr_err_set (err, GR_ERR_PROTOCOL, "key", "a record's key has %zu bytes", key.len);
+  msgpack_unpacked unpacked;
+  msgpack_unpacked_init (&unpacked);
+  bool ok = gr_unpack_array (&unpacked, value);
+  if (ok && key.data[0] == SPEC_KEY)
+    ok = load_spec (dag, &unpacked.data);
+  else if (ok && key.data[0] == PROGRESS_KEY)
+    ok = load_progress (dag, &id, &unpacked.data, now_ms);
+  else
+    ok = false;
+  msgpack_unpacked_destroy (&unpacked);
+  if (!ok)
+    return gr_err_set (err, GR_ERR_PROTOCOL, "record", "the record %.*s cannot be read",
+                       GR_STR_ARG (key));
+  return true;
+}
+
+static void
+push_record (DagRecords *out, char kind, const GrName *id, GrBuf value)
+{
+  DagRecord record = { .value = value };
+  gr_buf_append (&record.key, &kind, 1);
+  gr_buf_append_str (&record.key, gr_name_str (id));
+  gr_list_push (out, record);
+}
+
+size_t
+dag_pack_job (const DagState *dag, DagJob *job, DagRecords *out)
+{
+  size_t bytes = 0;
+  if (!job->spec_written) {
+    GrBuf value = { 0 };
+    dag_pack_spec (dag, job, &value);
+    bytes += value.len;
+    push_record (out, SPEC_KEY, &job->id, value);
+    job->spec_written = true;
+  }
+  GrBuf progress = { 0 };
+  dag_pack_progress (dag, job, &progress);
+  bytes += progress.len;
+  push_record (out, PROGRESS_KEY, &job->id, progress);
+  if (!dag_job_is_open (job) && !has_runs (job) && !job->spec_dropped) {
+    push_record (out, SPEC_KEY, &job->id, (GrBuf){ 0 });
+    job->spec_dropped = true;
+  }
+  return bytes;
+}
+
+void
+dag_pack_drop (const DagJob *job, DagRecords *out)
+{
+  if (!job->spec_dropped)
+    push_record (out, SPEC_KEY, &job->id, (GrBuf){ 0 });
+  push_record (out, PROGRESS_KEY, &job->id, (GrBuf){ 0 });
+}
+
+void
+dag_records_clear (DagRecords *records)
+{
+  for (size_t i = 0; i < records->count; i++) {
+    gr_buf_clear (&records->items[i].key);
+    gr_buf_clear (&records->items[i].value);
+  }
+  gr_list_clear (records);
+}
--- /dev/null
+++ b/src/dag/dag_job.c
@@ -0,0 +1,325 @@
+/* Table of jobs: submission, cancellation, states and what is queued. */
+#include <stdlib.h>
+
+#include "dag/dag_priv.h"
+
+/* Completion after this many times the objective is of no use to the caller. */
+#define LATE_FACTOR 3
+/* Until runs are seen, estimates are taken as they are. */
+#define FIRST_RATIO 1.0
+#define FIRST_ADVICE_GOOD 0.5
+
+DagJob *
+dag_find_job (const DagState *dag, const GrName *id)
+{
+  DagJob *job = NULL;
+  HASH_FIND (hh, dag->jobs, id->data, id->len, job);
+  return job;
+}
+
+DagLearned *
+dag_learned (DagState *dag, const GrName *queue)
+{
+  DagLearned *learned = NULL;
+  HASH_FIND (hh, dag->learned, queue->data, queue->len, learned);
+  if (learned)
+    return learned;
+  learned = gr_calloc (1, sizeof *learned);
+  learned->queue = *queue;
+  learned->ratio = FIRST_RATIO;
+  learned->advice_good = FIRST_ADVICE_GOOD;
+  HASH_ADD_KEYPTR (hh, dag->learned, learned->queue.data, learned->queue.len, learned);
+  return learned;
+}
+
+bool
+dag_job_is_open (const DagJob *job)
+{
+  return job->state == DAG_JOB_QUEUED || job->state == DAG_JOB_IN_PROGRESS;
+}
+
+void
+dag_job_touch (DagState *dag, DagJob *job)
+{
+  if (job->dirty)
+    return;
+  job->dirty = true;
+  job->dirty_next = dag->dirty;
+  dag->dirty = job;
+}
+
+bool
+dag_step_is_ready (const DagStep *step)
+{
+  const DagJob *job = step->job;
+  return dag_job_is_open (job)
+         && (step->spec.depends_on & job->steps_done) == step->spec.depends_on;
+}
+
+void
+dag_queue_step (DagState *dag, DagStep *step)
+{
+  dag->place_wanted = true;
+  if (step->queued || step->waiting == 0 || !dag_step_is_ready (step))
+    return;
+  step->queued = true;
+  gr_list_push (&dag->ready, step);
+}
+
+void
+dag_queue_ready_steps (DagState *dag, DagJob *job)
+{
+  for (size_t s = 0; s < job->step_count; s++)
+    dag_queue_step (dag, &job->steps[s]);
+}
+
+DagTask *
+dag_find_task (const DagState *dag, const DagTaskRef *ref)
+{
+  DagJob *job = dag_find_job (dag, &ref->job);
+  if (!job || ref->step >= job->step_count
+      || ref->index >= (uint32_t) job->steps[ref->step].spec.count)
+    return NULL;
+  return &job->steps[ref->step].tasks[ref->index];
+}
+
+DagTaskRef
+dag_task_ref (const DagTask *task)
+{
+  return (DagTaskRef){ task->step->job->id, task->step->number, task->index };
+}
+
+/* Longest chain of estimated work through the steps. */
+static int64_t
+longest_chain_ms (const DagJob *job)
+{
+  int64_t ends[DAG_MAX_STEPS] = { 0 };
+  int64_t longest = 0;
+  for (size_t s = 0; s < job->step_count; s++) {
+    const DagStepSpec *spec = &job->steps[s].spec;
+    int64_t begin = 0;
+    for (size_t d = 0; d < s; d++) {
+      if ((spec->depends_on >> d & 1) && ends[d] > begin)
+        begin = ends[d];
+    }
+    ends[s] = begin + spec->estimate_ms;
+    if (ends[s] > longest)
+      longest = ends[s];
+  }
+  return longest;
+}
+
+static void
+set_objective (DagState *dag, DagJob *job)
+{
+  double chain = (double) longest_chain_ms (job) * dag_learned (dag, &job->queue.name)->ratio;
+  double slack = job->queue.slack_factor > 0 ? job->queue.slack_factor : 1;
+  int64_t objective = (int64_t) (chain * slack) + job->queue.target_latency_ms;
+  job->objective_at = job->accepted_at + objective;
+  job->late_at = job->accepted_at + LATE_FACTOR * objective;
+}
+
+DagJob *
+dag_job_create (DagState *dag, const DagJobSpec *spec, const DagQueue *queue, int64_t accepted_at)
+{
+  DagJob *job = gr_calloc (1, sizeof *job);
+  job->id = spec->id;
+  job->queue = *queue;
+  job->payload = gr_str_dup (spec->payload);
+  job->payload_len = spec->payload.len;
+  job->accepted_at = accepted_at;
+  job->serial = ++dag->next_job_serial;
+  job->state = DAG_JOB_QUEUED;
+  job->step_count = spec->step_count;
+  job->steps = gr_calloc (spec->step_count ? spec->step_count : 1, sizeof *job->steps);
+  for (size_t s = 0; s < spec->step_count; s++) {
+    DagStep *step = &job->steps[s];
+    step->job = job;
+    step->number = (uint32_t) s;
+    step->spec = spec->steps[s];
+    step->waiting = step->spec.count;
+    step->tasks = gr_calloc ((size_t) step->spec.count, sizeof *step->tasks);
+    for (int32_t i = 0; i < step->spec.count; i++) {
+      step->tasks[i].step = step;
+      step->tasks[i].index = (uint32_t) i;
+    }
+  }
+  set_objective (dag, job);
+  HASH_ADD_KEYPTR (hh, dag->jobs, job->id.data, job->id.len, job);
+  dag->open_jobs++;
+  return job;
+}
+
+static void
+unqueue_steps (DagState *dag, const DagJob *job)
+{
+  size_t kept = 0;
+  for (size_t i = 0; i < dag->ready.count; i++) {
+    if (dag->ready.items[i]->job != job)
+      dag->ready.items[kept++] = dag->ready.items[i];
+  }
+  dag->ready.count = kept;
+}
+
+void
+dag_job_free (DagState *dag, DagJob *job)
+{
+  unqueue_steps (dag, job);
+  for (size_t s = 0; s < job->step_count; s++) {
+    DagStep *step = &job->steps[s];
+    dag_advice_clear (step);
+    gr_list_clear (&step->failed_on);
+    free (step->tasks);
+  }
+  free (job->steps);
+  free (job->payload);
+  gr_list_clear (&job->submit_calls);
+  gr_list_clear (&job->cancel_calls);
+  HASH_DEL (dag->jobs, job);
+  free (job);
+}
+
+void
+dag_forget_target (DagState *dag, const DagTarget *target)
+{
+  for (DagJob *job = dag->jobs; job; job = job->hh.next) {
+    for (size_t s = 0; s < job->step_count; s++) {
+      DagStep *step = &job->steps[s];
+      for (size_t p = step->permits.count; p-- > 0;) {
+        if (step->permits.items[p].target == target)
+          gr_list_swap_remove (&step->permits, p);
+      }
+    }
+  }
+}
+
+void
+dag_job_over (DagState *dag, DagJob *job, DagJobState state, int64_t now_ms)
+{
+  if (!dag_job_is_open (job))
+    return;
+  job->state = state;
+  job->ended_at = now_ms;
+  dag->open_jobs--;
+  dag_job_touch (dag, job);
+  for (size_t s = 0; s < job->step_count; s++) {
+    DagStep *step = &job->steps[s];
+    dag_advice_clear (step);
+    for (int32_t i = 0; i < step->spec.count; i++)
+      dag_run_stop (dag, &step->tasks[i], now_ms);
+  }
+  DAG_LOG (dag, GR_EV_ENDED, "id=%.*s queue=%.*s state=%d after_ms=%lld", GR_NAME_ARG (job->id),
+           GR_NAME_ARG (job->queue.name), (int) state, (long long) (now_ms - job->accepted_at));
+  if (dag->options.metrics)
+    gr_metric_add (dag->options.metrics, GR_METRIC_ENDED, 1);
+}
+
+static const DagQueue *
+find_queue (const DagState *dag, const GrName *name)
+{
+  for (size_t i = 0; i < dag->queues.count; i++) {
+    if (gr_name_equal (&dag->queues.items[i].name, name))
+      return &dag->queues.items[i];
+  }
+  return NULL;
+}
+
+void
+dag_set_queues (DagState *dag, const DagQueues *queues, int64_t now_ms)
+{
+  (void) now_ms;
+  gr_list_reset (&dag->queues);
+  for (size_t i = 0; i < queues->count; i++)
+    gr_list_push (&dag->queues, queues->queues[i]);
+  for (DagJob *job = dag->jobs; job; job = job->hh.next) {
+    const DagQueue *queue = find_queue (dag, &job->queue.name);
+    if (queue)
+      job->queue = *queue;
+  }
+  dag->place_wanted = true;
+}
+
+static bool
+check_spec (const DagJobSpec *spec, GrErr *err)
+{
+  int64_t tasks = 0;
+  if (spec->step_count == 0 || spec->step_count > DAG_MAX_STEPS)
+    return gr_err_set (err, GR_ERR_INVALID, "steps", "a job has 1 to %d steps, not %zu",
+                       DAG_MAX_STEPS, spec->step_count);
+  for (size_t s = 0; s < spec->step_count; s++) {
+    const DagStepSpec *step = &spec->steps[s];
+    if (step->count < 1)
+      return gr_err_set (err, GR_ERR_INVALID, "count", "step %zu has no tasks", s);
+    if (step->depends_on >> s)
+      return gr_err_set (err, GR_ERR_INVALID, "depends_on",
+                         "step %zu depends on a step that is not before it", s);
+    for (int d = 0; d < GR_RES_COUNT; d++) {
+      if (step->demand.v[d] < 0)
+        return gr_err_set (err, GR_ERR_INVALID, gr_res_name ((GrResDim) d),
+                           "the demand of step %zu is negative", s);
+    }
+    tasks += step->count;
+  }
+  if (tasks > DAG_MAX_TASKS)
+    return gr_err_set (err, GR_ERR_TOO_LARGE, "steps", "%lld tasks; a job has at most %d",
+                       (long long) tasks, DAG_MAX_TASKS);
+  return true;
+}
+
+DagSubmitResult
+dag_submit (DagState *dag, const DagJobSpec *spec, int64_t call, int64_t now_ms,
+            int64_t *retry_after_ms, GrErr *err)
+{
+  *retry_after_ms = 0;
+  DagJob *job = dag_find_job (dag, &spec->id);
+  if (job) {
+    if (job->stored)
+      return DAG_SUBMIT_KNOWN;
+    gr_list_push (&job->submit_calls, call);
+    return DAG_SUBMIT_PENDING;
+  }
+  const DagQueue *queue = find_queue (dag, &spec->queue);
+  if (!queue)
+    return DAG_SUBMIT_NO_QUEUE;
+  if (!check_spec (spec, err))
+    return DAG_SUBMIT_INVALID;
+  job = dag_job_create (dag, spec, queue, now_ms);
+  gr_list_push (&job->submit_calls, call);
+  dag_job_touch (dag, job);
+  dag_queue_ready_steps (dag, job);
+  return DAG_SUBMIT_PENDING;
+}
+
+bool
+dag_cancel (DagState *dag, const GrName *id, int64_t call, int64_t now_ms)
+{
+  DagJob *job = dag_find_job (dag, id);
+  if (!job)
+    return false;
+  gr_list_push (&job->cancel_calls, call);
+  dag_job_over (dag, job, DAG_JOB_CANCELLED, now_ms);
+  dag_job_touch (dag, job);
+  return true;
+}
+
+DagJobState
+dag_status (const DagState *dag, const GrName *id)
+{
+  const DagJob *job = dag_find_job (dag, id);
+  if (!job)
+    return DAG_JOB_UNKNOWN;
+  if (job->shown != DAG_JOB_UNKNOWN)
+    return job->shown;
+  return job->begun ? DAG_JOB_IN_PROGRESS : DAG_JOB_QUEUED;
+}
+
+int64_t
+dag_pending (const DagState *dag, const GrName *queue)
+{
+  int64_t count = 0;
+  for (const DagJob *job = dag->jobs; job; job = job->hh.next) {
+    if (dag_job_is_open (job) && !job->begun && gr_name_equal (&job->queue.name, queue))
+      count++;
+  }
+  return count;
+}
--- /dev/null
+++ b/src/dag/dag_place.c
@@ -0,0 +1,319 @@
+/* Placement: which waiting tasks start on which targets.
+
+   Steps are served by priority, then by the time at which their job should be complete; jobs that
+   are past all use come last. A gang is placed as a whole or not at all. The first gangs that find
+   no room reserve targets, so that smaller work that comes later cannot keep them out for good. */
+#include <stdlib.h>
+
+#include "dag/dag_priv.h"
+
+/* Waiting gangs that may reserve targets in one pass. */
+#define RESERVING_GANGS 2
+/* All waiting gangs together reserve at most this share of the targets. */
+#define RESERVED_SHARE_MAX 0.5
+/* Shortest pause between two passes; inputs come in bursts. */
+#define PASS_INTERVAL_MS 4
+
+bool
+dag_may_run (const DagStep *step, const DagTarget *target)
+{
+  return gr_name_equal (&target->info.service, &step->job->queue.service)
+         && (step->spec.label.len == 0 || gr_name_equal (&step->spec.label, &target->info.kind));
+}
+
+static int32_t
+runs_of_step (const DagStep *step, const DagTarget *target)
+{
+  int32_t count = 0;
+  for (int32_t i = 0; i < step->spec.count; i++)
+    count += step->tasks[i].target == target;
+  return count;
+}
+
+static int32_t
+fits_in (const GrRes *need, const GrRes *room)
+{
+  int32_t fits = DAG_MAX_TASKS;
+  for (int d = 0; d < GR_RES_COUNT; d++) {
+    if (need->v[d] <= 0)
+      continue;
+    int32_t times = room->v[d] > 0 ? room->v[d] / need->v[d] : 0;
+    if (times < fits)
+      fits = times;
+  }
+  return fits;
+}
+
+static int32_t
+limit_per_target (const DagStep *step, const DagTarget *target, int32_t fits)
+{
+  if (step->spec.max_per_target <= 0)
+    return fits;
+  int32_t left = step->spec.max_per_target - runs_of_step (step, target);
+  return left < fits ? (left > 0 ? left : 0) : fits;
+}
+
+int32_t
+dag_fits (const DagStep *step, const DagTarget *target)
+{
+  GrRes need = dag_reserved (&step->spec);
+  GrRes room = dag_target_free_room (target);
+  return limit_per_target (step, target, fits_in (&need, &room));
+}
+
+/* A target on which tasks of the step may start now. */
+typedef struct {
+  DagTarget *target;
+  const char *ticket;
+  int32_t fits;
+  int32_t spare_cpu; /* cpu left after as many tasks as fit */
+  bool avoid;        /* a run of this step failed there */
+  bool near;         /* on the rack of the data */
+} Option;
+
+static const char no_ticket[sizeof ((DagTask *) 0)->ticket];
+
+static bool
+failed_there (const DagStep *step, const DagTarget *target)
+{
+  for (size_t i = 0; i < step->failed_on.count; i++) {
+    if (step->failed_on.items[i] == target->serial)
+      return true;
+  }
+  return false;
+}
+
+static void
+add_option (DagState *dag, DagStep *step, DagTarget *target, const char *ticket, Option *out,
+            size_t *count, int64_t now_ms)
+{
+  if (!dag_target_usable (target, now_ms) || !dag_may_run (step, target)
+      || target->reserved_pass == dag->pass)
+    return;
+  int32_t fits = dag_fits (step, target);
+  if (fits == 0)
+    return;
+  GrRes room = dag_target_free_room (target);
+  int32_t cpu = step->spec.demand.v[GR_RES_CPU_MILLI];
+  out[(*count)++] = (Option){
+    .target = target,
+    .ticket = ticket,
+    .fits = fits,
+    .spare_cpu = room.v[GR_RES_CPU_MILLI] - cpu * (fits < step->waiting ? fits : step->waiting),
+    .avoid = failed_there (step, target),
+    .near
+    = step->spec.near_rack.len == 0 || gr_name_equal (&step->spec.near_rack, &target->info.rack),
+  };
+}
+
+static int
+compare_options (const void *a, const void *b)
+{
+  const Option *x = a, *y = b;
+  if (x->avoid != y->avoid)
+    return x->avoid - y->avoid;
+  if (x->near != y->near)
+    return y->near - x->near;
+  if (x->spare_cpu != y->spare_cpu)
+    return x->spare_cpu < y->spare_cpu ? -1 : 1;
+  return x->target->serial < y->target->serial ? -1 : 1;
+}
+
+static size_t
+list_options (DagState *dag, DagStep *step, Option *out, int64_t now_ms)
+{
+  size_t count = 0;
+  if (step->job->queue.advised) {
+    for (size_t i = 0; i < step->permits.count; i++) {
+      const DagPermit *permit = &step->permits.items[i];
+      if (permit->valid_until > now_ms + DAG_TICKET_MARGIN_MS)
+        add_option (dag, step, permit->target, permit->ticket, out, &count, now_ms);
+    }
+  } else {
+    for (size_t i = 0; i < dag->order.count; i++)
+      add_option (dag, step, dag->order.items[i], no_ticket, out, &count, now_ms);
+  }
+  qsort (out, count, sizeof *out, compare_options);
+  return count;
+}
+
+static int64_t
+next_run (const DagTask *task)
+{
+  return (task->step->spec.gang ? task->step->run : task->run) + 1;
+}
+
+static DagTask *
+next_waiting (DagStep *step, int32_t *at)
+{
+  while (*at < step->spec.count) {
+    DagTask *task = &step->tasks[(*at)++];
+    if (task->state == TASK_WAITING)
+      return task;
+  }
+  return NULL;
+}
+
+static void
+place_single_tasks (DagState *dag, DagStep *step, const Option *options, size_t count)
+{
+  int32_t at = 0;
+  for (size_t i = 0; i < count; i++) {
+    for (int32_t n = 0; n < options[i].fits; n++) {
+      DagTask *task = next_waiting (step, &at);
+      if (!task)
+        return;
+      dag_run_assign (dag, task, options[i].target, next_run (task), options[i].ticket);
+    }
+  }
+}
+
+/* Room on the rack of options[first] among all options. */
+static int32_t
+room_on_rack (const Option *options, size_t count, const GrName *rack)
+{
+  int32_t fits = 0;
+  for (size_t i = 0; i < count; i++) {
+    if (gr_name_equal (&options[i].target->info.rack, rack))
+      fits += options[i].fits;
+  }
+  return fits;
+}
+
+/* The rack that holds all tasks with the least room to spare; NULL if none does. */
+static const GrName *
+choose_rack (const DagStep *step, const Option *options, size_t count)
+{
+  const GrName *best = NULL;
+  int32_t best_fits = 0;
+  for (size_t i = 0; i < count; i++) {
+    const GrName *rack = &options[i].target->info.rack;
+    int32_t fits = room_on_rack (options, count, rack);
+    if (fits >= step->waiting && (!best || fits < best_fits)) {
+      best = rack;
+      best_fits = fits;
+    }
+  }
+  return best;
+}
+
+static bool
+place_gang (DagState *dag, DagStep *step, const Option *options, size_t count)
+{
+  int32_t fits = 0;
+  for (size_t i = 0; i < count; i++)
+    fits += options[i].fits;
+  if (fits < step->waiting)
+    return false;
+  const GrName *rack = step->spec.one_rack ? choose_rack (step, options, count) : NULL;
+  int64_t run = step->run + 1;
+  int32_t at = 0;
+  for (size_t i = 0; i < count; i++) {
+    if (rack && !gr_name_equal (&options[i].target->info.rack, rack))
+      continue;
+    for (int32_t n = 0; n < options[i].fits; n++) {
+      DagTask *task = next_waiting (step, &at);
+      if (!task)
+        return true;
+      dag_run_assign (dag, task, options[i].target, run, options[i].ticket);
+    }
+  }
+  return true;
+}
+
+/* Keeps targets free that a waiting gang needs: those with the most room first. */
+static void
+reserve_for_gang (DagState *dag, DagStep *step, size_t *reserved, int64_t now_ms)
+{
+  GrRes need = dag_reserved (&step->spec);
+  size_t most = (size_t) (RESERVED_SHARE_MAX * (double) dag->order.count);
+  int32_t missing = step->waiting;
+  while (missing > 0 && *reserved < most) {
+    DagTarget *best = NULL;
+    for (size_t i = 0; i < step->permits.count; i++) {
+      DagTarget *target = step->permits.items[i].target;
+      if (!dag_target_usable (target, now_ms) || !dag_may_run (step, target)
+          || target->reserved_pass == dag->pass || fits_in (&need, &target->info.capacity) == 0)
+        continue;
+      if (!best || target->used.v[GR_RES_CPU_MILLI] < best->used.v[GR_RES_CPU_MILLI])
+        best = target;
+    }
+    if (!best)
+      return;
+    best->reserved_pass = dag->pass;
+    (*reserved)++;
+    missing -= fits_in (&need, &best->info.capacity);
+  }
+}
+
+static int
+compare_steps (const void *a, const void *b, void *user)
+{
+  const DagJob *x = (*(DagStep *const *) a)->job, *y = (*(DagStep *const *) b)->job;
+  int64_t now_ms = *(const int64_t *) user;
+  bool x_late = now_ms > x->late_at, y_late = now_ms > y->late_at;
+  if (x_late != y_late)
+    return x_late - y_late;
+  if (x->queue.priority != y->queue.priority)
+    return x->queue.priority < y->queue.priority ? -1 : 1;
+  if (x->objective_at != y->objective_at)
+    return x->objective_at < y->objective_at ? -1 : 1;
+  return x->serial < y->serial ? -1 : x->serial > y->serial;
+}
+
+/* A gang waits until all its members are free. */
+static bool
+is_placeable (const DagStep *step)
+{
+  return step->waiting > 0 && dag_step_is_ready (step)
+         && (!step->spec.gang || step->waiting == step->spec.count - step->done);
+}
+
+static void
+drop_placed_steps (DagState *dag)
+{
+  size_t kept = 0;
+  for (size_t i = 0; i < dag->ready.count; i++) {
+    DagStep *step = dag->ready.items[i];
+    if (step->waiting > 0 && dag_step_is_ready (step))
+      dag->ready.items[kept++] = step;
+    else
+      step->queued = false;
+  }
+  dag->ready.count = kept;
+}
+
+void
+dag_place (DagState *dag, int64_t now_ms)
+{
+  if (!dag->loaded || dag->deposed || !dag->place_wanted
+      || now_ms - dag->placed_at < PASS_INTERVAL_MS)
+    return;
+  dag->place_wanted = false;
+  dag->placed_at = now_ms;
+  dag->pass++;
+  drop_placed_steps (dag);
+  if (dag->ready.count == 0 || dag->order.count == 0)
+    return;
+  qsort_r (dag->ready.items, dag->ready.count, sizeof *dag->ready.items, compare_steps, &now_ms);
+  Option *options = gr_calloc (dag->order.count, sizeof *options);
+  size_t reserved = 0;
+  int reserving = 0;
+  for (size_t i = 0; i < dag->ready.count; i++) {
+    DagStep *step = dag->ready.items[i];
+    if (!is_placeable (step))
+      continue;
+    size_t count = list_options (dag, step, options, now_ms);
+    if (!step->spec.gang) {
+      place_single_tasks (dag, step, options, count);
+    } else if (!place_gang (dag, step, options, count) && reserving < RESERVING_GANGS
+               && now_ms <= step->job->late_at) {
+      reserving++;
+      reserve_for_gang (dag, step, &reserved, now_ms);
+    }
+    if (step->waiting > 0 && step->job->queue.advised)
+      dag_advice_ask (dag, step, now_ms);
+  }
+  free (options);
+  drop_placed_steps (dag);
+}
--- /dev/null
+++ b/src/dag/dag_run.c
@@ -0,0 +1,400 @@
+/* Runs of tasks: assignment, start, stop and end. */
+#include "dag/dag_priv.h"
+
+/* Pause before a stop without an answer is sent again. */
+#define STOP_RETRY_MS 300
+/* Members of a broken gang that have not ended by then are stopped. */
+#define GANG_BREAK_MS 350
+/* A run whose progress stands still this long is stopped and its target avoided. */
+#define STALL_MIN_MS 2500
+/* At least this share of the expected run time without progress counts as standing still. */
+#define STALL_SHARE 0.1
+#define SMOOTHING 0.05
+
+GrRes
+dag_reserved (const DagStepSpec *spec)
+{
+  GrRes need = spec->demand;
+  if (spec->fills)
+    need.v[GR_RES_CPU_MILLI] = 0;
+  return need;
+}
+
+GrName *
+dag_checkpoint (DagTask *task)
+{
+  return task->step->spec.gang ? &task->step->checkpoint : &task->checkpoint;
+}
+
+void
+dag_keep_checkpoint (DagTask *task, GrStr checkpoint)
+{
+  if (checkpoint.len > 0 && checkpoint.len <= DAG_CHECKPOINT_MAX)
+    gr_name_set (dag_checkpoint (task), checkpoint);
+}
+
+void
+dag_run_assign (DagState *dag, DagTask *task, DagTarget *target, int64_t run, const char *ticket)
+{
+  DagStep *step = task->step;
+  task->state = TASK_ASSIGNED;
+  task->run = run;
+  task->batch = 0;
+  task->stopped_at = 0;
+  task->stop_retry_at = 0;
+  task->stop_open = false;
+  task->percent = 0;
+  memcpy (task->ticket, ticket, sizeof task->ticket);
+  if (step->run < run)
+    step->run = run;
+  step->waiting--;
+  dag_target_attach (task, target);
+  dag_job_touch (dag, step->job);
+}
+
+void
+dag_run_start (DagState *dag, DagTask *task, int64_t now_ms)
+{
+  DagJob *job = task->step->job;
+  DagTarget *target = task->target;
+  if (!target->inventoried || !target->listed || target->info.draining) {
+    dag_run_over (dag, task, now_ms);
+    return;
+  }
+  task->state = TASK_STARTING;
+  DagCmd cmd = { .type = DAG_CMD_START };
+  cmd.u.start.target = dag_target_ref (target);
+  cmd.u.start.task = dag_task_ref (task);
+  cmd.u.start.run = task->run;
+  cmd.u.start.lease_until = dag_target_lease (dag, target, now_ms);
+  cmd.u.start.payload = (GrStr){ job->payload, job->payload_len };
+  if (task->step->spec.checkpoints)
+    cmd.u.start.checkpoint = *dag_checkpoint (task);
+  memcpy (cmd.u.start.ticket, task->ticket, sizeof cmd.u.start.ticket);
+  gr_list_push (&dag->cmds, cmd);
+  if (!job->begun) {
+    job->begun = true;
+    if (dag_job_is_open (job))
+      job->state = DAG_JOB_IN_PROGRESS;
+    if (dag->options.metrics)
+      gr_metric_observe (dag->options.metrics, GR_METRIC_WAIT_MS, now_ms - job->accepted_at);
+  }
+  if (dag->options.metrics)
+    gr_metric_add (dag->options.metrics, GR_METRIC_STARTS, 1);
+  DAG_LOG (dag, GR_EV_PLACED,
+           "id=%.*s step=%u index=%u run=%lld target=%.*s waited_ms=%lld free_cpu=%d",
+           GR_NAME_ARG (job->id), task->step->number, task->index, (long long) task->run,
+           GR_NAME_ARG (target->info.id), (long long) (now_ms - job->accepted_at),
+           target->info.capacity.v[GR_RES_CPU_MILLI] - target->used.v[GR_RES_CPU_MILLI]);
+}
+
+static void
+send_stop (DagState *dag, DagTask *task)
+{
+  DagCmd cmd = { .type = DAG_CMD_STOP };
+  cmd.u.stop.target = dag_target_ref (task->target);
+  cmd.u.stop.task = dag_task_ref (task);
+  cmd.u.stop.run = task->run;
+  gr_list_push (&dag->cmds, cmd);
+  task->stop_open = true;
+}
+
+void
+dag_run_stop (DagState *dag, DagTask *task, int64_t now_ms)
+{
+  switch (task->state) {
+  case TASK_WAITING:
+  case TASK_DONE:
+  case TASK_STOPPING:
+    return;
+  case TASK_ASSIGNED:
+    /* Nothing was sent yet. */
+    dag_run_over (dag, task, now_ms);
+    return;
+  case TASK_STARTING:
+  case TASK_RUNNING:
+  case TASK_ADOPTED:
+    break;
+  }
+  task->state = TASK_STOPPING;
+  task->stopped_at = 0;
+  send_stop (dag, task);
+}
+
+/* Ends the other members of a gang: at once, or after the target had time to do it itself. */
+static void
+break_gang (DagState *dag, DagStep *step, bool at_once, int64_t now_ms)
+{
+  if (!step->spec.gang)
+    return;
+  if (!at_once) {
+    if (step->break_at == 0)
+      step->break_at = now_ms + GANG_BREAK_MS;
+    return;
+  }
+  step->break_at = 0;
+  for (int32_t i = 0; i < step->spec.count; i++)
+    dag_run_stop (dag, &step->tasks[i], now_ms);
+}
+
+void
+dag_run_over (DagState *dag, DagTask *task, int64_t now_ms)
+{
+  DagStep *step = task->step;
+  DagJob *job = step->job;
+  bool sent = task->state != TASK_ASSIGNED;
+  dag_target_detach (task);
+  task->state = TASK_WAITING;
+  step->waiting++;
+  dag->place_wanted = true;
+  dag_job_touch (dag, job);
+  if (!dag_job_is_open (job))
+    return;
+  if (sent)
+    break_gang (dag, step, false, now_ms);
+  dag_queue_step (dag, step);
+}
+
+static void
+learn_run_time (DagState *dag, const DagTask *task, int64_t now_ms)
+{
+  int64_t estimate = task->step->spec.estimate_ms;
+  if (estimate <= 0 || task->confirmed_at <= 0)
+    return;
+  DagLearned *learned = dag_learned (dag, &task->step->job->queue.name);
+  double ratio = (double) (now_ms - task->confirmed_at) / (double) estimate;
+  learned->ratio += SMOOTHING * (ratio - learned->ratio);
+}
+
+/* Marks a task as done. In a gang one end stands for all members. */
+static void
+task_done (DagState *dag, DagTask *task)
+{
+  DagStep *step = task->step;
+  if (task->state == TASK_DONE)
+    return;
+  if (task->target)
+    dag_target_detach (task);
+  else
+    step->waiting--;
+  task->state = TASK_DONE;
+  step->done++;
+  dag->place_wanted = true;
+}
+
+static void
+step_progress (DagState *dag, DagStep *step, int64_t now_ms)
+{
+  DagJob *job = step->job;
+  if (step->done < step->spec.count)
+    return;
+  job->steps_done |= (uint64_t) 1 << step->number;
+  step->break_at = 0;
+  dag_advice_clear (step);
+  for (size_t s = 0; s < job->step_count; s++) {
+    if (job->steps[s].done < job->steps[s].spec.count) {
+      dag_queue_ready_steps (dag, job);
+      return;
+    }
+  }
+  dag_job_over (dag, job, DAG_JOB_COMPLETED, now_ms);
+}
+
+static void
+run_done (DagState *dag, DagTask *task, int64_t now_ms)
+{
+  DagStep *step = task->step;
+  learn_run_time (dag, task, now_ms);
+  dag_target_succeeded (task->target);
+  if (!step->spec.gang) {
+    task_done (dag, task);
+    step_progress (dag, step, now_ms);
+    return;
+  }
+  int64_t run = task->run;
+  for (int32_t i = 0; i < step->spec.count; i++) {
+    /* The other members end by themselves; their room is free when they are listed. */
+    DagTask *member = &step->tasks[i];
+    if (member == task || member->run == run)
+      task_done (dag, member);
+  }
+  step_progress (dag, step, now_ms);
+}
+
+static void
+run_failed (DagState *dag, DagTask *task, int64_t now_ms)
+{
+  DagStep *step = task->step;
+  DagJob *job = step->job;
+  DagTarget *target = task->target;
+  gr_list_push (&step->failed_on, target->serial);
+  if (step->spec.gang) {
+    for (int32_t i = 0; i < step->spec.count; i++)
+      step->tasks[i].failures++;
+  } else {
+    task->failures++;
+  }
+  int32_t failures = task->failures;
+  dag_target_failed (dag, target, &job->id, now_ms);
+  dag_run_over (dag, task, now_ms);
+  if (dag_job_is_open (job) && failures >= job->queue.max_attempts)
+    dag_job_over (dag, job, DAG_JOB_FAILED, now_ms);
+}
+
+void
+dag_run_ended (DagState *dag, DagTask *task, DagEndKind kind, GrStr checkpoint, int64_t now_ms)
+{
+  DagJob *job = task->step->job;
+  dag_keep_checkpoint (task, checkpoint);
+  dag_job_touch (dag, job);
+  if (!dag_job_is_open (job)) {
+    dag_run_over (dag, task, now_ms);
+    return;
+  }
+  switch (kind) {
+  case DAG_END_DONE:
+    run_done (dag, task, now_ms);
+    return;
+  case DAG_END_FAILED:
+    run_failed (dag, task, now_ms);
+    return;
+  case DAG_END_STOPPED:
+  case DAG_END_LAPSED:
+  case DAG_END_BROKEN:
+  case DAG_END_ALONE:
+    dag_run_over (dag, task, now_ms);
+    return;
+  }
+}
+
+void
+dag_started (DagState *dag, const DagTaskRef *ref, int64_t run, DagOrderResult result,
+             int64_t clock_ms, int64_t now_ms)
+{
+  DagTask *task = dag_find_task (dag, ref);
+  if (result == DAG_ORDER_FENCED) {
+    dag->deposed = true;
+    gr_list_push (&dag->cmds, (DagCmd){ .type = DAG_CMD_DEPOSED });
+    return;
+  }
+  if (!task || task->run != run || !task->target || task->state == TASK_RUNNING)
+    return;
+  DagTarget *target = task->target;
+  if (result == DAG_ORDER_OK && clock_ms > target->clock_ms) {
+    target->clock_ms = clock_ms;
+    target->clock_at = now_ms;
+  }
+  if (task->state != TASK_STARTING)
+    return;
+  if (result != DAG_ORDER_OK)
+    DAG_LOG (dag, GR_EV_REFUSED, "id=%.*s step=%u index=%u run=%lld target=%.*s result=%d",
+             GR_NAME_ARG (ref->job), ref->step, ref->index, (long long) run,
+             GR_NAME_ARG (target->info.id), (int) result);
+  switch (result) {
+  case DAG_ORDER_OK:
+    task->state = TASK_RUNNING;
+    task->confirmed_at = now_ms;
+    task->percent_at = now_ms;
+    return;
+  case DAG_ORDER_LOST:
+  case DAG_ORDER_OLD:
+    /* It may have started, or start later: the number is stopped first. */
+    dag_run_stop (dag, task, now_ms);
+    break_gang (dag, task->step, true, now_ms);
+    return;
+  case DAG_ORDER_REFUSED:
+    dag_target_avoid (dag, target, "refuses starts", now_ms);
+    break;
+  case DAG_ORDER_NO_TICKET:
+    dag_advice_clear (task->step);
+    break;
+  case DAG_ORDER_GONE:
+    target->listed = false;
+    break;
+  case DAG_ORDER_LATE:
+  case DAG_ORDER_NO_ROOM:
+  case DAG_ORDER_INVALID:
+  case DAG_ORDER_NOT_SENT:
+  case DAG_ORDER_FENCED:
+    break;
+  }
+  DagStep *step = task->step;
+  dag_run_over (dag, task, now_ms);
+  break_gang (dag, step, true, now_ms);
+}
+
+void
+dag_stopped (DagState *dag, const DagTaskRef *ref, int64_t run, DagOrderResult result,
+             int64_t now_ms)
+{
+  DagTask *task = dag_find_task (dag, ref);
+  if (result == DAG_ORDER_FENCED) {
+    dag->deposed = true;
+    gr_list_push (&dag->cmds, (DagCmd){ .type = DAG_CMD_DEPOSED });
+    return;
+  }
+  if (!task || task->run != run || task->state != TASK_STOPPING)
+    return;
+  task->stop_open = false;
+  if (result == DAG_ORDER_GONE) {
+    task->target->listed = false;
+    dag_run_over (dag, task, now_ms);
+    return;
+  }
+  if (result != DAG_ORDER_OK && result != DAG_ORDER_OLD) {
+    task->stop_retry_at = now_ms + STOP_RETRY_MS;
+    return;
+  }
+  task->stopped_at = now_ms;
+  task->target->probe_wanted = true;
+}
+
+static bool
+stands_still (DagState *dag, const DagTask *task, int64_t now_ms)
+{
+  if (task->state != TASK_RUNNING || task->percent >= 100)
+    return false;
+  double expected = (double) task->step->spec.estimate_ms
+                    * dag_learned (dag, &task->step->job->queue.name)->ratio;
+  double limit = expected * STALL_SHARE;
+  if (limit < STALL_MIN_MS)
+    limit = STALL_MIN_MS;
+  return (double) (now_ms - task->percent_at) > limit
+         && task->target->clock_at >= task->percent_at + STALL_MIN_MS;
+}
+
+static void
+tick_task (DagState *dag, DagTask *task, int64_t now_ms)
+{
+  if (task->state == TASK_STOPPING) {
+    if (!task->stop_open && task->stopped_at == 0 && now_ms >= task->stop_retry_at)
+      send_stop (dag, task);
+    else if (task->stopped_at > 0 && now_ms - task->stopped_at > dag->options.stop_timeout_ms)
+      task->target->probe_wanted = true;
+    return;
+  }
+  DagStep *step = task->step;
+  if (step->break_at > 0 && now_ms >= step->break_at)
+    break_gang (dag, step, true, now_ms);
+  else if (stands_still (dag, task, now_ms)) {
+    dag_target_avoid (dag, task->target, "stands still", now_ms);
+    dag_run_stop (dag, task, now_ms);
+    break_gang (dag, step, true, now_ms);
+  }
+}
+
+void
+dag_runs_tick (DagState *dag, int64_t now_ms)
+{
+  for (size_t i = 0; i < dag->order.count; i++) {
+    DagTarget *target = dag->order.items[i];
+    DagTask *next;
+    for (DagTask *task = target->runs; task; task = next) {
+      next = task->target_next;
+      tick_task (dag, task, now_ms);
+      /* Breaking up a gang may have taken the next run off the list. */
+      if (next && next->target != target)
+        next = target->runs;
+    }
+  }
+}
--- /dev/null
+++ b/src/dag/dag_target.c
@@ -0,0 +1,541 @@
+/* Targets: leases, inventories, health by outcomes, and the proof that runs are over. */
+#include <stdlib.h>
+
+#include "dag/dag_priv.h"
+
+/* A hold waits at the target for an end at most this long; leases are renewed with each. */
+#define HOLD_WAIT_MS 1000
+/* While ends wait for the store, leases are renewed this often. */
+#define RENEW_MS 1000
+/* Pause after a failed hold, doubled up to the maximum. */
+#define HOLD_RETRY_MIN_MS 200
+#define HOLD_RETRY_MAX_MS 1600
+/* A target's steady clock may be this much slow. */
+#define CLOCK_RATE_MIN 0.98
+/* Added to every proof by time. */
+#define LAPSE_MARGIN_MS 150
+/* Failures of different jobs in a row after which a target gets no new work for a time. */
+#define FAIL_STREAK_MAX 2
+#define AVOID_MIN_MS 2000
+#define AVOID_MAX_MS 16000
+/* Runs of a draining target are ended so long before it leaves, to keep their checkpoints. */
+#define DRAIN_MARGIN_MS 500
+
+DagTarget *
+dag_find_target (const DagState *dag, const GrName *id)
+{
+  DagTarget *target = NULL;
+  HASH_FIND (hh, dag->targets, id->data, id->len, target);
+  return target;
+}
+
+DagTarget *
+dag_target_create (DagState *dag, const GrName *id)
+{
+  DagTarget *target = dag_find_target (dag, id);
+  if (target)
+    return target;
+  target = gr_calloc (1, sizeof *target);
+  target->info.id = *id;
+  target->serial = ++dag->next_target_serial;
+  HASH_ADD_KEYPTR (hh, dag->targets, target->info.id.data, target->info.id.len, target);
+  gr_list_push (&dag->order, target);
+  return target;
+}
+
+DagTargetRef
+dag_target_ref (const DagTarget *target)
+{
+  return (DagTargetRef){ target->info.id, target->info.address, target->info.incarnation };
+}
+
+void
+dag_target_attach (DagTask *task, DagTarget *target)
+{
+  GrRes need = dag_reserved (&task->step->spec);
+  task->target = target;
+  task->target_prev = NULL;
+  task->target_next = target->runs;
+  if (target->runs)
+    target->runs->target_prev = task;
+  target->runs = task;
+  target->run_count++;
+  gr_res_add (&target->used, &need);
+}
+
+void
+dag_target_detach (DagTask *task)
+{
+  DagTarget *target = task->target;
+  GrRes need = dag_reserved (&task->step->spec);
+  if (task->target_prev)
+    task->target_prev->target_next = task->target_next;
+  else
+    target->runs = task->target_next;
+  if (task->target_next)
+    task->target_next->target_prev = task->target_prev;
+  task->target_prev = NULL;
+  task->target_next = NULL;
+  task->target = NULL;
+  target->run_count--;
+  gr_res_sub (&target->used, &need);
+}
+
+GrRes
+dag_target_free_room (const DagTarget *target)
+{
+  GrRes room = target->info.capacity;
+  gr_res_sub (&room, &target->used);
+  return room;
+}
+
+bool
+dag_target_usable (const DagTarget *target, int64_t now_ms)
+{
+  return target->listed && target->inventoried && !target->info.draining
+         && target->hold_failures == 0 && now_ms >= target->avoid_until;
+}
+
+void
+dag_target_avoid (DagState *dag, DagTarget *target, const char *reason, int64_t now_ms)
+{
+  if (now_ms < target->avoid_until)
+    return;
+  target->avoid_ms = target->avoid_ms == 0 ? AVOID_MIN_MS : target->avoid_ms * 2;
+  if (target->avoid_ms > AVOID_MAX_MS)
+    target->avoid_ms = AVOID_MAX_MS;
+  target->avoid_until = now_ms + target->avoid_ms;
+  DAG_LOG (dag, GR_EV_TARGET_STATE, "target=%.*s state=avoided reason=%s for_ms=%lld",
+           GR_NAME_ARG (target->info.id), reason, (long long) target->avoid_ms);
+}
+
+void
+dag_target_failed (DagState *dag, DagTarget *target, const GrName *job, int64_t now_ms)
+{
+  if (gr_name_equal (&target->failed_job, job))
+    return;
+  target->failed_job = *job;
+  if (++target->fail_streak >= FAIL_STREAK_MAX)
+    dag_target_avoid (dag, target, "failures", now_ms);
+}
+
+void
+dag_target_succeeded (DagTarget *target)
+{
+  target->fail_streak = 0;
+  target->avoid_ms = 0;
+  target->failed_job.len = 0;
+}
+
+/* Estimate of the target's clock, never behind it by more than the journey of an answer. */
+static int64_t
+target_clock (const DagTarget *target, int64_t now_ms)
+{
+  return target->clock_ms + (now_ms - target->clock_at);
+}
+
+int64_t
+dag_target_lease (DagState *dag, DagTarget *target, int64_t now_ms)
+{
+  int64_t until = target_clock (target, now_ms) + dag->options.lease_ms;
+  if (target->lease_sent < until)
+    target->lease_sent = until;
+  return until;
+}
+
+/* Local time at which every lease that the target can hold has lapsed. */
+static int64_t
+lapsed_at (const DagState *dag, const DagTarget *target)
+{
+  if (!target->inventoried)
+    return dag->options.former_term_over_at_ms;
+  int64_t left = target->lease_sent - target->clock_ms;
+  if (left < 0)
+    left = 0;
+  return target->clock_at + (int64_t) ((double) left / CLOCK_RATE_MIN) + LAPSE_MARGIN_MS;
+}
+
+/* All runs on the target are proved to be over. */
+static void
+target_lost (DagState *dag, DagTarget *target, const char *proof, int64_t now_ms)
+{
+  if (target->run_count > 0)
+    DAG_LOG (dag, GR_EV_TARGET_STATE, "target=%.*s state=lost proof=%s runs=%d",
+             GR_NAME_ARG (target->info.id), proof, target->run_count);
+  while (target->runs)
+    dag_run_over (dag, target->runs, now_ms);
+}
+
+/* The target has started anew under the same id. */
+static void
+target_reborn (DagState *dag, DagTarget *target, int64_t incarnation, int64_t now_ms)
+{
+  target_lost (dag, target, "restart", now_ms);
+  target->info.incarnation = incarnation;
+  target->inventoried = false;
+  target->clock_ms = 0;
+  target->clock_at = 0;
+  target->lease_sent = 0;
+  target->end_seen = 0;
+  target->end_batch = 0;
+  target->acknowledged = 0;
+  target->acknowledged_sent = 0;
+  target->hold_count = 0;
+  target->hold_retry_at = 0;
+  target->hold_failures = 0;
+  target->fail_streak = 0;
+  target->avoid_until = 0;
+  target->avoid_ms = 0;
+  dag_forget_target (dag, target);
+  /* Advice may differ for a new life, so the target may be named again. */
+  target->serial = ++dag->next_target_serial;
+  dag->place_wanted = true;
+}
+
+static bool
+hold_open (const DagTarget *target, bool waits)
+{
+  for (int i = 0; i < target->hold_count; i++) {
+    if (target->holds[i].waits == waits)
+      return true;
+  }
+  return false;
+}
+
+static void
+send_hold (DagState *dag, DagTarget *target, int64_t wait_ms, int64_t now_ms)
+{
+  if (target->hold_count == DAG_MAX_HOLDS)
+    return;
+  DagCmd cmd = { .type = DAG_CMD_HOLD };
+  cmd.u.hold.target = dag_target_ref (target);
+  cmd.u.hold.token = ++dag->next_token;
+  cmd.u.hold.wait_ms = wait_ms;
+  cmd.u.hold.acknowledged = target->acknowledged;
+  if (target->inventoried && target->run_count > 0)
+    cmd.u.hold.lease_until = dag_target_lease (dag, target, now_ms);
+  gr_list_push (&dag->cmds, cmd);
+  target->acknowledged_sent = target->acknowledged;
+  target->hold_sent_at = now_ms;
+  target->holds[target->hold_count++] = (DagOpenHold){ cmd.u.hold.token, now_ms, wait_ms > 0 };
+}
+
+static bool
+has_live_runs (const DagTarget *target)
+{
+  for (const DagTask *task = target->runs; task; task = task->target_next) {
+    if (task->state == TASK_RUNNING || task->state == TASK_STOPPING || task->state == TASK_ADOPTED)
+      return true;
+  }
+  return false;
+}
+
+/* Sends the next hold if one is due. */
+static void
+hold_if_due (DagState *dag, DagTarget *target, int64_t now_ms)
+{
+  if (now_ms < target->hold_retry_at || target->info.address.len == 0)
+    return;
+  if (target->probe_wanted && !hold_open (target, false)) {
+    target->probe_wanted = false;
+    send_hold (dag, target, 0, now_ms);
+    return;
+  }
+  if (target->hold_count > 0)
+    return;
+  if (!target->inventoried) {
+    if (target->listed || target->run_count > 0)
+      send_hold (dag, target, 0, now_ms);
+    return;
+  }
+  bool ends_open = target->end_seen > target->acknowledged;
+  if (!ends_open && target->acknowledged > target->acknowledged_sent) {
+    send_hold (dag, target, has_live_runs (target) ? HOLD_WAIT_MS : 0, now_ms);
+    return;
+  }
+  if (!has_live_runs (target))
+    return;
+  if (ends_open) {
+    if (now_ms - target->hold_sent_at >= RENEW_MS)
+      send_hold (dag, target, 0, now_ms);
+    return;
+  }
+  if (target->hold_failures > 0)
+    send_hold (dag, target, 0, now_ms);
+  else
+    send_hold (dag, target, HOLD_WAIT_MS, now_ms);
+}
+
+void
+dag_target_seen (DagState *dag, const DagTargetInfo *info, int64_t now_ms)
+{
+  DagTarget *target = dag_target_create (dag, &info->id);
+  if (info->incarnation < target->info.incarnation)
+    return;
+  if (target->info.incarnation > 0 && info->incarnation > target->info.incarnation)
+    target_reborn (dag, target, info->incarnation, now_ms);
+  bool was_draining = target->info.draining;
+  bool news = !target->listed || was_draining != info->draining;
+  target->info = *info;
+  target->listed = true;
+  if (info->draining)
+    target->drain_over_at = now_ms + info->remaining_ms;
+  if (news) {
+    DAG_LOG (dag, GR_EV_TARGET_STATE, "target=%.*s state=%s zone=%.*s rack=%.*s remaining_ms=%lld",
+             GR_NAME_ARG (info->id), info->draining ? "draining" : "ready",
+             GR_NAME_ARG (info->zone), GR_NAME_ARG (info->rack), (long long) info->remaining_ms);
+    dag->place_wanted = true;
+  }
+  if (info->vm.len > 0) {
+    for (size_t i = 0; i < dag->order.count; i++) {
+      DagTarget *other = dag->order.items[i];
+      if (other == target || !gr_name_equal (&other->info.vm, &info->vm)
+          || other->info.incarnation >= info->incarnation)
+        continue;
+      other->listed = false;
+      target_lost (dag, other, "vm restarted", now_ms);
+    }
+  }
+  hold_if_due (dag, target, now_ms);
+}
+
+void
+dag_target_unlisted (DagState *dag, const GrName *id, int64_t now_ms)
+{
+  (void) now_ms;
+  DagTarget *target = dag_find_target (dag, id);
+  if (!target || !target->listed)
+    return;
+  target->listed = false;
+  DAG_LOG (dag, GR_EV_TARGET_STATE, "target=%.*s state=unlisted runs=%d", GR_NAME_ARG (*id),
+           target->run_count);
+}
+
+/* Takes the open hold with the token off the list; false if it belongs to an earlier life. */
+static bool
+take_hold (DagTarget *target, int64_t token, DagOpenHold *hold)
+{
+  for (int i = 0; i < target->hold_count; i++) {
+    if (target->holds[i].token != token)
+      continue;
+    *hold = target->holds[i];
+    target->holds[i] = target->holds[--target->hold_count];
+    return true;
+  }
+  return false;
+}
+
+static void
+take_ends (DagState *dag, DagTarget *target, const DagInventory *inventory, int64_t now_ms)
+{
+  int64_t highest = target->end_seen;
+  for (size_t i = 0; i < inventory->end_count; i++) {
+    const DagEnd *end = &inventory->ends[i];
+    if (end->number <= target->end_seen)
+      continue;
+    if (end->number > highest)
+      highest = end->number;
+    DagTask *task = dag_find_task (dag, &end->task);
+    if (!task || task->target != target || task->run != end->run)
+      continue;
+    dag_run_ended (dag, task, end->kind, end->checkpoint, now_ms);
+  }
+  if (highest == target->end_seen)
+    return;
+  target->end_seen = highest;
+  /* All changes so far are in the batch that is taken next. */
+  target->end_batch = dag->batch + 1;
+}
+
+static void
+stop_unknown_run (DagState *dag, DagTarget *target, const DagRunReport *report)
+{
+  DagCmd cmd = { .type = DAG_CMD_STOP };
+  cmd.u.stop.target = dag_target_ref (target);
+  cmd.u.stop.task = report->task;
+  cmd.u.stop.run = report->run;
+  gr_list_push (&dag->cmds, cmd);
+  DAG_LOG (dag, GR_EV_REFUSED, "id=%.*s target=%.*s run=%lld reason=not-ours",
+           GR_NAME_ARG (report->task.job), GR_NAME_ARG (target->info.id), (long long) report->run);
+}
+
+static void
+take_report (DagState *dag, DagTarget *target, const DagRunReport *report, int64_t now_ms)
+{
+  DagTask *task = dag_find_task (dag, &report->task);
+  if (!task || task->target != target || task->run != report->run) {
+    /* A run with a higher number than ours has just been assigned elsewhere or is of a former
+       term; either way nothing here may go on with it. */
+    stop_unknown_run (dag, target, report);
+    return;
+  }
+  dag_keep_checkpoint (task, report->checkpoint);
+  if (task->state == TASK_STARTING || task->state == TASK_ADOPTED) {
+    task->state = TASK_RUNNING;
+    task->confirmed_at = now_ms;
+    task->percent_at = now_ms;
+  }
+  if (task->percent != report->percent) {
+    task->percent = report->percent;
+    task->percent_at = now_ms;
+  }
+}
+
+static bool
+is_reported (const DagInventory *inventory, const DagTask *task)
+{
+  DagTaskRef ref = dag_task_ref (task);
+  for (size_t i = 0; i < inventory->running_count; i++) {
+    const DagRunReport *report = &inventory->running[i];
+    if (report->run == task->run && report->task.step == ref.step && report->task.index == ref.index
+        && gr_name_equal (&report->task.job, &ref.job))
+      return true;
+  }
+  return false;
+}
+
+/* Runs that an inventory asked for after they were known no longer lists are over. */
+static void
+settle_missing (DagState *dag, DagTarget *target, const DagInventory *inventory, int64_t sent_at,
+                int64_t now_ms)
+{
+  DagTask *next;
+  for (DagTask *task = target->runs; task; task = next) {
+    next = task->target_next;
+    bool settled = false;
+    switch (task->state) {
+    case TASK_RUNNING:
+      settled = sent_at > task->confirmed_at;
+      break;
+    case TASK_ADOPTED:
+      /* The fence of this term came with the hold: a start of an earlier one is refused now. */
+      settled = true;
+      break;
+    case TASK_STOPPING:
+      settled = task->stopped_at > 0 && sent_at >= task->stopped_at;
+      break;
+    case TASK_WAITING:
+    case TASK_ASSIGNED:
+    case TASK_STARTING:
+    case TASK_DONE:
+      break;
+    }
+    if (settled && !is_reported (inventory, task))
+      dag_run_over (dag, task, now_ms);
+  }
+}
+
+static void
+hold_failed (DagState *dag, DagTarget *target, DagOrderResult result, int64_t now_ms)
+{
+  int64_t pause = HOLD_RETRY_MIN_MS;
+  for (int i = 0; i < target->hold_failures && pause < HOLD_RETRY_MAX_MS; i++)
+    pause *= 2;
+  if (target->hold_failures++ == 0)
+    DAG_LOG (dag, GR_EV_TARGET_STATE, "target=%.*s state=silent result=%d runs=%d",
+             GR_NAME_ARG (target->info.id), (int) result, target->run_count);
+  target->hold_retry_at = now_ms + pause;
+}
+
+void
+dag_held (DagState *dag, const GrName *id, int64_t token, DagOrderResult result,
+          const DagInventory *inventory, int64_t now_ms)
+{
+  DagTarget *target = dag_find_target (dag, id);
+  DagOpenHold hold;
+  if (!target || !take_hold (target, token, &hold))
+    return;
+  if (result == DAG_ORDER_FENCED) {
+    dag->deposed = true;
+    gr_list_push (&dag->cmds, (DagCmd){ .type = DAG_CMD_DEPOSED });
+    return;
+  }
+  if (result == DAG_ORDER_GONE) {
+    target->listed = false;
+    target_lost (dag, target, "another answered", now_ms);
+    return;
+  }
+  if (result != DAG_ORDER_OK) {
+    hold_failed (dag, target, result, now_ms);
+    return;
+  }
+  if (inventory->incarnation > 0 && inventory->incarnation != target->info.incarnation) {
+    if (inventory->incarnation < target->info.incarnation)
+      return;
+    if (target->info.incarnation > 0)
+      target_reborn (dag, target, inventory->incarnation, now_ms);
+    target->info.incarnation = inventory->incarnation;
+  }
+  if (target->hold_failures > 0) {
+    DAG_LOG (dag, GR_EV_TARGET_STATE, "target=%.*s state=answers", GR_NAME_ARG (*id));
+    dag->place_wanted = true;
+  }
+  target->hold_failures = 0;
+  target->hold_retry_at = 0;
+  if (inventory->clock_ms >= target->clock_ms) {
+    target->clock_ms = inventory->clock_ms;
+    target->clock_at = now_ms;
+  }
+  if (!target->inventoried) {
+    target->inventoried = true;
+    dag->place_wanted = true;
+    /* A scheduler of an earlier term may have set any lease up to the maximum. */
+    if (target->lease_sent < target->clock_ms + dag->options.lease_max_ms)
+      target->lease_sent = target->clock_ms + dag->options.lease_max_ms;
+  }
+  take_ends (dag, target, inventory, now_ms);
+  for (size_t i = 0; i < inventory->running_count; i++)
+    take_report (dag, target, &inventory->running[i], now_ms);
+  settle_missing (dag, target, inventory, hold.sent_at, now_ms);
+  hold_if_due (dag, target, now_ms);
+}
+
+/* Ends runs that would be cut off when the target leaves. */
+static void
+leave_draining (DagState *dag, DagTarget *target, int64_t now_ms)
+{
+  if (!target->info.draining || !target->listed || now_ms < target->drain_over_at - DRAIN_MARGIN_MS)
+    return;
+  for (DagTask *task = target->runs, *next; task; task = next) {
+    next = task->target_next;
+    if (task->state == TASK_RUNNING)
+      dag_run_stop (dag, task, now_ms);
+  }
+}
+
+static void
+remove_target (DagState *dag, size_t at)
+{
+  DagTarget *target = dag->order.items[at];
+  DAG_LOG (dag, GR_EV_TARGET_STATE, "target=%.*s state=forgotten", GR_NAME_ARG (target->info.id));
+  dag_forget_target (dag, target);
+  HASH_DEL (dag->targets, target);
+  gr_list_swap_remove (&dag->order, at);
+  free (target);
+}
+
+void
+dag_targets_tick (DagState *dag, int64_t now_ms)
+{
+  for (size_t i = dag->order.count; i-- > 0;) {
+    DagTarget *target = dag->order.items[i];
+    if (target->run_count > 0 && now_ms >= lapsed_at (dag, target)
+        && !dag->options.broken_restart_before_lapse) {
+      /* Later orders fetch a fresh clock first. */
+      target_lost (dag, target, "leases lapsed", now_ms);
+    } else if (dag->options.broken_restart_before_lapse && target->hold_failures > 1) {
+      target_lost (dag, target, "silence", now_ms);
+    }
+    if (!target->listed && target->run_count == 0 && target->hold_count == 0
+        && target->end_seen <= target->acknowledged) {
+      remove_target (dag, i);
+      continue;
+    }
+    if (!target->listed && target->run_count == 0 && target->hold_failures > 3) {
+      remove_target (dag, i);
+      continue;
+    }
+    leave_draining (dag, target, now_ms);
+    hold_if_due (dag, target, now_ms);
+  }
+}
--- /dev/null
+++ b/src/ldr/ldr.c
@@ -0,0 +1,335 @@
+#include "ldr/ldr.h"
+
+#include <stdlib.h>
+
+#define DEFAULT_SILENCE_MS 1200
+/* After a link to the leader closed, it has this long to come back. */
+#define LINK_DOWN_MS 400
+/* Between the claims of two candidates, in the order of preference. */
+#define STAGGER_MS 120
+/* A leader without the store is replaced after this, if the candidate reaches the store. */
+#define STORE_LESS_MS 300
+/* The store counts as reachable so long after the last answer. */
+#define STORE_FRESH_MS 2600
+/* Calls that fail for this long without a success between make the store count as away. */
+#define STORE_FAILING_MS 600
+/* A leader that neither reaches the store nor hears a peer for this long steps down. */
+#define ISOLATED_MS 2500
+/* A claim without an answer is settled by reading; after this it may be made again. */
+#define CLAIM_OPEN_MS 1500
+/* Pause after a claim that failed or lost. */
+#define CLAIM_RETRY_MS 300
+/* A gap between ticks longer than this means that the VM stood still: what it missed meanwhile
+   says nothing about others. */
+#define PAUSE_MS 400
+/* Members heard within this time count as candidates. */
+#define CANDIDATE_FRESH_MS 1500
+
+typedef struct {
+  LdrMember member;
+  LdrStatus status;
+  int64_t heard_at;     /* 0: never */
+  int64_t storeless_at; /* since when it says that it lacks the store; 0: it has it */
+} Known;
+
+struct LdrState {
+  LdrOptions options;
+  GR_LIST (Known) known;
+  LdrRecord record;
+  int64_t end_offset;
+  bool read; /* the topic was read at least once */
+  bool leads;
+  bool announced;
+  bool leaving;
+  bool fenced;
+  int64_t started_at;
+  int64_t ticked_at;
+  int64_t leader_lost_at; /* the leader counts as lost then, unless heard */
+  int64_t claim_sent_at;  /* 0: none open */
+  int64_t claim_not_before;
+  int64_t store_ok_at;
+  int64_t store_failing_since; /* 0: last call succeeded */
+  int64_t peer_heard_at;
+};
+
+LdrState *
+ldr_new (const LdrOptions *options)
+{
+  LdrState *ldr = gr_calloc (1, sizeof *ldr);
+  ldr->options = *options;
+  if (ldr->options.silence_ms <= 0)
+    ldr->options.silence_ms = DEFAULT_SILENCE_MS;
+  return ldr;
+}
+
+void
+ldr_free (LdrState *ldr)
+{
+  if (!ldr)
+    return;
+  gr_list_clear (&ldr->known);
+  free (ldr);
+}
+
+static Known *
+find_known (const LdrState *ldr, const GrName *vm)
+{
+  for (size_t i = 0; i < ldr->known.count; i++) {
+    if (gr_name_equal (&ldr->known.items[i].member.vm.vm, vm))
+      return &ldr->known.items[i];
+  }
+  return NULL;
+}
+
+static bool
+is_self (const LdrState *ldr, const GrVmRef *vm)
+{
+  return gr_vm_ref_equal (vm, &ldr->options.self.vm);
+}
+
+void
+ldr_set_members (LdrState *ldr, const LdrMember *members, size_t count)
+{
+  for (size_t i = 0; i < count; i++) {
+    if (gr_name_equal (&members[i].vm.vm, &ldr->options.self.vm.vm))
+      continue;
+    Known *known = find_known (ldr, &members[i].vm.vm);
+    if (known)
+      known->member = members[i];
+    else
+      gr_list_push (&ldr->known, (Known){ .member = members[i] });
+  }
+}
+
+void
+ldr_read (LdrState *ldr, const LdrRecord *newest, int64_t end_offset, int64_t now_ms)
+{
+  ldr->read = true;
+  ldr->end_offset = end_offset;
+  if (newest->term <= ldr->record.term)
+    return;
+  ldr->record = *newest;
+  ldr->leader_lost_at = now_ms + ldr->options.silence_ms;
+  if (is_self (ldr, &newest->member.vm)) {
+    /* The answer to this VM's claim was lost, or it is still under way. */
+    ldr->leads = true;
+    ldr->announced = false;
+    ldr->claim_sent_at = 0;
+  } else {
+    ldr->leads = false;
+  }
+}
+
+void
+ldr_heard (LdrState *ldr, const LdrStatus *status, int64_t now_ms)
+{
+  ldr->peer_heard_at = now_ms;
+  Known *known = find_known (ldr, &status->vm.vm);
+  if (known) {
+    known->status = *status;
+    known->heard_at = now_ms;
+    if (status->store_ok)
+      known->storeless_at = 0;
+    else if (known->storeless_at == 0)
+      known->storeless_at = now_ms;
+  }
+  if (!status->leads || status->term < ldr->record.term)
+    return;
+  if (status->term > ldr->record.term) {
+    /* Heard of by a peer before the store told. */
+    ldr->record.term = status->term;
+    ldr->record.member = known ? known->member : (LdrMember){ .vm = status->vm };
+    ldr->record.member.vm = status->vm;
+    ldr->leads = false;
+  }
+  if (gr_vm_ref_equal (&status->vm, &ldr->record.member.vm))
+    ldr->leader_lost_at = now_ms + ldr->options.silence_ms;
+}
+
+void
+ldr_link_down (LdrState *ldr, const GrName *vm, int64_t now_ms)
+{
+  if (!gr_name_equal (vm, &ldr->record.member.vm.vm))
+    return;
+  if (ldr->leader_lost_at > now_ms + LINK_DOWN_MS)
+    ldr->leader_lost_at = now_ms + LINK_DOWN_MS;
+}
+
+void
+ldr_store_result (LdrState *ldr, bool ok, int64_t now_ms)
+{
+  if (ok) {
+    ldr->store_ok_at = now_ms;
+    ldr->store_failing_since = 0;
+  } else if (ldr->store_failing_since == 0) {
+    ldr->store_failing_since = now_ms;
+  }
+}
+
+void
+ldr_claimed (LdrState *ldr, LdrClaimResult result, int64_t offset, int64_t now_ms)
+{
+  switch (result) {
+  case LDR_CLAIM_WON:
+    ldr->claim_sent_at = 0;
+    if (offset + 1 <= ldr->record.term)
+      return;
+    ldr->record = (LdrRecord){ ldr->options.self, offset + 1 };
+    ldr->end_offset = offset + 1;
+    ldr->leads = true;
+    ldr->announced = false;
+    return;
+  case LDR_CLAIM_LOST:
+  case LDR_CLAIM_FAILED:
+    ldr->claim_sent_at = 0;
+    ldr->claim_not_before = now_ms + CLAIM_RETRY_MS;
+    return;
+  case LDR_CLAIM_UNKNOWN:
+    return;
+  }
+}
+
+void
+ldr_fenced (LdrState *ldr, int64_t now_ms)
+{
+  ldr->fenced = true;
+  ldr->leads = false;
+  ldr->leader_lost_at = now_ms + ldr->options.silence_ms;
+}
+
+void
+ldr_leave (LdrState *ldr)
+{
+  ldr->leaving = true;
+}
+
+bool
+ldr_store_ok (const LdrState *ldr, int64_t now_ms)
+{
+  if (ldr->store_ok_at == 0 || now_ms - ldr->store_ok_at > STORE_FRESH_MS)
+    return false;
+  return ldr->store_failing_since == 0 || now_ms - ldr->store_failing_since < STORE_FAILING_MS;
+}
+
+/* Order of preference: strength, then the newest process (in a rolling restart it has been
+   restarted already), then the name. */
+static bool
+is_preferred (const LdrMember *a, const LdrMember *b)
+{
+  if (a->weight != b->weight)
+    return a->weight > b->weight;
+  if (a->vm.incarnation != b->vm.incarnation)
+    return a->vm.incarnation > b->vm.incarnation;
+  return gr_name_compare (&a->vm.vm, &b->vm.vm) < 0;
+}
+
+/* Candidates that go before this VM. */
+static int64_t
+rank_of_self (const LdrState *ldr, int64_t now_ms)
+{
+  int64_t rank = 0;
+  for (size_t i = 0; i < ldr->known.count; i++) {
+    const Known *known = &ldr->known.items[i];
+    bool fresh = known->heard_at > 0 && now_ms - known->heard_at < CANDIDATE_FRESH_MS;
+    if (!fresh || known->status.leaving || !known->status.store_ok
+        || gr_name_equal (&known->member.vm.vm, &ldr->record.member.vm.vm))
+      continue;
+    rank += is_preferred (&known->member, &ldr->options.self);
+  }
+  return rank;
+}
+
+/* When this VM may claim, by the local clock; INT64_MAX: it should not. */
+static int64_t
+claim_at (const LdrState *ldr, int64_t now_ms)
+{
+  int64_t stagger = rank_of_self (ldr, now_ms) * STAGGER_MS;
+  if (ldr->record.term == 0 || is_self (ldr, &ldr->record.member.vm))
+    return ldr->started_at + ldr->options.silence_ms / 2 + stagger;
+  const Known *leader = find_known (ldr, &ldr->record.member.vm.vm);
+  int64_t at = ldr->leader_lost_at + stagger;
+  if (!leader)
+    return at;
+  bool current = gr_vm_ref_equal (&leader->status.vm, &ldr->record.member.vm);
+  if (leader->heard_at > 0 && !current
+      && leader->status.vm.incarnation > ldr->record.member.vm.incarnation) {
+    /* The leader's process has restarted and leads no more. */
+    return now_ms + (stagger > 0 && ldr->claim_not_before == 0 ? stagger : 0);
+  }
+  if (current && leader->status.leaving)
+    return leader->heard_at + stagger;
+  if (current && leader->storeless_at > 0) {
+    int64_t storeless = leader->storeless_at + STORE_LESS_MS + stagger;
+    return storeless < at ? storeless : at;
+  }
+  return at;
+}
+
+static void
+step_down_if_isolated (LdrState *ldr, int64_t now_ms)
+{
+  if (now_ms - ldr->store_ok_at > ISOLATED_MS && now_ms - ldr->peer_heard_at > ISOLATED_MS
+      && ldr->known.count > 0) {
+    gr_log (&ldr->options.log, GR_EV_FENCED, "term=%lld reason=isolated",
+            (long long) ldr->record.term);
+    ldr->leads = false;
+  }
+}
+
+void
+ldr_tick (LdrState *ldr, int64_t now_ms, LdrCmds *out)
+{
+  if (ldr->started_at == 0) {
+    ldr->started_at = now_ms;
+    ldr->peer_heard_at = now_ms;
+  }
+  bool paused = ldr->ticked_at > 0 && now_ms - ldr->ticked_at > PAUSE_MS;
+  ldr->ticked_at = now_ms;
+  if (paused) {
+    ldr->leader_lost_at = now_ms + ldr->options.silence_ms;
+    ldr->peer_heard_at = now_ms;
+  }
+  if (ldr->leads)
+    step_down_if_isolated (ldr, now_ms);
+  if (ldr->leads != ldr->announced || (ldr->leads && !ldr->announced)) {
+    ldr->announced = ldr->leads;
+    gr_list_push (out, (LdrCmd){ .type = ldr->leads ? LDR_CMD_LEAD : LDR_CMD_STEP_DOWN,
+                                 .term = ldr->record.term });
+  }
+  if (ldr->leads || ldr->leaving || !ldr->read || !ldr_store_ok (ldr, now_ms))
+    return;
+  if (ldr->claim_sent_at > 0 && now_ms - ldr->claim_sent_at < CLAIM_OPEN_MS)
+    return;
+  if (now_ms < ldr->claim_not_before || now_ms < claim_at (ldr, now_ms))
+    return;
+  ldr->claim_sent_at = now_ms;
+  gr_list_push (out, (LdrCmd){ .type = LDR_CMD_CLAIM, .offset = ldr->end_offset });
+}
+
+bool
+ldr_leads (const LdrState *ldr)
+{
+  return ldr->leads && ldr->announced;
+}
+
+const LdrRecord *
+ldr_leader (const LdrState *ldr, int64_t now_ms)
+{
+  if (ldr->record.term == 0)
+    return NULL;
+  if (is_self (ldr, &ldr->record.member.vm))
+    return ldr->leads ? &ldr->record : NULL;
+  return now_ms < ldr->leader_lost_at ? &ldr->record : NULL;
+}
+
+LdrStatus
+ldr_status (const LdrState *ldr, int64_t now_ms)
+{
+  return (LdrStatus){
+    .vm = ldr->options.self.vm,
+    .term = ldr->record.term,
+    .leads = ldr_leads (ldr),
+    .store_ok = ldr_store_ok (ldr, now_ms),
+    .leaving = ldr->leaving,
+  };
+}
--- a/src/net/net_http.h
+++ b/src/net/net_http.h
@@ -18,6 +18,7 @@
                               than 1 MiB may only see a closed connection; default 1048576 */
   int64_t max_connections; /* further connections wait in the backlog; default 4096 */
   int64_t io_timeout_ms;   /* slow senders are closed after this; default 30000 */
+  const char *kept_header; /* lower-case name of a header handed to the handler; may be NULL */
 } NetHttpServerOptions;
 
 typedef struct NetHttpServer NetHttpServer;
@@ -28,9 +29,11 @@
 /* Views are valid until the exchange ends. */
 typedef struct {
   GrStr method;
-  GrStr path;  /* without the query */
-  GrStr query; /* without '?' */
+  GrStr path;      /* without the query */
+  GrStr query;     /* without '?' */
+  GrStr authority; /* Host header, with its port if it has one */
   GrStr authorization;
+  GrStr kept_header; /* value of the header that the options name; empty without it */
   GrStr body;
 } NetHttpRequest;
 
@@ -44,12 +47,16 @@
 int net_http_server_port (const NetHttpServer *server);
 /* Stops accepting; open exchanges go on. */
 void net_http_server_stop_accepting (NetHttpServer *server);
+/* Answers from now on close their connections, while new ones are still accepted. */
+void net_http_server_close_idle (NetHttpServer *server);
 size_t net_http_server_open (const NetHttpServer *server);
 /* Closes everything; call once no exchange is open or the shutdown deadline passed. */
 void net_http_server_free (NetHttpServer *server);
 
 /* Answers and ends the exchange; may be called later than the handler, exactly once. */
 void net_http_reply (NetHttpExchange *exchange, int status, GrStr content_type, GrStr body);
+/* Retry-After is sent with the next reply of this exchange; seconds, rounded up by the caller. */
+void net_http_set_retry_after (NetHttpExchange *exchange, int64_t seconds);
 /* Ends the exchange by closing its connection without an answer. */
 void net_http_abort (NetHttpExchange *exchange);
 /* func runs if the connection closes before the reply; the exchange is invalid afterwards. */
@@ -69,6 +76,7 @@
   GrStr url;
   GrStr content_type;    /* empty: application/json */
   GrStr authorization;   /* value of the header; empty: none */
+  GrStr headers;         /* more header lines, "Name: value" separated by LF; may be empty */
   GrStr body;            /* copied */
   int64_t timeout_at_ms; /* uv_now() time after which the call is given up */
 } NetHttpCall;
--- a/src/net/net_http_client.c
+++ b/src/net/net_http_client.c
@@ -254,6 +254,20 @@
   return CURL_PREREQFUNC_OK;
 }
 
+static void
+add_header_lines (Call *call, GrStr lines)
+{
+  while (lines.len > 0) {
+    const char *end = memchr (lines.data, '\n', lines.len);
+    size_t len = end ? (size_t) (end - lines.data) : lines.len;
+    char *line = gr_str_dup ((GrStr){ lines.data, len });
+    call->headers = curl_slist_append (call->headers, line);
+    free (line);
+    size_t used = end ? len + 1 : len;
+    lines = (GrStr){ lines.data + used, lines.len - used };
+  }
+}
+
 static bool
 prepare (Call *call, const NetHttpCall *request)
 {
@@ -300,6 +314,7 @@
     call->headers = curl_slist_append (call->headers, header.data);
     gr_buf_clear (&header);
   }
+  add_header_lines (call, request->headers);
   curl_easy_setopt (easy, CURLOPT_HTTPHEADER, call->headers);
   return true;
 }
--- a/src/net/net_http_server.c
+++ b/src/net/net_http_server.c
@@ -30,12 +30,14 @@
   NetHttpHandler handler;
   void *user;
   int port;
+  char *kept_header;
   size_t max_body_bytes;
   int64_t max_connections;
   int64_t conn_count;
   size_t open;
   HttpConn *conns;
   bool accepting;
+  bool closing_idle;
   bool accept_waiting; /* a connection waits in libuv for a free place */
   bool listener_open;
   bool freeing;
@@ -61,7 +63,8 @@
   h2o_req_t *req;
   NetHttpCloseFunc close_func;
   void *close_user;
-  bool ended; /* replied, or the close callback has run */
+  int64_t retry_after_s; /* 0: none */
+  bool ended;            /* replied, or the close callback has run */
   bool watching;
 };
 
@@ -121,7 +124,7 @@
   exchange->ended = true;
   exchange->conn->exchange = NULL;
   stop_watching (exchange);
-  if (!exchange->server->accepting)
+  if (!exchange->server->accepting || exchange->server->closing_idle)
     req->http1_is_persistent = 0;
   req->res.status = status;
   req->res.reason = reason_of (status);
@@ -131,6 +134,13 @@
     h2o_add_header (&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE, NULL, type.base,
                     type.len);
   }
+  if (exchange->retry_after_s > 0) {
+    char seconds[24];
+    int len = snprintf (seconds, sizeof seconds, "%lld", (long long) exchange->retry_after_s);
+    h2o_iovec_t value = h2o_strdup (&req->pool, seconds, (size_t) len);
+    h2o_add_header_by_str (&req->pool, &req->res.headers, H2O_STRLIT ("retry-after"), 0, NULL,
+                           value.base, value.len);
+  }
   h2o_send_inline (req, body.data ? body.data : "", body.len);
 }
 
@@ -192,7 +202,7 @@
 
 /* Moves what is read later out of the socket's input buffer, which moves when it grows. */
 static void
-copy_request (h2o_req_t *req, NetHttpRequest *request)
+copy_request (const NetHttpServer *server, h2o_req_t *req, NetHttpRequest *request)
 {
   req->method = h2o_strdup (&req->pool, req->method.base, req->method.len);
   req->input.method = req->method;
@@ -214,6 +224,15 @@
     h2o_iovec_t value = req->headers.entries[at].value;
     request->authorization = to_str (h2o_strdup (&req->pool, value.base, value.len));
   }
+  request->authority = to_str (req->authority);
+  if (server->kept_header) {
+    size_t len = strlen (server->kept_header);
+    at = h2o_find_header_by_str (&req->headers, server->kept_header, len, -1);
+    if (at != -1) {
+      h2o_iovec_t value = req->headers.entries[at].value;
+      request->kept_header = to_str (h2o_strdup (&req->pool, value.base, value.len));
+    }
+  }
   /* The entries point into the input buffer and are not needed any more. */
   req->headers.size = 0;
 }
@@ -245,7 +264,7 @@
     return 0;
   }
   NetHttpRequest request = { 0 };
-  copy_request (req, &request);
+  copy_request (server, req, &request);
   h2o_mem_addref_shared (exchange);
   server->handler (server->user, exchange, &request);
   if (!exchange->ended) {
@@ -261,6 +280,7 @@
 {
   NetHttpServer *server = handle->data;
   h2o_config_dispose (&server->config);
+  free (server->kept_header);
   free (server);
 }
 
@@ -414,6 +434,8 @@
       = (size_t) (options->max_body_bytes > 0 ? options->max_body_bytes : DEFAULT_MAX_BODY_BYTES);
   server->max_connections
       = options->max_connections > 0 ? options->max_connections : DEFAULT_MAX_CONNECTIONS;
+  if (options->kept_header)
+    server->kept_header = gr_str_dup (gr_str_from_c (options->kept_header));
   uv_timer_init (loop, &server->closer);
   server->closer.data = server;
   uv_tcp_init (loop, &server->listener);
@@ -449,6 +471,12 @@
   uv_close ((uv_handle_t *) &server->listener, on_listener_closed);
 }
 
+void
+net_http_server_close_idle (NetHttpServer *server)
+{
+  server->closing_idle = true;
+}
+
 size_t
 net_http_server_open (const NetHttpServer *server)
 {
@@ -479,6 +507,12 @@
   send_answer (exchange, status, content_type, body);
 }
 
+void
+net_http_set_retry_after (NetHttpExchange *exchange, int64_t seconds)
+{
+  exchange->retry_after_s = seconds;
+}
+
 void
 net_http_abort (NetHttpExchange *exchange)
 {
--- a/src/net/net_peer.c
+++ b/src/net/net_peer.c
@@ -652,6 +652,16 @@
   return true;
 }
 
+void
+net_peers_reset (NetPeers *peers, const GrName *vm)
+{
+  Peer *peer = find_known (peers, vm);
+  if (!peer || !peer->link)
+    return;
+  peer->backoff_ms = REDIAL_MIN_MS;
+  close_link (peer->link);
+}
+
 bool
 net_peers_is_up (const NetPeers *peers, const GrName *vm)
 {
--- a/src/net/net_peer.h
+++ b/src/net/net_peer.h
@@ -70,6 +70,8 @@
 /* Queues one frame. Errors: GR_ERR_UNAVAILABLE without a link (certainly not sent),
    GR_ERR_OVERLOADED if the link's queue is full (certainly not sent). */
 bool net_peers_send (NetPeers *peers, const GrName *vm, GrStr body, GrErr *err);
+/* Closes the link to the VM, which is dialled again. For links that went silent without a reset. */
+void net_peers_reset (NetPeers *peers, const GrName *vm);
 bool net_peers_is_up (const NetPeers *peers, const GrName *vm);
 int64_t net_peers_bytes_in (const NetPeers *peers);
 int64_t net_peers_bytes_out (const NetPeers *peers);
