--- a/src/dag/dag_run.c
+++ b/src/dag/dag_run.c
@@ -58,6 +58,12 @@
   DagJob *job = task->step->job;
   DagTarget *target = task->target;
   if (!target->inventoried || !target->listed || target->info.draining) {
+    DAG_LOG (dag, GR_EV_REFUSED,
+             "id=%.*s step=%u index=%u run=%lld target=%.*s reason=target-left inventoried=%d "
+             "listed=%d draining=%d",
+             GR_NAME_ARG (job->id), task->step->number, task->index, (long long) task->run,
+             GR_NAME_ARG (target->info.id), target->inventoried, target->listed,
+             target->info.draining);
     dag_run_over (dag, task, now_ms);
     return;
   }
@@ -142,7 +148,6 @@
 {
   DagStep *step = task->step;
   DagJob *job = step->job;
-  bool sent = task->state != TASK_ASSIGNED;
   dag_target_detach (task);
   task->state = TASK_WAITING;
   step->waiting++;
@@ -150,7 +155,9 @@
   dag_job_touch (dag, job);
   if (!dag_job_is_open (job))
     return;
-  if (sent)
+  if (step->waiting == step->spec.count - step->done)
+    step->break_at = 0;
+  else
     break_gang (dag, step, false, now_ms);
   dag_queue_step (dag, step);
 }
@@ -377,6 +384,13 @@
   if (step->break_at > 0 && now_ms >= step->break_at)
     break_gang (dag, step, true, now_ms);
   else if (stands_still (dag, task, now_ms)) {
+    DAG_LOG (dag, GR_EV_REFUSED,
+             "id=%.*s step=%u index=%u run=%lld target=%.*s reason=stands-still percent=%d "
+             "since_ms=%lld running_ms=%lld estimate_ms=%lld",
+             GR_NAME_ARG (step->job->id), step->number, task->index, (long long) task->run,
+             GR_NAME_ARG (task->target->info.id), task->percent,
+             (long long) (now_ms - task->percent_at), (long long) (now_ms - task->confirmed_at),
+             (long long) step->spec.estimate_ms);
     dag_target_avoid (dag, task->target, "stands still", now_ms);
     dag_run_stop (dag, task, now_ms);
     break_gang (dag, step, true, now_ms);
--- a/src/dag/dag_target.c
+++ b/src/dag/dag_target.c
@@ -166,6 +166,24 @@
     dag_run_over (dag, target->runs, now_ms);
 }
 
+/* Runs that were sent are over; those that wait for their record have no lease yet. */
+static void
+leases_lapsed (DagState *dag, DagTarget *target, int64_t now_ms)
+{
+  int lost = 0;
+  DagTask *next;
+  for (DagTask *task = target->runs; task; task = next) {
+    next = task->target_next;
+    if (task->state == TASK_ASSIGNED)
+      continue;
+    lost++;
+    dag_run_over (dag, task, now_ms);
+  }
+  if (lost > 0)
+    DAG_LOG (dag, GR_EV_TARGET_STATE, "target=%.*s state=lost proof=leases lapsed runs=%d",
+             GR_NAME_ARG (target->info.id), lost);
+}
+
 /* The target has started anew under the same id. */
 static void
 target_reborn (DagState *dag, DagTarget *target, int64_t incarnation, int64_t now_ms)
@@ -521,8 +539,7 @@
     DagTarget *target = dag->order.items[i];
     if (target->run_count > 0 && now_ms >= lapsed_at (dag, target)
         && !dag->options.broken_restart_before_lapse) {
-      /* Later orders fetch a fresh clock first. */
-      target_lost (dag, target, "leases lapsed", now_ms);
+      leases_lapsed (dag, target, now_ms);
     } else if (dag->options.broken_restart_before_lapse && target->hold_failures > 1) {
       target_lost (dag, target, "silence", now_ms);
     }
