dag, cell, ldr: outages of the store end sooner and refusals are true

Change: hedged appends with one sequence number, short reads after a failure, submissions that are in no batch are withdrawn and refused, no lease for a target that does not answer, tickets are checked at the start, a target that withdrew its entry has left.

--- a/src/cell/cell_calls.c
+++ b/src/cell/cell_calls.c
@@ -144,6 +144,7 @@
     return;
   if (answer->kind == CELL_ANSWER_NOT_LEADER) {
     call->sent = false;
+    call->maybe_done |= answer->value != 0;
     call->retry_at = cell_now (cell) + RETRY_MS;
     return;
   }
--- a/src/cell/cell_follow.c
+++ b/src/cell/cell_follow.c
@@ -2,7 +2,9 @@
 
 #include <stdlib.h>
 
-#define CALL_TIMEOUT_MS 1200
+#define CALL_TIMEOUT_MS 900
+/* After a failure, until the store answers again: such reads do not wait. */
+#define RETRY_TIMEOUT_MS 500
 #define RETRY_MIN_MS 100
 #define RETRY_MAX_MS 400
 
--- a/src/cell/cell_leader.c
+++ b/src/cell/cell_leader.c
@@ -7,11 +7,15 @@
 #define FENCE_TIMEOUT_MS 1200
 #define LOAD_TIMEOUT_MS 2500
 #define APPEND_TIMEOUT_MS 1500
+/* An append without an answer is sent again beside the first one: a call that the store never got
+   is never answered. */
+#define HEDGE_MS 450
+#define HEDGES_MAX 4
 #define RETRY_MS 120
 /* Batches begin at least so far apart, so that records are written several at a time. */
 #define BATCH_INTERVAL_MS 12
-/* New submissions are refused while the store has failed for so long. */
-#define STORE_AWAY_MS 500
+/* Submissions are refused while an append has been without an answer for so long. */
+#define STORE_AWAY_MS 700
 #define ORDER_TIMEOUT_MS 700
 #define HOLD_MARGIN_MS 700
 /* A follow of the targets' entries pauses so long between two reads. */
@@ -36,6 +40,7 @@
   int64_t token;
   GrName from; /* empty: this VM */
   uint64_t id;
+  GrName job; /* of a submission; empty: another call */
 } WaitingCall;
 
 typedef struct {
@@ -62,6 +67,8 @@
   GrBuf load_after;
   /* Store pipeline: one append at a time. */
   bool store_open;
+  int appends_open; /* copies of the batch under way */
+  int64_t append_sent_at;
   int64_t sequence;
   int64_t batch;
   DagRecords records;
@@ -307,30 +314,42 @@
 
 /* --- Store pipeline --- */
 
+typedef struct {
+  CellLeader *leader;
+  int64_t sequence;
+} AppendContext;
+
 static void
 on_appended (void *user, CellStoreResult result, int64_t offset)
 {
   (void) offset;
-  CellLeader *leader = user;
+  AppendContext *context = user;
+  CellLeader *leader = context->leader;
+  int64_t sequence = context->sequence;
+  free (context);
   if (is_over (leader))
     return;
-  leader->store_open = false;
   if (result == CELL_STORE_FENCED) {
     fenced (leader);
     return;
   }
   store_result (leader, result == CELL_STORE_OK);
+  /* Another copy of this batch was answered before. */
+  if (sequence != leader->sequence || leader->batch == 0)
+    return;
+  leader->appends_open--;
   if (result != CELL_STORE_OK) {
     /* The same sequence number makes the repeat harmless. */
     leader->retry_at = now_of (leader) + RETRY_MS;
-    if (leader->failing_since == now_of (leader))
-      gr_log (&leader->cell->log, GR_EV_APPEND_RETRY, "sequence=%lld result=%d",
-              (long long) leader->sequence, (int) result);
+    gr_log (&leader->cell->log, GR_EV_APPEND_RETRY, "sequence=%lld result=%d open=%d",
+            (long long) sequence, (int) result, leader->appends_open);
     return;
   }
   dag_records_clear (&leader->records);
   int64_t batch = leader->batch;
   leader->batch = 0;
+  leader->appends_open = 0;
+  leader->retry_at = 0;
   dag_stored (leader->dag, batch, now_of (leader));
   run_commands (leader);
 }
@@ -350,18 +369,37 @@
                         .sequence = leader->sequence,
                         .timeout_at_ms = now_of (leader) + APPEND_TIMEOUT_MS };
   const CellPlatform *platform = leader->cell->platform;
-  leader->store_open = true;
+  AppendContext *context = gr_calloc (1, sizeof *context);
+  *context = (AppendContext){ leader, leader->sequence };
+  leader->appends_open++;
+  leader->append_sent_at = now_of (leader);
   leader->refs++;
-  platform->append (platform->adapter, &append, on_appended, leader);
+  platform->append (platform->adapter, &append, on_appended, context);
   if (leader->cell->options.metrics)
     gr_metric_add (leader->cell->options.metrics, GR_METRIC_LOG_APPENDS, 1);
   gr_list_clear (&entries);
 }
 
+/* Sends the open batch again if no copy is under way, or the newest has been out for long. */
+static void
+repeat_batch (CellLeader *leader)
+{
+  int64_t now_ms = now_of (leader);
+  if (leader->appends_open == 0 && now_ms >= leader->retry_at)
+    send_batch (leader);
+  else if (leader->appends_open > 0 && leader->appends_open < HEDGES_MAX
+           && now_ms - leader->append_sent_at >= HEDGE_MS)
+    send_batch (leader);
+}
+
 static void
 pump_store (CellLeader *leader)
 {
   int64_t now_ms = now_of (leader);
+  if (leader->batch != 0) {
+    repeat_batch (leader);
+    return;
+  }
   if (leader->store_open || now_ms < leader->retry_at)
     return;
   switch (leader->state) {
@@ -376,10 +414,6 @@
   case LEADER_ACTIVE:
     break;
   }
-  if (leader->batch != 0) {
-    send_batch (leader);
-    return;
-  }
   if (!dag_has_changes (leader->dag))
     return;
   if (now_ms - leader->batch_began_at < BATCH_INTERVAL_MS) {
@@ -621,9 +655,13 @@
 /* --- Calls --- */
 
 static void
-wait_for_store (CellLeader *leader, const GrName *from, uint64_t id, int64_t token)
+wait_for_store (CellLeader *leader, const GrName *from, uint64_t id, int64_t token,
+                const GrName *job)
 {
-  gr_list_push (&leader->waiting, (WaitingCall){ token, *from, id });
+  WaitingCall call = { token, *from, id, { 0 } };
+  if (job)
+    call.job = *job;
+  gr_list_push (&leader->waiting, call);
 }
 
 static CellAnswer
@@ -640,7 +678,7 @@
     int64_t retry_after_ms = 0;
     switch (dag_submit (leader->dag, &spec, token, now_of (leader), &retry_after_ms, &err)) {
     case DAG_SUBMIT_PENDING:
-      wait_for_store (leader, from, id, token);
+      wait_for_store (leader, from, id, token, &spec.id);
       *waits = true;
       break;
     case DAG_SUBMIT_KNOWN:
@@ -662,10 +700,31 @@
   return answer;
 }
 
+/* The open batch has been without an answer for long: what comes now would wait behind it. */
 static bool
 store_is_away (const CellLeader *leader)
 {
-  return leader->failing_since > 0 && now_of (leader) - leader->failing_since > STORE_AWAY_MS;
+  return leader->batch != 0 && now_of (leader) - leader->batch_began_at > STORE_AWAY_MS;
+}
+
+/* Refuses submissions that are in no batch yet. They are forgotten, so the refusal is true. */
+static void
+refuse_unsent (CellLeader *leader)
+{
+  for (size_t i = leader->waiting.count; i-- > 0;) {
+    WaitingCall call = leader->waiting.items[i];
+    if (call.job.len == 0 || !dag_withdraw (leader->dag, &call.job))
+      continue;
+    for (size_t k = leader->waiting.count; k-- > 0;) {
+      WaitingCall other = leader->waiting.items[k];
+      if (!gr_name_equal (&other.job, &call.job))
+        continue;
+      gr_list_swap_remove (&leader->waiting, k);
+      answer_call (leader, &other.from, other.id,
+                   (CellAnswer){ CELL_ANSWER_REFUSED, COME_BACK_MS });
+    }
+    i = leader->waiting.count;
+  }
 }
 
 void
@@ -695,7 +754,7 @@
     int64_t token = ++leader->next_token;
     waits = dag_cancel (leader->dag, &call->job, token, now_of (leader));
     if (waits)
-      wait_for_store (leader, from, id, token);
+      wait_for_store (leader, from, id, token, NULL);
     answer.kind = CELL_ANSWER_NO_JOB;
     break;
   }
@@ -747,6 +806,8 @@
 cell_leader_tick (CellLeader *leader)
 {
   settle_unlisted (leader);
+  if (store_is_away (leader))
+    refuse_unsent (leader);
   cell_leader_members (leader);
   if (leader->state == LEADER_ACTIVE)
     dag_tick (leader->dag, now_of (leader));
@@ -814,7 +875,7 @@
   for (size_t i = 0; i < leader->waiting.count; i++) {
     const WaitingCall *call = &leader->waiting.items[i];
     if (call->from.len > 0)
-      answer_call (leader, &call->from, call->id, (CellAnswer){ CELL_ANSWER_NOT_LEADER, 0 });
+      answer_call (leader, &call->from, call->id, (CellAnswer){ CELL_ANSWER_NOT_LEADER, 1 });
   }
   gr_list_clear (&leader->waiting);
   gr_list_clear (&leader->unlisted);
--- a/src/dag/dag.h
+++ b/src/dag/dag.h
@@ -267,6 +267,9 @@
 
 DagSubmitResult dag_submit (DagState *dag, const DagJobSpec *spec, int64_t call, int64_t now_ms,
                             int64_t *retry_after_ms, GrErr *err);
+/* Forgets a submission of which no record was handed out yet; false if there is none or it is too
+   late. No command answers its calls. */
+bool dag_withdraw (DagState *dag, const GrName *id);
 /* False if no such job is known; otherwise DAG_CMD_CANCELLED follows. */
 bool dag_cancel (DagState *dag, const GrName *id, int64_t call, int64_t now_ms);
 /* The state that may be shown: ends only once they are stored. */
--- a/src/dag/dag_job.c
+++ b/src/dag/dag_job.c
@@ -290,6 +290,36 @@
   return DAG_SUBMIT_PENDING;
 }
 
+static void
+remove_from_dirty (DagState *dag, const DagJob *job)
+{
+  DagJob **slot = &dag->dirty;
+  while (*slot && *slot != job)
+    slot = &(*slot)->dirty_next;
+  if (*slot)
+    *slot = job->dirty_next;
+}
+
+bool
+dag_withdraw (DagState *dag, const GrName *id)
+{
+  DagJob *job = dag_find_job (dag, id);
+  if (!job || job->stored || job->spec_written || job->cancel_calls.count > 0)
+    return false;
+  for (size_t s = 0; s < job->step_count; s++) {
+    for (int32_t i = 0; i < job->steps[s].spec.count; i++) {
+      /* Without a record no task was sent; assignments only hold room. */
+      if (job->steps[s].tasks[i].target)
+        dag_target_detach (&job->steps[s].tasks[i]);
+    }
+  }
+  remove_from_dirty (dag, job);
+  dag->open_jobs--;
+  dag_job_free (dag, job);
+  dag->place_wanted = true;
+  return true;
+}
+
 bool
 dag_cancel (DagState *dag, const GrName *id, int64_t call, int64_t now_ms)
 {
--- a/src/dag/dag_place.c
+++ b/src/dag/dag_place.c
@@ -65,6 +65,7 @@
 typedef struct {
   DagTarget *target;
   const char *ticket;
+  int64_t ticket_until;
   int32_t fits;
   int32_t spare_cpu; /* cpu left after as many tasks as fit */
   bool avoid;        /* a run of this step failed there */
@@ -84,7 +85,7 @@
 }
 
 static void
-add_option (DagState *dag, DagStep *step, DagTarget *target, const char *ticket, Option *out,
+add_option (DagState *dag, DagStep *step, DagTarget *target, const DagPermit *permit, Option *out,
             size_t *count, int64_t now_ms)
 {
   if (!dag_target_usable (target, now_ms) || !dag_may_run (step, target)
@@ -97,7 +98,8 @@
   int32_t cpu = step->spec.demand.v[GR_RES_CPU_MILLI];
   out[(*count)++] = (Option){
     .target = target,
-    .ticket = ticket,
+    .ticket = permit ? permit->ticket : no_ticket,
+    .ticket_until = permit ? permit->valid_until : 0,
     .fits = fits,
     .spare_cpu = room.v[GR_RES_CPU_MILLI] - cpu * (fits < step->waiting ? fits : step->waiting),
     .avoid = failed_there (step, target),
@@ -127,11 +129,11 @@
     for (size_t i = 0; i < step->permits.count; i++) {
       const DagPermit *permit = &step->permits.items[i];
       if (permit->valid_until > now_ms + DAG_TICKET_MARGIN_MS)
-        add_option (dag, step, permit->target, permit->ticket, out, &count, now_ms);
+        add_option (dag, step, permit->target, permit, out, &count, now_ms);
     }
   } else {
     for (size_t i = 0; i < dag->order.count; i++)
-      add_option (dag, step, dag->order.items[i], no_ticket, out, &count, now_ms);
+      add_option (dag, step, dag->order.items[i], NULL, out, &count, now_ms);
   }
   qsort (out, count, sizeof *out, compare_options);
   return count;
@@ -163,7 +165,8 @@
       DagTask *task = next_waiting (step, &at);
       if (!task)
         return;
-      dag_run_assign (dag, task, options[i].target, next_run (task), options[i].ticket);
+      dag_run_assign (dag, task, options[i].target, next_run (task), options[i].ticket,
+                      options[i].ticket_until);
     }
   }
 }
@@ -215,7 +218,8 @@
       DagTask *task = next_waiting (step, &at);
       if (!task)
         return true;
-      dag_run_assign (dag, task, options[i].target, run, options[i].ticket);
+      dag_run_assign (dag, task, options[i].target, run, options[i].ticket,
+                      options[i].ticket_until);
     }
   }
   return true;
--- a/src/dag/dag_priv.h
+++ b/src/dag/dag_priv.h
@@ -40,6 +40,7 @@
   int64_t percent_at; /* when the percentage last changed */
   GrName checkpoint;
   char ticket[48];
+  int64_t ticket_until; /* 0: no ticket needed */
 };
 
 /* A target that advice allows for a step. */
@@ -115,6 +116,7 @@
   DagTask *runs;
   int32_t run_count;
   bool listed;
+  int64_t seen_at;  /* when its newest entry was read */
   bool inventoried; /* an inventory was taken in this term */
   /* Clock of the target: clock_ms was read between sending and clock_at (local). */
   int64_t clock_ms, clock_at;
@@ -216,7 +218,7 @@
 /* Empty and overlong ones are ignored. */
 void dag_keep_checkpoint (DagTask *task, GrStr checkpoint);
 void dag_run_assign (DagState *dag, DagTask *task, DagTarget *target, int64_t run,
-                     const char *ticket);
+                     const char *ticket, int64_t ticket_until);
 void dag_run_start (DagState *dag, DagTask *task, int64_t now_ms);
 /* Ends the run there; the task waits until that is proved. */
 void dag_run_stop (DagState *dag, DagTask *task, int64_t now_ms);
--- a/src/dag/dag_run.c
+++ b/src/dag/dag_run.c
@@ -10,6 +10,8 @@
 /* At least this share of the expected run time without progress counts as standing still. */
 #define STALL_SHARE 0.1
 #define SMOOTHING 0.05
+/* A start takes about this long to reach its target. */
+#define TICKET_TRAVEL_MS 40
 
 GrRes
 dag_reserved (const DagStepSpec *spec)
@@ -34,7 +36,8 @@
 }
 
 void
-dag_run_assign (DagState *dag, DagTask *task, DagTarget *target, int64_t run, const char *ticket)
+dag_run_assign (DagState *dag, DagTask *task, DagTarget *target, int64_t run, const char *ticket,
+                int64_t ticket_until)
 {
   DagStep *step = task->step;
   task->state = TASK_ASSIGNED;
@@ -45,6 +48,7 @@
   task->stop_open = false;
   task->percent = 0;
   memcpy (task->ticket, ticket, sizeof task->ticket);
+  task->ticket_until = ticket_until;
   if (step->run < run)
     step->run = run;
   step->waiting--;
@@ -52,48 +56,6 @@
   dag_job_touch (dag, step->job);
 }
 
-void
-dag_run_start (DagState *dag, DagTask *task, int64_t now_ms)
-{
-  DagJob *job = task->step->job;
-  DagTarget *target = task->target;
-  if (!target->inventoried || !target->listed || target->info.draining) {
-    DAG_LOG (dag, GR_EV_REFUSED,
-             "id=%.*s step=%u index=%u run=%lld target=%.*s reason=target-left inventoried=%d "
-             "listed=%d draining=%d",
-             GR_NAME_ARG (job->id), task->step->number, task->index, (long long) task->run,
-             GR_NAME_ARG (target->info.id), target->inventoried, target->listed,
-             target->info.draining);
-    dag_run_over (dag, task, now_ms);
-    return;
-  }
-  task->state = TASK_STARTING;
-  DagCmd cmd = { .type = DAG_CMD_START };
-  cmd.u.start.target = dag_target_ref (target);
-  cmd.u.start.task = dag_task_ref (task);
-  cmd.u.start.run = task->run;
-  cmd.u.start.lease_until = dag_target_lease (dag, target, now_ms);
-  cmd.u.start.payload = (GrStr){ job->payload, job->payload_len };
-  if (task->step->spec.checkpoints)
-    cmd.u.start.checkpoint = *dag_checkpoint (task);
-  memcpy (cmd.u.start.ticket, task->ticket, sizeof cmd.u.start.ticket);
-  gr_list_push (&dag->cmds, cmd);
-  if (!job->begun) {
-    job->begun = true;
-    if (dag_job_is_open (job))
-      job->state = DAG_JOB_IN_PROGRESS;
-    if (dag->options.metrics)
-      gr_metric_observe (dag->options.metrics, GR_METRIC_WAIT_MS, now_ms - job->accepted_at);
-  }
-  if (dag->options.metrics)
-    gr_metric_add (dag->options.metrics, GR_METRIC_STARTS, 1);
-  DAG_LOG (dag, GR_EV_PLACED,
-           "id=%.*s step=%u index=%u run=%lld target=%.*s waited_ms=%lld free_cpu=%d",
-           GR_NAME_ARG (job->id), task->step->number, task->index, (long long) task->run,
-           GR_NAME_ARG (target->info.id), (long long) (now_ms - job->accepted_at),
-           target->info.capacity.v[GR_RES_CPU_MILLI] - target->used.v[GR_RES_CPU_MILLI]);
-}
-
 static void
 send_stop (DagState *dag, DagTask *task)
 {
@@ -143,6 +105,60 @@
     dag_run_stop (dag, &step->tasks[i], now_ms);
 }
 
+/* Between assignment and storing, the target may have left and the ticket expired. */
+static const char *
+reason_not_to_start (const DagTask *task, int64_t now_ms)
+{
+  const DagTarget *target = task->target;
+  if (!target->inventoried || !target->listed || target->info.draining)
+    return "target-left";
+  if (task->ticket_until > 0 && now_ms > task->ticket_until - TICKET_TRAVEL_MS)
+    return "ticket-expired";
+  return NULL;
+}
+
+void
+dag_run_start (DagState *dag, DagTask *task, int64_t now_ms)
+{
+  DagJob *job = task->step->job;
+  DagTarget *target = task->target;
+  const char *reason = reason_not_to_start (task, now_ms);
+  if (reason) {
+    DAG_LOG (dag, GR_EV_REFUSED, "id=%.*s step=%u index=%u run=%lld target=%.*s reason=%s",
+             GR_NAME_ARG (job->id), task->step->number, task->index, (long long) task->run,
+             GR_NAME_ARG (target->info.id), reason);
+    DagStep *step = task->step;
+    dag_run_over (dag, task, now_ms);
+    break_gang (dag, step, true, now_ms);
+    return;
+  }
+  task->state = TASK_STARTING;
+  DagCmd cmd = { .type = DAG_CMD_START };
+  cmd.u.start.target = dag_target_ref (target);
+  cmd.u.start.task = dag_task_ref (task);
+  cmd.u.start.run = task->run;
+  cmd.u.start.lease_until = dag_target_lease (dag, target, now_ms);
+  cmd.u.start.payload = (GrStr){ job->payload, job->payload_len };
+  if (task->step->spec.checkpoints)
+    cmd.u.start.checkpoint = *dag_checkpoint (task);
+  memcpy (cmd.u.start.ticket, task->ticket, sizeof cmd.u.start.ticket);
+  gr_list_push (&dag->cmds, cmd);
+  if (!job->begun) {
+    job->begun = true;
+    if (dag_job_is_open (job))
+      job->state = DAG_JOB_IN_PROGRESS;
+    if (dag->options.metrics)
+      gr_metric_observe (dag->options.metrics, GR_METRIC_WAIT_MS, now_ms - job->accepted_at);
+  }
+  if (dag->options.metrics)
+    gr_metric_add (dag->options.metrics, GR_METRIC_STARTS, 1);
+  DAG_LOG (dag, GR_EV_PLACED,
+           "id=%.*s step=%u index=%u run=%lld target=%.*s waited_ms=%lld free_cpu=%d",
+           GR_NAME_ARG (job->id), task->step->number, task->index, (long long) task->run,
+           GR_NAME_ARG (target->info.id), (long long) (now_ms - job->accepted_at),
+           target->info.capacity.v[GR_RES_CPU_MILLI] - target->used.v[GR_RES_CPU_MILLI]);
+}
+
 void
 dag_run_over (DagState *dag, DagTask *task, int64_t now_ms)
 {
--- a/src/dag/dag_target.c
+++ b/src/dag/dag_target.c
@@ -20,6 +20,9 @@
 #define AVOID_MAX_MS 16000
 /* Runs of a draining target are ended so long before it leaves, to keep their checkpoints. */
 #define DRAIN_MARGIN_MS 500
+/* An entry that vanishes so soon after it was written was withdrawn by a draining target itself;
+   entries of silent targets stay three report intervals of 1.5 s. */
+#define LEFT_MS 3000
 
 DagTarget *
 dag_find_target (const DagState *dag, const GrName *id)
@@ -230,7 +233,8 @@
   cmd.u.hold.token = ++dag->next_token;
   cmd.u.hold.wait_ms = wait_ms;
   cmd.u.hold.acknowledged = target->acknowledged;
-  if (target->inventoried && target->run_count > 0)
+  /* A target that does not answer gets no new lease: its runs must lapse some time. */
+  if (target->inventoried && target->run_count > 0 && target->hold_failures == 0)
     cmd.u.hold.lease_until = dag_target_lease (dag, target, now_ms);
   gr_list_push (&dag->cmds, cmd);
   target->acknowledged_sent = target->acknowledged;
@@ -296,6 +300,7 @@
   bool news = !target->listed || was_draining != info->draining;
   target->info = *info;
   target->listed = true;
+  target->seen_at = now_ms;
   if (info->draining)
     target->drain_over_at = now_ms + info->remaining_ms;
   if (news) {
@@ -320,13 +325,15 @@
 void
 dag_target_unlisted (DagState *dag, const GrName *id, int64_t now_ms)
 {
-  (void) now_ms;
   DagTarget *target = dag_find_target (dag, id);
   if (!target || !target->listed)
     return;
   target->listed = false;
   DAG_LOG (dag, GR_EV_TARGET_STATE, "target=%.*s state=unlisted runs=%d", GR_NAME_ARG (*id),
            target->run_count);
+  /* Silence takes longer to remove an entry, so this target has said that it left. */
+  if (target->info.draining && now_ms - target->seen_at < LEFT_MS)
+    target_lost (dag, target, "left", now_ms);
 }
 
 /* Takes the open hold with the token off the list; false if it belongs to an earlier life. */
--- a/src/ldr/ldr.c
+++ b/src/ldr/ldr.c
@@ -9,6 +9,8 @@
 #define STAGGER_MS 120
 /* A leader without the store is replaced after this, if the candidate reaches the store. */
 #define STORE_LESS_MS 300
+/* ... and has reached it for so long: after an outage the leader needs a moment to see its end. */
+#define STORE_STEADY_MS 1000
 /* The store counts as reachable so long after the last answer. */
 #define STORE_FRESH_MS 2600
 /* Calls that fail for this long without a success between make the store count as away. */
@@ -48,6 +50,7 @@
   int64_t claim_sent_at;  /* 0: none open */
   int64_t claim_not_before;
   int64_t store_ok_at;
+  int64_t store_steady_at;     /* when it was first reached since it last failed */
   int64_t store_failing_since; /* 0: last call succeeded */
   int64_t peer_heard_at;
 };
@@ -159,6 +162,8 @@
 ldr_store_result (LdrState *ldr, bool ok, int64_t now_ms)
 {
   if (ok) {
+    if (ldr->store_ok_at == 0 || ldr->store_failing_since > 0)
+      ldr->store_steady_at = now_ms;
     ldr->store_ok_at = now_ms;
     ldr->store_failing_since = 0;
   } else if (ldr->store_failing_since == 0) {
@@ -259,7 +264,10 @@
   if (current && leader->status.leaving)
     return leader->heard_at + stagger;
   if (current && leader->storeless_at > 0) {
-    int64_t storeless = leader->storeless_at + STORE_LESS_MS + stagger;
+    int64_t storeless = leader->storeless_at + STORE_LESS_MS;
+    if (storeless < ldr->store_steady_at + STORE_STEADY_MS)
+      storeless = ldr->store_steady_at + STORE_STEADY_MS;
+    storeless += stagger;
     return storeless < at ? storeless : at;
   }
   return at;
