--- a/src/cell/cell_calls.c
+++ b/src/cell/cell_calls.c
@@ -7,7 +7,8 @@
 
 /* A call that could not be sent to any leader for this long is refused. */
 #define NO_LEADER_MS 900
-/* The answer leaves so long before the caller stops waiting. */
+/* The answer leaves so long before the caller stops waiting, or at three quarters of a shorter
+   wait. */
 #define ANSWER_MARGIN_MS 150
 /* Pause before a call is tried again. */
 #define RETRY_MS 60
@@ -100,7 +101,9 @@
     dag_pack_job_spec (request->spec, &call->spec);
   call->config_version = cell->config.version;
   call->taken_at = now_ms;
-  call->deadline_at = request->deadline_at_ms - ANSWER_MARGIN_MS;
+  int64_t margin = (request->deadline_at_ms - now_ms) / 4;
+  call->deadline_at
+      = request->deadline_at_ms - (margin < ANSWER_MARGIN_MS ? margin : ANSWER_MARGIN_MS);
   call->done = done;
   call->user = user;
   call->next = cell->calls;
