--- a/src/cell/cell_leader.c
+++ b/src/cell/cell_leader.c
@@ -391,6 +391,9 @@
   bool retry = leader->appends_open == 0 && now_ms >= leader->retry_at;
   bool hedge = leader->appends_open > 0 && leader->appends_open < HEDGES_MAX
                && now_ms - leader->append_sent_at >= HEDGE_MS;
+  /* A silent store shows first as an append without an answer. */
+  if (hedge)
+    ldr_store_result (leader->cell->ldr, false, now_ms);
   if (retry || hedge)
     send_batch (leader);
 }
--- a/src/ldr/ldr.c
+++ b/src/ldr/ldr.c
@@ -14,7 +14,7 @@
 /* The store counts as reachable so long after the last answer. */
 #define STORE_FRESH_MS 2600
 /* Calls that fail for this long without a success between make the store count as away. */
-#define STORE_FAILING_MS 600
+#define STORE_FAILING_MS 350
 /* A leader that neither reaches the store nor hears a peer for this long steps down. */
 #define ISOLATED_MS 2700
 /* A claim without an answer is settled by reading; after this it may be made again. */
