dag: the first call for advice names more targets

Cause: half of the gangs of settlement-run waited over 2 s and a tenth over 30 s for their start, while short work waited 60 ms: with a third of the targets allowed, ten named ones rarely held a gang, and by the second answer the tickets of the first had expired. Ruled out: lack of room (bulk of lower priority started within 0.2 s).

--- a/src/dag/dag_advice.c
+++ b/src/dag/dag_advice.c
@@ -10,8 +10,11 @@
 
 /* Most targets named in one call. */
 #define ASK_MAX 100
-/* Fewest named in a first call: the fixed part of its time is paid anyway. */
+/* Fewest named in a first call. */
 #define ASK_MIN 10
+/* A first call names as many as prolong it by this share: its fixed part is paid anyway, and a gang
+   that has to ask again finds its first tickets expired. */
+#define ASK_PROLONG 0.5
 /* Named for each task that waits, beyond what the expected share of allowed ones asks for. */
 #define ASK_SURPLUS 1.4
 /* Pause after an answer that did not help, and after a failed call. */
@@ -92,6 +95,15 @@
   return count;
 }
 
+static size_t
+named_at_least (const DagQueue *queue)
+{
+  double count = ASK_MIN;
+  if (queue->advice_ms_per_target > 0)
+    count = ASK_PROLONG * queue->advice_ms / queue->advice_ms_per_target;
+  return count < ASK_MIN ? ASK_MIN : (size_t) count;
+}
+
 void
 dag_advice_ask (DagState *dag, DagStep *step, int64_t now_ms)
 {
@@ -108,9 +120,10 @@
   double wanted = (step->waiting - room) * ASK_SURPLUS;
   double expected = 0;
   double possible = 0;
+  size_t least = named_at_least (&step->job->queue);
   size_t named = 0;
   while (named < count && named < ASK_MAX) {
-    bool enough = expected >= wanted && (step->advice_known || named >= ASK_MIN);
+    bool enough = expected >= wanted && (step->advice_known || named >= least);
     if (enough || (step->advice_known && candidates[named].fits == 0))
       break;
     expected += candidates[named].fits * candidates[named].share;
