dag: advice is asked for only as much work as there is room; cell: a line of load each second

Change: steps ask in order until the waiting work with open calls is half more than the free room. E503 tells open, waiting, usable and free once a second.

--- a/src/cell/cell_leader.c
+++ b/src/cell/cell_leader.c
@@ -27,6 +27,7 @@
 #define FORMER_LEADER_MS 2900
 #define CLOCK_RATE_MIN 0.98
 #define COME_BACK_MS 1000
+#define LOAD_LOG_MS 1000
 
 typedef enum {
   LEADER_FENCING, /* earlier terms are shut out from the store */
@@ -74,7 +75,8 @@
   DagRecords records;
   int64_t batch_began_at;
   int64_t retry_at;
-  int64_t failing_since;   /* 0: the last append succeeded */
+  int64_t failing_since; /* 0: the last append succeeded */
+  int64_t load_logged_at;
   int64_t store_failed_at; /* last failure of any append or list read */
   int refs;                /* open calls to the platform, and the owner */
   bool freeing;
@@ -178,7 +180,7 @@
   if (leader->state == LEADER_LISTING) {
     leader->state = LEADER_ACTIVE;
     dag_loaded (leader->dag, now_of (leader));
-    DagCounts counts = dag_counts (leader->dag);
+    DagCounts counts = dag_counts (leader->dag, now_of (leader));
     gr_log (&leader->cell->log, GR_EV_KEY_GAINED,
             "active term=%lld jobs=%zu open=%zu targets=%zu runs=%zu", (long long) leader->term,
             counts.jobs, counts.open_jobs, counts.targets, counts.runs);
@@ -808,6 +810,21 @@
     cell_tick_at (leader->cell, dag_next_tick (leader->dag, now_of (leader)));
 }
 
+static void
+log_load (CellLeader *leader)
+{
+  int64_t now_ms = now_of (leader);
+  if (now_ms < leader->load_logged_at + LOAD_LOG_MS)
+    return;
+  leader->load_logged_at = now_ms;
+  DagCounts counts = dag_counts (leader->dag, now_ms);
+  gr_log (&leader->cell->log, GR_EV_CELL_LOAD,
+          "open=%zu waiting=%zu runs=%zu targets=%zu usable=%zu free_cpu=%lld cpu=%lld",
+          counts.open_jobs, counts.waiting_tasks, counts.runs, counts.targets,
+          counts.usable_targets, (long long) counts.free_cpu_milli,
+          (long long) counts.capacity_cpu_milli);
+}
+
 void
 cell_leader_tick (CellLeader *leader)
 {
@@ -815,8 +832,10 @@
   if (store_is_away (leader))
     refuse_unsent (leader);
   cell_leader_members (leader);
-  if (leader->state == LEADER_ACTIVE)
+  if (leader->state == LEADER_ACTIVE) {
     dag_tick (leader->dag, now_of (leader));
+    log_load (leader);
+  }
   run_commands (leader);
 }
 
--- a/src/dag/dag.c
+++ b/src/dag/dag.c
@@ -243,7 +243,7 @@
 }
 
 DagCounts
-dag_counts (const DagState *dag)
+dag_counts (const DagState *dag, int64_t now_ms)
 {
   DagCounts counts = { .open_jobs = dag->open_jobs };
   counts.jobs = HASH_COUNT (dag->jobs);
@@ -254,6 +254,7 @@
     if (!target->listed)
       continue;
     counts.targets++;
+    counts.usable_targets += dag_target_usable (target, now_ms);
     counts.runs += (size_t) target->run_count;
     counts.capacity_cpu_milli += target->info.capacity.v[GR_RES_CPU_MILLI];
     counts.free_cpu_milli += dag_target_free_room (target).v[GR_RES_CPU_MILLI];
--- a/src/dag/dag.h
+++ b/src/dag/dag.h
@@ -307,10 +307,10 @@
 
 /* Counts for tests, benches and the status page. */
 typedef struct {
-  size_t jobs, open_jobs, targets, runs, waiting_tasks;
+  size_t jobs, open_jobs, targets, usable_targets, runs, waiting_tasks;
   int64_t free_cpu_milli, capacity_cpu_milli;
 } DagCounts;
-DagCounts dag_counts (const DagState *dag);
+DagCounts dag_counts (const DagState *dag, int64_t now_ms);
 /* Most of a target's room that runs have ever held, for the capacity property. */
 bool dag_target_room (const DagState *dag, const GrName *target, GrRes *used, GrRes *capacity);
 
--- a/src/dag/dag_place.c
+++ b/src/dag/dag_place.c
@@ -11,6 +11,8 @@
 #define RESERVING_GANGS 2
 /* All waiting gangs together reserve at most this share of the targets. */
 #define RESERVED_SHARE_MAX 0.5
+/* Advice is asked for so much more work than there is room: part of the targets is not allowed. */
+#define ADVICE_SURPLUS 1.5
 /* Shortest pause between two passes; inputs come in bursts. */
 #define PASS_INTERVAL_MS 4
 
@@ -250,6 +252,29 @@
   }
 }
 
+/* Processor time, in millicores, for which advice may be asked: more waiting steps than the free
+   room can hold would only ask about the same targets. */
+static int64_t
+advice_budget (const DagState *dag, int64_t now_ms)
+{
+  int64_t budget = 0;
+  for (size_t i = 0; i < dag->order.count; i++) {
+    const DagTarget *target = dag->order.items[i];
+    if (dag_target_usable (target, now_ms))
+      budget += dag_target_free_room (target).v[GR_RES_CPU_MILLI];
+  }
+  return (int64_t) (ADVICE_SURPLUS * (double) budget);
+}
+
+static void
+ask_within_budget (DagState *dag, DagStep *step, int64_t *budget, int64_t now_ms)
+{
+  if (step->advice_token == 0 && *budget > 0)
+    dag_advice_ask (dag, step, now_ms);
+  if (step->advice_token != 0)
+    *budget -= (int64_t) step->waiting * step->spec.demand.v[GR_RES_CPU_MILLI];
+}
+
 static int
 compare_steps (const void *a, const void *b, void *user)
 {
@@ -302,6 +327,7 @@
   /* NOLINTNEXTLINE(bugprone-sizeof-expression): a list of pointers */
   qsort_r (dag->ready.items, dag->ready.count, sizeof *dag->ready.items, compare_steps, &now_ms);
   Option *options = gr_calloc (dag->order.count, sizeof *options);
+  int64_t budget = advice_budget (dag, now_ms);
   size_t reserved = 0;
   int reserving = 0;
   for (size_t i = 0; i < dag->ready.count; i++) {
@@ -317,7 +343,7 @@
       reserve_for_gang (dag, step, &reserved, now_ms);
     }
     if (step->waiting > 0 && step->job->queue.advised)
-      dag_advice_ask (dag, step, now_ms);
+      ask_within_budget (dag, step, &budget, now_ms);
   }
   free (options);
   drop_placed_steps (dag);
--- a/tests/test_dag.c
+++ b/tests/test_dag.c
@@ -88,9 +88,9 @@
 }
 
 static DagSubmitResult
-submit (World *world, const DagStepSpec *steps, size_t count, GrErr *err)
+submit_as (World *world, const char *id, const DagStepSpec *steps, size_t count, GrErr *err)
 {
-  DagJobSpec spec = { .id = gr_name ("job"),
+  DagJobSpec spec = { .id = gr_name (id),
                       .queue = gr_name ("q"),
                       .payload = GR_STR ("work"),
                       .steps = steps,
@@ -99,6 +99,12 @@
   return dag_submit (world->dag, &spec, 1, world->now_ms, &retry, err);
 }
 
+static DagSubmitResult
+submit (World *world, const DagStepSpec *steps, size_t count, GrErr *err)
+{
+  return submit_as (world, "job", steps, count, err);
+}
+
 static void
 store (World *world)
 {
@@ -184,6 +190,28 @@
   }
 }
 
+/* Load pattern: a long queue of bulk work on a nearly full cell. If every waiting step asks about
+   the little room that is left, the lanes are busy with calls of which one can succeed. */
+static void
+waiting_steps_do_not_all_ask_about_the_same_room (void **state)
+{
+  (void) state;
+  World world = new_world (true, 53, 0.75);
+  add_targets (&world, 1);
+  DagStepSpec step = step_of (4, 8000, false);
+  for (int i = 0; i < 50; i++) {
+    GrErr err = { 0 };
+    GrName id = gr_name_format ("job%d", i);
+    char text[16] = { 0 };
+    memcpy (text, id.data, id.len);
+    submit_as (&world, text, &step, 1, &err);
+  }
+  dag_tick (world.dag, world.now_ms);
+  size_t asks = count_cmds (&world, DAG_CMD_ADVISE);
+  assert_in_range (asks, 1, 3);
+  dag_free (world.dag);
+}
+
 /* Guards against dropping tasks assigned to an idle target whose last lease is long over. */
 static void
 idle_targets_keep_their_assignments (void **state)
@@ -233,7 +261,7 @@
   assert_int_equal (leases, 0);
   /* The first inventory allows for leases of an earlier term. After the longest one the run counts
    * as over, and the task waits for another target. */
-  assert_int_equal (dag_counts (world.dag).runs, 0);
+  assert_int_equal (dag_counts (world.dag, world.now_ms).runs, 0);
   dag_free (world.dag);
 }
 
@@ -261,6 +289,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (refuses_bad_submissions),
     cmocka_unit_test (first_call_for_advice_names_enough_targets),
+    cmocka_unit_test (waiting_steps_do_not_all_ask_about_the_same_room),
     cmocka_unit_test (idle_targets_keep_their_assignments),
     cmocka_unit_test (silent_targets_get_no_new_lease),
     cmocka_unit_test (withdraws_only_what_was_not_handed_out),
