dag: a silent target without runs is asked until it answers

Ruled out: the advice budget (48,000 left in the trace), denied advice (6 of 8 targets allowed). Change: such a target is asked with the usual pauses while it is listed.

--- a/src/dag/dag_target.c
+++ b/src/dag/dag_target.c
@@ -277,8 +277,12 @@
     send_hold (dag, target, has_live_runs (target) ? HOLD_WAIT_MS : 0, now_ms);
     return;
   }
-  if (!has_live_runs (target))
+  if (!has_live_runs (target)) {
+    /* A silent target is asked until it answers; until then it gets no work. */
+    if (target->hold_failures > 0 && target->listed)
+      send_hold (dag, target, 0, now_ms);
     return;
+  }
   if (ends_open) {
     if (now_ms - target->hold_sent_at >= RENEW_MS)
       send_hold (dag, target, 0, now_ms);
--- a/tests/test_dag.c
+++ b/tests/test_dag.c
@@ -265,6 +265,36 @@
   dag_free (world.dag);
 }
 
+/* Guards against a target that stays out of use for good after its runs lapsed in a silence. */
+static void
+silent_targets_are_asked_until_they_answer (void **state)
+{
+  (void) state;
+  World world = new_world (false, 0, 0);
+  add_targets (&world, 1);
+  DagStepSpec step = step_of (1, 1000, false);
+  GrErr err = { 0 };
+  submit (&world, &step, 1, &err);
+  dag_tick (world.dag, world.now_ms);
+  store (&world);
+  DagTaskRef task = { gr_name ("job"), 0, 0 };
+  dag_started (world.dag, &task, 1, DAG_ORDER_OK, world.now_ms, world.now_ms);
+  for (int i = 0; i < 600; i++) {
+    world.now_ms += 20;
+    dag_tick (world.dag, world.now_ms);
+    answer_holds (&world, false);
+  }
+  assert_int_equal (dag_counts (world.dag, world.now_ms).runs, 0);
+  assert_int_equal (dag_counts (world.dag, world.now_ms).usable_targets, 0);
+  for (int i = 0; i < 200; i++) {
+    world.now_ms += 20;
+    dag_tick (world.dag, world.now_ms);
+    answer_holds (&world, true);
+  }
+  assert_int_equal (dag_counts (world.dag, world.now_ms).usable_targets, 1);
+  dag_free (world.dag);
+}
+
 static void
 withdraws_only_what_was_not_handed_out (void **state)
 {
@@ -292,6 +322,7 @@
     cmocka_unit_test (waiting_steps_do_not_all_ask_about_the_same_room),
     cmocka_unit_test (idle_targets_keep_their_assignments),
     cmocka_unit_test (silent_targets_get_no_new_lease),
+    cmocka_unit_test (silent_targets_are_asked_until_they_answer),
     cmocka_unit_test (withdraws_only_what_was_not_handed_out),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
