--- a/src/cell/cell_calls.c
+++ b/src/cell/cell_calls.c
@@ -81,10 +81,7 @@
     cell_leader_call (cell->leader, &(GrName){ 0 }, call->id, &msg.u.call);
     return;
   }
-  GrBuf body = { 0 };
-  cell_wire_encode (&msg, &body);
-  call->sent = cell_send (cell, &leader->member.vm.vm, &body);
-  gr_buf_clear (&body);
+  call->sent = cell_send (cell, &leader->member.vm.vm, &msg);
 }
 
 uint64_t
--- a/src/cell/cell_follow.c
+++ b/src/cell/cell_follow.c
@@ -213,13 +213,6 @@
   return follow;
 }
 
-void
-cell_follow_poke (CellFollow *follow)
-{
-  if (!follow->open)
-    follow_next (follow);
-}
-
 static void
 on_timer_closed (uv_handle_t *handle)
 {
--- a/src/cell/cell_follow.h
+++ b/src/cell/cell_follow.h
@@ -23,6 +23,4 @@
 
 CellFollow *cell_follow_new (uv_loop_t *loop, const CellPlatform *platform,
                              const CellFollowOptions *options);
-/* Reads at once, where a pause or the wait after a failure is under way. */
-void cell_follow_poke (CellFollow *follow);
 void cell_follow_free (CellFollow *follow);
--- a/src/cell/cell_leader.c
+++ b/src/cell/cell_leader.c
@@ -504,10 +504,7 @@
   }
   CellWireMsg msg = { .type = CELL_WIRE_ANSWER };
   msg.u.answer = (CellWireAnswer){ (int64_t) id, answer };
-  GrBuf body = { 0 };
-  cell_wire_encode (&msg, &body);
-  cell_send (leader->cell, from, &body);
-  gr_buf_clear (&body);
+  cell_send (leader->cell, from, &msg);
 }
 
 static void
@@ -601,10 +598,7 @@
   CellWireMsg msg = { .type = CELL_WIRE_ASK };
   msg.u.ask = (CellWireAsk){ ask->token,       ask->job,     ask->step,
                              ask->expected_ms, ask->targets, ask->count };
-  GrBuf body = { 0 };
-  cell_wire_encode (&msg, &body);
-  cell_send (cell, vm, &body);
-  gr_buf_clear (&body);
+  cell_send (cell, vm, &msg);
 }
 
 static void
--- a/src/cell/cell_peer.c
+++ b/src/cell/cell_peer.c
@@ -8,10 +8,14 @@
 #define LINK_SILENCE_MS 1500
 
 bool
-cell_send (Cell *cell, const GrName *vm, const GrBuf *body)
+cell_send (Cell *cell, const GrName *vm, const CellWireMsg *msg)
 {
+  GrBuf body = { 0 };
   GrErr err = { 0 };
-  return net_peers_send (cell->peers, vm, gr_buf_str (body), &err);
+  cell_wire_encode (msg, &body);
+  bool sent = net_peers_send (cell->peers, vm, gr_buf_str (&body), &err);
+  gr_buf_clear (&body);
+  return sent;
 }
 
 static void
@@ -20,10 +24,7 @@
   CellWireMsg msg = { .type = CELL_WIRE_STATUS };
   msg.u.status.status = ldr_status (cell->ldr, cell_now (cell));
   msg.u.status.config_version = cell->config.version;
-  GrBuf body = { 0 };
-  cell_wire_encode (&msg, &body);
-  cell_send (cell, vm, &body);
-  gr_buf_clear (&body);
+  cell_send (cell, vm, &msg);
 }
 
 static void
@@ -31,10 +32,7 @@
 {
   CellWireMsg msg = { .type = CELL_WIRE_CONFIG };
   msg.u.config = gr_buf_str (&cell->config_doc);
-  GrBuf body = { 0 };
-  cell_wire_encode (&msg, &body);
-  cell_send (cell, vm, &body);
-  gr_buf_clear (&body);
+  cell_send (cell, vm, &msg);
 }
 
 static CellPeerState *
@@ -81,11 +79,8 @@
   AskContext *context = user;
   CellWireMsg msg = { .type = CELL_WIRE_ADVICE };
   msg.u.advice = (CellWireAdvice){ context->token, ok, allowed, count };
-  GrBuf body = { 0 };
-  cell_wire_encode (&msg, &body);
   if (!context->cell->freeing)
-    cell_send (context->cell, &context->vm, &body);
-  gr_buf_clear (&body);
+    cell_send (context->cell, &context->vm, &msg);
   free (context);
 }
 
@@ -108,10 +103,7 @@
   }
   CellWireMsg msg = { .type = CELL_WIRE_ANSWER };
   msg.u.answer = (CellWireAnswer){ call->id, { CELL_ANSWER_NOT_LEADER, 0 } };
-  GrBuf body = { 0 };
-  cell_wire_encode (&msg, &body);
-  cell_send (cell, vm, &body);
-  gr_buf_clear (&body);
+  cell_send (cell, vm, &msg);
 }
 
 static void
--- a/src/cell/cell_priv.h
+++ b/src/cell/cell_priv.h
@@ -98,7 +98,8 @@
 void cell_leader_peer_down (CellLeader *leader, const GrName *vm);
 
 /* cell_peer.c: messages between VMs. */
-bool cell_send (Cell *cell, const GrName *vm, const GrBuf *body);
+/* False if there is no link to the VM: certainly not sent. */
+bool cell_send (Cell *cell, const GrName *vm, const CellWireMsg *msg);
 void cell_peer_frame (void *user, const NetPeerInfo *peer, GrStr body);
 void cell_peer_up (void *user, const NetPeerInfo *peer);
 void cell_peer_down (void *user, const NetPeerInfo *peer);
--- a/src/dag/dag_priv.h
+++ b/src/dag/dag_priv.h
@@ -199,6 +199,8 @@
 void dag_pack_drop (const DagJob *job, DagRecords *out);
 
 /* dag_target.c */
+/* A target has seen a later term. */
+void dag_depose (DagState *dag);
 DagTarget *dag_find_target (const DagState *dag, const GrName *id);
 DagTarget *dag_target_create (DagState *dag, const GrName *id);
 DagTargetRef dag_target_ref (const DagTarget *target);
--- a/src/dag/dag_run.c
+++ b/src/dag/dag_run.c
@@ -296,8 +296,7 @@
 {
   DagTask *task = dag_find_task (dag, ref);
   if (result == DAG_ORDER_FENCED) {
-    dag->deposed = true;
-    gr_list_push (&dag->cmds, (DagCmd){ .type = DAG_CMD_DEPOSED });
+    dag_depose (dag);
     return;
   }
   if (!task || task->run != run || !task->target || task->state == TASK_RUNNING)
@@ -352,8 +351,7 @@
 {
   DagTask *task = dag_find_task (dag, ref);
   if (result == DAG_ORDER_FENCED) {
-    dag->deposed = true;
-    gr_list_push (&dag->cmds, (DagCmd){ .type = DAG_CMD_DEPOSED });
+    dag_depose (dag);
     return;
   }
   if (!task || task->run != run || task->state != TASK_STOPPING)
--- a/src/dag/dag_target.c
+++ b/src/dag/dag_target.c
@@ -32,6 +32,13 @@
   return target;
 }
 
+void
+dag_depose (DagState *dag)
+{
+  dag->deposed = true;
+  gr_list_push (&dag->cmds, (DagCmd){ .type = DAG_CMD_DEPOSED });
+}
+
 DagTarget *
 dag_target_create (DagState *dag, const GrName *id)
 {
@@ -479,8 +486,7 @@
   if (!target || !take_hold (target, token, &hold))
     return;
   if (result == DAG_ORDER_FENCED) {
-    dag->deposed = true;
-    gr_list_push (&dag->cmds, (DagCmd){ .type = DAG_CMD_DEPOSED });
+    dag_depose (dag);
     return;
   }
   if (result == DAG_ORDER_GONE) {
