ldr: candidates are ordered by nearness to the store; unheard stronger ones count

Cause: the leader stood in any region.

Change: heartbeats carry the shortest round trip to the store, measured on reads that do not wait; it ranks after strength. For 1.5 s after its start a VM counts stronger members it has not heard as candidates.

Ruled out: the rate of the store and of the leader's processor (0.2 of 0.5 cores) as reasons for the slower acceptance.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -22,6 +22,13 @@
   ldr_store_result (cell->ldr, ok, cell_now (cell));
 }
 
+static void
+on_store_took (void *user, int64_t took_ms)
+{
+  Cell *cell = user;
+  ldr_store_took (cell->ldr, took_ms);
+}
+
 static void
 on_election_entry (void *user, const CellEntry *entry, int64_t offset)
 {
@@ -288,6 +295,7 @@
                                 .entry = entry,
                                 .read = read,
                                 .result = on_store_result,
+                                .took = on_store_took,
                                 .user = cell };
   return cell_follow_new (cell->loop, cell->platform, &options);
 }
--- a/src/cell/cell_follow.c
+++ b/src/cell/cell_follow.c
@@ -17,7 +17,8 @@
   bool listed; /* the newest records were told */
   bool freeing;
   bool timer_closed;
-  int64_t next; /* offset of the next record to read */
+  int64_t sent_at; /* the call under way */
+  int64_t next;    /* offset of the next record to read */
   int64_t listing_end;
   bool listing_started;
   GrBuf last_key;
@@ -115,6 +116,9 @@
   }
   follow->retry_ms = 0;
   follow->options.result (follow->options.user, true);
+  uv_update_time (follow->loop);
+  if (follow->options.took)
+    follow->options.took (follow->options.user, (int64_t) uv_now (follow->loop) - follow->sent_at);
   if (!follow->listing_started) {
     /* Pages are no snapshot: reading goes on where the first page ended. */
     follow->listing_started = true;
@@ -189,8 +193,9 @@
     return;
   follow->open = true;
   uv_timer_stop (&follow->timer);
-  int64_t timeout_at = (int64_t) uv_now (follow->loop) + CALL_TIMEOUT_MS
-                       + (follow->listed ? follow->options.wait_ms : 0);
+  follow->sent_at = (int64_t) uv_now (follow->loop);
+  int64_t timeout_at
+      = follow->sent_at + CALL_TIMEOUT_MS + (follow->listed ? follow->options.wait_ms : 0);
   const CellPlatform *platform = follow->platform;
   if (follow->listed)
     platform->read (platform->adapter, follow->options.topic, follow->next, follow->options.wait_ms,
--- a/src/cell/cell_follow.h
+++ b/src/cell/cell_follow.h
@@ -18,6 +18,8 @@
   void (*read) (void *user, int64_t end);
   /* Outcome of each call. */
   void (*result) (void *user, bool ok);
+  /* A call that does not wait at the store took so long. May be NULL. */
+  void (*took) (void *user, int64_t took_ms);
   void *user;
 } CellFollowOptions;
 
--- a/src/ldr/ldr.c
+++ b/src/ldr/ldr.c
@@ -26,6 +26,12 @@
 #define PAUSE_MS 400
 /* Members heard within this time count as candidates. */
 #define CANDIDATE_FRESH_MS 1500
+/* So long after its start a VM takes members that it has not heard for candidates: after a loss of
+   power all start at once and hear each other only then. */
+#define UNHEARD_MS 1500
+/* Round trips to the store within one such step count as equal: zones of one region are as good as
+   each other, and another region adds more than this. */
+#define STORE_STEP_MS 10
 
 typedef struct {
   LdrMember member;
@@ -52,6 +58,7 @@
   int64_t store_ok_at;
   int64_t store_steady_at;     /* when it was first reached since it last failed */
   int64_t store_failing_since; /* 0: last call succeeded */
+  int64_t store_ms;            /* shortest round trip to the store; 0: not measured */
   int64_t peer_heard_at;
 };
 
@@ -171,6 +178,14 @@
   }
 }
 
+void
+ldr_store_took (LdrState *ldr, int64_t took_ms)
+{
+  int64_t ms = took_ms > 0 ? took_ms : 1;
+  if (ldr->store_ms == 0 || ms < ldr->store_ms)
+    ldr->store_ms = ms;
+}
+
 void
 ldr_claimed (LdrState *ldr, LdrClaimResult result, int64_t offset, int64_t now_ms)
 {
@@ -216,13 +231,23 @@
   return ldr->store_failing_since == 0 || now_ms - ldr->store_failing_since < STORE_FAILING_MS;
 }
 
-/* Order of preference: strength, then the newest process (in a rolling restart it has been
-   restarted already), then the name. */
+/* Steps of distance to the store; VMs that have not measured it come last. */
+static int64_t
+store_distance (int64_t store_ms)
+{
+  return store_ms > 0 ? store_ms / STORE_STEP_MS : INT64_MAX;
+}
+
+/* Order of preference: strength, then nearness to the store, which each accepted job and each start
+   waits for, then the newest process (in a rolling restart it has been restarted already), then the
+   name. */
 static bool
-is_preferred (const LdrMember *a, const LdrMember *b)
+is_preferred (const LdrMember *a, int64_t a_store_ms, const LdrMember *b, int64_t b_store_ms)
 {
   if (a->weight != b->weight)
     return a->weight > b->weight;
+  if (store_distance (a_store_ms) != store_distance (b_store_ms))
+    return store_distance (a_store_ms) < store_distance (b_store_ms);
   if (a->vm.incarnation != b->vm.incarnation)
     return a->vm.incarnation > b->vm.incarnation;
   return gr_name_compare (&a->vm.vm, &b->vm.vm) < 0;
@@ -233,13 +258,18 @@
 rank_of_self (const LdrState *ldr, int64_t now_ms)
 {
   int64_t rank = 0;
+  const LdrMember *self = &ldr->options.self;
   for (size_t i = 0; i < ldr->known.count; i++) {
     const Known *known = &ldr->known.items[i];
+    if (known->heard_at == 0 && now_ms - ldr->started_at < UNHEARD_MS) {
+      rank += known->member.weight > self->weight;
+      continue;
+    }
     bool fresh = known->heard_at > 0 && now_ms - known->heard_at < CANDIDATE_FRESH_MS;
     if (!fresh || known->status.leaving || !known->status.store_ok
         || gr_name_equal (&known->member.vm.vm, &ldr->record.member.vm.vm))
       continue;
-    rank += is_preferred (&known->member, &ldr->options.self);
+    rank += is_preferred (&known->member, known->status.store_ms, self, ldr->store_ms);
   }
   return rank;
 }
@@ -259,7 +289,7 @@
   if (leader->heard_at > 0 && !current
       && leader->status.vm.incarnation > ldr->record.member.vm.incarnation) {
     /* The leader's process has restarted and leads no more. */
-    return now_ms + (stagger > 0 && ldr->claim_not_before == 0 ? stagger : 0);
+    return stagger == 0 ? now_ms : at;
   }
   if (current && leader->status.leaving)
     return leader->heard_at + stagger;
@@ -339,5 +369,6 @@
     .leads = ldr_leads (ldr),
     .store_ok = ldr_store_ok (ldr, now_ms),
     .leaving = ldr->leaving,
+    .store_ms = ldr->store_ms,
   };
 }
--- a/src/ldr/ldr.h
+++ b/src/ldr/ldr.h
@@ -37,6 +37,7 @@
   bool leads;    /* it leads that term */
   bool store_ok; /* it reached the store lately */
   bool leaving;
+  int64_t store_ms; /* its shortest round trip to the store; 0: not measured */
 } LdrStatus;
 
 typedef enum {
@@ -76,6 +77,8 @@
 void ldr_read (LdrState *ldr, const LdrRecord *newest, int64_t end_offset, int64_t now_ms);
 void ldr_heard (LdrState *ldr, const LdrStatus *status, int64_t now_ms);
 void ldr_link_down (LdrState *ldr, const GrName *vm, int64_t now_ms);
+/* A call to the store that did not wait there took so long. */
+void ldr_store_took (LdrState *ldr, int64_t took_ms);
 /* Outcome of any call to the store. */
 void ldr_store_result (LdrState *ldr, bool ok, int64_t now_ms);
 /* offset is that of the written record if the claim was won. */
--- a/tests/test_ldr.c
+++ b/tests/test_ldr.c
@@ -133,6 +133,59 @@
   }
 }
 
+/* Guards against a leader that is too weak for its work, or that pays a long way to the store for
+   each job, while a better VM is there: the worse one has to claim later. */
+static void
+better_candidates_go_first (void **state)
+{
+  (void) state;
+  static const struct {
+    const char *name;
+    int32_t weight, other_weight;
+    int64_t store_ms, other_store_ms;
+    bool other_heard;
+    bool waits; /* the other one could have claimed 100 ms before */
+  } cases[] = {
+    { "a stronger one is heard", 120, 500, 5, 5, true, true },
+    { "a stronger one has just started too", 120, 500, 5, 5, false, true },
+    { "a weaker one has just started too", 500, 120, 5, 5, false, false },
+    { "a weaker one is nearer", 500, 120, 55, 5, true, false },
+    { "an equal one is nearer", 500, 500, 55, 5, true, true },
+    { "an equal one is further", 500, 500, 5, 55, true, false },
+    { "an equal one has not measured", 500, 500, 55, 0, true, false },
+    { "equally near", 500, 500, 9, 3, true, false },
+  };
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+    LdrMember self = member ("a", 10);
+    LdrMember other = member ("b", 10);
+    self.weight = cases[i].weight;
+    other.weight = cases[i].other_weight;
+    LdrOptions options = { .self = self, .silence_ms = 1000, .log = { gr_name ("a"), "test" } };
+    LdrState *ldr = ldr_new (&options);
+    ldr_set_members (ldr, &other, 1);
+    ldr_read (ldr, &(LdrRecord){ 0 }, 0, START_MS);
+    ldr_store_took (ldr, cases[i].store_ms + 40);
+    ldr_store_took (ldr, cases[i].store_ms);
+    LdrCmds cmds = { 0 };
+    int64_t claimed_at = 0;
+    for (int64_t now = START_MS; now < START_MS + 3000 && claimed_at == 0; now += 20) {
+      ldr_store_result (ldr, true, now);
+      LdrStatus status = { .vm = other.vm, .store_ok = true, .store_ms = cases[i].other_store_ms };
+      if (cases[i].other_heard)
+        ldr_heard (ldr, &status, now);
+      ldr_tick (ldr, now, &cmds);
+      if (cmds.count > 0)
+        claimed_at = now;
+    }
+    int64_t first = START_MS + options.silence_ms / 2;
+    bool ok = claimed_at > 0 && (claimed_at >= first + 100) == cases[i].waits;
+    if (!ok)
+      fail_msg ("%s: claim at %lld", cases[i].name, (long long) claimed_at);
+    gr_list_clear (&cmds);
+    ldr_free (ldr);
+  }
+}
+
 static void
 steps_down (void **state)
 {
@@ -170,6 +223,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (claims_only_when_the_leader_is_lost),
     cmocka_unit_test (waits_after_a_pause),
+    cmocka_unit_test (better_candidates_go_first),
     cmocka_unit_test (leads_what_it_claimed),
     cmocka_unit_test (steps_down),
   };
