dag: wide gangs ask for advice in several calls at once; order by what is still in time

Besides, jobs that had missed their objective went first and made the next miss theirs, and small bulk work could not ask at all because waiting gangs had used up the budget for asking.

Change: a step names what it needs in up to four calls at the same time; tickets that expire before the answer count as missing; the scan of known targets is linear. Steps whose job can still be in time go before late ones, then by priority and by the latest time to start. Targets kept free for a gang count for the room they have soon, stay the same ones, and their tickets are renewed. Calls for advice are budgeted with three times the free room.

Ruled out: the leader's processor (0.2 of 0.5 cores), the lanes (19 of 41 in use).

--- a/src/cell/cell_leader.c
+++ b/src/cell/cell_leader.c
@@ -626,7 +626,7 @@
   /* A ticket may have been issued as soon as the service was done with the call. */
   int64_t age_ms = now_ms - sent_at - ask.expected_ms;
   dag_advised (leader->dag, &ask.job, ask.step, ask.token, advice->ok, advice->allowed,
-               advice->count, ask.count, age_ms > 0 ? age_ms : 0, now_ms);
+               advice->count, age_ms > 0 ? age_ms : 0, now_ms);
   free (ask.targets);
   run_commands (leader);
 }
@@ -817,6 +817,7 @@
           counts.open_jobs, counts.waiting_tasks, counts.runs, counts.targets,
           counts.usable_targets, (long long) counts.free_cpu_milli,
           (long long) counts.capacity_cpu_milli);
+  dag_log_waiting (leader->dag, now_ms);
 }
 
 void
--- a/src/dag/dag.h
+++ b/src/dag/dag.h
@@ -284,11 +284,10 @@
 /* inventory is NULL unless result is DAG_ORDER_OK. */
 void dag_held (DagState *dag, const GrName *id, int64_t token, DagOrderResult result,
                const DagInventory *inventory, int64_t now_ms);
-/* ok is false if the call failed; then allowed is empty and nothing is learned. named targets were
-   asked for, and the answer is at most age_ms old. */
+/* ok is false if the call failed; then allowed is empty and nothing is learned. The answer is at
+   most age_ms old. */
 void dag_advised (DagState *dag, const GrName *job_id, uint32_t number, int64_t token, bool ok,
-                  const DagAllowed *allowed, size_t count, size_t named, int64_t age_ms,
-                  int64_t now_ms);
+                  const DagAllowed *allowed, size_t count, int64_t age_ms, int64_t now_ms);
 
 /* Timers and placement. The caller runs it after inputs and at dag_next_tick() at the latest. */
 void dag_tick (DagState *dag, int64_t now_ms);
@@ -311,6 +310,8 @@
   int64_t free_cpu_milli, capacity_cpu_milli;
 } DagCounts;
 DagCounts dag_counts (const DagState *dag, int64_t now_ms);
+/* Logs what the steps that wait longest lack. */
+void dag_log_waiting (const DagState *dag, int64_t now_ms);
 /* Most of a target's room that runs have ever held, for the capacity property. */
 bool dag_target_room (const DagState *dag, const GrName *target, GrRes *used, GrRes *capacity);
 
--- a/src/dag/dag_job.c
+++ b/src/dag/dag_job.c
@@ -5,6 +5,8 @@
 
 /* Completion after this many times the objective is of no use to the caller. */
 #define LATE_FACTOR 3
+/* Targets named in a usual call for advice; what objectives allow for. */
+#define USUAL_ADVICE_TARGETS 30
 /* Until runs are seen, estimates are taken as they are. */
 #define FIRST_RATIO 1.0
 #define FIRST_ADVICE_GOOD 0.5
@@ -89,22 +91,31 @@
   return (DagTaskRef){ task->step->job->id, task->step->number, task->index };
 }
 
-/* Longest chain of estimated work through the steps. */
+static double
+expected_step_ms (const DagJob *job, const DagStepSpec *spec, double ratio)
+{
+  double advice = 0;
+  if (job->queue.advised)
+    advice = job->queue.advice_ms + USUAL_ADVICE_TARGETS * job->queue.advice_ms_per_target;
+  return advice + ratio * (double) spec->estimate_ms;
+}
+
+/* Sets for each step how long the longest chain from it on is; returns the longest of all. */
 static int64_t
-longest_chain_ms (const DagJob *job)
+set_tails (DagState *dag, DagJob *job)
 {
-  int64_t ends[DAG_MAX_STEPS] = { 0 };
+  double ratio = dag_learned (dag, &job->queue.name)->ratio;
   int64_t longest = 0;
-  for (size_t s = 0; s < job->step_count; s++) {
-    const DagStepSpec *spec = &job->steps[s].spec;
-    int64_t begin = 0;
-    for (size_t d = 0; d < s; d++) {
-      if ((spec->depends_on >> d & 1) && ends[d] > begin)
-        begin = ends[d];
+  for (size_t s = job->step_count; s-- > 0;) {
+    DagStep *step = &job->steps[s];
+    int64_t after = 0;
+    for (size_t d = s + 1; d < job->step_count; d++) {
+      if ((job->steps[d].spec.depends_on >> s & 1) && job->steps[d].tail_ms > after)
+        after = job->steps[d].tail_ms;
     }
-    ends[s] = begin + spec->estimate_ms;
-    if (ends[s] > longest)
-      longest = ends[s];
+    step->tail_ms = after + (int64_t) expected_step_ms (job, &step->spec, ratio);
+    if (step->tail_ms > longest)
+      longest = step->tail_ms;
   }
   return longest;
 }
@@ -112,7 +123,7 @@
 static void
 set_objective (DagState *dag, DagJob *job)
 {
-  double chain = (double) longest_chain_ms (job) * dag_learned (dag, &job->queue.name)->ratio;
+  double chain = (double) set_tails (dag, job);
   double slack = job->queue.slack_factor > 0 ? job->queue.slack_factor : 1;
   int64_t objective = (int64_t) (chain * slack) + job->queue.target_latency_ms;
   job->objective_at = job->accepted_at + objective;
@@ -183,13 +194,8 @@
 dag_forget_target (DagState *dag, const DagTarget *target)
 {
   for (DagJob *job = dag->jobs; job; job = job->hh.next) {
-    for (size_t s = 0; s < job->step_count; s++) {
-      DagStep *step = &job->steps[s];
-      for (size_t p = step->permits.count; p-- > 0;) {
-        if (step->permits.items[p].target == target)
-          gr_list_swap_remove (&step->permits, p);
-      }
-    }
+    for (size_t s = 0; s < job->step_count; s++)
+      dag_advice_forget (&job->steps[s], target);
   }
 }
 
--- a/src/dag/dag_place.c
+++ b/src/dag/dag_place.c
@@ -11,8 +11,9 @@
 #define RESERVING_GANGS 2
 /* All waiting gangs together reserve at most this share of the targets. */
 #define RESERVED_SHARE_MAX 0.5
-/* Advice is asked for so much more work than there is room: part of the targets is not allowed. */
-#define ADVICE_SURPLUS 1.5
+/* Advice is asked for so much more work than there is room: part of the targets is not allowed, and
+   gangs that ask may not fit after all. */
+#define ADVICE_SURPLUS 3.0
 /* Shortest pause between two passes; inputs come in bursts. */
 #define PASS_INTERVAL_MS 4
 
@@ -63,6 +64,15 @@
   return limit_per_target (step, target, fits_in (&need, &room));
 }
 
+int32_t
+dag_fits_idle (const DagStep *step, const DagTarget *target)
+{
+  GrRes need = dag_reserved (&step->spec);
+  int32_t fits = fits_in (&need, &target->info.capacity);
+  int32_t most = step->spec.max_per_target;
+  return most > 0 && most < fits ? most : fits;
+}
+
 /* A target on which tasks of the step may start now. */
 typedef struct {
   DagTarget *target;
@@ -227,28 +237,52 @@
   return true;
 }
 
-/* Keeps targets free that a waiting gang needs: those with the most room first. */
+uint64_t
+dag_step_key (const DagStep *step)
+{
+  return step->job->serial * DAG_MAX_STEPS + step->number;
+}
+
+/* The target to keep free for a gang next: one kept for it before, else the one with the most
+   room. */
+static DagTarget *
+choose_reserved (DagState *dag, const DagStep *step, int64_t now_ms)
+{
+  DagTarget *best = NULL;
+  bool best_kept = false;
+  for (size_t i = 0; i < step->permits.count; i++) {
+    DagTarget *target = step->permits.items[i].target;
+    if (target->reserved_pass == dag->pass || !dag_target_usable (target, now_ms)
+        || !dag_may_run (step, target) || dag_fits_idle (step, target) == 0)
+      continue;
+    bool kept = target->reserved_for == dag_step_key (step);
+    if (best
+        && (best_kept > kept
+            || (best_kept == kept
+                && target->used.v[GR_RES_CPU_MILLI] >= best->used.v[GR_RES_CPU_MILLI])))
+      continue;
+    best = target;
+    best_kept = kept;
+  }
+  return best;
+}
+
+/* Keeps targets free that a waiting gang needs. Each counts for the tasks that fit now, or one:
+   runs end one by one, so many targets have room for one more sooner than few are idle. */
 static void
 reserve_for_gang (DagState *dag, DagStep *step, size_t *reserved, int64_t now_ms)
 {
-  GrRes need = dag_reserved (&step->spec);
   size_t most = (size_t) (RESERVED_SHARE_MAX * (double) dag->order.count);
   int32_t missing = step->waiting;
   while (missing > 0 && *reserved < most) {
-    DagTarget *best = NULL;
-    for (size_t i = 0; i < step->permits.count; i++) {
-      DagTarget *target = step->permits.items[i].target;
-      if (!dag_target_usable (target, now_ms) || !dag_may_run (step, target)
-          || target->reserved_pass == dag->pass || fits_in (&need, &target->info.capacity) == 0)
-        continue;
-      if (!best || target->used.v[GR_RES_CPU_MILLI] < best->used.v[GR_RES_CPU_MILLI])
-        best = target;
-    }
-    if (!best)
+    DagTarget *target = choose_reserved (dag, step, now_ms);
+    if (!target)
       return;
-    best->reserved_pass = dag->pass;
+    target->reserved_pass = dag->pass;
+    target->reserved_for = dag_step_key (step);
     (*reserved)++;
-    missing -= fits_in (&need, &best->info.capacity);
+    int32_t fits = dag_fits (step, target);
+    missing -= fits > 0 ? fits : 1;
   }
 }
 
@@ -269,25 +303,44 @@
 static void
 ask_within_budget (DagState *dag, DagStep *step, int64_t *budget, int64_t now_ms)
 {
-  if (step->advice_token == 0 && *budget > 0)
+  if (step->asks.count == 0 && *budget > 0)
     dag_advice_ask (dag, step, now_ms);
-  if (step->advice_token != 0)
+  if (step->asks.count > 0)
     *budget -= (int64_t) step->waiting * step->spec.demand.v[GR_RES_CPU_MILLI];
 }
 
+/* What starting a step now is still worth. */
+typedef enum {
+  PROSPECT_IN_TIME, /* its job can be complete at its objective */
+  PROSPECT_LATE,    /* ... only later, which counts less */
+  PROSPECT_USELESS
+} StepProspect;
+
+static StepProspect
+prospect_of (const DagStep *step, int64_t now_ms)
+{
+  int64_t done_at = now_ms + step->tail_ms;
+  if (done_at <= step->job->objective_at)
+    return PROSPECT_IN_TIME;
+  return done_at <= step->job->late_at ? PROSPECT_LATE : PROSPECT_USELESS;
+}
+
+/* Under overload, work that has missed its objective must not make the next miss theirs too. */
 static int
 compare_steps (const void *a, const void *b, void *user)
 {
-  const DagJob *x = (*(DagStep *const *) a)->job, *y = (*(DagStep *const *) b)->job;
+  const DagStep *x = *(DagStep *const *) a, *y = *(DagStep *const *) b;
   int64_t now_ms = *(const int64_t *) user;
-  bool x_late = now_ms > x->late_at, y_late = now_ms > y->late_at;
-  if (x_late != y_late)
-    return x_late - y_late;
-  if (x->queue.priority != y->queue.priority)
-    return x->queue.priority < y->queue.priority ? -1 : 1;
-  if (x->objective_at != y->objective_at)
-    return x->objective_at < y->objective_at ? -1 : 1;
-  return x->serial < y->serial ? -1 : x->serial > y->serial;
+  StepProspect x_prospect = prospect_of (x, now_ms), y_prospect = prospect_of (y, now_ms);
+  if (x_prospect != y_prospect)
+    return x_prospect < y_prospect ? -1 : 1;
+  if (x->job->queue.priority != y->job->queue.priority)
+    return x->job->queue.priority < y->job->queue.priority ? -1 : 1;
+  int64_t x_start = x->job->objective_at - x->tail_ms;
+  int64_t y_start = y->job->objective_at - y->tail_ms;
+  if (x_start != y_start)
+    return x_start < y_start ? -1 : 1;
+  return x->job->serial < y->job->serial ? -1 : x->job->serial > y->job->serial;
 }
 
 /* A gang waits until all its members are free. */
@@ -341,6 +394,7 @@
                && now_ms <= step->job->late_at) {
       reserving++;
       reserve_for_gang (dag, step, &reserved, now_ms);
+      dag_advice_renew (dag, step, now_ms);
     }
     if (step->waiting > 0 && step->job->queue.advised)
       ask_within_budget (dag, step, &budget, now_ms);
--- a/src/dag/dag_priv.h
+++ b/src/dag/dag_priv.h
@@ -50,10 +50,17 @@
   char ticket[48];
 } DagPermit;
 
+/* A call for advice without an answer so far. */
+typedef struct {
+  int64_t token;
+  GR_LIST (DagTarget *) named;
+} DagOpenAsk;
+
 struct DagStep {
   DagJob *job;
   uint32_t number;
   DagStepSpec spec;
+  int64_t tail_ms; /* expected time from the start of the step to the end of its job */
   DagTask *tasks;
   int32_t waiting; /* tasks in TASK_WAITING */
   int32_t done;
@@ -62,9 +69,9 @@
   GrName checkpoint; /* of a gang: valid for all its members */
   int64_t break_at;  /* members that still run are stopped then; 0: no */
   GR_LIST (DagPermit) permits;
-  GR_LIST (uint32_t) asked;     /* serial numbers of targets named to the advice service */
+  GR_LIST (DagTarget *) asked; /* targets for which advice was given */
+  GR_LIST (DagOpenAsk) asks;
   GR_LIST (uint32_t) failed_on; /* serial numbers of targets where a run failed */
-  int64_t advice_token;         /* open call; 0: none */
   int64_t advice_retry_at;
   int64_t advice_asked_at;
   bool advice_known; /* at least one answer came */
@@ -138,6 +145,10 @@
   int64_t avoid_until;
   int64_t avoid_ms;
   int64_t reserved_pass; /* placement pass in which a waiting gang reserves it */
+  uint64_t reserved_for; /* that gang */
+  /* What the step in hand knows of it, if mark is the newest one. */
+  int64_t mark;
+  const DagPermit *marked_permit;
 };
 
 typedef struct {
@@ -165,6 +176,7 @@
   uint64_t next_job_serial;
   uint32_t next_target_serial;
   int64_t pass;
+  int64_t mark; /* newest mark on targets */
   bool place_wanted;
   int64_t placed_at;
   bool loaded;
@@ -239,6 +251,10 @@
 bool dag_may_run (const DagStep *step, const DagTarget *target);
 /* Tasks of the step for which the target has room now. */
 int32_t dag_fits (const DagStep *step, const DagTarget *target);
+/* ... and for which it has room when nothing else runs there. */
+int32_t dag_fits_idle (const DagStep *step, const DagTarget *target);
+/* Identifies a step for as long as the state lives. */
+uint64_t dag_step_key (const DagStep *step);
 void dag_place (DagState *dag, int64_t now_ms);
 
 /* dag_advice.c */
@@ -246,7 +262,12 @@
 #define DAG_TICKET_MARGIN_MS 120
 /* Asks about targets if the waiting tasks of the step lack room on allowed ones. */
 void dag_advice_ask (DagState *dag, DagStep *step, int64_t now_ms);
+/* Renews the tickets for targets that this pass reserves for the gang, so that it can start as soon
+   as they have room. */
+void dag_advice_renew (DagState *dag, DagStep *step, int64_t now_ms);
 void dag_advice_clear (DagStep *step);
+/* Drops what the step knows of the target. */
+void dag_advice_forget (DagStep *step, const DagTarget *target);
 
 #define DAG_LOG(dag, event, ...)                                                                   \
   do {                                                                                             \
--- /dev/null
+++ b/src/dag/dag_report.c
@@ -0,0 +1,71 @@
+/* Explains in the log why the steps that wait longest do not start. */
+#include "dag/dag_priv.h"
+
+/* Steps reported at once; the others wait for the same reasons as a rule. */
+#define REPORTED_MAX 4
+
+/* True if a has waited longer than b. */
+static bool
+waits_longer (const DagStep *a, const DagStep *b)
+{
+  if (a->job->accepted_at != b->job->accepted_at)
+    return a->job->accepted_at < b->job->accepted_at;
+  return a->job->serial < b->job->serial;
+}
+
+static size_t
+longest_waiting (const DagState *dag, const DagStep **out)
+{
+  size_t count = 0;
+  for (size_t i = 0; i < dag->ready.count; i++) {
+    const DagStep *step = dag->ready.items[i];
+    if (step->waiting == 0)
+      continue;
+    size_t at = count;
+    while (at > 0 && waits_longer (step, out[at - 1]))
+      at--;
+    if (at == REPORTED_MAX)
+      continue;
+    if (count < REPORTED_MAX)
+      count++;
+    for (size_t k = count - 1; k > at; k--)
+      out[k] = out[k - 1];
+    out[at] = step;
+  }
+  return count;
+}
+
+static void
+report_step (const DagState *dag, const DagStep *step, int64_t now_ms)
+{
+  int32_t room = 0;
+  int32_t room_expired = 0;
+  int32_t room_idle = 0;
+  size_t valid = 0;
+  for (size_t i = 0; i < step->permits.count; i++) {
+    const DagPermit *permit = &step->permits.items[i];
+    if (!dag_target_usable (permit->target, now_ms))
+      continue;
+    bool is_valid = permit->valid_until > now_ms + DAG_TICKET_MARGIN_MS;
+    valid += is_valid;
+    *(is_valid ? &room : &room_expired) += dag_fits (step, permit->target);
+    room_idle += dag_fits_idle (step, permit->target);
+  }
+  DAG_LOG (dag, GR_EV_STEP_WAITS,
+           "id=%.*s step=%u gang=%d tasks=%d waiting=%d done=%d cpu=%d since_ms=%lld late=%d "
+           "asked=%zu asks_open=%zu allowed=%zu valid=%zu room=%d room_expired=%d room_idle=%d",
+           GR_NAME_ARG (step->job->id), step->number, step->spec.gang, step->spec.count,
+           step->waiting, step->done, step->spec.demand.v[GR_RES_CPU_MILLI],
+           (long long) (now_ms - step->job->accepted_at), now_ms > step->job->late_at,
+           step->asked.count, step->asks.count, step->permits.count, valid, room, room_expired,
+           room_idle);
+}
+
+void
+dag_log_waiting (const DagState *dag, int64_t now_ms)
+{
+  const DagStep *steps[REPORTED_MAX];
+  size_t count = longest_waiting (dag, steps);
+  for (size_t i = 0; i < count; i++)
+    report_step (dag, steps[i], now_ms);
+}
--- a/tests/dag_world.hh
+++ b/tests/dag_world.hh
@@ -896,12 +896,11 @@
     GrName job = ask.job;
     uint32_t step = ask.step;
     int64_t token = ask.token, term = term_;
-    size_t named = ask.count;
     bool ok = !(faulty () && chance (0.05));
-    at (now_ + ask.expected_ms + 5, [this, job, step, token, term, named, ok, allowed] {
+    at (now_ + ask.expected_ms + 5, [this, job, step, token, term, ok, allowed] {
       if (term == term_)
-        dag_advised (dag_, &job, step, token, ok, allowed.data (), ok ? allowed.size () : 0, named,
-                     5, now_);
+        dag_advised (dag_, &job, step, token, ok, allowed.data (), ok ? allowed.size () : 0, 5,
+                     now_);
     });
   }
 
--- a/tests/test_dag.c
+++ b/tests/test_dag.c
@@ -190,6 +190,95 @@
   }
 }
 
+/* An answer of the simulated advice service that is under way. */
+typedef struct {
+  int64_t due;
+  GrName job;
+  int64_t token;
+  DagAllowed *allowed;
+  size_t count;
+} Answer;
+
+/* Takes the calls for advice among the commands; the service allows one target in three. */
+static size_t
+take_asks (World *world, Answer *answers, size_t count)
+{
+  const DagCmds *cmds = dag_cmds (world->dag);
+  for (size_t c = 0; c < cmds->count; c++) {
+    const DagCmd *cmd = &cmds->items[c];
+    if (cmd->type != DAG_CMD_ADVISE)
+      continue;
+    Answer answer = { .due = world->now_ms + cmd->u.advise.expected_ms,
+                      .job = cmd->u.advise.job,
+                      .token = cmd->u.advise.token };
+    answer.allowed = gr_calloc (cmd->u.advise.count, sizeof *answer.allowed);
+    for (size_t i = 0; i < cmd->u.advise.count; i++) {
+      if (atoi (cmd->u.advise.targets[i].data + 1) % 3 == 0)
+        answer.allowed[answer.count++].target = cmd->u.advise.targets[i];
+    }
+    answers[count++] = answer;
+  }
+  dag_cmds_reset (world->dag);
+  return count;
+}
+
+static size_t
+give_advice (World *world, Answer *answers, size_t count)
+{
+  size_t open = 0;
+  for (size_t i = 0; i < count; i++) {
+    Answer answer = answers[i];
+    if (answer.due > world->now_ms) {
+      answers[open++] = answer;
+      continue;
+    }
+    dag_advised (world->dag, &answer.job, 0, answer.token, true, answer.allowed, answer.count, 0,
+                 world->now_ms);
+    free (answer.allowed);
+  }
+  return open;
+}
+
+/* Load pattern: a gang that needs a large share of the targets it is allowed on, on an idle cell.
+   One call names a hundred targets at most; asked one after the other, the first tickets expire
+   before the last targets are known, and the gang never starts. */
+static void
+wide_gangs_learn_enough_targets_at_once (void **state)
+{
+  (void) state;
+  static const struct {
+    int32_t width;
+    int32_t cpu;
+  } cases[] = { { 8, 9000 }, { 60, 15000 }, { 120, 15000 }, { 150, 10000 } };
+  enum {
+    WIDE_TARGETS = 350,
+    ANSWERS_MAX = 64
+  };
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+    World world = new_world (true, 440, 6.4);
+    add_targets (&world, WIDE_TARGETS);
+    DagStepSpec gang = step_of (cases[i].width, cases[i].cpu, true);
+    GrErr err = { 0 };
+    submit (&world, &gang, 1, &err);
+    Answer answers[ANSWERS_MAX];
+    size_t open = 0;
+    int64_t deadline = world.now_ms + 2500;
+    DagCounts counts = dag_counts (world.dag, world.now_ms);
+    while (counts.runs == 0 && world.now_ms < deadline) {
+      dag_tick (world.dag, world.now_ms);
+      open = take_asks (&world, answers, open);
+      assert_true (open < ANSWERS_MAX / 2);
+      world.now_ms += 20;
+      open = give_advice (&world, answers, open);
+      counts = dag_counts (world.dag, world.now_ms);
+    }
+    assert_int_equal (counts.runs, cases[i].width);
+    world.now_ms += 60000;
+    give_advice (&world, answers, open);
+    dag_free (world.dag);
+  }
+}
+
 /* Load pattern: a long queue of bulk work on a nearly full cell. If every waiting step asks about
    the little room that is left, the lanes are busy with calls of which one can succeed. */
 static void
@@ -319,6 +408,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (refuses_bad_submissions),
     cmocka_unit_test (first_call_for_advice_names_enough_targets),
+    cmocka_unit_test (wide_gangs_learn_enough_targets_at_once),
     cmocka_unit_test (waiting_steps_do_not_all_ask_about_the_same_room),
     cmocka_unit_test (idle_targets_keep_their_assignments),
     cmocka_unit_test (silent_targets_get_no_new_lease),
