cell: only the leader passes configurations on, to VMs that lack them

Cause: every VM sent its configuration to every peer with an older one, with each heartbeat.

Change: the leader sends it, to a VM that lacks the store or has not read it 1.5 s after the leader first saw it behind, once a second at most.

Ruled out: decoding (all VMs had it in force within 0.9 s of its arrival).

--- a/src/cell/cell_peer.c
+++ b/src/cell/cell_peer.c
@@ -110,8 +110,14 @@
 take_status (Cell *cell, const CellWireStatus *status)
 {
   ldr_heard (cell->ldr, &status->status, cell_now (cell));
-  if (status->config_version < cell->config.version)
-    send_config (cell, &status->status.vm.vm);
+  const GrName *vm = &status->status.vm.vm;
+  /* Only the leader passes it on. A leader that lacks the store itself is replaced. */
+  if (!cell->leader)
+    return;
+  CellPeerState *state = peer_state (cell, vm);
+  bool is_older = status->config_version < cell->config.version;
+  if (cell_config_push_due (&state->push, is_older, status->status.store_ok, cell_now (cell)))
+    send_config (cell, vm);
 }
 
 void
--- a/src/cell/cell_priv.h
+++ b/src/cell/cell_priv.h
@@ -31,6 +31,7 @@
 typedef struct {
   GrName vm;
   int64_t heard_at;
+  CellConfigPush push;
 } CellPeerState;
 
 /* Added to the expected time of a call for advice. */
--- a/tests/test_cell.c
+++ b/tests/test_cell.c
@@ -97,6 +97,35 @@
   cell_lanes_free (lanes);
 }
 
+/* Load pattern: a configuration of hundreds of kilobytes appears on a cell of forty VMs. Copies
+   sent with each heartbeat fill the links until heartbeats are lost and the leader with them. */
+static void
+configurations_are_pushed_sparingly (void **state)
+{
+  (void) state;
+  static const struct {
+    const char *name;
+    bool has_store;
+    int64_t reads_after_ms; /* the VM has the newest from then on */
+    int pushes_min, pushes_max;
+  } cases[] = {
+    { "reads it itself", true, 600, 0, 0 },
+    { "lacks the store", false, 10000, 3, 4 },
+    { "lacks the store, takes the first copy", false, 300, 1, 1 },
+    { "reads of it hang", true, 2500, 1, 1 },
+  };
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+    CellConfigPush push = { 0 };
+    int pushes = 0;
+    for (int64_t now = 0; now < 3500; now += 300) {
+      bool is_older = now < cases[i].reads_after_ms;
+      pushes += cell_config_push_due (&push, is_older, cases[i].has_store, 1000 + now);
+    }
+    if (pushes < cases[i].pushes_min || pushes > cases[i].pushes_max)
+      fail_msg ("%s: %d copies", cases[i].name, pushes);
+  }
+}
+
 static void
 messages_survive_the_journey (void **state)
 {
@@ -104,7 +133,8 @@
   DagAllowed allowed[1] = { { .target = gr_name ("t1"), .ticket = "k" } };
   GrName targets[2] = { gr_name ("t1"), gr_name ("t2") };
   CellWireMsg msgs[] = {
-    { .type = CELL_WIRE_STATUS, .u.status = { { { gr_name ("a"), 7 }, 3, true, false, true, 12 }, 9 } },
+    { .type = CELL_WIRE_STATUS,
+      .u.status = { { { gr_name ("a"), 7 }, 3, true, false, true, 12 }, 9 } },
     { .type = CELL_WIRE_CALL,
       .u.call = { 4, CELL_VERB_CANCEL, 9, gr_name ("q"), gr_name ("j"), { "x", 1 } } },
     { .type = CELL_WIRE_ANSWER, .u.answer = { 4, { CELL_ANSWER_REFUSED, 1000 } } },
@@ -143,6 +173,7 @@
     cmocka_unit_test (finds_the_longest_prefix),
     cmocka_unit_test (short_asks_do_not_wait_behind_long_ones),
     cmocka_unit_test (asks_of_a_lost_lane_are_handed_out_again),
+    cmocka_unit_test (configurations_are_pushed_sparingly),
     cmocka_unit_test (messages_survive_the_journey),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
