base, platform: logs never block; counters and histograms on the metrics address

Change: the daemon's log goes to a non-blocking descriptor. 64 KiB of lines wait for a reader that is behind; further ones are left out, E106 marks the gap with their number and a metric counts them. New: histograms of calls, appends and calls for advice, gauges for the leader and the free processors. test_base fills a pipe without reading it; e2e_edge runs the daemon without a store (readiness, refusals, metrics, SIGTERM).

--- a/src/base/gr_log.c
+++ b/src/base/gr_log.c
@@ -1,5 +1,7 @@
 #include "base/gr_log.h"
 
+#include <errno.h>
+#include <fcntl.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <time.h>
@@ -7,6 +9,8 @@
 
 /* Longest line written; longer messages are truncated. */
 #define LOG_LINE_MAX 1024
+/* Lines kept for a reader that is behind: about a second of a busy VM. */
+#define PENDING_MAX_BYTES 65536
 
 static const GrEventInfo events[] = {
 #define GR_EVENT(number, name, level, text) { GR_EV_##name, #name, GR_LOG_##level, text },
@@ -15,7 +19,16 @@
 };
 
 static GrLogLevel max_level = GR_LOG_INFO;
-static FILE *log_stream; /* NULL: standard error */
+
+/* Output that never blocks; fd -1: lines go to standard error instead. */
+static struct {
+  int fd;
+  char pending[PENDING_MAX_BYTES];
+  size_t from, to; /* bytes of pending that wait to be written */
+  uint64_t dropped;
+  uint64_t reported; /* of dropped */
+  GrLog log;         /* of the line that was left out last */
+} output = { .fd = -1 };
 
 static const GrEventInfo *
 find_event (GrEvent event)
@@ -34,9 +47,18 @@
 }
 
 void
-gr_log_set_stream (FILE *stream)
+gr_log_set_fd (int fd)
 {
-  log_stream = stream;
+  int flags = fd >= 0 ? fcntl (fd, F_GETFL) : -1;
+  if (flags >= 0)
+    fcntl (fd, F_SETFL, flags | O_NONBLOCK);
+  output.fd = fd;
+}
+
+uint64_t
+gr_log_dropped (void)
+{
+  return output.dropped;
 }
 
 bool
@@ -45,33 +67,100 @@
   return find_event (event)->level <= max_level;
 }
 
+/* Formats one line into buffer, which holds LOG_LINE_MAX bytes; returns its length. */
+static size_t
+format_line (char *buffer, const GrLog *log, const GrEventInfo *info, const char *format,
+             va_list args)
+{
+  struct timespec now;
+  clock_gettime (CLOCK_REALTIME, &now);
+  struct tm utc;
+  gmtime_r (&now.tv_sec, &utc);
+  char time_text[32];
+  size_t time_len = strftime (time_text, sizeof time_text, "%Y-%m-%dT%H:%M:%S", &utc);
+  int head_len
+      = snprintf (buffer, LOG_LINE_MAX, "<%d>%.*s.%03ldZ %.*s %s[%d]: E%d %s: ", info->level,
+                  (int) time_len, time_text, now.tv_nsec / 1000000, GR_NAME_ARG (log->vm),
+                  log->component, (int) getpid (), (int) info->event, info->text);
+  int body_len = vsnprintf (buffer + head_len, LOG_LINE_MAX - (size_t) head_len - 1, format, args);
+  size_t total = (size_t) head_len + (body_len > 0 ? (size_t) body_len : 0);
+  if (total > LOG_LINE_MAX - 2)
+    total = LOG_LINE_MAX - 2;
+  buffer[total++] = '\n';
+  return total;
+}
+
+/* Writes as much as the reader takes now. */
+static void
+flush_pending (void)
+{
+  while (output.from < output.to) {
+    ssize_t written = write (output.fd, output.pending + output.from, output.to - output.from);
+    if (written < 0 && errno == EINTR)
+      continue;
+    if (written <= 0)
+      break;
+    output.from += (size_t) written;
+  }
+  memmove (output.pending, output.pending + output.from, output.to - output.from);
+  output.to -= output.from;
+  output.from = 0;
+}
+
+/* False if there is no space for the whole line. */
+static bool
+keep_line (const char *line, size_t len)
+{
+  if (len > sizeof output.pending - output.to)
+    return false;
+  memcpy (output.pending + output.to, line, len);
+  output.to += len;
+  return true;
+}
+
+static void __attribute__ ((format (printf, 3, 4)))
+keep_note (const GrLog *log, GrEvent event, const char *format, ...)
+{
+  char line[LOG_LINE_MAX];
+  va_list args;
+  va_start (args, format);
+  size_t len = format_line (line, log, find_event (event), format, args);
+  va_end (args);
+  if (keep_line (line, len))
+    output.reported = output.dropped;
+}
+
+static void
+write_unblocked (const GrLog *log, const char *line, size_t len)
+{
+  flush_pending ();
+  if (output.dropped > output.reported && output.to == 0)
+    keep_note (&output.log, GR_EV_LOG_DROPPED, "lines=%llu",
+               (unsigned long long) (output.dropped - output.reported));
+  if (!keep_line (line, len)) {
+    output.dropped++;
+    output.log = *log;
+  }
+  flush_pending ();
+}
+
 void
 gr_log (const GrLog *log, GrEvent event, const char *format, ...)
 {
   const GrEventInfo *info = find_event (event);
   if (info->level > max_level)
     return;
-  struct timespec now;
-  clock_gettime (CLOCK_REALTIME, &now);
-  struct tm utc;
-  gmtime_r (&now.tv_sec, &utc);
   char line[LOG_LINE_MAX];
-  size_t len = strftime (line, sizeof line, "%Y-%m-%dT%H:%M:%S", &utc);
-  char head[LOG_LINE_MAX];
-  int head_len = snprintf (head, sizeof head, "<%d>%.*s.%03ldZ %.*s %s[%d]: E%d %s: ", info->level,
-                           (int) len, line, now.tv_nsec / 1000000, GR_NAME_ARG (log->vm),
-                           log->component, (int) getpid (), (int) event, info->text);
   va_list args;
   va_start (args, format);
-  int body_len = vsnprintf (head + head_len, sizeof head - (size_t) head_len - 1, format, args);
+  size_t len = format_line (line, log, info, format, args);
   va_end (args);
-  size_t total = (size_t) head_len + (body_len > 0 ? (size_t) body_len : 0);
-  if (total > sizeof head - 2)
-    total = sizeof head - 2;
-  head[total++] = '\n';
-  FILE *stream = log_stream ? log_stream : stderr;
-  fwrite (head, 1, total, stream);
-  fflush (stream);
+  if (output.fd >= 0) {
+    write_unblocked (log, line, len);
+    return;
+  }
+  fwrite (line, 1, len, stderr);
+  fflush (stderr);
 }
 
 const GrEventInfo *
--- a/src/base/gr_log.h
+++ b/src/base/gr_log.h
@@ -1,4 +1,4 @@
-/* Syslog-style lines on standard error: numbered events with a component prefix. */
+/* Syslog-style lines: numbered events with a component prefix. */
 #pragma once
 
 #include <stdio.h>
@@ -36,8 +36,13 @@
   const char *text;
 } GrEventInfo;
 
-/* Where lines go; default standard error. */
-void gr_log_set_stream (FILE *stream);
+/* Writes lines to the descriptor from now on, instead of standard error, and never blocks on it:
+   the descriptor is made non-blocking; -1 goes back to standard error. While its reader is behind,
+   lines are kept up to 64 KiB; further ones are left out, and LOG_DROPPED tells how many once there
+   is space again. */
+void gr_log_set_fd (int fd);
+/* Lines left out since the process started. */
+uint64_t gr_log_dropped (void);
 /* Highest level that is written; default GR_LOG_INFO. Applies to the whole process. */
 void gr_log_set_level (GrLogLevel level);
 bool gr_log_enabled (GrEvent event);
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -337,6 +337,26 @@
   return cell;
 }
 
+void
+cell_update_metrics (Cell *cell)
+{
+  GrMetrics *metrics = cell->options.metrics;
+  int64_t live = 1;
+  for (size_t i = 0; i < cell->members.count; i++)
+    live += net_peers_is_up (cell->peers, &cell->members.items[i].vm.vm);
+  gr_metric_set (metrics, GR_METRIC_MEMBERS_LIVE, live);
+  gr_metric_set (metrics, GR_METRIC_CONFIG_VERSION, cell->config.version);
+  gr_metric_set (metrics, GR_METRIC_LEADS, cell->leader != NULL);
+  gr_metric_set (metrics, GR_METRIC_LOG_LINES_DROPPED, (int64_t) gr_log_dropped ());
+  if (cell->leader) {
+    cell_leader_update_metrics (cell->leader, metrics);
+    return;
+  }
+  gr_metric_set (metrics, GR_METRIC_RUNNING, 0);
+  gr_metric_set (metrics, GR_METRIC_QUEUED, 0);
+  gr_metric_set (metrics, GR_METRIC_FREE_CPU, 0);
+}
+
 const CellConfig *
 cell_config (const Cell *cell)
 {
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -21,7 +21,7 @@
   int64_t lease_max_ms;
   int64_t stop_timeout_ms;
   int64_t status_keep_ms;
-  GrMetrics *metrics;
+  GrMetrics *metrics; /* owned by the caller; must not be NULL */
   GrLog log;
 } CellOptions;
 
@@ -69,6 +69,8 @@
 uint64_t cell_call (Cell *cell, const CellCall *request, CellCallDone done, void *user);
 /* The caller is gone; the call itself may still take effect. */
 void cell_cancel_call (Cell *cell, uint64_t id);
+/* Brings the gauges up to date; counters and histograms always are. */
+void cell_update_metrics (Cell *cell);
 /* NULL before the first configuration. */
 const CellConfig *cell_config (const Cell *cell);
 /* It can serve: it has a configuration and knows a leader. */
--- a/src/cell/cell_calls.c
+++ b/src/cell/cell_calls.c
@@ -49,6 +49,9 @@
           GR_NAME_ARG (call->job), GR_NAME_ARG (call->queue), (int) call->verb, (int) answer.kind,
           (long long) answer.value, (long long) call->term,
           (long long) (cell_now (cell) - call->taken_at));
+  GrMetrics *metrics = cell->options.metrics;
+  gr_metric_observe (metrics, GR_METRIC_CALL_MS, cell_now (cell) - call->taken_at);
+  gr_metric_add (metrics, GR_METRIC_CALLS_REFUSED, answer.kind == CELL_ANSWER_REFUSED);
   CellCallDone done = call->done;
   void *user = call->user;
   remove_call (cell, call);
@@ -82,6 +85,7 @@
     return;
   }
   call->sent = cell_send (cell, &leader->member.vm.vm, &msg);
+  gr_metric_add (cell->options.metrics, GR_METRIC_CALLS_FORWARDED, call->sent);
 }
 
 uint64_t
@@ -90,6 +94,7 @@
   CellOpenCall *call = gr_calloc (1, sizeof *call);
   int64_t now_ms = cell_now (cell);
   uint64_t id = ++cell->next_call;
+  gr_metric_add (cell->options.metrics, GR_METRIC_CALLS, 1);
   call->id = id;
   call->verb = request->verb;
   call->queue = request->queue;
--- a/src/cell/cell_leader.c
+++ b/src/cell/cell_leader.c
@@ -28,6 +28,7 @@
 #define CLOCK_RATE_MIN 0.98
 #define COME_BACK_MS 1000
 #define LOAD_LOG_MS 1000
+#define NS_PER_US 1000
 
 typedef enum {
   LEADER_FENCING, /* earlier terms are shut out from the store */
@@ -350,6 +351,9 @@
             (long long) sequence, (int) result, leader->appends_open);
     return;
   }
+  GrMetrics *metrics = leader->cell->options.metrics;
+  gr_metric_add (metrics, GR_METRIC_LOG_RECORDS, (int64_t) leader->records.count);
+  gr_metric_observe (metrics, GR_METRIC_APPEND_MS, now_of (leader) - leader->batch_began_at);
   dag_records_clear (&leader->records);
   int64_t batch = leader->batch;
   leader->batch = 0;
@@ -380,8 +384,7 @@
   leader->append_sent_at = now_of (leader);
   leader->refs++;
   platform->append (platform->adapter, &append, on_appended, context);
-  if (leader->cell->options.metrics)
-    gr_metric_add (leader->cell->options.metrics, GR_METRIC_LOG_APPENDS, 1);
+  gr_metric_add (leader->cell->options.metrics, GR_METRIC_LOG_APPENDS, 1);
   gr_list_clear (&entries);
 }
 
@@ -623,6 +626,7 @@
   int64_t now_ms = now_of (leader);
   if (!cell_lanes_done (leader->lanes, advice->token, advice->ok, now_ms, &ask, &sent_at))
     return;
+  gr_metric_observe (leader->cell->options.metrics, GR_METRIC_ADVICE_MS, now_ms - sent_at);
   /* A ticket may have been issued as soon as the service was done with the call. */
   int64_t age_ms = now_ms - sent_at - ask.expected_ms;
   dag_advised (leader->dag, &ask.job, ask.step, ask.token, advice->ok, advice->allowed,
@@ -828,12 +832,24 @@
     refuse_unsent (leader);
   cell_leader_members (leader);
   if (leader->state == LEADER_ACTIVE) {
+    uint64_t began_ns = uv_hrtime ();
     dag_tick (leader->dag, now_of (leader));
+    gr_metric_observe (leader->cell->options.metrics, GR_METRIC_DECISION_US,
+                       (int64_t) ((uv_hrtime () - began_ns) / NS_PER_US));
     log_load (leader);
   }
   run_commands (leader);
 }
 
+void
+cell_leader_update_metrics (CellLeader *leader, GrMetrics *metrics)
+{
+  DagCounts counts = dag_counts (leader->dag, now_of (leader));
+  gr_metric_set (metrics, GR_METRIC_RUNNING, (int64_t) counts.runs);
+  gr_metric_set (metrics, GR_METRIC_QUEUED, (int64_t) counts.waiting_tasks);
+  gr_metric_set (metrics, GR_METRIC_FREE_CPU, counts.free_cpu_milli);
+}
+
 void
 cell_leader_config (CellLeader *leader)
 {
--- a/src/cell/cell_priv.h
+++ b/src/cell/cell_priv.h
@@ -90,6 +90,7 @@
 void cell_leader_free (CellLeader *leader);
 int64_t cell_leader_term (const CellLeader *leader);
 void cell_leader_config (CellLeader *leader);
+void cell_leader_update_metrics (CellLeader *leader, GrMetrics *metrics);
 void cell_leader_tick (CellLeader *leader);
 /* from is empty for calls of this VM. */
 void cell_leader_call (CellLeader *leader, const GrName *from, uint64_t id,
--- /dev/null
+++ b/tests/e2e_edge.sh
@@ -0,0 +1,67 @@
+#!/usr/bin/env bash
+# The daemon of an entry VM on its own, without a store: it says that it is not ready, refuses calls
+# at once, serves its metrics, and ends on SIGTERM.
+set -u
+build=${1:?usage: e2e_edge.sh BUILD_FOLDER}
+work=$(mktemp -d)
+pid=
+trap '[ -n "$pid" ] && kill -KILL "$pid" 2>/dev/null; rm -rf "$work"' EXIT
+failures=0
+
+# fail TEXT
+fail () {
+  echo "FAILED: $1"
+  failures=$((failures + 1))
+}
+
+# start BASE_PORT: listens on this port and the next three; false if one of them is taken
+start () {
+  "$build/gentianrelay-edge" --vm-id=e1 --zone=z --region=r --listen="127.0.0.1:$1" \
+    --ready-listen="127.0.0.1:$(($1 + 1))" --metrics-listen="127.0.0.1:$(($1 + 2))" \
+    --peer-host=127.0.0.1 --peer-port="$(($1 + 3))" --store=127.0.0.1:9 --grace-s=4 \
+    >"$work/log" 2>"$work/err" &
+  pid=$!
+  for _ in $(seq 100); do
+    kill -0 "$pid" 2>/dev/null || { wait "$pid"; pid=; return 1; }
+    curl -s -o "$work/none" "http://127.0.0.1:$(($1 + 2))/none" && return 0
+    sleep 0.1
+  done
+  return 1
+}
+
+# status URL [CURL_OPTION...]: the HTTP status of an answer within two seconds
+status () {
+  curl -s -m 2 -o "$work/body" -w '%{http_code}' "$@"
+}
+
+base=
+for attempt in $(seq 20); do
+  candidate=$((20000 + (BASHPID + attempt * 977) % 10000))
+  if start "$candidate"; then
+    base=$candidate
+    break
+  fi
+done
+[ -n "$base" ] || { fail "the daemon does not start: $(cat "$work/log" "$work/err")"; exit 1; }
+
+[ "$(status "http://127.0.0.1:$((base + 1))/gentianrelay/readyz")" = 503 ] \
+  || fail "it should not be ready without a configuration"
+for _ in $(seq 50); do
+  status "http://127.0.0.1:$base/q/0123456789abcdef" -d '{"spec":"x","steps":[{"count":1}]}'
+  echo
+done >"$work/statuses"
+[ "$(sort -u "$work/statuses")" = 503 ] \
+  || fail "calls are refused at once: $(sort "$work/statuses" | uniq -c | tr '\n' ' ')"
+[ "$(status "http://127.0.0.1:$((base + 2))/metrics")" = 200 ] || fail "metrics are served"
+for name in calls_total call_ms_bucket append_ms_count advice_ms_count leads log_lines_dropped_total; do
+  grep -q "^gentianrelay_$name" "$work/body" || fail "no metric gentianrelay_$name"
+done
+
+began=$(date +%s)
+kill -TERM "$pid"
+wait "$pid"
+code=$?
+pid=
+[ "$code" = 0 ] || fail "exit code $code after SIGTERM"
+[ $(($(date +%s) - began)) -le 4 ] || fail "it did not end within its grace"
+exit $((failures > 0))
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -4,6 +4,8 @@
 #include <stddef.h>
 #include <stdint.h>
 #include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
 
 #include <cmocka.h>
 
@@ -140,6 +142,53 @@
   free (metrics);
 }
 
+/* Guards against a daemon that stands still because nobody reads its log, and against a gap in the
+   log that does not show. */
+static void
+logs_do_not_block_and_tell_what_is_missing (void **state)
+{
+  (void) state;
+  enum {
+    LINES = 5000
+  };
+  GrLog log = { gr_name ("vm"), "test" };
+  int pipe_fds[2];
+  assert_int_equal (pipe (pipe_fds), 0);
+  gr_log_set_fd (pipe_fds[1]);
+  uint64_t dropped_before = gr_log_dropped ();
+  for (int i = 0; i < LINES; i++)
+    gr_log (&log, GR_EV_START, "number=%d and some text to make it longer", i);
+  uint64_t dropped = gr_log_dropped () - dropped_before;
+  assert_in_range (dropped, 1, LINES - 1);
+
+  char *text = malloc (LINES * 256);
+  assert_non_null (text);
+  size_t len = 0;
+  /* Each line that is written makes the log offer what it has kept. */
+  for (int i = 0; i < 8; i++) {
+    ssize_t got = read (pipe_fds[0], text + len, 65536);
+    assert_true (got > 0);
+    len += (size_t) got;
+    gr_log (&log, GR_EV_STOP_END, "last=%d", i);
+  }
+  text[len] = '\0';
+  size_t lines = 0;
+  uint64_t reported = 0;
+  for (char *line = strtok (text, "\n"); line; line = strtok (NULL, "\n")) {
+    assert_int_equal (line[0], '<');
+    const char *note = strstr (line, "E106");
+    if (note)
+      reported += strtoull (strstr (note, "lines=") + 6, NULL, 10);
+    lines += strstr (line, "E100") != NULL;
+  }
+  assert_int_equal (reported, dropped);
+  assert_int_equal (lines, LINES - dropped);
+  free (text);
+  gr_log_set_fd (-1);
+  close (pipe_fds[0]);
+  close (pipe_fds[1]);
+}
+
 int
 main (void)
 {
@@ -149,6 +198,7 @@
     cmocka_unit_test (error_names_round_trip),
     cmocka_unit_test (options_are_checked_and_flags_go_before_the_environment),
     cmocka_unit_test (event_numbers_are_unique),
+    cmocka_unit_test (logs_do_not_block_and_tell_what_is_missing),
     cmocka_unit_test (histogram_buckets_are_cumulative),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
