cell, ldr: calls wait for a leader that takes them instead of travelling to one that recovers

Cause: calls were sent to a leader as soon as it was elected. One that still reads the store answers that it does not lead; a call on its way at the caller's deadline ends as 504, since it may have been done.

Change: heartbeats tell whether the leader has recovered; calls are sent only then. Once no leader has served for 900 ms, calls are refused at once.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -327,6 +327,7 @@
   LdrOptions ldr_options = { .self = options->self, .log = options->log };
   ldr_options.log.component = "election";
   cell->ldr = ldr_new (&ldr_options);
+  cell->leader_served_at = cell_now (cell);
   uv_timer_init (loop, &cell->timer);
   cell->timer.data = cell;
   cell->tick_at = INT64_MAX;
--- a/src/cell/cell_calls.c
+++ b/src/cell/cell_calls.c
@@ -5,7 +5,8 @@
 
 #include "cell/cell_priv.h"
 
-/* A call that could not be sent to any leader for this long is refused. */
+/* Calls are refused once there has been no leader to send them to for this long: most changes of
+   leader take less. */
 #define NO_LEADER_MS 900
 /* The answer leaves so long before the caller stops waiting, or at three quarters of a shorter
    wait. */
@@ -65,7 +66,7 @@
   int64_t now_ms = cell_now (cell);
   const LdrRecord *leader = ldr_leader (cell->ldr, now_ms);
   call->retry_at = now_ms + RETRY_MS;
-  if (!leader)
+  if (!leader || !ldr_leader_serves (cell->ldr, now_ms))
     return;
   CellWireMsg msg = { .type = CELL_WIRE_CALL };
   msg.u.call = (CellWireCall){
@@ -179,6 +180,8 @@
 {
   int64_t now_ms = cell_now (cell);
   const LdrRecord *leader = ldr_leader (cell->ldr, now_ms);
+  if (ldr_leader_serves (cell->ldr, now_ms))
+    cell->leader_served_at = now_ms;
   CellOpenCall *next;
   for (CellOpenCall *call = cell->calls; call; call = next) {
     next = call->next;
@@ -195,7 +198,7 @@
     }
     if (call->sent)
       continue;
-    if (!call->maybe_done && now_ms - call->taken_at >= NO_LEADER_MS) {
+    if (!call->maybe_done && now_ms - cell->leader_served_at >= NO_LEADER_MS) {
       finish (cell, call, (CellAnswer){ CELL_ANSWER_REFUSED, COME_BACK_MS });
       continue;
     }
--- a/src/cell/cell_leader.c
+++ b/src/cell/cell_leader.c
@@ -183,6 +183,9 @@
   if (leader->state == LEADER_LISTING) {
     leader->state = LEADER_ACTIVE;
     dag_loaded (leader->dag, now_of (leader));
+    ldr_set_serving (leader->cell->ldr);
+    leader->cell->heartbeat_at = 0;
+    cell_tick_soon (leader->cell);
     DagCounts counts = dag_counts (leader->dag, now_of (leader));
     gr_log (&leader->cell->log, GR_EV_KEY_GAINED,
             "active term=%lld jobs=%zu open=%zu targets=%zu runs=%zu", (long long) leader->term,
--- a/src/cell/cell_priv.h
+++ b/src/cell/cell_priv.h
@@ -60,6 +60,7 @@
   GrBuf config_doc;   /* as published, for peers that cannot reach the store */
   CellLeader *leader; /* while this VM leads */
   CellOpenCall *calls;
+  int64_t leader_served_at; /* when a leader that takes calls was last known */
   uint64_t next_call;
   int64_t heartbeat_at;
   int64_t tick_at;
--- a/src/cell/cell_wire.c
+++ b/src/cell/cell_wire.c
@@ -25,10 +25,11 @@
 static void
 pack_status (msgpack_packer *packer, const CellWireStatus *status)
 {
-  pack_head (packer, CELL_WIRE_STATUS, 8);
+  pack_head (packer, CELL_WIRE_STATUS, 9);
   pack_ref (packer, &status->status.vm);
   msgpack_pack_int64 (packer, status->status.term);
   gr_pack_bool (packer, status->status.leads);
+  gr_pack_bool (packer, status->status.serves);
   gr_pack_bool (packer, status->status.store_ok);
   gr_pack_bool (packer, status->status.leaving);
   msgpack_pack_int64 (packer, status->status.store_ms);
@@ -108,14 +109,15 @@
 static bool
 read_status (const msgpack_object *f, uint32_t size, CellWireStatus *status)
 {
-  return size == 8 && gr_unpack_name (&f[0], &status->status.vm.vm)
+  return size == 9 && gr_unpack_name (&f[0], &status->status.vm.vm)
          && gr_unpack_int (&f[1], &status->status.vm.incarnation)
          && gr_unpack_int (&f[2], &status->status.term)
          && gr_unpack_bool (&f[3], &status->status.leads)
-         && gr_unpack_bool (&f[4], &status->status.store_ok)
-         && gr_unpack_bool (&f[5], &status->status.leaving)
-         && gr_unpack_int (&f[6], &status->status.store_ms)
-         && gr_unpack_int (&f[7], &status->config_version);
+         && gr_unpack_bool (&f[4], &status->status.serves)
+         && gr_unpack_bool (&f[5], &status->status.store_ok)
+         && gr_unpack_bool (&f[6], &status->status.leaving)
+         && gr_unpack_int (&f[7], &status->status.store_ms)
+         && gr_unpack_int (&f[8], &status->config_version);
 }
 
 static bool
--- a/src/ldr/ldr.c
+++ b/src/ldr/ldr.c
@@ -49,6 +49,7 @@
   bool read; /* the topic was read at least once */
   bool leads;
   bool announced;
+  bool serves; /* the announced leader has recovered */
   bool leaving;
   bool fenced;
   int64_t started_at;
@@ -332,6 +333,7 @@
     step_down_if_isolated (ldr, now_ms);
   if (ldr->leads != ldr->announced || (ldr->leads && !ldr->announced)) {
     ldr->announced = ldr->leads;
+    ldr->serves = false;
     gr_list_push (out, (LdrCmd){ .type = ldr->leads ? LDR_CMD_LEAD : LDR_CMD_STEP_DOWN,
                                  .term = ldr->record.term });
   }
@@ -361,6 +363,25 @@
   return now_ms < ldr->leader_lost_at ? &ldr->record : NULL;
 }
 
+void
+ldr_set_serving (LdrState *ldr)
+{
+  ldr->serves = true;
+}
+
+bool
+ldr_leader_serves (const LdrState *ldr, int64_t now_ms)
+{
+  const LdrRecord *leader = ldr_leader (ldr, now_ms);
+  if (!leader)
+    return false;
+  if (is_self (ldr, &leader->member.vm))
+    return ldr_leads (ldr) && ldr->serves;
+  const Known *known = find_known (ldr, &leader->member.vm.vm);
+  return known && gr_vm_ref_equal (&known->status.vm, &leader->member.vm)
+         && known->status.term == leader->term && known->status.leads && known->status.serves;
+}
+
 LdrStatus
 ldr_status (const LdrState *ldr, int64_t now_ms)
 {
@@ -368,6 +389,7 @@
     .vm = ldr->options.self.vm,
     .term = ldr->record.term,
     .leads = ldr_leads (ldr),
+    .serves = ldr_leads (ldr) && ldr->serves,
     .store_ok = ldr_store_ok (ldr, now_ms),
     .leaving = ldr->leaving,
     .store_ms = ldr->store_ms,
--- a/src/ldr/ldr.h
+++ b/src/ldr/ldr.h
@@ -35,6 +35,7 @@
   GrVmRef vm;
   int64_t term;  /* newest term that it knows */
   bool leads;    /* it leads that term */
+  bool serves;   /* ... and has recovered the state of the terms before it */
   bool store_ok; /* it reached the store lately */
   bool leaving;
   int64_t store_ms; /* its shortest round trip to the store; 0: not measured */
@@ -95,6 +96,10 @@
 const LdrRecord *ldr_leader (const LdrState *ldr, int64_t now_ms);
 /* The store was reached within the last seconds. */
 bool ldr_store_ok (const LdrState *ldr, int64_t now_ms);
+/* This VM leads and has recovered; false again when it leads a new term. */
+void ldr_set_serving (LdrState *ldr);
+/* The leader said lately that it takes calls. Calls to one that recovers would only come back. */
+bool ldr_leader_serves (const LdrState *ldr, int64_t now_ms);
 LdrStatus ldr_status (const LdrState *ldr, int64_t now_ms);
 
 #ifdef __cplusplus
--- a/tests/test_cell.c
+++ b/tests/test_cell.c
@@ -134,7 +134,7 @@
   GrName targets[2] = { gr_name ("t1"), gr_name ("t2") };
   CellWireMsg msgs[] = {
     { .type = CELL_WIRE_STATUS,
-      .u.status = { { { gr_name ("a"), 7 }, 3, true, false, true, 12 }, 9 } },
+      .u.status = { { { gr_name ("a"), 7 }, 3, true, true, false, true, 12 }, 9 } },
     { .type = CELL_WIRE_CALL,
       .u.call = { 4, CELL_VERB_CANCEL, 9, gr_name ("q"), gr_name ("j"), { "x", 1 } } },
     { .type = CELL_WIRE_ANSWER, .u.answer = { 4, { CELL_ANSWER_REFUSED, 1000 } } },
--- a/tests/test_ldr.c
+++ b/tests/test_ldr.c
@@ -186,6 +186,40 @@
   }
 }
 
+/* Guards against calls that are sent to a leader which cannot take them yet: what was sent may have
+   been done, so that a refusal is no longer possible. */
+static void
+knows_whether_the_leader_takes_calls (void **state)
+{
+  (void) state;
+  static const struct {
+    const char *name;
+    int64_t incarnation, term;
+    bool leads, serves;
+    int64_t silent_ms;
+    bool expected;
+  } cases[] = {
+    { "it serves", 10, 5, true, true, 0, true },
+    { "it recovers", 10, 5, true, false, 0, false },
+    { "it speaks of an older term", 10, 4, true, true, 0, false },
+    { "its process has restarted", 11, 5, false, false, 0, false },
+    { "it is silent", 10, 5, true, true, 2000, false },
+  };
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+    LdrState *ldr = follower (true);
+    LdrStatus status = { .vm = { gr_name ("b"), cases[i].incarnation },
+                         .term = cases[i].term,
+                         .leads = cases[i].leads,
+                         .serves = cases[i].serves,
+                         .store_ok = true };
+    assert_false (ldr_leader_serves (ldr, START_MS));
+    ldr_heard (ldr, &status, START_MS + 20);
+    if (ldr_leader_serves (ldr, START_MS + 20 + cases[i].silent_ms) != cases[i].expected)
+      fail_msg ("%s", cases[i].name);
+    ldr_free (ldr);
+  }
+}
+
 static void
 steps_down (void **state)
 {
@@ -224,6 +258,7 @@
     cmocka_unit_test (claims_only_when_the_leader_is_lost),
     cmocka_unit_test (waits_after_a_pause),
     cmocka_unit_test (better_candidates_go_first),
+    cmocka_unit_test (knows_whether_the_leader_takes_calls),
     cmocka_unit_test (leads_what_it_claimed),
     cmocka_unit_test (steps_down),
   };
