cell: split the leader into recovery, records and commands

The leader's file had grown to 940 lines. Recovery (fence, load, list of targets) and the store pipeline are files of their own now, with one private header; forward declarations fell away. The time-out of a call for advice is computed in one place, and dag_take_batch lost an unused argument.

--- a/src/cell/cell_leader.c
+++ b/src/cell/cell_leader.c
@@ -1,29 +1,13 @@
-/* The scheduler of the cell while this VM leads: recovery, the store pipeline, and the commands of
-   the pure scheduler carried out through the platform. */
+/* The scheduler of the cell while this VM leads: the commands of the pure scheduler carried out
+   through the platform, calls passed on to it, and advice asked for on behalf of it. */
 #include <stdlib.h>
 
-#include "cell/cell_priv.h"
-
-#define FENCE_TIMEOUT_MS 1200
-#define LOAD_TIMEOUT_MS 2500
-#define APPEND_TIMEOUT_MS 1500
-/* An append without an answer is sent again beside the first one: a call that the store never got
-   is never answered. */
-#define HEDGE_MS 450
-#define HEDGES_MAX 4
-#define RETRY_MS 120
-/* Batches begin at least so far apart, so that records are written several at a time. */
-#define BATCH_INTERVAL_MS 12
-/* Submissions are refused while an append has been without an answer for so long. */
-#define STORE_AWAY_MS 700
+#include "cell/cell_leader_priv.h"
+
 /* Targets answer a start within some 50 ms; one without an answer is repeated. */
 #define START_TIMEOUT_MS 250
 #define STOP_TIMEOUT_MS 700
 #define HOLD_MARGIN_MS 700
-/* A follow of the targets' entries pauses so long between two reads. */
-#define TARGETS_PAUSE_MS 250
-/* A target that vanished from the list soon after an outage of the store may only have lapsed. */
-#define STORE_RETURN_MS 2500
 /* A leader that lost the store and its peers gives up within this; orders of the term before it
    may come until then. */
 #define FORMER_LEADER_MS 2900
@@ -32,64 +16,8 @@
 #define LOAD_LOG_MS 1000
 #define NS_PER_US 1000
 
-typedef enum {
-  LEADER_FENCING, /* earlier terms are shut out from the store */
-  LEADER_LOADING,
-  LEADER_LISTING, /* waits for the list of targets */
-  LEADER_ACTIVE
-} LeaderState;
-
-/* A call that waits for a record to be stored. */
-typedef struct {
-  int64_t token;
-  GrName from; /* empty: this VM */
-  uint64_t id;
-  GrName job; /* of a submission; empty: another call */
-} WaitingCall;
-
-typedef struct {
-  GrName target;
-  int64_t at;
-} Unlisted;
-
-typedef struct {
-  GrBuf key;
-  GrBuf value;
-} LoadedRecord;
-
-struct CellLeader {
-  Cell *cell;
-  int64_t term;
-  LeaderState state;
-  DagState *dag;
-  CellFollow *follow_targets;
-  CellLanes *lanes;
-  GR_LIST (WaitingCall) waiting;
-  int64_t next_token;
-  GR_LIST (Unlisted) unlisted;
-  GR_LIST (LoadedRecord) loaded;
-  GrBuf load_after;
-  /* Store pipeline: one append at a time. */
-  bool store_open;
-  int appends_open; /* copies of the batch under way */
-  int64_t append_sent_at;
-  int64_t sequence;
-  int64_t batch;
-  DagRecords records;
-  int64_t batch_began_at;
-  int64_t retry_at;
-  int64_t failing_since; /* 0: the last append succeeded */
-  int64_t load_logged_at;
-  int64_t store_failed_at; /* last failure of any append or list read */
-  int refs;                /* open calls to the platform, and the owner */
-  bool freeing;
-};
-
-static void run_commands (CellLeader *leader);
-static void pump_store (CellLeader *leader);
-
-static int64_t
-now_of (const CellLeader *leader)
+int64_t
+cell_leader_now (const CellLeader *leader)
 {
   return cell_now (leader->cell);
 }
@@ -103,8 +31,8 @@
 }
 
 /* True if the leader that a late answer belongs to is gone. */
-static bool
-is_over (CellLeader *leader)
+bool
+cell_leader_is_over (CellLeader *leader)
 {
   if (leader->freeing) {
     unref (leader);
@@ -114,18 +42,18 @@
   return false;
 }
 
-static void
-fenced (CellLeader *leader)
+void
+cell_leader_fenced (CellLeader *leader)
 {
   gr_log (&leader->cell->log, GR_EV_FENCED, "term=%lld", (long long) leader->term);
-  ldr_fenced (leader->cell->ldr, now_of (leader));
+  ldr_fenced (leader->cell->ldr, cell_leader_now (leader));
   cell_tick_soon (leader->cell);
 }
 
-static void
-store_result (CellLeader *leader, bool ok)
+void
+cell_leader_store_result (CellLeader *leader, bool ok)
 {
-  int64_t now_ms = now_of (leader);
+  int64_t now_ms = cell_leader_now (leader);
   ldr_store_result (leader->cell->ldr, ok, now_ms);
   if (ok) {
     leader->failing_since = 0;
@@ -136,314 +64,6 @@
     leader->failing_since = now_ms;
 }
 
-/* --- Recovery --- */
-
-static void load_page (CellLeader *leader);
-
-static void
-on_target_entry (void *user, const CellEntry *entry, int64_t offset)
-{
-  (void) offset;
-  CellLeader *leader = user;
-  DagTargetInfo info = { 0 };
-  GrErr err = { 0 };
-  GrName id;
-  if (entry->value.len == 0) {
-    if (gr_name_set (&id, entry->key))
-      gr_list_push (&leader->unlisted, (Unlisted){ id, now_of (leader) });
-    return;
-  }
-  const CellPlatform *platform = leader->cell->platform;
-  if (!platform->decode_target (platform->adapter, entry->key, entry->value, &info, &err)) {
-    gr_log (&leader->cell->log, GR_EV_BAD_INPUT, "target entry: %.*s %s", GR_NAME_ARG (err.field),
-            err.detail);
-    return;
-  }
-  for (size_t i = leader->unlisted.count; i-- > 0;) {
-    if (gr_name_equal (&leader->unlisted.items[i].target, &info.id))
-      gr_list_swap_remove (&leader->unlisted, i);
-  }
-  dag_target_seen (leader->dag, &info, now_of (leader));
-}
-
-static void
-on_target_missing (void *user, GrStr key)
-{
-  CellLeader *leader = user;
-  GrName id;
-  if (gr_name_set (&id, key))
-    gr_list_push (&leader->unlisted, (Unlisted){ id, now_of (leader) });
-}
-
-static void
-on_targets_read (void *user, int64_t end)
-{
-  (void) end;
-  CellLeader *leader = user;
-  if (leader->state == LEADER_LISTING) {
-    leader->state = LEADER_ACTIVE;
-    dag_loaded (leader->dag, now_of (leader));
-    ldr_set_serving (leader->cell->ldr);
-    leader->cell->heartbeat_at = 0;
-    cell_tick_soon (leader->cell);
-    DagCounts counts = dag_counts (leader->dag, now_of (leader));
-    gr_log (&leader->cell->log, GR_EV_KEY_GAINED,
-            "active term=%lld jobs=%zu open=%zu targets=%zu runs=%zu", (long long) leader->term,
-            counts.jobs, counts.open_jobs, counts.targets, counts.runs);
-  }
-  run_commands (leader);
-}
-
-static void
-on_targets_result (void *user, bool ok)
-{
-  CellLeader *leader = user;
-  ldr_store_result (leader->cell->ldr, ok, now_of (leader));
-  if (!ok)
-    leader->store_failed_at = now_of (leader);
-}
-
-static void
-list_targets (CellLeader *leader)
-{
-  leader->state = LEADER_LISTING;
-  CellFollowOptions options = { .topic = CELL_TOPIC_TARGETS,
-                                .wait_ms = 1000,
-                                .pause_ms = TARGETS_PAUSE_MS,
-                                .entry = on_target_entry,
-                                .missing = on_target_missing,
-                                .read = on_targets_read,
-                                .result = on_targets_result,
-                                .user = leader };
-  leader->follow_targets = cell_follow_new (leader->cell->loop, leader->cell->platform, &options);
-}
-
-static void
-load_records (CellLeader *leader)
-{
-  /* Submissions first: progress refers to them. */
-  for (int pass = 0; pass < 2; pass++) {
-    for (size_t i = 0; i < leader->loaded.count; i++) {
-      LoadedRecord *record = &leader->loaded.items[i];
-      bool submission = record->key.len > 0 && record->key.data[0] == 'j';
-      if (submission != (pass == 0))
-        continue;
-      GrErr err = { 0 };
-      if (!dag_load (leader->dag, gr_buf_str (&record->key), gr_buf_str (&record->value),
-                     now_of (leader), &err))
-        gr_log (&leader->cell->log, GR_EV_BAD_INPUT, "job record: %s", err.detail);
-    }
-  }
-}
-
-static void
-clear_loaded (CellLeader *leader)
-{
-  for (size_t i = 0; i < leader->loaded.count; i++) {
-    gr_buf_clear (&leader->loaded.items[i].key);
-    gr_buf_clear (&leader->loaded.items[i].value);
-  }
-  gr_list_clear (&leader->loaded);
-  gr_buf_clear (&leader->load_after);
-}
-
-static void
-on_page (void *user, CellStoreResult result, const CellEntry *entries, size_t count, bool more,
-         int64_t end)
-{
-  (void) end;
-  CellLeader *leader = user;
-  if (is_over (leader))
-    return;
-  leader->store_open = false;
-  store_result (leader, result == CELL_STORE_OK);
-  if (result != CELL_STORE_OK) {
-    leader->retry_at = now_of (leader) + RETRY_MS;
-    return;
-  }
-  for (size_t i = 0; i < count; i++) {
-    LoadedRecord record = { 0 };
-    gr_buf_append_str (&record.key, entries[i].key);
-    gr_buf_append_str (&record.value, entries[i].value);
-    gr_list_push (&leader->loaded, record);
-  }
-  if (more && count > 0) {
-    gr_buf_clear (&leader->load_after);
-    gr_buf_append_str (&leader->load_after, entries[count - 1].key);
-    load_page (leader);
-    return;
-  }
-  load_records (leader);
-  clear_loaded (leader);
-  list_targets (leader);
-}
-
-static void
-load_page (CellLeader *leader)
-{
-  const CellPlatform *platform = leader->cell->platform;
-  leader->store_open = true;
-  leader->refs++;
-  platform->newest (platform->adapter, CELL_TOPIC_JOBS, gr_buf_str (&leader->load_after),
-                    now_of (leader) + LOAD_TIMEOUT_MS, on_page, leader);
-}
-
-static void
-on_fenced (void *user, CellStoreResult result, int64_t offset)
-{
-  (void) offset;
-  CellLeader *leader = user;
-  if (is_over (leader))
-    return;
-  leader->store_open = false;
-  if (result == CELL_STORE_FENCED) {
-    fenced (leader);
-    return;
-  }
-  store_result (leader, result == CELL_STORE_OK);
-  if (result != CELL_STORE_OK) {
-    leader->retry_at = now_of (leader) + RETRY_MS;
-    return;
-  }
-  leader->state = LEADER_LOADING;
-  load_page (leader);
-}
-
-static void
-send_fence (CellLeader *leader)
-{
-  CellAppend append = { .topic = CELL_TOPIC_JOBS,
-                        .expected_end = -1,
-                        .term = leader->term,
-                        .sequence = 0,
-                        .timeout_at_ms = now_of (leader) + FENCE_TIMEOUT_MS };
-  const CellPlatform *platform = leader->cell->platform;
-  leader->store_open = true;
-  leader->refs++;
-  platform->append (platform->adapter, &append, on_fenced, leader);
-}
-
-/* --- Store pipeline --- */
-
-typedef struct {
-  CellLeader *leader;
-  int64_t sequence;
-} AppendContext;
-
-static void
-on_appended (void *user, CellStoreResult result, int64_t offset)
-{
-  (void) offset;
-  AppendContext *context = user;
-  CellLeader *leader = context->leader;
-  int64_t sequence = context->sequence;
-  free (context);
-  if (is_over (leader))
-    return;
-  if (result == CELL_STORE_FENCED) {
-    fenced (leader);
-    return;
-  }
-  store_result (leader, result == CELL_STORE_OK);
-  /* Another copy of this batch was answered before. */
-  if (sequence != leader->sequence || leader->batch == 0)
-    return;
-  leader->appends_open--;
-  if (result != CELL_STORE_OK) {
-    /* The same sequence number makes the repeat harmless. */
-    leader->retry_at = now_of (leader) + RETRY_MS;
-    gr_log (&leader->cell->log, GR_EV_APPEND_RETRY, "sequence=%lld result=%d open=%d",
-            (long long) sequence, (int) result, leader->appends_open);
-    return;
-  }
-  GrMetrics *metrics = leader->cell->options.metrics;
-  gr_metric_add (metrics, GR_METRIC_LOG_RECORDS, (int64_t) leader->records.count);
-  gr_metric_observe (metrics, GR_METRIC_APPEND_MS, now_of (leader) - leader->batch_began_at);
-  dag_records_clear (&leader->records);
-  int64_t batch = leader->batch;
-  leader->batch = 0;
-  leader->appends_open = 0;
-  leader->retry_at = 0;
-  dag_stored (leader->dag, batch, now_of (leader));
-  run_commands (leader);
-}
-
-static void
-send_batch (CellLeader *leader)
-{
-  GR_LIST (CellEntry) entries = { 0 };
-  for (size_t i = 0; i < leader->records.count; i++)
-    gr_list_push (&entries, (CellEntry){ gr_buf_str (&leader->records.items[i].key),
-                                         gr_buf_str (&leader->records.items[i].value) });
-  CellAppend append = { .topic = CELL_TOPIC_JOBS,
-                        .entries = entries.items,
-                        .count = entries.count,
-                        .expected_end = -1,
-                        .term = leader->term,
-                        .sequence = leader->sequence,
-                        .timeout_at_ms = now_of (leader) + APPEND_TIMEOUT_MS };
-  const CellPlatform *platform = leader->cell->platform;
-  AppendContext *context = gr_calloc (1, sizeof *context);
-  *context = (AppendContext){ leader, leader->sequence };
-  leader->appends_open++;
-  leader->append_sent_at = now_of (leader);
-  leader->refs++;
-  platform->append (platform->adapter, &append, on_appended, context);
-  gr_metric_add (leader->cell->options.metrics, GR_METRIC_LOG_APPENDS, 1);
-  gr_list_clear (&entries);
-}
-
-/* Sends the open batch again if no copy is under way, or the newest has been out for long. */
-static void
-repeat_batch (CellLeader *leader)
-{
-  int64_t now_ms = now_of (leader);
-  bool retry = leader->appends_open == 0 && now_ms >= leader->retry_at;
-  bool hedge = leader->appends_open > 0 && leader->appends_open < HEDGES_MAX
-               && now_ms - leader->append_sent_at >= HEDGE_MS;
-  /* A silent store shows first as an append without an answer. */
-  if (hedge)
-    ldr_store_result (leader->cell->ldr, false, now_ms);
-  if (retry || hedge)
-    send_batch (leader);
-}
-
-static void
-pump_store (CellLeader *leader)
-{
-  int64_t now_ms = now_of (leader);
-  if (leader->batch != 0) {
-    repeat_batch (leader);
-    return;
-  }
-  if (leader->store_open || now_ms < leader->retry_at)
-    return;
-  switch (leader->state) {
-  case LEADER_FENCING:
-    send_fence (leader);
-    return;
-  case LEADER_LOADING:
-    load_page (leader);
-    return;
-  case LEADER_LISTING:
-    return;
-  case LEADER_ACTIVE:
-    break;
-  }
-  if (!dag_has_changes (leader->dag))
-    return;
-  if (now_ms - leader->batch_began_at < BATCH_INTERVAL_MS) {
-    cell_tick_at (leader->cell, leader->batch_began_at + BATCH_INTERVAL_MS);
-    return;
-  }
-  leader->batch = dag_take_batch (leader->dag, &leader->records, now_ms);
-  if (leader->batch == 0)
-    return;
-  leader->batch_began_at = now_ms;
-  leader->sequence++;
-  send_batch (leader);
-}
-
 /* --- Commands --- */
 
 typedef struct {
@@ -471,9 +91,10 @@
 {
   OrderContext *context = user;
   CellLeader *leader = context->leader;
-  if (!is_over (leader)) {
-    dag_started (leader->dag, &context->task, context->run, result, clock_ms, now_of (leader));
-    run_commands (leader);
+  if (!cell_leader_is_over (leader)) {
+    dag_started (leader->dag, &context->task, context->run, result, clock_ms,
+                 cell_leader_now (leader));
+    cell_leader_run_commands (leader);
   }
   free (context);
 }
@@ -484,9 +105,9 @@
   (void) clock_ms;
   OrderContext *context = user;
   CellLeader *leader = context->leader;
-  if (!is_over (leader)) {
-    dag_stopped (leader->dag, &context->task, context->run, result, now_of (leader));
-    run_commands (leader);
+  if (!cell_leader_is_over (leader)) {
+    dag_stopped (leader->dag, &context->task, context->run, result, cell_leader_now (leader));
+    cell_leader_run_commands (leader);
   }
   free (context);
 }
@@ -496,9 +117,10 @@
 {
   OrderContext *context = user;
   CellLeader *leader = context->leader;
-  if (!is_over (leader)) {
-    dag_held (leader->dag, &context->target, context->run, result, inventory, now_of (leader));
-    run_commands (leader);
+  if (!cell_leader_is_over (leader)) {
+    dag_held (leader->dag, &context->target, context->run, result, inventory,
+              cell_leader_now (leader));
+    cell_leader_run_commands (leader);
   }
   free (context);
 }
@@ -546,7 +168,7 @@
 run_command (CellLeader *leader, const DagCmd *cmd)
 {
   const CellPlatform *platform = leader->cell->platform;
-  int64_t now_ms = now_of (leader);
+  int64_t now_ms = cell_leader_now (leader);
   switch (cmd->type) {
   case DAG_CMD_ACCEPTED:
     answer_waiting (leader, cmd->u.call, CELL_ANSWER_ACCEPTED);
@@ -573,7 +195,7 @@
     queue_ask (leader, cmd);
     return;
   case DAG_CMD_DEPOSED:
-    fenced (leader);
+    cell_leader_fenced (leader);
     return;
   }
 }
@@ -585,7 +207,7 @@
 {
   OrderContext *context = user;
   CellLeader *leader = context->leader;
-  if (!is_over (leader)) {
+  if (!cell_leader_is_over (leader)) {
     CellWireAdvice advice = { context->run, ok, allowed, count };
     cell_leader_advised (leader, &advice);
   }
@@ -597,7 +219,7 @@
 {
   Cell *cell = leader->cell;
   if (gr_name_equal (vm, &cell->options.self.vm.vm)) {
-    int64_t timeout_at = now_of (leader) + CELL_ADVICE_TIMEOUT_MS + 2 * ask->expected_ms;
+    int64_t timeout_at = cell_advice_timeout_at (cell, ask->expected_ms);
     cell->platform->advise (cell->platform->adapter, &ask->job, ask->step, ask->targets, ask->count,
                             timeout_at, on_own_advice,
                             order_context (leader, vm, NULL, ask->token));
@@ -613,13 +235,13 @@
 pump_lanes (CellLeader *leader)
 {
   int64_t token;
-  while ((token = cell_lanes_overdue (leader->lanes, now_of (leader))) != 0) {
+  while ((token = cell_lanes_overdue (leader->lanes, cell_leader_now (leader))) != 0) {
     CellWireAdvice advice = { .token = token };
     cell_leader_advised (leader, &advice);
   }
   GrName vm;
   const CellAsk *ask;
-  while ((ask = cell_lanes_next (leader->lanes, &vm, now_of (leader))) != NULL)
+  while ((ask = cell_lanes_next (leader->lanes, &vm, cell_leader_now (leader))) != NULL)
     send_ask (leader, ask, &vm);
 }
 
@@ -628,7 +250,7 @@
 {
   CellAsk ask;
   int64_t sent_at;
-  int64_t now_ms = now_of (leader);
+  int64_t now_ms = cell_leader_now (leader);
   if (!cell_lanes_done (leader->lanes, advice->token, advice->ok, now_ms, &ask, &sent_at))
     return;
   gr_metric_observe (leader->cell->options.metrics, GR_METRIC_ADVICE_MS, now_ms - sent_at);
@@ -637,7 +259,7 @@
   dag_advised (leader->dag, &ask.job, ask.step, ask.token, advice->ok, advice->allowed,
                advice->count, age_ms > 0 ? age_ms : 0, now_ms);
   free (ask.targets);
-  run_commands (leader);
+  cell_leader_run_commands (leader);
 }
 
 /* The lanes are this VM and those it has a link to. */
@@ -687,7 +309,8 @@
   if (dag_unpack_job_spec (call->spec, &unpacked, steps, &spec)) {
     int64_t token = ++leader->next_token;
     int64_t retry_after_ms = 0;
-    switch (dag_submit (leader->dag, &spec, token, now_of (leader), &retry_after_ms, &err)) {
+    switch (
+        dag_submit (leader->dag, &spec, token, cell_leader_now (leader), &retry_after_ms, &err)) {
     case DAG_SUBMIT_PENDING:
       wait_for_store (leader, from, id, token, &spec.id);
       *waits = true;
@@ -711,13 +334,6 @@
   return answer;
 }
 
-/* The open batch has been without an answer for long: what comes now would wait behind it. */
-static bool
-store_is_away (const CellLeader *leader)
-{
-  return leader->batch != 0 && now_of (leader) - leader->batch_began_at > STORE_AWAY_MS;
-}
-
 /* Refuses submissions that are in no batch yet. They are forgotten, so the refusal is true. */
 static void
 refuse_unsent (CellLeader *leader)
@@ -750,7 +366,7 @@
   }
   switch (call->verb) {
   case CELL_VERB_SUBMIT:
-    if (store_is_away (leader) && dag_status (leader->dag, &call->job) == DAG_JOB_UNKNOWN)
+    if (cell_records_away (leader) && dag_status (leader->dag, &call->job) == DAG_JOB_UNKNOWN)
       answer = (CellAnswer){ CELL_ANSWER_REFUSED, COME_BACK_MS };
     else
       answer = submit (leader, from, id, call, &waits);
@@ -763,7 +379,7 @@
   }
   case CELL_VERB_CANCEL: {
     int64_t token = ++leader->next_token;
-    waits = dag_cancel (leader->dag, &call->job, token, now_of (leader));
+    waits = dag_cancel (leader->dag, &call->job, token, cell_leader_now (leader));
     if (waits)
       wait_for_store (leader, from, id, token, NULL);
     answer.kind = CELL_ANSWER_NO_JOB;
@@ -775,29 +391,13 @@
   }
   if (!waits)
     answer_call (leader, from, id, answer);
-  run_commands (leader);
+  cell_leader_run_commands (leader);
 }
 
 /* --- Life --- */
 
-static void
-settle_unlisted (CellLeader *leader)
-{
-  int64_t now_ms = now_of (leader);
-  for (size_t i = leader->unlisted.count; i-- > 0;) {
-    const Unlisted *entry = &leader->unlisted.items[i];
-    int64_t due = entry->at;
-    if (leader->store_failed_at > 0 && leader->store_failed_at + STORE_RETURN_MS > due)
-      due = leader->store_failed_at + STORE_RETURN_MS;
-    if (now_ms < due)
-      continue;
-    dag_target_unlisted (leader->dag, &entry->target, now_ms);
-    gr_list_swap_remove (&leader->unlisted, i);
-  }
-}
-
-static void
-run_commands (CellLeader *leader)
+void
+cell_leader_run_commands (CellLeader *leader)
 {
   /* Commands are carried out in order; none of them calls back into the scheduler. */
   const DagCmds *cmds = dag_cmds (leader->dag);
@@ -808,15 +408,15 @@
   dag_cmds_reset (leader->dag);
   if (leader->state == LEADER_ACTIVE)
     pump_lanes (leader);
-  pump_store (leader);
+  cell_records_pump (leader);
   if (leader->state == LEADER_ACTIVE)
-    cell_tick_at (leader->cell, dag_next_tick (leader->dag, now_of (leader)));
+    cell_tick_at (leader->cell, dag_next_tick (leader->dag, cell_leader_now (leader)));
 }
 
 static void
 log_load (CellLeader *leader)
 {
-  int64_t now_ms = now_of (leader);
+  int64_t now_ms = cell_leader_now (leader);
   if (now_ms < leader->load_logged_at + LOAD_LOG_MS)
     return;
   leader->load_logged_at = now_ms;
@@ -832,24 +432,24 @@
 void
 cell_leader_tick (CellLeader *leader)
 {
-  settle_unlisted (leader);
-  if (store_is_away (leader))
+  cell_recovery_settle_unlisted (leader);
+  if (cell_records_away (leader))
     refuse_unsent (leader);
   cell_leader_members (leader);
   if (leader->state == LEADER_ACTIVE) {
     uint64_t began_ns = uv_hrtime ();
-    dag_tick (leader->dag, now_of (leader));
+    dag_tick (leader->dag, cell_leader_now (leader));
     gr_metric_observe (leader->cell->options.metrics, GR_METRIC_DECISION_US,
                        (int64_t) ((uv_hrtime () - began_ns) / NS_PER_US));
     log_load (leader);
   }
-  run_commands (leader);
+  cell_leader_run_commands (leader);
 }
 
 void
 cell_leader_update_metrics (CellLeader *leader, GrMetrics *metrics)
 {
-  DagCounts counts = dag_counts (leader->dag, now_of (leader));
+  DagCounts counts = dag_counts (leader->dag, cell_leader_now (leader));
   gr_metric_set (metrics, GR_METRIC_RUNNING, (int64_t) counts.runs);
   gr_metric_set (metrics, GR_METRIC_QUEUED, (int64_t) counts.waiting_tasks);
   gr_metric_set (metrics, GR_METRIC_FREE_CPU, counts.free_cpu_milli);
@@ -859,7 +459,7 @@
 cell_leader_config (CellLeader *leader)
 {
   DagQueues queues = { leader->cell->config.queues.items, leader->cell->config.queues.count };
-  dag_set_queues (leader->dag, &queues, now_of (leader));
+  dag_set_queues (leader->dag, &queues, cell_leader_now (leader));
 }
 
 int64_t
@@ -901,7 +501,7 @@
   }
   cell_leader_config (leader);
   cell_leader_members (leader);
-  pump_store (leader);
+  cell_records_pump (leader);
   return leader;
 }
 
@@ -920,7 +520,7 @@
   }
   gr_list_clear (&leader->waiting);
   gr_list_clear (&leader->unlisted);
-  clear_loaded (leader);
+  cell_recovery_clear (leader);
   dag_records_clear (&leader->records);
   cell_lanes_free (leader->lanes);
   dag_free (leader->dag);
--- a/src/cell/cell_peer.c
+++ b/src/cell/cell_peer.c
@@ -69,6 +69,12 @@
   }
 }
 
+int64_t
+cell_advice_timeout_at (const Cell *cell, int64_t expected_ms)
+{
+  return cell_now (cell) + CELL_ADVICE_TIMEOUT_MS + CELL_ADVICE_DEPTH * expected_ms;
+}
+
 typedef struct {
   Cell *cell;
   GrName vm;
@@ -91,9 +97,8 @@
 {
   AskContext *context = gr_calloc (1, sizeof *context);
   *context = (AskContext){ .cell = cell, .vm = *vm, .token = ask->token };
-  int64_t timeout_at = cell_now (cell) + CELL_ADVICE_TIMEOUT_MS + 2 * ask->expected_ms;
   cell->platform->advise (cell->platform->adapter, &ask->job, ask->step, ask->targets, ask->count,
-                          timeout_at, on_advice, context);
+                          cell_advice_timeout_at (cell, ask->expected_ms), on_advice, context);
 }
 
 static void
--- a/src/cell/cell_priv.h
+++ b/src/cell/cell_priv.h
@@ -36,6 +36,8 @@
 
 /* Added to the expected time of a call for advice. */
 #define CELL_ADVICE_TIMEOUT_MS 800
+/* Calls of one lane are served in turn: one may wait for the one before it. */
+#define CELL_ADVICE_DEPTH 2
 
 struct Cell {
   uv_loop_t *loop;
@@ -101,6 +103,8 @@
 void cell_leader_peer_down (CellLeader *leader, const GrName *vm);
 
 /* cell_peer.c: messages between VMs. */
+/* When a call for advice that is sent now is given up. */
+int64_t cell_advice_timeout_at (const Cell *cell, int64_t expected_ms);
 /* False if there is no link to the VM: certainly not sent. */
 bool cell_send (Cell *cell, const GrName *vm, const CellWireMsg *msg);
 void cell_peer_frame (void *user, const NetPeerInfo *peer, GrStr body);
--- a/src/dag/dag.c
+++ b/src/dag/dag.c
@@ -85,9 +85,8 @@
 }
 
 int64_t
-dag_take_batch (DagState *dag, DagRecords *out, int64_t now_ms)
+dag_take_batch (DagState *dag, DagRecords *out)
 {
-  (void) now_ms;
   if (dag->batch_open || !dag->dirty)
     return 0;
   dag->batch++;
--- a/src/dag/dag.h
+++ b/src/dag/dag.h
@@ -295,7 +295,7 @@
 
 /* Moves the records that changed into *out and returns the number of the batch, or 0 if nothing
    changed. One batch at a time: dag_stored() must follow. */
-int64_t dag_take_batch (DagState *dag, DagRecords *out, int64_t now_ms);
+int64_t dag_take_batch (DagState *dag, DagRecords *out);
 void dag_stored (DagState *dag, int64_t batch, int64_t now_ms);
 bool dag_has_changes (const DagState *dag);
 
--- a/tests/dag_world.hh
+++ b/tests/dag_world.hh
@@ -991,7 +991,7 @@
     if (batch_open_ != 0)
       return;
     DagRecords records = {};
-    int64_t batch = dag_take_batch (dag_, &records, now_);
+    int64_t batch = dag_take_batch (dag_, &records);
     if (batch == 0)
       return;
     batch_open_ = batch;
--- a/tests/test_dag.c
+++ b/tests/test_dag.c
@@ -110,7 +110,7 @@
 store (World *world)
 {
   DagRecords records = { 0 };
-  int64_t batch = dag_take_batch (world->dag, &records, world->now_ms);
+  int64_t batch = dag_take_batch (world->dag, &records);
   dag_records_clear (&records);
   if (batch > 0)
     dag_stored (world->dag, batch, world->now_ms);
@@ -356,7 +356,7 @@
   submit (&world, &gang, 1, &err);
   dag_tick (world.dag, world.now_ms);
   DagRecords records = { 0 };
-  int64_t batch = dag_take_batch (world.dag, &records, world.now_ms);
+  int64_t batch = dag_take_batch (world.dag, &records);
   dag_records_clear (&records);
   world.now_ms += 30;
   dag_tick (world.dag, world.now_ms);
