--- a/tests/test_dag.c
+++ b/tests/test_dag.c
@@ -366,6 +366,20 @@
   dag_free (world.dag);
 }
 
+/* One target to which the start of task 0 of step 0 of "job" is about to be sent. */
+static World
+world_with_open_start (void)
+{
+  World world = new_world (false, 0, 0);
+  add_targets (&world, 1);
+  DagStepSpec step = step_of (1, 1000, false);
+  GrErr err = { 0 };
+  submit (&world, &step, 1, &err);
+  dag_tick (world.dag, world.now_ms);
+  store (&world);
+  return world;
+}
+
 /* Answers the first open start with the result; returns how many starts were open. */
 static size_t
 answer_start (World *world, DagOrderResult result)
@@ -401,13 +415,7 @@
     { "no room at first", { DAG_ORDER_NO_ROOM }, 1, 0 },
   };
   for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
-    World world = new_world (false, 0, 0);
-    add_targets (&world, 1);
-    DagStepSpec step = step_of (1, 1000, false);
-    GrErr err = { 0 };
-    submit (&world, &step, 1, &err);
-    dag_tick (world.dag, world.now_ms);
-    store (&world);
+    World world = world_with_open_start ();
     for (size_t a = 0; a < cases[i].count; a++) {
       if (answer_start (&world, cases[i].answers[a]) != 1)
         fail_msg ("%s: no start before answer %zu", cases[i].name, a);
@@ -424,13 +432,7 @@
 silent_targets_get_no_new_lease (void **state)
 {
   (void) state;
-  World world = new_world (false, 0, 0);
-  add_targets (&world, 1);
-  DagStepSpec step = step_of (1, 1000, false);
-  GrErr err = { 0 };
-  submit (&world, &step, 1, &err);
-  dag_tick (world.dag, world.now_ms);
-  store (&world);
+  World world = world_with_open_start ();
   DagTaskRef task = { gr_name ("job"), 0, 0 };
   dag_cmds_reset (world.dag);
   dag_started (world.dag, &task, 1, DAG_ORDER_OK, world.now_ms, world.now_ms);
@@ -454,13 +456,7 @@
 silent_targets_are_asked_until_they_answer (void **state)
 {
   (void) state;
-  World world = new_world (false, 0, 0);
-  add_targets (&world, 1);
-  DagStepSpec step = step_of (1, 1000, false);
-  GrErr err = { 0 };
-  submit (&world, &step, 1, &err);
-  dag_tick (world.dag, world.now_ms);
-  store (&world);
+  World world = world_with_open_start ();
   DagTaskRef task = { gr_name ("job"), 0, 0 };
   dag_started (world.dag, &task, 1, DAG_ORDER_OK, world.now_ms, world.now_ms);
   for (int i = 0; i < 600; i++) {
--- a/tests/test_fuzz.c
+++ b/tests/test_fuzz.c
@@ -10,7 +10,9 @@
 
 #include <cmocka.h>
 
+#include "cell/cell_wire.h"
 #include "cfg/cfg.h"
+#include "dag/dag.h"
 #include "job/job_private.h"
 #include "lgs/lgs.h"
 #include "net/net_peer.h"
@@ -199,6 +201,127 @@
   clear_seeds (seeds, 3);
 }
 
+static void
+decode_cell_wire (GrStr input)
+{
+  msgpack_unpacked unpacked;
+  msgpack_unpacked_init (&unpacked);
+  CellWireMsg msg;
+  GrErr err = { 0 };
+  if (cell_wire_decode (input, &unpacked, &msg, &err))
+    cell_wire_clear (&msg);
+  else
+    assert_int_not_equal (err.code, GR_ERR_NONE);
+  msgpack_unpacked_destroy (&unpacked);
+  LdrMember member;
+  if (cell_member_decode (input, &member))
+    assert_true (member.vm.vm.len <= GR_NAME_MAX);
+}
+
+static void
+cell_messages_and_members (void **state)
+{
+  (void) state;
+  DagAllowed allowed[1] = { { .target = gr_name ("t1"), .ticket = "k" } };
+  GrName targets[2] = { gr_name ("t1"), gr_name ("t2") };
+  CellWireMsg msgs[] = {
+    { .type = CELL_WIRE_STATUS, .u.status = { { { gr_name ("a"), 7 }, .term = 3 }, 9 } },
+    { .type = CELL_WIRE_CALL,
+      .u.call = { 4, CELL_VERB_CANCEL, 9, gr_name ("q"), gr_name ("j"), { "x", 1 } } },
+    { .type = CELL_WIRE_ANSWER, .u.answer = { 4, { CELL_ANSWER_REFUSED, 1000 } } },
+    { .type = CELL_WIRE_ASK, .u.ask = { 5, gr_name ("j"), 1, 40, targets, 2 } },
+    { .type = CELL_WIRE_ADVICE, .u.advice = { 5, true, allowed, 1 } },
+    { .type = CELL_WIRE_CONFIG, .u.config = { "doc", 3 } },
+  };
+  enum {
+    MSGS = sizeof msgs / sizeof msgs[0]
+  };
+  GrBuf seeds[MSGS + 1] = { 0 };
+  for (size_t i = 0; i < MSGS; i++)
+    cell_wire_encode (&msgs[i], &seeds[i]);
+  LdrMember member = { .vm = { gr_name ("a"), 7 }, .address = gr_name ("h:1"), .weight = 250 };
+  cell_member_encode (&member, &seeds[MSGS]);
+  fuzz (seeds, MSGS + 1, decode_cell_wire);
+  clear_seeds (seeds, MSGS + 1);
+}
+
+static DagState *
+new_dag (void)
+{
+  DagOptions options = { .lease_ms = 3000,
+                         .lease_max_ms = 6000,
+                         .stop_timeout_ms = 400,
+                         .status_keep_ms = 60000,
+                         .quiet = true };
+  DagState *dag = dag_new (&options, NULL);
+  assert_non_null (dag);
+  DagQueue queue = { .name = gr_name ("q"), .service = gr_name ("svc"), .max_attempts = 2 };
+  DagQueues queues = { &queue, 1 };
+  dag_set_queues (dag, &queues, 0);
+  return dag;
+}
+
+static const DagStepSpec two_tasks = { .count = 2, .estimate_ms = 500 };
+
+/* A mutated record must leave a state that goes on: it is ticked and written out again. */
+static void
+decode_job_progress (GrStr input)
+{
+  DagState *dag = new_dag ();
+  msgpack_unpacked unpacked;
+  msgpack_unpacked_init (&unpacked);
+  DagStepSpec steps[DAG_MAX_STEPS];
+  DagJobSpec spec = { 0 };
+  DagJobSpec known = { .id = gr_name ("j1"), .queue = gr_name ("q"), .steps = &two_tasks };
+  known.step_count = 1;
+  known.payload = GR_STR ("x");
+  GrErr err = { 0 };
+  int64_t retry_after_ms;
+  if (dag_unpack_job_spec (input, &unpacked, steps, &spec))
+    dag_submit (dag, &spec, 1, 10, &retry_after_ms, &err);
+  dag_submit (dag, &known, 2, 10, &retry_after_ms, &err);
+  static const char *const keys[] = { "jj1", "pj1", "pj2", "x", "" };
+  for (size_t i = 0; i < sizeof keys / sizeof keys[0]; i++) {
+    GrErr load_err = { 0 };
+    if (!dag_load (dag, gr_str_from_c (keys[i]), input, 20, &load_err))
+      assert_int_not_equal (load_err.code, GR_ERR_NONE);
+  }
+  dag_loaded (dag, 30);
+  dag_tick (dag, 40);
+  DagRecords records = { 0 };
+  dag_take_batch (dag, &records);
+  dag_records_clear (&records);
+  dag_free (dag);
+  msgpack_unpacked_destroy (&unpacked);
+}
+
+static void
+step_job_records (void **state)
+{
+  (void) state;
+  enum {
+    SEEDS = 3
+  };
+  GrBuf seeds[SEEDS] = { 0 };
+  DagState *dag = new_dag ();
+  DagJobSpec spec = { .id = gr_name ("j1"), .queue = gr_name ("q"), .steps = &two_tasks };
+  spec.step_count = 1;
+  spec.payload = GR_STR ("x");
+  dag_pack_job_spec (&spec, &seeds[0]);
+  GrErr err = { 0 };
+  int64_t retry_after_ms;
+  assert_int_equal (dag_submit (dag, &spec, 1, 10, &retry_after_ms, &err), DAG_SUBMIT_PENDING);
+  DagRecords records = { 0 };
+  assert_int_not_equal (dag_take_batch (dag, &records), 0);
+  assert_int_equal (records.count, 2);
+  for (size_t i = 0; i < 2; i++)
+    gr_buf_append_str (&seeds[1 + i], gr_buf_str (&records.items[i].value));
+  dag_records_clear (&records);
+  dag_free (dag);
+  fuzz (seeds, SEEDS, decode_job_progress);
+  clear_seeds (seeds, SEEDS);
+}
+
 static void
 ignore_frame (void *user, GrStr body)
 {
@@ -343,9 +466,14 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (job_records),   cmocka_unit_test (ownership_records_and_heartbeats),
-    cmocka_unit_test (peer_messages), cmocka_unit_test (peer_frames),
-    cmocka_unit_test (log_answers),   cmocka_unit_test (configuration_files_and_publications),
+    cmocka_unit_test (job_records),
+    cmocka_unit_test (ownership_records_and_heartbeats),
+    cmocka_unit_test (cell_messages_and_members),
+    cmocka_unit_test (step_job_records),
+    cmocka_unit_test (peer_messages),
+    cmocka_unit_test (peer_frames),
+    cmocka_unit_test (log_answers),
+    cmocka_unit_test (configuration_files_and_publications),
     cmocka_unit_test (http_bodies),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
