--- a/src/dag/dag_advice.c
+++ b/src/dag/dag_advice.c
@@ -177,7 +177,6 @@
     }
     gr_list_push (&out->candidates, candidate);
   }
-  /* NOLINTNEXTLINE(bugprone-sizeof-expression): the list may be empty */
   if (out->candidates.count > 0)
     qsort (out->candidates.items, out->candidates.count, sizeof (Candidate), compare_candidates);
 }
--- a/src/dag/dag_place.c
+++ b/src/dag/dag_place.c
@@ -1,8 +1,9 @@
 /* Placement: which waiting tasks start on which targets.
 
-   Steps are served by priority, then by the time at which their job should be complete; jobs that
-   are past all use come last. A gang is placed as a whole or not at all. The first gangs that find
-   no room reserve targets, so that smaller work that comes later cannot keep them out for good. */
+   Steps whose job can still be in time go first, then those that can be late, then the rest; among
+   them priority decides, then the latest time to start. A gang is placed as a whole or not at all.
+   The first gangs that find no room reserve targets, so that smaller work that comes later cannot
+   keep them out for good. */
 #include <stdlib.h>
 
 #include "dag/dag_priv.h"
