--- a/src/dag/dag.h
+++ b/src/dag/dag.h
@@ -27,6 +27,11 @@
 /* Tasks of one job over all steps. */
 #define DAG_MAX_TASKS 4096
 
+/* Longest estimate, latency or validity that is accepted: a year. */
+#define DAG_DURATION_MAX_MS ((int64_t) 366 * 24 * 3600 * 1000)
+/* Largest slack factor of a queue. */
+#define DAG_SLACK_MAX 1e6
+
 typedef struct DagState DagState;
 
 /* What the tasks of a step need. */
--- a/src/dag/dag_codec.c
+++ b/src/dag/dag_codec.c
@@ -145,6 +145,27 @@
   }
 }
 
+/* Values beyond this are damage: they would overflow sums of times and counts. */
+#define NUMBER_MAX ((int64_t) 1 << 53)
+
+static bool
+read_int (const msgpack_object *object, int64_t min, int64_t max, int64_t *value)
+{
+  return gr_unpack_int (object, value) && *value >= min && *value <= max;
+}
+
+static bool
+read_duration (const msgpack_object *object, int64_t *ms)
+{
+  return read_int (object, 0, DAG_DURATION_MAX_MS, ms);
+}
+
+static bool
+read_factor (const msgpack_object *object, double max, double *value)
+{
+  return gr_unpack_double (object, value) && *value >= 0 && *value <= max;
+}
+
 static bool
 read_policy (const msgpack_object *object, DagQueue *queue)
 {
@@ -153,12 +174,14 @@
   const msgpack_object *f = object->via.array.ptr;
   int64_t priority, attempts;
   if (!gr_unpack_name (&f[0], &queue->name) || !gr_unpack_name (&f[1], &queue->service)
-      || !gr_unpack_int (&f[2], &priority) || !gr_unpack_int (&f[3], &attempts)
-      || !gr_unpack_double (&f[4], &queue->slack_factor)
-      || !gr_unpack_int (&f[5], &queue->target_latency_ms)
-      || !gr_unpack_bool (&f[6], &queue->advised) || !gr_unpack_double (&f[7], &queue->advice_ms)
-      || !gr_unpack_double (&f[8], &queue->advice_ms_per_target)
-      || !gr_unpack_int (&f[9], &queue->advice_valid_ms))
+      || !read_int (&f[2], INT32_MIN, INT32_MAX, &priority)
+      || !read_int (&f[3], INT32_MIN, INT32_MAX, &attempts)
+      || !read_factor (&f[4], DAG_SLACK_MAX, &queue->slack_factor)
+      || !read_duration (&f[5], &queue->target_latency_ms)
+      || !gr_unpack_bool (&f[6], &queue->advised)
+      || !read_factor (&f[7], DAG_DURATION_MAX_MS, &queue->advice_ms)
+      || !read_factor (&f[8], DAG_DURATION_MAX_MS, &queue->advice_ms_per_target)
+      || !read_duration (&f[9], &queue->advice_valid_ms))
     return false;
   queue->priority = (int32_t) priority;
   queue->max_attempts = (int32_t) attempts;
@@ -173,15 +196,16 @@
   const msgpack_object *f = object->via.array.ptr;
   int64_t value;
   for (int d = 0; d < GR_RES_COUNT; d++) {
-    if (!gr_unpack_int (f++, &value))
+    if (!read_int (f++, 0, INT32_MAX, &value))
       return false;
     step->demand.v[d] = (int32_t) value;
   }
   int64_t count, depends_on, max_per_target, flags;
-  if (!gr_unpack_int (&f[0], &count) || !gr_unpack_int (&f[1], &step->estimate_ms)
+  if (!gr_unpack_int (&f[0], &count) || !read_duration (&f[1], &step->estimate_ms)
       || !gr_unpack_int (&f[2], &depends_on) || !gr_unpack_name (&f[3], &step->label)
-      || !gr_unpack_name (&f[4], &step->near_rack) || !gr_unpack_int (&f[5], &max_per_target)
-      || !gr_unpack_int (&f[6], &flags) || count < 1 || count > DAG_MAX_TASKS)
+      || !gr_unpack_name (&f[4], &step->near_rack)
+      || !read_int (&f[5], 0, INT32_MAX, &max_per_target) || !gr_unpack_int (&f[6], &flags)
+      || count < 1 || count > DAG_MAX_TASKS)
     return false;
   step->count = (int32_t) count;
   step->depends_on = (uint64_t) depends_on;
@@ -229,7 +253,7 @@
   DagQueue queue = { 0 };
   DagStepSpec steps[DAG_MAX_STEPS] = { 0 };
   if (!gr_unpack_int (&f[0], &format) || format != FORMAT || !gr_unpack_name (&f[1], &spec.id)
-      || !read_policy (&f[2], &queue) || !gr_unpack_int (&f[3], &accepted)
+      || !read_policy (&f[2], &queue) || !read_int (&f[3], 0, NUMBER_MAX, &accepted)
       || !gr_unpack_bytes (&f[4], &spec.payload) || !read_steps (&f[5], steps, &spec.step_count))
     return false;
   spec.queue = queue.name;
@@ -259,8 +283,8 @@
   const msgpack_object *f = object->via.array.ptr;
   int64_t state, failures, incarnation;
   GrName target;
-  if (!gr_unpack_int (&f[0], &state) || !gr_unpack_int (&f[1], &task->run)
-      || !gr_unpack_int (&f[2], &failures) || !gr_unpack_name (&f[3], &target)
+  if (!gr_unpack_int (&f[0], &state) || !read_int (&f[1], 0, NUMBER_MAX, &task->run)
+      || !read_int (&f[2], 0, INT32_MAX - 1, &failures) || !gr_unpack_name (&f[3], &target)
       || !gr_unpack_int (&f[4], &incarnation) || !gr_unpack_name (&f[5], dag_checkpoint (task)))
     return false;
   task->failures = (int32_t) failures;
@@ -290,7 +314,7 @@
   int64_t format, state, ended;
   bool begun;
   if (!gr_unpack_int (&f[0], &format) || format != FORMAT || !gr_unpack_int (&f[1], &state)
-      || !gr_unpack_bool (&f[2], &begun) || !gr_unpack_int (&f[3], &ended)
+      || !gr_unpack_bool (&f[2], &begun) || !read_int (&f[3], 0, NUMBER_MAX, &ended)
       || f[4].type != MSGPACK_OBJECT_ARRAY || state < DAG_JOB_QUEUED || state > DAG_JOB_CANCELLED)
     return false;
   DagJob *job = dag_find_job (dag, id);
--- a/src/dag/dag_job.c
+++ b/src/dag/dag_job.c
@@ -256,6 +256,9 @@
     const DagStepSpec *step = &spec->steps[s];
     if (step->count < 1)
       return gr_err_set (err, GR_ERR_INVALID, "count", "step %zu has no tasks", s);
+    if (step->estimate_ms < 0 || step->estimate_ms > DAG_DURATION_MAX_MS)
+      return gr_err_set (err, GR_ERR_INVALID, "estimate",
+                         "the estimate of step %zu is not between 0 ms and a year", s);
     if (step->depends_on >> s)
       return gr_err_set (err, GR_ERR_INVALID, "depends_on",
                          "step %zu depends on a step that is not before it", s);
--- a/tests/test_dag.c
+++ b/tests/test_dag.c
@@ -142,6 +142,8 @@
   DagStepSpec negative = step_of (1, -1, false);
   DagStepSpec forward = good;
   forward.depends_on = 1;
+  DagStepSpec endless = good;
+  endless.estimate_ms = INT64_MAX;
   DagStepSpec many = step_of (DAG_MAX_TASKS + 1, 1, false);
   const struct {
     const DagStepSpec *step;
@@ -153,6 +155,7 @@
                 { &empty, 1, DAG_SUBMIT_INVALID, GR_ERR_INVALID },
                 { &negative, 1, DAG_SUBMIT_INVALID, GR_ERR_INVALID },
                 { &forward, 1, DAG_SUBMIT_INVALID, GR_ERR_INVALID },
+                { &endless, 1, DAG_SUBMIT_INVALID, GR_ERR_INVALID },
                 { &many, 1, DAG_SUBMIT_INVALID, GR_ERR_TOO_LARGE } };
   for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
     World world = new_world (false, 0, 0);
