cell: a dead field and two twins go

Found in the last read: failing_since was written and never read; cell_leader_peer_down only called cell_leader_members; noting an unlisted target and the outcome of a read stood twice. No change of behaviour.

--- a/src/cell/cell_leader.c
+++ b/src/cell/cell_leader.c
@@ -55,13 +55,8 @@
 {
   int64_t now_ms = cell_leader_now (leader);
   ldr_store_result (leader->cell->ldr, ok, now_ms);
-  if (ok) {
-    leader->failing_since = 0;
-    return;
-  }
-  leader->store_failed_at = now_ms;
-  if (leader->failing_since == 0)
-    leader->failing_since = now_ms;
+  if (!ok)
+    leader->store_failed_at = now_ms;
 }
 
 /* --- Commands --- */
@@ -278,13 +273,6 @@
   gr_list_clear (&vms);
 }
 
-void
-cell_leader_peer_down (CellLeader *leader, const GrName *vm)
-{
-  (void) vm;
-  cell_leader_members (leader);
-}
-
 /* --- Calls --- */
 
 static void
--- a/src/cell/cell_leader_priv.h
+++ b/src/cell/cell_leader_priv.h
@@ -49,7 +49,6 @@
   DagRecords records;
   int64_t batch_began_at;
   int64_t retry_at;
-  int64_t failing_since; /* 0: the last append succeeded */
   int64_t load_logged_at;
   int64_t store_failed_at; /* last failure of any append or list read */
   int refs;                /* open calls to the platform, and the owner */
--- a/src/cell/cell_peer.c
+++ b/src/cell/cell_peer.c
@@ -185,5 +185,5 @@
   if (was_leader)
     cell_calls_resend (cell);
   if (cell->leader)
-    cell_leader_peer_down (cell->leader, &peer->vm.vm);
+    cell_leader_members (cell->leader);
 }
--- a/src/cell/cell_priv.h
+++ b/src/cell/cell_priv.h
@@ -100,7 +100,6 @@
                        const CellWireCall *call);
 void cell_leader_advised (CellLeader *leader, const CellWireAdvice *advice);
 void cell_leader_members (CellLeader *leader);
-void cell_leader_peer_down (CellLeader *leader, const GrName *vm);
 
 /* cell_peer.c: messages between VMs. */
 /* When a call for advice that is sent now is given up. */
--- a/src/cell/cell_recovery.c
+++ b/src/cell/cell_recovery.c
@@ -11,6 +11,14 @@
 /* A target that vanished from the list soon after an outage of the store may only have lapsed. */
 #define STORE_RETURN_MS 2500
 
+static void
+note_unlisted (CellLeader *leader, GrStr key)
+{
+  GrName id;
+  if (gr_name_set (&id, key))
+    gr_list_push (&leader->unlisted, (Unlisted){ id, cell_leader_now (leader) });
+}
+
 static void
 on_target_entry (void *user, const CellEntry *entry, int64_t offset)
 {
@@ -18,10 +26,8 @@
   CellLeader *leader = user;
   DagTargetInfo info = { 0 };
   GrErr err = { 0 };
-  GrName id;
   if (entry->value.len == 0) {
-    if (gr_name_set (&id, entry->key))
-      gr_list_push (&leader->unlisted, (Unlisted){ id, cell_leader_now (leader) });
+    note_unlisted (leader, entry->key);
     return;
   }
   const CellPlatform *platform = leader->cell->platform;
@@ -40,10 +46,7 @@
 static void
 on_target_missing (void *user, GrStr key)
 {
-  CellLeader *leader = user;
-  GrName id;
-  if (gr_name_set (&id, key))
-    gr_list_push (&leader->unlisted, (Unlisted){ id, cell_leader_now (leader) });
+  note_unlisted (user, key);
 }
 
 static void
@@ -68,10 +71,7 @@
 static void
 on_targets_result (void *user, bool ok)
 {
-  CellLeader *leader = user;
-  ldr_store_result (leader->cell->ldr, ok, cell_leader_now (leader));
-  if (!ok)
-    leader->store_failed_at = cell_leader_now (leader);
+  cell_leader_store_result (user, ok);
 }
 
 static void
