dag: long-running steps, their availability, and pacing beside them

Cause: jobs with longRunning were answered 400, a third of the kinds of request of kpru. A start without an answer is not stopped unseen any more: the next inventory decides. Ruled out: a restart counter against maxAttempts (the protocol sets no limit for such tasks); a pace from a model of the disturbance (figures change within seconds, a control loop needs no model). Each new check was seen to fail on a changed copy of the code.

--- a/src/cell/cell_port.h
+++ b/src/cell/cell_port.h
@@ -73,6 +73,8 @@
                  CellOrderDone done, void *user);
   void (*stop) (void *adapter, const DagCmd *stop, int64_t term, int64_t timeout_at_ms,
                 CellOrderDone done, void *user);
+  void (*pace) (void *adapter, const DagCmd *pace, int64_t term, int64_t timeout_at_ms,
+                CellOrderDone done, void *user);
   /* Order that renews the leases of a target and reads its inventory. */
   void (*hold) (void *adapter, const DagCmd *hold, int64_t term, int64_t timeout_at_ms,
                 CellHoldDone done, void *user);
--- a/src/dag/dag.c
+++ b/src/dag/dag.c
@@ -48,6 +48,7 @@
     free (stats);
     stats = next;
   }
+  dag_pace_clear (dag);
   dag_cmds_reset (dag);
   gr_list_clear (&dag->cmds);
   gr_list_clear (&dag->advise_names);
@@ -220,6 +221,7 @@
     return;
   dag_targets_tick (dag, now_ms);
   dag_runs_tick (dag, now_ms);
+  dag_avail_tick (dag, now_ms);
   if (dag->ready.count > 0 && now_ms - dag->placed_at >= PLACEMENT_RETRY_MS)
     dag->place_wanted = true;
   dag_place (dag, now_ms);
--- a/src/dag/dag.h
+++ b/src/dag/dag.h
@@ -58,6 +58,14 @@
   bool checkpoints;       /* a run resumes from the last checkpoint of its task */
   bool best_effort_cpu;   /* runs on cpu time that other tasks leave idle; its cpu demand is
                              not reserved */
+  bool long_running;      /* its tasks run until the job is cancelled and are started again
+                             however a run ends */
+  GrName image;           /* tasks of the same image behave alike; empty: unknown */
+  int64_t tail_target_ms; /* long-running: the tail of its response times must stay below; 0: it
+                             serves no users */
+  /* Long-running: most tasks that may be unavailable at the same time because of stops by the
+     scheduler; 0: the scheduler's default. */
+  int32_t max_unavailable;
 } DagStepSpec;
 
 /* A submission. Pointers are borrowed for the duration of the call. */
@@ -120,6 +128,9 @@
   int64_t run;
   GrStr checkpoint; /* latest; empty: none */
   int32_t percent;  /* progress, 0 to 100 */
+  /* Over the last half second: tail of the response times in ms if the step has a tail target, else
+     cpu in use, in millicores; -1: not reported */
+  int64_t usage;
 } DagRunReport;
 
 typedef enum {
@@ -175,6 +186,7 @@
 typedef struct {
   GrName target;
   GrName address;
+  GrName zone;
   int64_t incarnation;
 } DagTargetRef;
 
@@ -184,6 +196,7 @@
   DAG_CMD_START,     /* order; dag_handle_start_result() must follow */
   DAG_CMD_STOP,      /* order; dag_handle_stop_result() must follow */
   DAG_CMD_HOLD,      /* order; dag_handle_hold_result() must follow */
+  DAG_CMD_PACE,      /* order; dag_handle_pace_result() must follow */
   DAG_CMD_ADVISE,    /* ask for placement advice; dag_handle_advice() must follow */
   DAG_CMD_DEPOSED    /* a later term exists: this scheduler must stop */
 } DagCmdType;
@@ -206,6 +219,12 @@
       DagTaskRef task;
       int64_t run;
     } stop;
+    struct {
+      DagTargetRef target;
+      DagTaskRef task;
+      int64_t run;
+      int32_t percent; /* share of its usual speed at which the run works */
+    } pace;
     struct {
       DagTargetRef target;
       int64_t lease_until;  /* clock of the target; 0: no renewal */
@@ -268,6 +287,7 @@
   /* Test-only: faulty variants that the property tests must detect. */
   bool broken_start_before_store;
   bool broken_restart_before_lapse;
+  bool broken_interrupt_unchecked;
 } DagOptions;
 
 /* Copies options. Free with dag_free(). Returns NULL and sets err to GR_ERR_INVALID if lease_ms is
@@ -319,6 +339,9 @@
                               DagOrderResult result, int64_t clock_ms, int64_t now_ms);
 void dag_handle_stop_result (DagState *dag, const DagTaskRef *ref, int64_t run,
                              DagOrderResult result, int64_t now_ms);
+/* percent is that of the order. */
+void dag_handle_pace_result (DagState *dag, const DagTaskRef *ref, int64_t run, int32_t percent,
+                             DagOrderResult result, int64_t now_ms);
 /* inventory must be given with DAG_ORDER_OK and is ignored otherwise. */
 void dag_handle_hold_result (DagState *dag, const GrName *id, int64_t token, DagOrderResult result,
                              const DagInventory *inventory, int64_t now_ms);
--- a/src/dag/dag_advice.c
+++ b/src/dag/dag_advice.c
@@ -193,11 +193,12 @@
     qsort (out->candidates.items, out->candidates.count, sizeof (Candidate), compare_candidates);
 }
 
-/* Returns how many of the sorted candidates to name; 0 if a call would not help now. */
+/* Returns how many of the sorted candidates to name so that this number of tasks gets room; 0 if a
+   call would not help now. */
 static size_t
-choose_count (const DagStep *step, const AdviceState *state, int64_t now_ms)
+choose_count (const DagStep *step, int32_t tasks, const AdviceState *state, int64_t now_ms)
 {
-  double missing = step->waiting - state->fits_at_answer;
+  double missing = tasks - state->fits_at_answer;
   double surplus = step->spec.gang ? GANG_SURPLUS_FACTOR : SURPLUS_FACTOR;
   double wanted = missing * surplus;
   double expected = 0;
@@ -210,7 +211,7 @@
     const Candidate *candidate = &state->candidates.items[count];
     bool enough = expected >= wanted;
     /* A target without room is named only to find out where the step may run at all. */
-    bool no_gain = candidate->fits == 0 && fits_idle >= step->waiting * surplus;
+    bool no_gain = candidate->fits == 0 && fits_idle >= tasks * surplus;
     if (count >= min_count && (enough || no_gain))
       break;
     expected += candidate->fits * candidate->allowed_probability;
@@ -253,15 +254,15 @@
 }
 
 void
-dag_advice_request (DagState *dag, DagStep *step, int64_t now_ms)
+dag_advice_request (DagState *dag, DagStep *step, int32_t tasks, int64_t now_ms)
 {
   if (step->advice_calls.count > 0 || now_ms < step->advice_retry_at)
     return;
   AdviceState state = { 0 };
   collect_candidates (dag, step, &state, now_ms);
   size_t count = 0;
-  if (state.fits_now < step->waiting)
-    count = choose_count (step, &state, now_ms);
+  if (state.fits_now < tasks)
+    count = choose_count (step, tasks, &state, now_ms);
   if (count > 0) {
     size_t split = targets_per_call (&step->job->queue, SPLIT_EXTRA);
     size_t calls = (count + split - 1) / split;
--- a/src/dag/dag_codec.c
+++ b/src/dag/dag_codec.c
@@ -20,12 +20,16 @@
 #define TASK_FIELDS 6
 #define POLICY_FIELDS 10
 #define STEP_FIELDS (GR_RES_COUNT + 7)
+/* Steps that use one of these have more fields: the limit of unavailable tasks, the image and the
+   tail target. Earlier versions know only the others, so these keep their form. */
+#define STEP_FIELDS_MAX (STEP_FIELDS + 3)
 
 enum {
   FLAG_GANG = 1,
   FLAG_ONE_RACK = 2,
   FLAG_CHECKPOINTS = 4,
-  FLAG_BEST_EFFORT_CPU = 8
+  FLAG_BEST_EFFORT_CPU = 8,
+  FLAG_LONG_RUNNING = 16
 };
 
 static void
@@ -47,7 +51,8 @@
 static void
 pack_step (msgpack_packer *packer, const DagStepSpec *step)
 {
-  msgpack_pack_array (packer, STEP_FIELDS);
+  bool extended = step->max_unavailable > 0 || step->image.len > 0 || step->tail_target_ms > 0;
+  msgpack_pack_array (packer, extended ? STEP_FIELDS_MAX : STEP_FIELDS);
   for (int d = 0; d < GR_RES_COUNT; d++)
     msgpack_pack_int (packer, step->demand.v[d]);
   msgpack_pack_int (packer, step->count);
@@ -58,7 +63,13 @@
   msgpack_pack_int (packer, step->max_per_target);
   msgpack_pack_int (packer, (step->gang ? FLAG_GANG : 0) | (step->one_rack ? FLAG_ONE_RACK : 0)
                                 | (step->checkpoints ? FLAG_CHECKPOINTS : 0)
-                                | (step->best_effort_cpu ? FLAG_BEST_EFFORT_CPU : 0));
+                                | (step->best_effort_cpu ? FLAG_BEST_EFFORT_CPU : 0)
+                                | (step->long_running ? FLAG_LONG_RUNNING : 0));
+  if (!extended)
+    return;
+  msgpack_pack_int (packer, step->max_unavailable);
+  gr_pack_name (packer, &step->image);
+  msgpack_pack_int64 (packer, step->tail_target_ms);
 }
 
 void
@@ -193,7 +204,8 @@
 static bool
 read_step (const msgpack_object *object, DagStepSpec *step)
 {
-  if (!gr_unpack_is_array (object, STEP_FIELDS))
+  bool extended = gr_unpack_is_array (object, STEP_FIELDS_MAX);
+  if (!extended && !gr_unpack_is_array (object, STEP_FIELDS))
     return false;
   const msgpack_object *f = object->via.array.ptr;
   int64_t value;
@@ -216,6 +228,13 @@
   step->one_rack = flags & FLAG_ONE_RACK;
   step->checkpoints = flags & FLAG_CHECKPOINTS;
   step->best_effort_cpu = flags & FLAG_BEST_EFFORT_CPU;
+  step->long_running = flags & FLAG_LONG_RUNNING;
+  if (!extended)
+    return true;
+  if (!read_int (&f[7], 0, INT32_MAX, &value) || !gr_unpack_name (&f[8], &step->image)
+      || !read_duration (&f[9], &step->tail_target_ms))
+    return false;
+  step->max_unavailable = (int32_t) value;
   return true;
 }
 
--- a/src/dag/dag_place.c
+++ b/src/dag/dag_place.c
@@ -1,6 +1,7 @@
 /* Placement: assigns waiting tasks to targets.
 
-   Steps whose job can still meet its objective are placed first, then those whose job can meet its
+   Long-running steps come first: they hold their room for long, and work that ends frees some again
+   soon. Steps whose job can still meet its objective are placed first, then those whose job can meet its
    hard deadline, then the rest. Within each group the order is by priority, then by the latest
    start time that meets the objective, earliest first. Gang scheduling is all or nothing. The first
    gangs that do not fit reserve targets, so that later, smaller steps do not starve them. */
@@ -86,6 +87,8 @@
   int32_t spare_cpu_milli; /* free cpu after placing as many waiting tasks as fit */
   bool failed_before;      /* a run of the step failed on it */
   bool near_data;          /* on the rack of the data, or the step names none */
+  bool best_effort;        /* the step takes cpu that others leave idle */
+  double expected_harm;    /* between tasks of the step and the runs of the target */
 } Candidate;
 
 static const char no_ticket[sizeof ((DagTask *) 0)->ticket];
@@ -101,16 +104,48 @@
   return false;
 }
 
+/* Number of tasks of the step that can start on the target now, leaving advice aside. */
+static int32_t
+startable_count (const DagState *dag, const DagStep *step, const DagTarget *target, int64_t now_ms)
+{
+  if (!dag_target_usable (target, now_ms) || !dag_may_run (step, target)
+      || target->reserved_pass == dag->pass)
+    return 0;
+  return dag_fit_count (step, target);
+}
+
+static bool
+is_valid_permit (const DagPermit *permit, int64_t now_ms)
+{
+  return permit->valid_until > now_ms + DAG_TICKET_MARGIN_MS;
+}
+
+bool
+dag_has_room (DagState *dag, DagStep *step, int64_t now_ms)
+{
+  if (step->job->queue.advised) {
+    for (size_t i = 0; i < step->permits.count; i++) {
+      const DagPermit *permit = &step->permits.items[i];
+      if (is_valid_permit (permit, now_ms)
+          && startable_count (dag, step, permit->target, now_ms) > 0)
+        return true;
+    }
+    return false;
+  }
+  for (size_t i = 0; i < dag->target_list.count; i++) {
+    if (startable_count (dag, step, dag->target_list.items[i], now_ms) > 0)
+      return true;
+  }
+  return false;
+}
+
 /* Appends the target to out if tasks of the step can start on it. permit is NULL if the queue needs
    no advice. */
 static void
 add_candidate (DagState *dag, DagStep *step, DagTarget *target, const DagPermit *permit,
                Candidate *out, size_t *count, int64_t now_ms)
 {
-  if (!dag_target_usable (target, now_ms) || !dag_may_run (step, target)
-      || target->reserved_pass == dag->pass)
-    return;
-  int32_t fits = dag_fit_count (step, target);
+  int32_t fits = startable_count (dag, step, target, now_ms);
   if (fits == 0)
     return;
   GrRes room = dag_target_free_room (target);
@@ -125,21 +160,26 @@
     .failed_before = has_failed_on (step, target),
     .near_data
     = step->spec.near_rack.len == 0 || gr_name_equal (&step->spec.near_rack, &target->info.rack),
+    .best_effort = step->spec.best_effort_cpu,
+    .expected_harm = dag_pace_expected_harm (dag, step, target),
   };
 }
 
-/* Targets on which no run of the step failed come first, then those near the data, then the best
-   fit, which has the least spare cpu. */
+/* Targets on which no run of the step failed come first, then those with the least harm between
+   neighbours, then those near the data, then the best fit, which has the least spare cpu; for
+   best-effort steps the most. */
 static int
 compare_candidates (const void *a, const void *b)
 {
   const Candidate *x = a, *y = b;
   if (x->failed_before != y->failed_before)
     return x->failed_before - y->failed_before;
+  if (x->expected_harm != y->expected_harm)
+    return x->expected_harm < y->expected_harm ? -1 : 1;
   if (x->near_data != y->near_data)
     return y->near_data - x->near_data;
   if (x->spare_cpu_milli != y->spare_cpu_milli)
-    return x->spare_cpu_milli < y->spare_cpu_milli ? -1 : 1;
+    return (x->spare_cpu_milli < y->spare_cpu_milli) != x->best_effort ? -1 : 1;
   return x->target->serial < y->target->serial ? -1 : 1;
 }
 
@@ -151,7 +191,7 @@
   if (step->job->queue.advised) {
     for (size_t i = 0; i < step->permits.count; i++) {
       const DagPermit *permit = &step->permits.items[i];
-      if (permit->valid_until > now_ms + DAG_TICKET_MARGIN_MS)
+      if (is_valid_permit (permit, now_ms))
         add_candidate (dag, step, permit->target, permit, out, &count, now_ms);
     }
   } else {
@@ -168,25 +208,26 @@
   return (task->step->spec.gang ? task->step->run : task->run) + 1;
 }
 
-/* Next waiting task from index *at on; NULL if there is none. Advances *at. */
+/* Next waiting task from index *at on that may start now; NULL if there is none. Advances *at. */
 static DagTask *
-next_waiting (DagStep *step, int32_t *at)
+next_waiting (DagStep *step, int32_t *at, int64_t now_ms)
 {
   while (*at < step->spec.count) {
     DagTask *task = &step->tasks[(*at)++];
-    if (task->state == TASK_WAITING)
+    if (task->state == TASK_WAITING && now_ms >= task->restart_at)
       return task;
   }
   return NULL;
 }
 
 static void
-place_single_tasks (DagState *dag, DagStep *step, const Candidate *candidates, size_t count)
+place_single_tasks (DagState *dag, DagStep *step, const Candidate *candidates, size_t count,
+                    int64_t now_ms)
 {
   int32_t at = 0;
   for (size_t i = 0; i < count; i++) {
     for (int32_t n = 0; n < candidates[i].fits; n++) {
-      DagTask *task = next_waiting (step, &at);
+      DagTask *task = next_waiting (step, &at, now_ms);
       if (!task)
         return;
       dag_run_assign (dag, task, candidates[i].target, next_run (task), candidates[i].ticket,
@@ -195,6 +236,75 @@
   }
 }
 
+/* Runs of one step that would be lost together with a target, its rack or its zone. */
+typedef struct {
+  int32_t on_target, on_rack, in_zone;
+} Exposure;
+
+static Exposure
+exposure (const DagStep *step, const DagTarget *target)
+{
+  Exposure sum = { 0 };
+  for (int32_t i = 0; i < step->spec.count; i++) {
+    const DagTarget *other = step->tasks[i].target;
+    if (!other)
+      continue;
+    sum.on_target += other == target;
+    sum.on_rack += gr_name_equal (&other->info.rack, &target->info.rack);
+    sum.in_zone += gr_name_equal (&other->info.zone, &target->info.zone);
+  }
+  return sum;
+}
+
+static int
+compare_exposures (const Exposure *a, const Exposure *b)
+{
+  if (a->on_target != b->on_target)
+    return a->on_target - b->on_target;
+  if (a->on_rack != b->on_rack)
+    return a->on_rack - b->on_rack;
+  return a->in_zone - b->in_zone;
+}
+
+/* The candidate on which the next long-running task shares the least with the other tasks of its
+   step; NULL if none has room. Among equals the order of the candidates decides. */
+static Candidate *
+choose_spread (const DagStep *step, Candidate *candidates, size_t count)
+{
+  Candidate *best = NULL;
+  Exposure least = { 0 };
+  for (size_t i = 0; i < count; i++) {
+    Candidate *candidate = &candidates[i];
+    if (candidate->fits == 0)
+      continue;
+    if (best && candidate->failed_before > best->failed_before)
+      break;
+    Exposure here = exposure (step, candidate->target);
+    if (best && compare_exposures (&here, &least) >= 0)
+      continue;
+    best = candidate;
+    least = here;
+  }
+  return best;
+}
+
+/* Spreads the tasks of a long-running step over targets, racks and zones, so that a loss takes few
+   of them. */
+static void
+place_spread (DagState *dag, DagStep *step, Candidate *candidates, size_t count, int64_t now_ms)
+{
+  int32_t at = 0;
+  DagTask *task;
+  while ((task = next_waiting (step, &at, now_ms)) != NULL) {
+    Candidate *chosen = choose_spread (step, candidates, count);
+    if (!chosen)
+      return;
+    chosen->fits--;
+    dag_run_assign (dag, task, chosen->target, next_run (task), chosen->ticket,
+                    chosen->ticket_until);
+  }
+}
+
 /* Number of tasks that fit on the candidates of one rack. */
 static int32_t
 room_on_rack (const Candidate *candidates, size_t count, const GrName *rack)
@@ -226,7 +336,7 @@
 
 /* Assigns all tasks of the gang, or none and returns false. */
 static bool
-place_gang (DagState *dag, DagStep *step, const Candidate *candidates, size_t count)
+place_gang (DagState *dag, DagStep *step, const Candidate *candidates, size_t count, int64_t now_ms)
 {
   int32_t fits = 0;
   for (size_t i = 0; i < count; i++)
@@ -240,7 +350,7 @@
     if (rack && !gr_name_equal (&candidates[i].target->info.rack, rack))
       continue;
     for (int32_t n = 0; n < candidates[i].fits; n++) {
-      DagTask *task = next_waiting (step, &at);
+      DagTask *task = next_waiting (step, &at, now_ms);
       if (!task)
         return true;
       dag_run_assign (dag, task, candidates[i].target, run, candidates[i].ticket,
@@ -319,7 +429,7 @@
 request_advice_within_budget (DagState *dag, DagStep *step, int64_t *budget, int64_t now_ms)
 {
   if (step->advice_calls.count == 0 && *budget > 0)
-    dag_advice_request (dag, step, now_ms);
+    dag_advice_request (dag, step, step->waiting, now_ms);
   if (step->advice_calls.count > 0)
     *budget -= (int64_t) step->waiting * step->spec.demand.v[GR_RES_CPU_MILLI];
 }
@@ -347,6 +457,8 @@
 {
   const DagStep *x = *(DagStep *const *) a, *y = *(DagStep *const *) b;
   int64_t now_ms = *(const int64_t *) user;
+  if (x->spec.long_running != y->spec.long_running)
+    return x->spec.long_running ? -1 : 1;
   DeadlineClass x_class = deadline_class (x, now_ms), y_class = deadline_class (y, now_ms);
   if (x_class != y_class)
     return x_class < y_class ? -1 : 1;
@@ -405,9 +517,11 @@
     if (!is_placeable (step))
       continue;
     size_t count = list_candidates (dag, step, candidates, now_ms);
-    if (!step->spec.gang) {
-      place_single_tasks (dag, step, candidates, count);
-    } else if (!place_gang (dag, step, candidates, count) && reserving < RESERVING_GANGS_MAX
+    if (step->spec.long_running && !step->spec.gang) {
+      place_spread (dag, step, candidates, count, now_ms);
+    } else if (!step->spec.gang) {
+      place_single_tasks (dag, step, candidates, count, now_ms);
+    } else if (!place_gang (dag, step, candidates, count, now_ms) && reserving < RESERVING_GANGS_MAX
                && now_ms <= step->job->hard_deadline_at) {
       reserving++;
       reserve_for_gang (dag, step, &reserved, now_ms);
--- a/src/dag/dag_priv.h
+++ b/src/dag/dag_priv.h
@@ -32,6 +32,10 @@
   int32_t failures;                   /* failed runs; a gang counts them for every member */
   int64_t run;                        /* number of the newest run; 0: never assigned */
   int starts_unanswered;              /* starts of this run without an answer */
+  bool start_open;                    /* a start of this run is in flight */
+  int64_t start_lost_at;              /* when the newest start of this run went unanswered */
+  int64_t restart_at;                 /* waiting: earliest time of the next start, after failures */
+  int quick_ends;                     /* long-running: runs in a row that ended soon after start */
   DagTarget *target;                  /* NULL: no run that may be alive */
   DagTask *target_prev, *target_next; /* list of the runs of the target */
   int64_t batch;                      /* batch that stores the assignment; 0: not taken yet */
@@ -39,6 +43,9 @@
   int64_t stop_acked_at;              /* when the target confirmed the stop; 0: not yet */
   int64_t stop_retry_at;              /* earliest time to repeat a failed stop */
   bool stop_in_flight;
+  int32_t pace;       /* best effort: percent of its speed that the target has confirmed */
+  bool pace_open;     /* an order that sets it is in flight */
+  int64_t usage;      /* as last reported, see DagRunReport.usage */
   int32_t percent;    /* progress that the target last reported */
   int64_t percent_at; /* when percent last changed */
   GrName checkpoint;
@@ -118,6 +125,24 @@
   bool long_poll; /* waits at the target for an end */
 } DagOpenHold;
 
+/* Pace of the best-effort runs of one target, which disturb the tasks there that serve users. */
+typedef struct {
+  int32_t limit; /* percent of their speed at which these runs may work */
+  int64_t changed_at;
+  bool over;       /* a tail was over its target at the last change */
+  int32_t ceiling; /* speed that was too much; not reached again before ceiling_until */
+  int64_t ceiling_until;
+  int64_t low_since; /* since when limit is too low to be useful; 0: it is not */
+} DagPace;
+
+/* How much the tasks of one image disturb those of another, as an exponential moving average of
+   observations: 1 if tails were over their target, 0 if they were well below. */
+typedef struct {
+  GrName images[2]; /* of the best-effort step and of the one that serves */
+  UT_hash_handle hh;
+  double harm;
+} DagPair;
+
 /* Most holds in flight to one target. */
 #define DAG_MAX_HOLDS 3
 
@@ -156,6 +181,7 @@
   int64_t reserved_pass;    /* newest placement pass in which a waiting gang reserved it */
   uint64_t reserved_for;    /* dag_step_key() of that gang */
   int32_t advice_calls;     /* calls for advice in flight that name it */
+  DagPace pace;
   /* Scratch of a scan for one step. If mark equals DagState.mark, the step has advice about this
      target, and marked_permit is its permit, or NULL if the advice does not allow the target. */
   int64_t mark;
@@ -175,6 +201,7 @@
   DagJob *jobs;
   DagTarget *targets;
   DagQueueStats *queue_stats;
+  DagPair *pairs;
   GR_LIST (DagQueue) queues;
   GR_LIST (DagStep *) ready;         /* steps that can be placed, with waiting tasks */
   GR_LIST (DagTarget *) target_list; /* all targets, for scans */
@@ -269,6 +296,8 @@
 /* Sends a stop; the task stays on its target until the run is proven to be over. A run that was
    never sent is released at once. No effect on waiting, done and stopping tasks. */
 void dag_run_stop (DagState *dag, DagTask *task, int64_t now_ms);
+/* Sends a stop to the run and, if it is a member of a gang, to the other members. */
+void dag_run_stop_with_gang (DagState *dag, DagTask *task, int64_t now_ms);
 /* The run is proven to be over: the task leaves its target and waits again. Members of its gang
    that still run are stopped after a delay. */
 void dag_run_release (DagState *dag, DagTask *task, int64_t now_ms);
@@ -280,7 +309,31 @@
 /* Repeats stops, stops broken gangs and stops stalled runs. */
 void dag_runs_tick (DagState *dag, int64_t now_ms);
 
+/* dag_avail.c */
+/* True if the scheduler may end the run now by its own choice: enough other tasks of the step are
+   available. Every stop of a run that is not forced by an end, a cancellation or a proof that the
+   run is over asks here first. */
+bool dag_may_interrupt (const DagState *dag, const DagTask *task);
+/* Notes the end of a run of a long-running step and sets when its task may start again. */
+void dag_avail_handle_end (DagTask *task, int64_t now_ms);
+/* Moves long-running tasks off draining targets, as soon as there is room for them elsewhere. */
+void dag_avail_tick (DagState *dag, int64_t now_ms);
+
+/* dag_pace.c */
+void dag_pace_init (DagPace *pace);
+/* Adapts the limit to the worst ratio of a tail to its target; returns true if it changed. */
+bool dag_pace_update (DagPace *pace, double ratio, int64_t now_ms);
+/* Adapts the pace of the target's best-effort runs to the inventory that was just processed. */
+void dag_pace_target (DagState *dag, DagTarget *target, int64_t now_ms);
+/* True if the target runs both tasks that serve and best-effort tasks. */
+bool dag_pace_is_mixed (const DagTarget *target);
+/* Expected harm, from 0 on, between a task of the step and the runs of the target. */
+double dag_pace_expected_harm (DagState *dag, const DagStep *step, const DagTarget *target);
+void dag_pace_clear (DagState *dag);
+
 /* dag_place.c */
+/* True if a task of the step could start on some target now. */
+bool dag_has_room (DagState *dag, DagStep *step, int64_t now_ms);
 /* True if the target has the service and the label that the step needs. */
 bool dag_may_run (const DagStep *step, const DagTarget *target);
 /* Number of tasks of the step that fit on the target now. */
@@ -296,8 +349,8 @@
 /* A ticket is used only if it stays valid for this long: the record is stored before the start is
    sent. */
 #define DAG_TICKET_MARGIN_MS 120
-/* Calls for advice if the waiting tasks of the step lack room on allowed targets. */
-void dag_advice_request (DagState *dag, DagStep *step, int64_t now_ms);
+/* Calls for advice if this number of tasks of the step lack room on allowed targets. */
+void dag_advice_request (DagState *dag, DagStep *step, int32_t tasks, int64_t now_ms);
 /* Renews the tickets for targets that this placement pass reserves for the gang, so that it can
    start as soon as they have room. */
 void dag_advice_renew (DagState *dag, DagStep *step, int64_t now_ms);
--- a/src/dag/dag_run.c
+++ b/src/dag/dag_run.c
@@ -16,6 +16,8 @@
 #define RUNTIME_RATIO_WEIGHT 0.05
 /* Approximate time until a start reaches its target; the ticket must be valid then. */
 #define START_LATENCY_MS 40
+/* Most targets with a failed run that a step remembers. */
+#define FAILED_ON_MAX 64
 
 GrRes
 dag_reserved_demand (const DagStepSpec *spec)
@@ -47,11 +49,15 @@
   task->state = TASK_ASSIGNED;
   task->run = run;
   task->starts_unanswered = 0;
+  task->restart_at = 0;
   task->batch = 0;
   task->stop_acked_at = 0;
   task->stop_retry_at = 0;
   task->stop_in_flight = false;
   task->percent = 0;
+  task->pace = 100;
+  task->pace_open = false;
+  task->usage = -1;
   memcpy (task->ticket, ticket, sizeof task->ticket);
   task->ticket_until = ticket_until;
   if (step->run < run)
@@ -138,6 +144,7 @@
     cmd.u.start.checkpoint = *dag_checkpoint (task);
   memcpy (cmd.u.start.ticket, task->ticket, sizeof cmd.u.start.ticket);
   gr_list_push (&dag->cmds, cmd);
+  task->start_open = true;
 }
 
 void
@@ -175,6 +182,14 @@
            target->info.capacity.v[GR_RES_CPU_MILLI] - target->used.v[GR_RES_CPU_MILLI]);
 }
 
+void
+dag_run_stop_with_gang (DagState *dag, DagTask *task, int64_t now_ms)
+{
+  DagStep *step = task->step;
+  dag_run_stop (dag, task, now_ms);
+  stop_gang (dag, step, true, now_ms);
+}
+
 void
 dag_run_release (DagState *dag, DagTask *task, int64_t now_ms)
 {
@@ -263,13 +278,39 @@
   finish_step_if_done (dag, step, now_ms);
 }
 
+/* Notes that a run of the step failed on this incarnation of the target. */
+static void
+add_failed_on (DagStep *step, const DagTarget *target)
+{
+  for (size_t i = 0; i < step->failed_on.count; i++) {
+    if (step->failed_on.items[i] == target->serial)
+      return;
+  }
+  if (step->failed_on.count == FAILED_ON_MAX)
+    gr_list_swap_remove (&step->failed_on, 0);
+  gr_list_push (&step->failed_on, target->serial);
+}
+
+/* A run of a long-running step has ended, in whatever way: the task waits for its next one. */
+static void
+restart_long_running (DagState *dag, DagTask *task, DagEndKind kind, int64_t now_ms)
+{
+  DagTarget *target = task->target;
+  if (kind == DAG_END_FAILED) {
+    add_failed_on (task->step, target);
+    dag_target_failed (dag, target, &task->step->job->id, now_ms);
+  }
+  dag_avail_handle_end (task, now_ms);
+  dag_run_release (dag, task, now_ms);
+}
+
 static void
 handle_failed_run (DagState *dag, DagTask *task, int64_t now_ms)
 {
   DagStep *step = task->step;
   DagJob *job = step->job;
   DagTarget *target = task->target;
-  gr_list_push (&step->failed_on, target->serial);
+  add_failed_on (step, target);
   if (step->spec.gang) {
     for (int32_t i = 0; i < step->spec.count; i++)
       step->tasks[i].failures++;
@@ -293,6 +334,10 @@
     dag_run_release (dag, task, now_ms);
     return;
   }
+  if (task->step->spec.long_running) {
+    restart_long_running (dag, task, kind, now_ms);
+    return;
+  }
   switch (kind) {
   case DAG_END_DONE:
     handle_done_run (dag, task, now_ms);
@@ -327,6 +372,7 @@
   }
   if (task->state != TASK_STARTING)
     return;
+  task->start_open = false;
   if (result != DAG_ORDER_OK)
     DAG_LOG (dag, GR_EV_REFUSED, "id=%.*s step=%u index=%u run=%lld target=%.*s result=%d",
              GR_NAME_ARG (ref->job), ref->step, ref->index, (long long) run,
@@ -343,17 +389,21 @@
     send_start (dag, task, now_ms);
     return;
   }
+  if (result == DAG_ORDER_LOST) {
+    /* The run may be at work: the next inventory tells. If it lacks the run, the run is stopped. */
+    task->start_lost_at = now_ms;
+    target->probe_wanted = true;
+    return;
+  }
   if (task->starts_unanswered > 0) {
     /* Whatever the answer to the last order, an earlier one without an answer may have started the
        run or may still do so. The run is stopped before the task can start elsewhere. */
-    dag_run_stop (dag, task, now_ms);
-    stop_gang (dag, task->step, true, now_ms);
+    dag_run_stop_with_gang (dag, task, now_ms);
     return;
   }
   switch (result) {
   case DAG_ORDER_OLD:
-    dag_run_stop (dag, task, now_ms);
-    stop_gang (dag, task->step, true, now_ms);
+    dag_run_stop_with_gang (dag, task, now_ms);
     return;
   case DAG_ORDER_REFUSED:
     dag_target_avoid (dag, target, "starts refused", now_ms);
@@ -408,7 +458,8 @@
 static bool
 is_stalled (DagState *dag, const DagTask *task, int64_t now_ms)
 {
-  if (task->state != TASK_RUNNING || task->percent >= 100)
+  /* A best-effort run may get no cpu time at all. */
+  if (task->state != TASK_RUNNING || task->percent >= 100 || task->step->spec.best_effort_cpu)
     return false;
   double expected = (double) task->step->spec.estimate_ms
                     * dag_queue_stats (dag, &task->step->job->queue.name)->runtime_ratio;
@@ -441,8 +492,7 @@
              (long long) (now_ms - task->percent_at), (long long) (now_ms - task->confirmed_at),
              (long long) step->spec.estimate_ms);
     dag_target_avoid (dag, task->target, "no progress", now_ms);
-    dag_run_stop (dag, task, now_ms);
-    stop_gang (dag, step, true, now_ms);
+    dag_run_stop_with_gang (dag, task, now_ms);
   }
 }
 
--- a/src/dag/dag_target.c
+++ b/src/dag/dag_target.c
@@ -5,6 +5,8 @@
 
 /* Longest wait of a hold at the target for an end. Each hold renews the leases. */
 #define HOLD_WAIT_MS 1000
+/* The same for targets whose best-effort runs are paced: their figures change every half second. */
+#define HOLD_WAIT_MIXED_MS 500
 /* Interval of renewals while ends wait to be stored. */
 #define LEASE_RENEW_MS 1000
 /* Exponential backoff after failed holds. */
@@ -48,6 +50,7 @@
     return target;
   target = gr_calloc (1, sizeof *target);
   target->info.id = *id;
+  dag_pace_init (&target->pace);
   target->serial = ++dag->next_target_serial;
   HASH_ADD_KEYPTR (hh, dag->targets, target->info.id.data, target->info.id.len, target);
   /* NOLINTNEXTLINE(bugprone-sizeof-expression): a list of pointers */
@@ -58,7 +61,8 @@
 DagTargetRef
 dag_target_ref (const DagTarget *target)
 {
-  return (DagTargetRef){ target->info.id, target->info.address, target->info.incarnation };
+  return (DagTargetRef){ target->info.id, target->info.address, target->info.zone,
+                         target->info.incarnation };
 }
 
 void
@@ -220,6 +224,7 @@
   target->consecutive_failures = 0;
   target->avoid_until = 0;
   target->avoid_ms = 0;
+  dag_pace_init (&target->pace);
   /* Advice may differ for the new incarnation, so calls may name the target again. */
   dag_drop_target_refs (dag, target);
   target->serial = ++dag->next_target_serial;
@@ -267,6 +272,12 @@
   return false;
 }
 
+static int64_t
+long_poll_ms (const DagTarget *target)
+{
+  return dag_pace_is_mixed (target) ? HOLD_WAIT_MIXED_MS : HOLD_WAIT_MS;
+}
+
 /* Sends the next hold if one is due. */
 static void
 hold_if_due (DagState *dag, DagTarget *target, int64_t now_ms)
@@ -287,7 +298,7 @@
   }
   bool ends_unstored = target->end_processed > target->acknowledged;
   if (!ends_unstored && target->acknowledged > target->acknowledged_sent) {
-    send_hold (dag, target, has_live_runs (target) ? HOLD_WAIT_MS : 0, now_ms);
+    send_hold (dag, target, has_live_runs (target) ? long_poll_ms (target) : 0, now_ms);
     return;
   }
   if (!has_live_runs (target)) {
@@ -304,7 +315,7 @@
   if (target->hold_failures > 0)
     send_hold (dag, target, 0, now_ms);
   else
-    send_hold (dag, target, HOLD_WAIT_MS, now_ms);
+    send_hold (dag, target, long_poll_ms (target), now_ms);
 }
 
 void
@@ -423,6 +434,7 @@
     task->confirmed_at = now_ms;
     task->percent_at = now_ms;
   }
+  task->usage = report->usage;
   if (task->percent != report->percent) {
     task->percent = report->percent;
     task->percent_at = now_ms;
@@ -452,6 +464,7 @@
   for (DagTask *task = target->runs; task; task = next) {
     next = task->target_next;
     bool proven_over = false;
+    bool not_started = false;
     switch (task->state) {
     case TASK_RUNNING:
       proven_over = sent_at > task->confirmed_at;
@@ -464,14 +477,24 @@
     case TASK_STOPPING:
       proven_over = task->stop_acked_at > 0 && sent_at >= task->stop_acked_at;
       break;
+    case TASK_STARTING:
+      not_started = !task->start_open && sent_at >= task->start_lost_at;
+      break;
     case TASK_WAITING:
     case TASK_ASSIGNED:
-    case TASK_STARTING:
     case TASK_DONE:
       break;
     }
-    if (proven_over && !is_reported (inventory, task))
+    if ((!proven_over && !not_started) || is_reported (inventory, task))
+      continue;
+    /* A start without an answer may still arrive, unless the target has seen a stop of its run. */
+    if (not_started)
+      dag_run_stop_with_gang (dag, task, now_ms);
+    else
       dag_run_release (dag, task, now_ms);
+    /* Stopping a gang may have removed the next run from the list. */
+    if (next && next->target != target)
+      next = target->runs;
   }
 }
 
@@ -537,6 +560,7 @@
   for (size_t i = 0; i < inventory->running_count; i++)
     process_report (dag, target, &inventory->running[i], now_ms);
   release_unlisted_runs (dag, target, inventory, hold.sent_at, now_ms);
+  dag_pace_target (dag, target, now_ms);
   hold_if_due (dag, target, now_ms);
 }
 
