--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -9,8 +9,9 @@
 #define TICK_MS 20
 #define IDLE_TICK_MS 50
 #define CLAIM_TIMEOUT_MS 1200
-#define JOIN_TIMEOUT_MS 1200
-#define JOIN_RETRY_MS 300
+/* Pause between two reads of the members: at a start of the whole cell each VM adds one record, and
+   each record would wake all readers. */
+#define MEMBERS_READ_PAUSE_MS 100
 /* Reads wait this long at the store for a record; a dead link to the store is detected a little
    later. */
 #define FOLLOW_WAIT_MS 2000
@@ -54,56 +55,18 @@
   ldr_topic_read (cell->ldr, &cell->newest_claim, end, cell_now (cell));
 }
 
-static void
-set_known_peers (Cell *cell)
-{
-  GR_LIST (NetPeerAddress) known = { 0 };
-  for (size_t i = 0; i < cell->members.count; i++)
-    gr_list_push (&known,
-                  (NetPeerAddress){ cell->members.items[i].vm.vm, cell->members.items[i].address });
-  net_peers_set_known (cell->peers, known.items, known.count);
-  gr_list_clear (&known);
-}
-
 static void
 on_member_entry (void *user, const CellEntry *entry, int64_t offset)
 {
   (void) offset;
-  Cell *cell = user;
-  LdrMember member = { 0 };
-  if (entry->value.len == 0)
-    return;
-  if (!cell_member_decode (entry->value, &member)) {
-    gr_log (&cell->log, GR_EV_BAD_INPUT, "member record of %zu bytes cannot be decoded; ignored",
-            entry->value.len);
-    return;
-  }
-  for (size_t i = 0; i < cell->members.count; i++) {
-    LdrMember *known = &cell->members.items[i];
-    if (!gr_name_equal (&known->vm.vm, &member.vm.vm))
-      continue;
-    if (member.vm.incarnation > known->vm.incarnation) {
-      *known = member;
-      cell->members_changed = true;
-    }
-    return;
-  }
-  gr_list_push (&cell->members, member);
-  cell->members_changed = true;
+  cell_members_handle_entry (user, entry);
 }
 
 static void
 on_members_read (void *user, int64_t end)
 {
   (void) end;
-  Cell *cell = user;
-  if (!cell->members_changed)
-    return;
-  cell->members_changed = false;
-  ldr_set_members (cell->ldr, cell->members.items, cell->members.count);
-  set_known_peers (cell);
-  if (cell->leader)
-    cell_leader_update_lanes (cell->leader);
+  cell_members_apply (user);
 }
 
 void
@@ -147,38 +110,6 @@
   (void) end;
 }
 
-static void
-on_joined (void *user, CellStoreResult result, int64_t offset)
-{
-  (void) offset;
-  Cell *cell = user;
-  cell->joining = false;
-  if (cell->freeing)
-    return;
-  on_store_result (cell, result == CELL_STORE_OK);
-  cell->joined = result == CELL_STORE_OK;
-  cell->join_retry_at = cell_now (cell) + JOIN_RETRY_MS;
-}
-
-static void
-join_if_due (Cell *cell)
-{
-  int64_t now_ms = cell_now (cell);
-  if (cell->joined || cell->joining || now_ms < cell->join_retry_at)
-    return;
-  cell->joining = true;
-  GrBuf value = { 0 };
-  cell_member_encode (&cell->options.self, &value);
-  CellEntry entry = { gr_name_str (&cell->options.self.vm.vm), gr_buf_str (&value) };
-  CellAppend append = { .topic = CELL_TOPIC_MEMBERS,
-                        .entries = &entry,
-                        .count = 1,
-                        .expected_end = -1,
-                        .timeout_at_ms = now_ms + JOIN_TIMEOUT_MS };
-  cell->platform->append (cell->platform->adapter, &append, on_joined, cell);
-  gr_buf_clear (&value);
-}
-
 static void
 on_claimed (void *user, CellStoreResult result, int64_t offset)
 {
@@ -266,7 +197,7 @@
   cell->tick_at = INT64_MAX;
   run_election (cell);
   cell_heartbeat (cell);
-  join_if_due (cell);
+  cell_members_tick (cell);
   cell_calls_tick (cell);
   if (cell->leader)
     cell_leader_tick (cell->leader);
@@ -297,6 +228,7 @@
 {
   CellFollowOptions options = { .topic = topic,
                                 .wait_ms = FOLLOW_WAIT_MS,
+                                .pause_ms = topic == CELL_TOPIC_MEMBERS ? MEMBERS_READ_PAUSE_MS : 0,
                                 .on_entry = on_entry,
                                 .on_read = on_read,
                                 .on_result = on_store_result,
@@ -396,6 +328,7 @@
 {
   Cell *cell = handle->data;
   gr_list_clear (&cell->members);
+  gr_list_clear (&cell->electors);
   gr_list_clear (&cell->peer_states);
   gr_list_clear (&cell->ldr_cmds);
   cell_config_clear (&cell->config);
@@ -416,6 +349,7 @@
   cell_follow_free (cell->follow_config);
   net_peers_free (cell->peers);
   cell_calls_clear (cell);
+  cell_relay_clear (cell);
   ldr_free (cell->ldr);
   uv_close ((uv_handle_t *) &cell->timer, on_timer_closed);
 }
--- a/src/cell/cell_leader.c
+++ b/src/cell/cell_leader.c
@@ -4,11 +4,6 @@
 
 #include "cell/cell_leader_priv.h"
 
-/* Targets answer a start within some 50 ms; a start without an answer is retried. */
-#define START_TIMEOUT_MS 250
-#define STOP_TIMEOUT_MS 700
-/* Timeout of a hold, in addition to the time that it waits at the target. */
-#define HOLD_MARGIN_MS 700
 /* A leader that has lost the store and its peers steps down within this; until then targets may
    receive orders of the previous term. */
 #define FORMER_LEADER_TIMEOUT_MS 2900
@@ -17,6 +12,8 @@
 /* Time after which callers should retry, sent while the store does not answer. */
 #define RETRY_AFTER_MS 1000
 #define LOAD_LOG_INTERVAL_MS 1000
+/* Links that come and go update the lanes at once; this is for those that were missed. */
+#define LANES_INTERVAL_MS 500
 #define NS_PER_US 1000
 
 int64_t
@@ -63,67 +60,6 @@
 
 /* --- Commands --- */
 
-/* Context of an open call to a target or to the advice service. */
-typedef struct {
-  CellLeader *leader;
-  GrName target;
-  DagTaskRef task;
-  int64_t run; /* or the token of a hold or an advice request */
-} OrderContext;
-
-static OrderContext *
-order_context (CellLeader *leader, const GrName *target, const DagTaskRef *task, int64_t run)
-{
-  OrderContext *context = gr_calloc (1, sizeof *context);
-  context->leader = leader;
-  context->target = *target;
-  if (task)
-    context->task = *task;
-  context->run = run;
-  leader->refs++;
-  return context;
-}
-
-static void
-on_started (void *user, DagOrderResult result, int64_t clock_ms)
-{
-  OrderContext *context = user;
-  CellLeader *leader = context->leader;
-  if (!cell_leader_unref_ended (leader)) {
-    dag_handle_start_result (leader->dag, &context->task, context->run, result, clock_ms,
-                             cell_leader_now (leader));
-    cell_leader_run_commands (leader);
-  }
-  free (context);
-}
-
-static void
-on_stopped (void *user, DagOrderResult result, int64_t clock_ms)
-{
-  (void) clock_ms;
-  OrderContext *context = user;
-  CellLeader *leader = context->leader;
-  if (!cell_leader_unref_ended (leader)) {
-    dag_handle_stop_result (leader->dag, &context->task, context->run, result,
-                            cell_leader_now (leader));
-    cell_leader_run_commands (leader);
-  }
-  free (context);
-}
-
-static void
-on_held (void *user, DagOrderResult result, const DagInventory *inventory)
-{
-  OrderContext *context = user;
-  CellLeader *leader = context->leader;
-  if (!cell_leader_unref_ended (leader)) {
-    dag_handle_hold_result (leader->dag, &context->target, context->run, result, inventory,
-                            cell_leader_now (leader));
-    cell_leader_run_commands (leader);
-  }
-  free (context);
-}
-
 static void
 answer_call (CellLeader *leader, const GrName *from, uint64_t id, CellAnswer answer)
 {
@@ -166,8 +102,6 @@
 static void
 run_command (CellLeader *leader, const DagCmd *cmd)
 {
-  const CellPlatform *platform = leader->cell->platform;
-  int64_t now_ms = cell_leader_now (leader);
   switch (cmd->type) {
   case DAG_CMD_ACCEPTED:
     answer_waiting (leader, cmd->u.call, CELL_ANSWER_ACCEPTED);
@@ -176,19 +110,10 @@
     answer_waiting (leader, cmd->u.call, CELL_ANSWER_CANCELLED);
     return;
   case DAG_CMD_START:
-    platform->start (
-        platform->adapter, cmd, leader->term, now_ms + START_TIMEOUT_MS, on_started,
-        order_context (leader, &cmd->u.start.target.target, &cmd->u.start.task, cmd->u.start.run));
-    return;
   case DAG_CMD_STOP:
-    platform->stop (
-        platform->adapter, cmd, leader->term, now_ms + STOP_TIMEOUT_MS, on_stopped,
-        order_context (leader, &cmd->u.stop.target.target, &cmd->u.stop.task, cmd->u.stop.run));
-    return;
   case DAG_CMD_HOLD:
-    platform->hold (platform->adapter, cmd, leader->term,
-                    now_ms + cmd->u.hold.wait_ms + HOLD_MARGIN_MS, on_held,
-                    order_context (leader, &cmd->u.hold.target.target, NULL, cmd->u.hold.token));
+  case DAG_CMD_PACE:
+    cell_orders_send (leader->orders, cmd);
     return;
   case DAG_CMD_ADVISE:
     queue_advice_request (leader, cmd);
@@ -201,16 +126,22 @@
 
 /* --- Advice --- */
 
+/* A request that this VM has sent to the advice service itself. */
+typedef struct {
+  CellLeader *leader;
+  int64_t token;
+} OwnAdvice;
+
 static void
 on_own_advice (void *user, bool ok, const DagAllowed *allowed, size_t count)
 {
-  OrderContext *context = user;
-  CellLeader *leader = context->leader;
+  OwnAdvice *own = user;
+  CellLeader *leader = own->leader;
   if (!cell_leader_unref_ended (leader)) {
-    CellWireAdvice advice = { context->run, ok, allowed, count };
+    CellWireAdvice advice = { own->token, ok, allowed, count };
     cell_leader_handle_advice (leader, &advice);
   }
-  free (context);
+  free (own);
 }
 
 static void
@@ -219,9 +150,11 @@
   Cell *cell = leader->cell;
   if (gr_name_equal (vm, &cell->options.self.vm.vm)) {
     int64_t timeout_at = cell_advice_timeout_at (cell, request->expected_ms);
+    OwnAdvice *own = gr_calloc (1, sizeof *own);
+    *own = (OwnAdvice){ leader, request->token };
+    leader->refs++;
     cell->platform->advise (cell->platform->adapter, &request->job, request->step, request->targets,
-                            request->count, timeout_at, on_own_advice,
-                            order_context (leader, vm, NULL, request->token));
+                            request->count, timeout_at, on_own_advice, own);
     return;
   }
   CellWireMsg msg = { .type = CELL_WIRE_ADVICE_REQUEST };
@@ -266,6 +199,7 @@
 cell_leader_update_lanes (CellLeader *leader)
 {
   Cell *cell = leader->cell;
+  leader->lanes_set_at = cell_leader_now (leader);
   GR_LIST (GrName) vms = { 0 };
   gr_list_push (&vms, cell->options.self.vm.vm);
   for (size_t i = 0; i < cell->members.count; i++) {
@@ -429,7 +363,9 @@
   cell_recovery_report_unlisted (leader);
   if (cell_records_stalled (leader))
     refuse_unsent (leader);
-  cell_leader_update_lanes (leader);
+  if (cell_leader_now (leader) >= leader->lanes_set_at + LANES_INTERVAL_MS)
+    cell_leader_update_lanes (leader);
+  cell_orders_tick (leader->orders);
   if (leader->state == LEADER_ACTIVE) {
     uint64_t began_ns = uv_hrtime ();
     dag_tick (leader->dag, cell_leader_now (leader));
@@ -456,6 +392,22 @@
   dag_set_queues (leader->dag, &queues, cell_leader_now (leader));
 }
 
+void
+cell_leader_handle_order_result (CellLeader *leader, const GrName *vm,
+                                 const CellWireOrderResult *result)
+{
+  cell_orders_handle_result (leader->orders, vm, result);
+  cell_leader_run_commands (leader);
+}
+
+void
+cell_leader_link_down (CellLeader *leader, const GrName *vm)
+{
+  cell_orders_link_down (leader->orders, vm);
+  cell_leader_update_lanes (leader);
+  cell_leader_run_commands (leader);
+}
+
 int64_t
 cell_leader_term (const CellLeader *leader)
 {
@@ -470,6 +422,7 @@
   leader->term = term;
   leader->refs = 1;
   leader->lanes = cell_lanes_new ();
+  leader->orders = cell_orders_new (leader);
   const CellOptions *options = &cell->options;
   int64_t now_ms = cell_now (cell);
   uv_timeval64_t unix_now;
@@ -517,6 +470,7 @@
   cell_recovery_clear (leader);
   dag_records_clear (&leader->records);
   cell_lanes_free (leader->lanes);
+  cell_orders_free (leader->orders);
   dag_free (leader->dag);
   unref (leader);
 }
--- a/src/cell/cell_leader_priv.h
+++ b/src/cell/cell_leader_priv.h
@@ -1,6 +1,7 @@
 /* Private state of the leader, shared by cell_leader.c, cell_recovery.c and cell_records.c only. */
 #pragma once
 
+#include "cell/cell_orders.h"
 #include "cell/cell_priv.h"
 
 typedef enum {
@@ -37,6 +38,8 @@
   DagState *dag;
   CellFollow *follow_targets;
   CellLanes *lanes;
+  int64_t lanes_set_at;
+  CellOrders *orders;
   GR_LIST (WaitingCall) waiting;
   int64_t next_token;
   GR_LIST (UnlistedTarget) unlisted;
--- /dev/null
+++ b/src/cell/cell_orders.c
@@ -0,0 +1,279 @@
+#include "cell/cell_orders.h"
+
+#include <stdlib.h>
+
+#include <uthash.h>
+
+#include "cell/cell_leader_priv.h"
+
+/* Targets answer a start within some 50 ms; a start without an answer is retried. */
+#define START_TIMEOUT_MS 250
+#define STOP_TIMEOUT_MS 700
+#define PACE_TIMEOUT_MS 700
+/* Timeout of a hold, in addition to the time that it waits at the target. */
+#define HOLD_MARGIN_MS 700
+/* A relay that has not answered this long after the timeout of the order is taken as lost. */
+#define RELAY_MARGIN_MS 500
+/* Interval between two choices of the relays, and between two looks for overdue orders. */
+#define RELAYS_INTERVAL_MS 500
+#define OVERDUE_INTERVAL_MS 50
+
+/* An order without a result. */
+typedef struct {
+  CellLeader *leader;
+  int64_t token; /* of an order by way of a relay */
+  DagCmdType type;
+  GrName target;
+  GrName relay; /* empty: sent by this VM */
+  DagTaskRef task;
+  int64_t run;        /* or the token of a hold */
+  int32_t percent;    /* of a pace order */
+  int64_t overdue_at; /* by way of a relay */
+  UT_hash_handle hh;
+} Order;
+
+struct CellOrders {
+  CellLeader *leader;
+  CellRelays *relays;
+  Order *relayed; /* by token */
+  int64_t next_token;
+  int64_t relays_set_at;
+  int64_t overdue_scan_at;
+};
+
+CellOrders *
+cell_orders_new (CellLeader *leader)
+{
+  CellOrders *orders = gr_calloc (1, sizeof *orders);
+  orders->leader = leader;
+  orders->relays = cell_relays_new ();
+  /* Unlike those of an earlier term of this VM, whose results may still arrive. */
+  orders->next_token = leader->term << 32;
+  return orders;
+}
+
+void
+cell_orders_free (CellOrders *orders)
+{
+  if (!orders)
+    return;
+  Order *order, *next;
+  HASH_ITER (hh, orders->relayed, order, next)
+  {
+    HASH_DEL (orders->relayed, order);
+    free (order);
+  }
+  cell_relays_free (orders->relays);
+  free (orders);
+}
+
+/* Passes the result to the scheduler and frees the order. */
+static void
+finish (Order *order, DagOrderResult result, int64_t clock_ms, const DagInventory *inventory)
+{
+  CellLeader *leader = order->leader;
+  DagState *dag = leader->dag;
+  int64_t now_ms = cell_leader_now (leader);
+  switch (order->type) {
+  case DAG_CMD_START:
+    dag_handle_start_result (dag, &order->task, order->run, result, clock_ms, now_ms);
+    break;
+  case DAG_CMD_STOP:
+    dag_handle_stop_result (dag, &order->task, order->run, result, now_ms);
+    break;
+  case DAG_CMD_PACE:
+    dag_handle_pace_result (dag, &order->task, order->run, order->percent, result, now_ms);
+    break;
+  case DAG_CMD_HOLD:
+    dag_handle_hold_result (dag, &order->target, order->run, result, inventory, now_ms);
+    break;
+  case DAG_CMD_ACCEPTED:
+  case DAG_CMD_CANCELLED:
+  case DAG_CMD_ADVISE:
+  case DAG_CMD_DEPOSED:
+    break;
+  }
+  free (order);
+}
+
+static void
+on_ordered (void *user, DagOrderResult result, int64_t clock_ms)
+{
+  Order *order = user;
+  CellLeader *leader = order->leader;
+  if (cell_leader_unref_ended (leader)) {
+    free (order);
+    return;
+  }
+  finish (order, result, clock_ms, NULL);
+  cell_leader_run_commands (leader);
+}
+
+static void
+on_held (void *user, DagOrderResult result, const DagInventory *inventory)
+{
+  Order *order = user;
+  CellLeader *leader = order->leader;
+  if (cell_leader_unref_ended (leader)) {
+    free (order);
+    return;
+  }
+  finish (order, result, 0, inventory);
+  cell_leader_run_commands (leader);
+}
+
+/* Fills in the fields that depend on the kind of the command. */
+static const DagTargetRef *
+describe (Order *order, const DagCmd *cmd, int64_t *timeout_ms)
+{
+  order->type = cmd->type;
+  switch (cmd->type) {
+  case DAG_CMD_START:
+    order->task = cmd->u.start.task;
+    order->run = cmd->u.start.run;
+    *timeout_ms = START_TIMEOUT_MS;
+    return &cmd->u.start.target;
+  case DAG_CMD_STOP:
+    order->task = cmd->u.stop.task;
+    order->run = cmd->u.stop.run;
+    *timeout_ms = STOP_TIMEOUT_MS;
+    return &cmd->u.stop.target;
+  case DAG_CMD_PACE:
+    order->task = cmd->u.pace.task;
+    order->run = cmd->u.pace.run;
+    order->percent = cmd->u.pace.percent;
+    *timeout_ms = PACE_TIMEOUT_MS;
+    return &cmd->u.pace.target;
+  case DAG_CMD_HOLD:
+    order->run = cmd->u.hold.token;
+    *timeout_ms = cmd->u.hold.wait_ms + HOLD_MARGIN_MS;
+    return &cmd->u.hold.target;
+  case DAG_CMD_ACCEPTED:
+  case DAG_CMD_CANCELLED:
+  case DAG_CMD_ADVISE:
+  case DAG_CMD_DEPOSED:
+    break;
+  }
+  abort ();
+}
+
+/* Returns false if the order was certainly not sent. */
+static bool
+send_to_relay (CellOrders *orders, Order *order, const DagCmd *cmd, int64_t timeout_ms)
+{
+  CellLeader *leader = orders->leader;
+  CellWireMsg msg = { .type = CELL_WIRE_ORDER };
+  order->token = ++orders->next_token;
+  order->overdue_at = cell_leader_now (leader) + timeout_ms + RELAY_MARGIN_MS;
+  msg.u.order = (CellWireOrder){
+    .token = order->token, .term = leader->term, .timeout_ms = timeout_ms, .cmd = *cmd
+  };
+  if (cmd->type == DAG_CMD_START)
+    msg.u.order.payload_stored
+        = cell_relays_has_payload (orders->relays, &order->relay, &order->task.job);
+  if (!cell_send (leader->cell, &order->relay, &msg)) {
+    cell_relays_link_down (orders->relays, &order->relay);
+    return false;
+  }
+  HASH_ADD (hh, orders->relayed, token, sizeof order->token, order);
+  return true;
+}
+
+void
+cell_orders_send (CellOrders *orders, const DagCmd *cmd)
+{
+  CellLeader *leader = orders->leader;
+  const CellPlatform *platform = leader->cell->platform;
+  int64_t now_ms = cell_leader_now (leader);
+  int64_t timeout_ms = 0;
+  Order *order = gr_calloc (1, sizeof *order);
+  const DagTargetRef *target = describe (order, cmd, &timeout_ms);
+  order->leader = leader;
+  order->target = target->target;
+  const GrName *relay = cell_relays_choose (orders->relays, &target->target, &target->zone, now_ms);
+  if (relay) {
+    order->relay = *relay;
+    if (send_to_relay (orders, order, cmd, timeout_ms))
+      return;
+  }
+  leader->refs++;
+  int64_t timeout_at = now_ms + timeout_ms;
+  if (cmd->type == DAG_CMD_HOLD)
+    platform->hold (platform->adapter, cmd, leader->term, timeout_at, on_held, order);
+  else
+    cell_send_order (platform, cmd, leader->term, timeout_at, on_ordered, order);
+}
+
+void
+cell_orders_handle_result (CellOrders *orders, const GrName *vm, const CellWireOrderResult *result)
+{
+  Order *order = NULL;
+  HASH_FIND (hh, orders->relayed, &result->token, sizeof result->token, order);
+  if (!order)
+    return;
+  HASH_DEL (orders->relayed, order);
+  bool answered = result->result != DAG_ORDER_LOST && result->result != DAG_ORDER_NOT_SENT;
+  cell_relays_result (orders->relays, vm, answered, cell_leader_now (orders->leader));
+  finish (order, result->result, result->clock_ms,
+          result->has_inventory ? &result->inventory : NULL);
+}
+
+/* The relay has not answered: whether the order was sent is unknown. */
+static void
+lose (CellOrders *orders, Order *order)
+{
+  HASH_DEL (orders->relayed, order);
+  cell_relays_result (orders->relays, &order->relay, false, cell_leader_now (orders->leader));
+  finish (order, DAG_ORDER_LOST, 0, NULL);
+}
+
+void
+cell_orders_link_down (CellOrders *orders, const GrName *vm)
+{
+  cell_relays_link_down (orders->relays, vm);
+  Order *order, *next;
+  HASH_ITER (hh, orders->relayed, order, next)
+  {
+    if (gr_name_equal (&order->relay, vm))
+      lose (orders, order);
+  }
+}
+
+static void
+set_relays (CellOrders *orders)
+{
+  const Cell *cell = orders->leader->cell;
+  GR_LIST (LdrMember) linked = { 0 };
+  for (size_t i = 0; i < cell->members.count; i++) {
+    const LdrMember *member = &cell->members.items[i];
+    if (!gr_name_equal (&member->vm.vm, &cell->options.self.vm.vm)
+        && net_peers_is_up (cell->peers, &member->vm.vm))
+      gr_list_push (&linked, *member);
+  }
+  size_t before = cell_relays_count (orders->relays);
+  size_t targets = dag_counts (orders->leader->dag, cell_leader_now (orders->leader)).targets;
+  cell_relays_set (orders->relays, &cell->options.self, linked.items, linked.count, targets);
+  if (cell_relays_count (orders->relays) != before)
+    gr_log (&cell->log, GR_EV_RELAYS, "relays=%zu before=%zu targets=%zu linked=%zu",
+            cell_relays_count (orders->relays), before, targets, linked.count);
+  gr_list_clear (&linked);
+}
+
+void
+cell_orders_tick (CellOrders *orders)
+{
+  int64_t now_ms = cell_leader_now (orders->leader);
+  if (now_ms >= orders->relays_set_at + RELAYS_INTERVAL_MS) {
+    orders->relays_set_at = now_ms;
+    set_relays (orders);
+  }
+  if (now_ms < orders->overdue_scan_at)
+    return;
+  orders->overdue_scan_at = now_ms + OVERDUE_INTERVAL_MS;
+  Order *order, *next;
+  HASH_ITER (hh, orders->relayed, order, next)
+  {
+    if (now_ms >= order->overdue_at)
+      lose (orders, order);
+  }
+}
--- a/src/cell/cell_peer.c
+++ b/src/cell/cell_peer.c
@@ -6,8 +6,12 @@
 #define HEARTBEAT_MS 300
 /* Shorter for the leader, since all calls wait until its loss is detected. */
 #define LEADER_HEARTBEAT_MS 150
+/* To and from VMs that are not electors: only calls and orders wait for these. */
+#define OTHER_HEARTBEAT_MS 1000
+#define LEADER_OTHER_HEARTBEAT_MS 250
 /* A link that received nothing for this long is closed and reconnected. */
 #define LINK_TIMEOUT_MS 1500
+#define OTHER_LINK_TIMEOUT_MS 3000
 
 bool
 cell_send (Cell *cell, const GrName *vm, const CellWireMsg *msg)
@@ -37,8 +41,8 @@
   cell_send (cell, vm, &msg);
 }
 
-static CellPeerState *
-peer_state (Cell *cell, const GrName *vm)
+CellPeerState *
+cell_peer_state (Cell *cell, const GrName *vm)
 {
   for (size_t i = 0; i < cell->peer_states.count; i++) {
     if (gr_name_equal (&cell->peer_states.items[i].vm, vm))
@@ -48,24 +52,49 @@
   return &cell->peer_states.items[cell->peer_states.count - 1];
 }
 
+/* Sends a heartbeat, or resets the link if nothing has arrived on it for too long. */
+static void
+check_link (Cell *cell, const GrName *vm, int64_t timeout_ms)
+{
+  int64_t now_ms = cell_now (cell);
+  CellPeerState *state = cell_peer_state (cell, vm);
+  if (state->last_frame_at > 0 && now_ms - state->last_frame_at > timeout_ms) {
+    state->last_frame_at = now_ms;
+    net_peers_reset (cell->peers, vm);
+    return;
+  }
+  send_status (cell, vm);
+}
+
+/* A VM that is not an elector reports to the leader like one, since the leader works with it. */
+static bool
+is_close_peer (const Cell *cell, size_t member)
+{
+  const GrName *vm = &cell->members.items[member].vm.vm;
+  return (cell->is_elector && cell->electors.items[member])
+         || gr_name_equal (vm, &cell->linked_leader);
+}
+
 void
 cell_heartbeat (Cell *cell)
 {
   int64_t now_ms = cell_now (cell);
-  if (now_ms < cell->heartbeat_at)
+  bool close_due = now_ms >= cell->heartbeat_at;
+  bool other_due = now_ms >= cell->other_heartbeat_at;
+  if (close_due)
+    cell->heartbeat_at = now_ms + (cell->leader ? LEADER_HEARTBEAT_MS : HEARTBEAT_MS);
+  if (other_due)
+    cell->other_heartbeat_at
+        = now_ms + (cell->leader ? LEADER_OTHER_HEARTBEAT_MS : OTHER_HEARTBEAT_MS);
+  if (!close_due && !other_due)
     return;
-  cell->heartbeat_at = now_ms + (cell->leader ? LEADER_HEARTBEAT_MS : HEARTBEAT_MS);
   for (size_t i = 0; i < cell->members.count; i++) {
     const GrName *vm = &cell->members.items[i].vm.vm;
-    if (gr_name_equal (vm, &cell->options.self.vm.vm) || !net_peers_is_up (cell->peers, vm))
-      continue;
-    CellPeerState *state = peer_state (cell, vm);
-    if (state->last_frame_at > 0 && now_ms - state->last_frame_at > LINK_TIMEOUT_MS) {
-      state->last_frame_at = now_ms;
-      net_peers_reset (cell->peers, vm);
+    bool close = is_close_peer (cell, i);
+    if ((close ? !close_due : !other_due) || gr_name_equal (vm, &cell->options.self.vm.vm)
+        || !net_peers_is_up (cell->peers, vm))
       continue;
-    }
-    send_status (cell, vm);
+    check_link (cell, vm, close ? LINK_TIMEOUT_MS : OTHER_LINK_TIMEOUT_MS);
   }
 }
 
@@ -122,7 +151,7 @@
   /* Only the leader pushes its configuration. A leader that cannot reach the store is replaced. */
   if (!cell->leader)
     return;
-  CellPeerState *state = peer_state (cell, vm);
+  CellPeerState *state = cell_peer_state (cell, vm);
   bool is_outdated = status->config_version < cell->config.version;
   if (cell_config_push_due (&state->push, is_outdated, status->status.store_ok, cell_now (cell)))
     send_config (cell, vm);
@@ -136,7 +165,7 @@
   msgpack_unpacked_init (&unpacked);
   CellWireMsg msg;
   GrErr err = { 0 };
-  peer_state (cell, &peer->vm.vm)->last_frame_at = cell_now (cell);
+  cell_peer_state (cell, &peer->vm.vm)->last_frame_at = cell_now (cell);
   if (!cell_wire_decode (body, &unpacked, &msg, &err)) {
     gr_log (&cell->log, GR_EV_BAD_INPUT, "vm=%.*s %s", GR_NAME_ARG (peer->vm.vm), err.detail);
     msgpack_unpacked_destroy (&unpacked);
@@ -162,6 +191,13 @@
   case CELL_WIRE_CONFIG:
     cell_apply_config (cell, msg.u.config, "peer");
     break;
+  case CELL_WIRE_ORDER:
+    cell_relay_handle_order (cell, &peer->vm.vm, &msg.u.order);
+    break;
+  case CELL_WIRE_ORDER_RESULT:
+    if (cell->leader)
+      cell_leader_handle_order_result (cell->leader, &peer->vm.vm, &msg.u.order_result);
+    break;
   }
   cell_wire_clear (&msg);
   msgpack_unpacked_destroy (&unpacked);
@@ -171,8 +207,10 @@
 cell_peer_up (void *user, const NetPeerInfo *peer)
 {
   Cell *cell = user;
-  peer_state (cell, &peer->vm.vm)->last_frame_at = cell_now (cell);
+  cell_peer_state (cell, &peer->vm.vm)->last_frame_at = cell_now (cell);
   send_status (cell, &peer->vm.vm);
+  if (cell->leader)
+    cell_leader_update_lanes (cell->leader);
 }
 
 void
@@ -186,5 +224,5 @@
   if (was_leader)
     cell_calls_resend (cell);
   if (cell->leader)
-    cell_leader_update_lanes (cell->leader);
+    cell_leader_link_down (cell->leader, &peer->vm.vm);
 }
--- a/src/cell/cell_priv.h
+++ b/src/cell/cell_priv.h
@@ -1,13 +1,18 @@
 /* Private state of one VM of a cell, shared by the cell_*.c files only. */
 #pragma once
 
+#include <uthash.h>
+
 #include "cell/cell.h"
 #include "cell/cell_follow.h"
 #include "cell/cell_lanes.h"
+#include "cell/cell_links.h"
+#include "cell/cell_relays.h"
 #include "cell/cell_wire.h"
 #include "net/net_peer.h"
 
 typedef struct CellLeader CellLeader;
+typedef struct CellPayload CellPayload;
 
 /* A client call that this VM received and has not answered yet. */
 typedef struct CellOpenCall {
@@ -31,6 +36,7 @@
 typedef struct {
   GrName vm;
   int64_t last_frame_at; /* 0: none was received */
+  int64_t missed_since;  /* since when this leader has had no link to it; 0: it has one */
   CellConfigPush push;
 } CellPeerState;
 
@@ -52,19 +58,26 @@
   CellFollow *follow_members;
   CellFollow *follow_config;
   GR_LIST (LdrMember) members;
+  GR_LIST (bool) electors; /* of members, in the same order */
+  bool is_elector;         /* this VM */
+  GrName linked_leader;    /* leader for which the links were chosen last */
   bool members_changed;
   GR_LIST (CellPeerState) peer_states;
   LdrRecord newest_claim;
   bool joined;  /* this VM's member record is stored */
   bool joining; /* the append of it is in flight */
   int64_t join_retry_at;
+  bool removing; /* the deletion of a member record is in flight */
+  int64_t remove_scan_at;
   CellConfig config;
   GrBuf config_doc;   /* as published, for peers that cannot reach the store */
   CellLeader *leader; /* NULL while this VM does not lead */
+  CellPayload *payloads; /* of jobs whose starts this VM sends for the leader */
   CellOpenCall *calls;
   int64_t leader_served_at; /* when there was last a live leader that accepts calls */
   uint64_t next_call;       /* id of the last call */
-  int64_t heartbeat_at;
+  int64_t heartbeat_at;       /* next ones to the electors */
+  int64_t other_heartbeat_at; /* next ones to the other VMs */
   int64_t tick_at; /* when the timer is due; INT64_MAX: it is not set */
   bool leaving;    /* a planned stop has begun */
   bool freeing;
@@ -103,12 +116,33 @@
 void cell_leader_handle_call (CellLeader *leader, const GrName *from, uint64_t id,
                               const CellWireCall *call);
 void cell_leader_handle_advice (CellLeader *leader, const CellWireAdvice *advice);
+void cell_leader_handle_order_result (CellLeader *leader, const GrName *vm,
+                                      const CellWireOrderResult *result);
+/* Input: the link to the VM closed. */
+void cell_leader_link_down (CellLeader *leader, const GrName *vm);
 /* Sets the lanes for advice requests to this VM and the VMs that it has a link to. */
 void cell_leader_update_lanes (CellLeader *leader);
 
+/* cell_relay.c: orders that this VM sends to targets for the leader. */
+void cell_relay_handle_order (Cell *cell, const GrName *leader, CellWireOrder *order);
+void cell_relay_clear (Cell *cell);
+/* Sends a start, stop or pace order through the platform. */
+void cell_send_order (const CellPlatform *platform, const DagCmd *cmd, int64_t term,
+                      int64_t timeout_at_ms, CellOrderDone done, void *user);
+
+/* cell_members.c: VMs of the cell and the links to them. */
+void cell_members_handle_entry (Cell *cell, const CellEntry *entry);
+/* The topic was read up to its end: applies the changes. */
+void cell_members_apply (Cell *cell);
+/* Appends this VM's member record if it is missing, chooses the links anew after a change of
+   leader, and, while this VM leads, removes members that are gone. */
+void cell_members_tick (Cell *cell);
+
 /* cell_peer.c: messages between VMs. */
 /* Returns the time at which an advice request that is sent now times out. */
 int64_t cell_advice_timeout_at (const Cell *cell, int64_t expected_ms);
+/* Returns what is known of the VM; creates it on first use. Valid until the next call. */
+CellPeerState *cell_peer_state (Cell *cell, const GrName *vm);
 /* Returns false if there is no link to the VM; nothing was sent then. */
 bool cell_send (Cell *cell, const GrName *vm, const CellWireMsg *msg);
 void cell_peer_frame (void *user, const NetPeerInfo *peer, GrStr body);
--- /dev/null
+++ b/src/cell/cell_relay.c
@@ -0,0 +1,148 @@
+/* Sends orders to targets for the leader. Fencing and leases are the leader's: an order that waited
+   here for long is refused by the target if a later term or stop has reached it. */
+#include <stdlib.h>
+
+#include "cell/cell_priv.h"
+
+/* Payloads of jobs, kept for the starts of their other tasks; the oldest are dropped. */
+struct CellPayload {
+  GrName job;
+  char *data;
+  size_t len;
+  UT_hash_handle hh;
+};
+
+typedef struct {
+  Cell *cell;
+  GrName leader;
+  int64_t token;
+} RelayedOrder;
+
+static void
+send_result (Cell *cell, const GrName *leader, const CellWireOrderResult *result)
+{
+  CellWireMsg msg = { .type = CELL_WIRE_ORDER_RESULT };
+  msg.u.order_result = *result;
+  if (!cell->freeing)
+    cell_send (cell, leader, &msg);
+}
+
+static void
+on_ordered (void *user, DagOrderResult result, int64_t clock_ms)
+{
+  RelayedOrder *order = user;
+  CellWireOrderResult outcome = { .token = order->token, .result = result, .clock_ms = clock_ms };
+  send_result (order->cell, &order->leader, &outcome);
+  free (order);
+}
+
+static void
+on_held (void *user, DagOrderResult result, const DagInventory *inventory)
+{
+  RelayedOrder *order = user;
+  CellWireOrderResult outcome = { .token = order->token, .result = result };
+  if (inventory) {
+    outcome.clock_ms = inventory->clock_ms;
+    outcome.has_inventory = true;
+    outcome.inventory = *inventory;
+  }
+  send_result (order->cell, &order->leader, &outcome);
+  free (order);
+}
+
+static void
+drop_payload (Cell *cell, CellPayload *payload)
+{
+  HASH_DEL (cell->payloads, payload);
+  free (payload->data);
+  free (payload);
+}
+
+static CellPayload *
+find_payload (const Cell *cell, const GrName *job)
+{
+  CellPayload *payload = NULL;
+  HASH_FIND (hh, cell->payloads, job->data, job->len, payload);
+  return payload;
+}
+
+static void
+keep_payload (Cell *cell, const GrName *job, GrStr data)
+{
+  CellPayload *payload = find_payload (cell, job);
+  if (payload)
+    drop_payload (cell, payload);
+  /* The hash keeps the order of insertion, so its first entry is the oldest. */
+  if (HASH_COUNT (cell->payloads) >= CELL_RELAY_PAYLOADS)
+    drop_payload (cell, cell->payloads);
+  payload = gr_calloc (1, sizeof *payload);
+  payload->job = *job;
+  payload->data = gr_str_dup (data);
+  payload->len = data.len;
+  HASH_ADD_KEYPTR (hh, cell->payloads, payload->job.data, payload->job.len, payload);
+}
+
+/* Completes the payload of a start; false if this VM does not have it. */
+static bool
+resolve_payload (Cell *cell, CellWireOrder *order)
+{
+  const GrName *job = &order->cmd.u.start.task.job;
+  if (!order->payload_stored) {
+    keep_payload (cell, job, order->cmd.u.start.payload);
+    return true;
+  }
+  const CellPayload *payload = find_payload (cell, job);
+  if (!payload)
+    return false;
+  order->cmd.u.start.payload = (GrStr){ payload->data, payload->len };
+  return true;
+}
+
+void
+cell_relay_handle_order (Cell *cell, const GrName *leader, CellWireOrder *order)
+{
+  const CellPlatform *platform = cell->platform;
+  if (order->cmd.type == DAG_CMD_START && !resolve_payload (cell, order)) {
+    CellWireOrderResult outcome = { .token = order->token, .result = DAG_ORDER_NOT_SENT };
+    send_result (cell, leader, &outcome);
+    return;
+  }
+  RelayedOrder *relayed = gr_calloc (1, sizeof *relayed);
+  *relayed = (RelayedOrder){ cell, *leader, order->token };
+  int64_t timeout_at = cell_now (cell) + order->timeout_ms;
+  if (order->cmd.type == DAG_CMD_HOLD)
+    platform->hold (platform->adapter, &order->cmd, order->term, timeout_at, on_held, relayed);
+  else
+    cell_send_order (platform, &order->cmd, order->term, timeout_at, on_ordered, relayed);
+}
+
+void
+cell_relay_clear (Cell *cell)
+{
+  while (cell->payloads)
+    drop_payload (cell, cell->payloads);
+}
+
+void
+cell_send_order (const CellPlatform *platform, const DagCmd *cmd, int64_t term,
+                 int64_t timeout_at_ms, CellOrderDone done, void *user)
+{
+  switch (cmd->type) {
+  case DAG_CMD_START:
+    platform->start (platform->adapter, cmd, term, timeout_at_ms, done, user);
+    return;
+  case DAG_CMD_STOP:
+    platform->stop (platform->adapter, cmd, term, timeout_at_ms, done, user);
+    return;
+  case DAG_CMD_PACE:
+    platform->pace (platform->adapter, cmd, term, timeout_at_ms, done, user);
+    return;
+  case DAG_CMD_HOLD:
+  case DAG_CMD_ACCEPTED:
+  case DAG_CMD_CANCELLED:
+  case DAG_CMD_ADVISE:
+  case DAG_CMD_DEPOSED:
+    break;
+  }
+  abort ();
+}
--- /dev/null
+++ b/src/cell/cell_relays.c
@@ -0,0 +1,237 @@
+#include "cell/cell_relays.h"
+
+#include <math.h>
+#include <stdlib.h>
+
+#include <uthash.h>
+
+/* A VM sends the orders of a target itself if it has this much processor time for each. LdrMember
+   weights are in thousandths of a core. */
+#define DIRECT_WEIGHT_PER_TARGET 3
+/* Relays are added until they have this much together for each target. */
+#define RELAY_WEIGHT_PER_TARGET 6
+/* Orders without an answer in a row after which a relay is left out. The time doubles with each
+   exclusion. */
+#define LOST_MAX 3
+#define AVOID_MIN_MS 1000
+#define AVOID_MAX_MS 16000
+/* Payloads that a relay is taken to have. Lower than what it keeps: it may also receive payloads
+   from a former leader. */
+#define SENT_PAYLOADS_MAX (CELL_RELAY_PAYLOADS / 2)
+
+typedef struct {
+  GrName job;
+  UT_hash_handle hh;
+} SentPayload;
+
+typedef struct {
+  LdrMember member;
+  int lost; /* orders without an answer since the last answer */
+  int64_t avoid_until;
+  int64_t avoid_ms;      /* length of the last exclusion, 0 after an answer */
+  SentPayload *payloads; /* in the order in which they were sent */
+  bool chosen;           /* only used while the set is replaced */
+} Relay;
+
+struct CellRelays {
+  GR_LIST (Relay) items;
+};
+
+CellRelays *
+cell_relays_new (void)
+{
+  return gr_calloc (1, sizeof (CellRelays));
+}
+
+static void
+forget_payloads (Relay *relay)
+{
+  SentPayload *payload, *next;
+  HASH_ITER (hh, relay->payloads, payload, next)
+  {
+    HASH_DEL (relay->payloads, payload);
+    free (payload);
+  }
+}
+
+void
+cell_relays_free (CellRelays *relays)
+{
+  if (!relays)
+    return;
+  for (size_t i = 0; i < relays->items.count; i++)
+    forget_payloads (&relays->items.items[i]);
+  gr_list_clear (&relays->items);
+  free (relays);
+}
+
+static Relay *
+find_relay (const CellRelays *relays, const GrName *vm)
+{
+  for (size_t i = 0; i < relays->items.count; i++) {
+    if (gr_name_equal (&relays->items.items[i].member.vm.vm, vm))
+      return &relays->items.items[i];
+  }
+  return NULL;
+}
+
+/* Number of chosen VMs in the zone. */
+static size_t
+chosen_in_zone (const LdrMember *linked, const bool *chosen, size_t count, const GrName *zone)
+{
+  size_t sum = 0;
+  for (size_t i = 0; i < count; i++)
+    sum += chosen[i] && gr_name_equal (&linked[i].zone, zone);
+  return sum;
+}
+
+/* Next VM to choose: the strongest, among equals one of the zone with the fewest chosen ones.
+   Returns count if all are chosen. */
+static size_t
+next_choice (const LdrMember *linked, const bool *chosen, size_t count)
+{
+  size_t best = count;
+  size_t best_in_zone = 0;
+  for (size_t i = 0; i < count; i++) {
+    if (chosen[i])
+      continue;
+    size_t in_zone = chosen_in_zone (linked, chosen, count, &linked[i].zone);
+    bool better = best == count || linked[i].weight > linked[best].weight
+                  || (linked[i].weight == linked[best].weight
+                      && (in_zone < best_in_zone
+                          || (in_zone == best_in_zone
+                              && gr_name_compare (&linked[i].vm.vm, &linked[best].vm.vm) < 0)));
+    if (!better)
+      continue;
+    best = i;
+    best_in_zone = in_zone;
+  }
+  return best;
+}
+
+static void
+keep_relay (CellRelays *relays, const LdrMember *member)
+{
+  Relay *relay = find_relay (relays, &member->vm.vm);
+  if (!relay) {
+    gr_list_push (&relays->items, (Relay){ .member = *member, .chosen = true });
+    return;
+  }
+  if (relay->member.vm.incarnation != member->vm.incarnation)
+    forget_payloads (relay);
+  relay->member = *member;
+  relay->chosen = true;
+}
+
+void
+cell_relays_set (CellRelays *relays, const LdrMember *self, const LdrMember *linked, size_t count,
+                 size_t targets)
+{
+  int64_t wanted = (int64_t) targets * RELAY_WEIGHT_PER_TARGET;
+  if (self->weight >= (int64_t) targets * DIRECT_WEIGHT_PER_TARGET)
+    wanted = 0;
+  for (size_t i = 0; i < relays->items.count; i++)
+    relays->items.items[i].chosen = false;
+  bool *chosen = gr_calloc (count + 1, sizeof *chosen);
+  while (wanted > 0) {
+    size_t next = next_choice (linked, chosen, count);
+    if (next == count)
+      break;
+    chosen[next] = true;
+    wanted -= linked[next].weight > 0 ? linked[next].weight : 1;
+    keep_relay (relays, &linked[next]);
+  }
+  free (chosen);
+  for (size_t i = relays->items.count; i-- > 0;) {
+    if (relays->items.items[i].chosen)
+      continue;
+    forget_payloads (&relays->items.items[i]);
+    gr_list_swap_remove (&relays->items, i);
+  }
+}
+
+size_t
+cell_relays_count (const CellRelays *relays)
+{
+  return relays->items.count;
+}
+
+/* Weighted rendezvous hashing: the highest score wins. */
+static double
+score (const Relay *relay, const GrName *target)
+{
+  uint64_t hash = gr_name_hash (target, gr_name_hash (&relay->member.vm.vm, 0));
+  double uniform = ((double) (hash >> 11) + 0.5) / (double) ((uint64_t) 1 << 53);
+  return -(double) relay->member.weight / log (uniform);
+}
+
+const GrName *
+cell_relays_choose (const CellRelays *relays, const GrName *target, const GrName *zone,
+                    int64_t now_ms)
+{
+  const Relay *best = NULL;
+  bool best_near = false;
+  double best_score = 0;
+  for (size_t i = 0; i < relays->items.count; i++) {
+    const Relay *relay = &relays->items.items[i];
+    bool near = gr_name_equal (&relay->member.zone, zone);
+    if (now_ms < relay->avoid_until || (best_near && !near))
+      continue;
+    double value = score (relay, target);
+    if (best && best_near == near && value <= best_score)
+      continue;
+    best = relay;
+    best_near = near;
+    best_score = value;
+  }
+  return best ? &best->member.vm.vm : NULL;
+}
+
+void
+cell_relays_result (CellRelays *relays, const GrName *vm, bool answered, int64_t now_ms)
+{
+  Relay *relay = find_relay (relays, vm);
+  if (!relay)
+    return;
+  if (answered) {
+    relay->lost = 0;
+    relay->avoid_ms = 0;
+    return;
+  }
+  if (++relay->lost < LOST_MAX || now_ms < relay->avoid_until)
+    return;
+  relay->avoid_ms = relay->avoid_ms == 0 ? AVOID_MIN_MS : relay->avoid_ms * 2;
+  if (relay->avoid_ms > AVOID_MAX_MS)
+    relay->avoid_ms = AVOID_MAX_MS;
+  relay->avoid_until = now_ms + relay->avoid_ms;
+}
+
+bool
+cell_relays_has_payload (CellRelays *relays, const GrName *vm, const GrName *job)
+{
+  Relay *relay = find_relay (relays, vm);
+  if (!relay)
+    return false;
+  SentPayload *payload = NULL;
+  HASH_FIND (hh, relay->payloads, job->data, job->len, payload);
+  if (payload)
+    return true;
+  /* The hash keeps the order of insertion, so its first entry is the oldest. */
+  if (HASH_COUNT (relay->payloads) >= SENT_PAYLOADS_MAX) {
+    SentPayload *oldest = relay->payloads;
+    HASH_DEL (relay->payloads, oldest);
+    free (oldest);
+  }
+  payload = gr_calloc (1, sizeof *payload);
+  payload->job = *job;
+  HASH_ADD_KEYPTR (hh, relay->payloads, payload->job.data, payload->job.len, payload);
+  return false;
+}
+
+void
+cell_relays_link_down (CellRelays *relays, const GrName *vm)
+{
+  Relay *relay = find_relay (relays, vm);
+  if (relay)
+    forget_payloads (relay);
+}
--- a/src/cell/cell_wire.c
+++ b/src/cell/cell_wire.c
@@ -1,8 +1,6 @@
-#include "cell/cell_wire.h"
-
 #include <stdlib.h>
 
-#include "base/gr_pack.h"
+#include "cell/cell_wire_priv.h"
 
 /* Most targets in one advice request or in the answer to it. */
 #define MAX_TARGETS 4096
@@ -15,8 +13,8 @@
   msgpack_pack_int64 (packer, ref->incarnation);
 }
 
-static void
-pack_head (msgpack_packer *packer, CellWireType type, size_t fields)
+void
+cell_wire_pack_head (msgpack_packer *packer, CellWireType type, size_t fields)
 {
   msgpack_pack_array (packer, fields + 1);
   msgpack_pack_int (packer, (int) type);
@@ -25,7 +23,7 @@
 static void
 pack_status (msgpack_packer *packer, const CellWireStatus *status)
 {
-  pack_head (packer, CELL_WIRE_STATUS, 9);
+  cell_wire_pack_head (packer, CELL_WIRE_STATUS, 9);
   pack_ref (packer, &status->status.vm);
   msgpack_pack_int64 (packer, status->status.term);
   gr_pack_bool (packer, status->status.leads);
@@ -39,7 +37,7 @@
 static void
 pack_call (msgpack_packer *packer, const CellWireCall *call)
 {
-  pack_head (packer, CELL_WIRE_CALL, 6);
+  cell_wire_pack_head (packer, CELL_WIRE_CALL, 6);
   msgpack_pack_int64 (packer, call->id);
   msgpack_pack_int (packer, (int) call->verb);
   msgpack_pack_int64 (packer, call->config_version);
@@ -51,7 +49,7 @@
 static void
 pack_advice_request (msgpack_packer *packer, const CellWireAdviceRequest *request)
 {
-  pack_head (packer, CELL_WIRE_ADVICE_REQUEST, 5);
+  cell_wire_pack_head (packer, CELL_WIRE_ADVICE_REQUEST, 5);
   msgpack_pack_int64 (packer, request->token);
   gr_pack_name (packer, &request->job);
   msgpack_pack_uint32 (packer, request->step);
@@ -64,7 +62,7 @@
 static void
 pack_advice (msgpack_packer *packer, const CellWireAdvice *advice)
 {
-  pack_head (packer, CELL_WIRE_ADVICE, 3);
+  cell_wire_pack_head (packer, CELL_WIRE_ADVICE, 3);
   msgpack_pack_int64 (packer, advice->token);
   gr_pack_bool (packer, advice->ok);
   msgpack_pack_array (packer, advice->count);
@@ -88,7 +86,7 @@
     pack_call (&packer, &msg->u.call);
     return;
   case CELL_WIRE_ANSWER:
-    pack_head (&packer, CELL_WIRE_ANSWER, 3);
+    cell_wire_pack_head (&packer, CELL_WIRE_ANSWER, 3);
     msgpack_pack_int64 (&packer, msg->u.answer.id);
     msgpack_pack_int (&packer, (int) msg->u.answer.answer.kind);
     msgpack_pack_int64 (&packer, msg->u.answer.answer.value);
@@ -100,9 +98,15 @@
     pack_advice (&packer, &msg->u.advice);
     return;
   case CELL_WIRE_CONFIG:
-    pack_head (&packer, CELL_WIRE_CONFIG, 1);
+    cell_wire_pack_head (&packer, CELL_WIRE_CONFIG, 1);
     gr_pack_bin (&packer, msg->u.config);
     return;
+  case CELL_WIRE_ORDER:
+    cell_wire_pack_order (&packer, &msg->u.order);
+    return;
+  case CELL_WIRE_ORDER_RESULT:
+    cell_wire_pack_order_result (&packer, &msg->u.order_result);
+    return;
   }
 }
 
@@ -229,6 +233,12 @@
   case CELL_WIRE_CONFIG:
     ok = size == 1 && gr_unpack_bytes (&fields[0], &msg->u.config);
     break;
+  case CELL_WIRE_ORDER:
+    ok = cell_wire_read_order (fields, size, &msg->u.order);
+    break;
+  case CELL_WIRE_ORDER_RESULT:
+    ok = cell_wire_read_order_result (fields, size, msg);
+    break;
   default:
     break;
   }
@@ -243,7 +253,9 @@
 cell_wire_clear (CellWireMsg *msg)
 {
   free (msg->decoded_list);
+  free (msg->decoded_ends);
   msg->decoded_list = NULL;
+  msg->decoded_ends = NULL;
 }
 
 void
--- a/src/cell/cell_wire.h
+++ b/src/cell/cell_wire.h
@@ -9,7 +9,9 @@
   CELL_WIRE_ANSWER,         /* the leader's answer to it */
   CELL_WIRE_ADVICE_REQUEST, /* the leader's request to fetch placement advice */
   CELL_WIRE_ADVICE,         /* answer to it */
-  CELL_WIRE_CONFIG          /* the leader's configuration, for a VM that has an older one */
+  CELL_WIRE_CONFIG,         /* the leader's configuration, for a VM that has an older one */
+  CELL_WIRE_ORDER,          /* the leader's request to send an order to a target */
+  CELL_WIRE_ORDER_RESULT    /* outcome of it */
 } CellWireType;
 
 typedef struct {
@@ -47,6 +49,22 @@
   size_t count;
 } CellWireAdvice;
 
+typedef struct {
+  int64_t token;
+  int64_t term;
+  int64_t timeout_ms;  /* from the receipt on */
+  bool payload_stored; /* of a start: the receiver has the payload of the job, cmd lacks it */
+  DagCmd cmd;          /* DAG_CMD_START, DAG_CMD_STOP, DAG_CMD_HOLD or DAG_CMD_PACE */
+} CellWireOrder;
+
+typedef struct {
+  int64_t token;
+  DagOrderResult result;
+  int64_t clock_ms;
+  bool has_inventory; /* of a hold with DAG_ORDER_OK */
+  DagInventory inventory;
+} CellWireOrderResult;
+
 typedef struct {
   CellWireType type;
   union {
@@ -56,8 +74,12 @@
     CellWireAdviceRequest advice_request;
     CellWireAdvice advice;
     GrStr config; /* the document as published */
+    CellWireOrder order;
+    CellWireOrderResult order_result;
   } u;
-  void *decoded_list; /* targets or allowed of a decoded message; see cell_wire_clear() */
+  /* Memory of the lists in a decoded message; see cell_wire_clear(). */
+  void *decoded_list;
+  void *decoded_ends;
 } CellWireMsg;
 
 /* Appends the encoded message to *out. */
--- a/src/ldr/ldr.c
+++ b/src/ldr/ldr.c
@@ -42,6 +42,7 @@
   LdrStatus status;
   int64_t last_heartbeat_at; /* 0: never */
   int64_t store_lost_at;     /* since when its heartbeats lack store_ok; 0: the last one had it */
+  bool listed;               /* only used while the members are replaced */
 } Peer;
 
 struct LdrState {
@@ -57,6 +58,7 @@
   bool fenced;
   int64_t started_at; /* first tick; 0: none yet */
   int64_t ticked_at;
+  int64_t claim_delay_ms;
   int64_t leader_lost_at; /* the leader is lost at this time unless a heartbeat moves it */
   int64_t claim_sent_at;  /* 0: none open */
   int64_t claim_not_before;
@@ -105,15 +107,29 @@
 void
 ldr_set_members (LdrState *ldr, const LdrMember *members, size_t count)
 {
+  for (size_t i = 0; i < ldr->peers.count; i++)
+    ldr->peers.items[i].listed = false;
   for (size_t i = 0; i < count; i++) {
     if (gr_name_equal (&members[i].vm.vm, &ldr->options.self.vm.vm))
       continue;
     Peer *peer = find_peer (ldr, &members[i].vm.vm);
-    if (peer)
-      peer->member = members[i];
-    else
-      gr_list_push (&ldr->peers, (Peer){ .member = members[i] });
+    if (!peer) {
+      gr_list_push (&ldr->peers, (Peer){ .member = members[i], .listed = true });
+      continue;
+    }
+    peer->member = members[i];
+    peer->listed = true;
   }
+  for (size_t i = ldr->peers.count; i-- > 0;) {
+    if (!ldr->peers.items[i].listed)
+      gr_list_swap_remove (&ldr->peers, i);
+  }
+}
+
+void
+ldr_set_claim_delay (LdrState *ldr, int64_t delay_ms)
+{
+  ldr->claim_delay_ms = delay_ms;
 }
 
 void
@@ -285,7 +301,7 @@
 static int64_t
 claim_at (const LdrState *ldr, int64_t now_ms)
 {
-  int64_t stagger = self_rank (ldr, now_ms) * CLAIM_STAGGER_MS;
+  int64_t stagger = self_rank (ldr, now_ms) * CLAIM_STAGGER_MS + ldr->claim_delay_ms;
   if (ldr->record.term == 0 || is_self (ldr, &ldr->record.member.vm))
     return ldr->started_at + ldr->options.election_timeout_ms / 2 + stagger;
   const Peer *leader = find_peer (ldr, &ldr->record.member.vm.vm);
--- a/src/ldr/ldr.h
+++ b/src/ldr/ldr.h
@@ -74,8 +74,10 @@
 LdrState *ldr_new (const LdrOptions *options);
 void ldr_free (LdrState *ldr);
 
-/* Adds or updates members; those missing from the list are kept. The list may include this VM. */
+/* Replaces the members. The list may include this VM. */
 void ldr_set_members (LdrState *ldr, const LdrMember *members, size_t count);
+/* Sets a delay that is added to the claims of this VM; 0 for the VMs that replace a leader first. */
+void ldr_set_claim_delay (LdrState *ldr, int64_t delay_ms);
 /* Input: the election topic was read up to end_offset, its end. */
 void ldr_topic_read (LdrState *ldr, const LdrRecord *newest, int64_t end_offset, int64_t now_ms);
 /* Input: a heartbeat of another VM arrived. */
--- a/tests/test_cell.c
+++ b/tests/test_cell.c
@@ -1,14 +1,17 @@
-/* Pure parts of a cell: routes, lanes for advice, and messages between VMs. */
+/* Pure parts of a cell: routes, lanes for advice, relays, links, and messages between VMs. */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <stdio.h>
 #include <stdlib.h>
 
 #include <cmocka.h>
 
 #include "cell/cell_config.h"
 #include "cell/cell_lanes.h"
+#include "cell/cell_links.h"
+#include "cell/cell_relays.h"
 #include "cell/cell_wire.h"
 
 static void
@@ -128,6 +131,155 @@
   }
 }
 
+/* Members "vm0", "vm1", ... in six zones; the first strong ones have half a core, the others an
+   eighth. */
+static void
+make_members (LdrMember *members, size_t count, size_t strong)
+{
+  for (size_t i = 0; i < count; i++)
+    members[i] = (LdrMember){ .vm = { gr_name_format ("vm%zu", i), 1 },
+                              .zone = gr_name_format ("z%zu", i % 6),
+                              .weight = i < strong ? 500 : 120 };
+}
+
+/* Guards against a leader whose processor is spent on exchanges with targets: on a cell of a
+   thousand targets it sent every start and hold itself, half of them went unanswered, and the
+   repeats made it worse. Cells that one VM carries must stay without the extra hop. */
+static void
+relays_are_chosen_by_the_number_of_targets (void **state)
+{
+  (void) state;
+  static const struct {
+    const char *name;
+    size_t members, strong, targets;
+    int32_t self_weight;
+    size_t relays_min, relays_max;
+  } cases[] = { { "small cell", 9, 0, 48, 250, 0, 0 },
+                { "one strong leader", 40, 10, 150, 500, 0, 0 },
+                { "weak VMs, few targets", 23, 0, 120, 120, 4, 8 },
+                { "a thousand targets", 146, 17, 1100, 500, 12, 17 },
+                { "more than all VMs carry", 146, 17, 100000, 500, 146, 146 },
+                { "nobody linked", 0, 0, 1100, 500, 0, 0 } };
+  static LdrMember members[146];
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+    CellRelays *relays = cell_relays_new ();
+    LdrMember self = { .vm = { gr_name ("self"), 1 }, .weight = cases[i].self_weight };
+    make_members (members, cases[i].members, cases[i].strong);
+    cell_relays_set (relays, &self, members, cases[i].members, cases[i].targets);
+    size_t count = cell_relays_count (relays);
+    if (count < cases[i].relays_min || count > cases[i].relays_max)
+      fail_msg ("%s: %zu relays", cases[i].name, count);
+    cell_relays_free (relays);
+  }
+}
+
+/* Guards against moving targets between relays for nothing, which costs their connections, against
+   uneven shares, and against a relay that does not answer and keeps its targets. */
+static void
+targets_keep_their_relay_while_it_answers (void **state)
+{
+  (void) state;
+  enum {
+    MEMBERS = 40,
+    TARGETS = 600
+  };
+  static LdrMember members[MEMBERS];
+  make_members (members, MEMBERS, MEMBERS);
+  CellRelays *relays = cell_relays_new ();
+  LdrMember self = { .vm = { gr_name ("self"), 1 }, .weight = 100 };
+  cell_relays_set (relays, &self, members, MEMBERS, TARGETS);
+  static GrName before[TARGETS];
+  int share[MEMBERS] = { 0 };
+  for (int t = 0; t < TARGETS; t++) {
+    GrName target = gr_name_format ("t%d", t), zone = gr_name_format ("z%d", t % 6);
+    before[t] = *cell_relays_choose (relays, &target, &zone, 0);
+    int vm = atoi (before[t].data + 2);
+    share[vm]++;
+    assert_int_equal (vm % 6, t % 6); /* a relay of the target's zone */
+  }
+  for (int m = 0; m < MEMBERS; m++)
+    assert_true (share[m] <= 4 * TARGETS / (int) cell_relays_count (relays));
+  const GrName silent = before[0];
+  for (int lost = 0; lost < 3; lost++)
+    cell_relays_result (relays, &silent, false, 0);
+  for (int t = 0; t < TARGETS; t++) {
+    GrName target = gr_name_format ("t%d", t), zone = gr_name_format ("z%d", t % 6);
+    const GrName *now = cell_relays_choose (relays, &target, &zone, 10);
+    const GrName *later = cell_relays_choose (relays, &target, &zone, 1000);
+    bool was_silent = gr_name_equal (&before[t], &silent);
+    assert_int_equal (gr_name_equal (now, &before[t]), !was_silent);
+    assert_true (gr_name_equal (later, &before[t]));
+  }
+  cell_relays_free (relays);
+}
+
+/* Guards against starts without a payload, after a relay has restarted or has dropped old ones. */
+static void
+payloads_are_sent_once_for_each_relay (void **state)
+{
+  (void) state;
+  CellRelays *relays = cell_relays_new ();
+  LdrMember self = { .vm = { gr_name ("self"), 1 }, .weight = 100 };
+  LdrMember members[2];
+  make_members (members, 2, 2);
+  cell_relays_set (relays, &self, members, 2, 100);
+  GrName job = gr_name ("job");
+  const GrName *vm = &members[0].vm.vm;
+  assert_false (cell_relays_has_payload (relays, vm, &job));
+  assert_true (cell_relays_has_payload (relays, vm, &job));
+  assert_false (cell_relays_has_payload (relays, &members[1].vm.vm, &job));
+  cell_relays_link_down (relays, vm);
+  assert_false (cell_relays_has_payload (relays, vm, &job));
+  members[0].vm.incarnation++;
+  cell_relays_set (relays, &self, members, 2, 100);
+  assert_false (cell_relays_has_payload (relays, vm, &job));
+  for (int i = 0; i < CELL_RELAY_PAYLOADS; i++) {
+    GrName other = gr_name_format ("other%d", i);
+    assert_false (cell_relays_has_payload (relays, vm, &other));
+  }
+  assert_false (cell_relays_has_payload (relays, vm, &job));
+  cell_relays_free (relays);
+}
+
+/* Guards against links and heartbeats that grow with the square of the number of VMs, against VMs
+   that disagree about the electors, and against electors that one zone takes away. */
+static void
+electors_are_few_strong_and_spread (void **state)
+{
+  (void) state;
+  static const struct {
+    const char *name;
+    size_t members, strong, electors, max_in_zone, weak_electors;
+  } cases[] = { { "small cell", 9, 0, 9, 2, 9 },
+                { "limit", 16, 0, 16, 3, 16 },
+                { "equal VMs", 100, 0, 16, 3, 16 },
+                { "enough strong VMs", 147, 18, 16, 3, 0 },
+                { "few strong VMs", 147, 6, 16, 3, 10 } };
+  static LdrMember members[147], shuffled[147];
+  bool electors[147], others[147];
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+    size_t count = cases[i].members;
+    make_members (members, count, cases[i].strong);
+    for (size_t m = 0; m < count; m++)
+      shuffled[m] = members[count - 1 - m];
+    cell_links_choose_electors (members, count, electors);
+    cell_links_choose_electors (shuffled, count, others);
+    size_t chosen = 0, weak = 0, in_zone[6] = { 0 };
+    for (size_t m = 0; m < count; m++) {
+      assert_int_equal (electors[m], others[count - 1 - m]);
+      chosen += electors[m];
+      weak += electors[m] && members[m].weight < 500;
+      in_zone[m % 6] += electors[m];
+    }
+    if (chosen != cases[i].electors || weak != cases[i].weak_electors)
+      fail_msg ("%s: %zu electors, %zu weak", cases[i].name, chosen, weak);
+    for (size_t z = 0; z < 6; z++) {
+      if (in_zone[z] > cases[i].max_in_zone)
+        fail_msg ("%s: %zu electors in a zone", cases[i].name, in_zone[z]);
+    }
+  }
+}
+
 static void
 messages_round_trip_and_truncated_ones_are_rejected (void **state)
 {
@@ -144,6 +296,55 @@
       .u.advice_request = { 5, gr_name ("j"), 2, 30, targets, 2 } },
     { .type = CELL_WIRE_ADVICE, .u.advice = { 5, true, allowed, 1 } },
     { .type = CELL_WIRE_CONFIG, .u.config = { "doc", 3 } },
+    { .type = CELL_WIRE_ORDER,
+      .u.order = { 6,
+                   3,
+                   250,
+                   false,
+                   { .type = DAG_CMD_START,
+                     .u.start = { .target = { gr_name ("t1"), gr_name ("h:1"), { 0 }, 7 },
+                                  .task = { gr_name ("j"), 1, 2 },
+                                  .run = 4,
+                                  .lease_until = 5000,
+                                  .payload = { "work", 4 },
+                                  .checkpoint = gr_name ("c"),
+                                  .ticket = "k" } } } },
+    { .type = CELL_WIRE_ORDER,
+      .u.order = { 7,
+                   3,
+                   250,
+                   true,
+                   { .type = DAG_CMD_START, .u.start = { .task = { gr_name ("j"), 1, 3 } } } } },
+    { .type = CELL_WIRE_ORDER,
+      .u.order
+      = { 8,
+          3,
+          700,
+          false,
+          { .type = DAG_CMD_STOP, .u.stop = { .task = { gr_name ("j"), 1, 2 }, .run = 4 } } } },
+    { .type = CELL_WIRE_ORDER,
+      .u.order = { 9,
+                   3,
+                   700,
+                   false,
+                   { .type = DAG_CMD_PACE,
+                     .u.pace = { .task = { gr_name ("j"), 1, 2 }, .percent = 40 } } } },
+    { .type = CELL_WIRE_ORDER,
+      .u.order = { 10,
+                   3,
+                   1700,
+                   false,
+                   { .type = DAG_CMD_HOLD,
+                     .u.hold = { .lease_until = 9, .acknowledged = 8, .wait_ms = 1000 } } } },
+    { .type = CELL_WIRE_ORDER_RESULT, .u.order_result = { 6, DAG_ORDER_NO_ROOM, 0, false, { 0 } } },
+    { .type = CELL_WIRE_ORDER_RESULT,
+      .u.order_result
+      = { 10,
+          DAG_ORDER_OK,
+          77,
+          true,
+          { 5, 77, &(DagRunReport){ { gr_name ("j"), 1, 2 }, 4, { "c", 1 }, 50, -1 }, 1,
+            &(DagEnd){ 3, { gr_name ("j"), 1, 1 }, 2, DAG_END_FAILED, { "", 0 } }, 1 } } },
   };
   for (size_t i = 0; i < sizeof msgs / sizeof msgs[0]; i++) {
     GrBuf first = { 0 }, second = { 0 };
@@ -177,6 +378,10 @@
     cmocka_unit_test (short_requests_do_not_wait_behind_long_ones),
     cmocka_unit_test (requests_of_a_removed_lane_are_sent_again),
     cmocka_unit_test (limits_configuration_pushes),
+    cmocka_unit_test (relays_are_chosen_by_the_number_of_targets),
+    cmocka_unit_test (targets_keep_their_relay_while_it_answers),
+    cmocka_unit_test (payloads_are_sent_once_for_each_relay),
+    cmocka_unit_test (electors_are_few_strong_and_spread),
     cmocka_unit_test (messages_round_trip_and_truncated_ones_are_rejected),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
