dag: jobs with a timetable; platform: bad input is refused by field

Cause: jobs with repeatCount were answered 400, whatever they asked for. Change: dag_timetable.c turns each occurrence that is due into a job of its own, without a timer for those to come; the job keeps a bit set of what is done, so a takeover repeats nothing and starts late what fell due meanwhile. Submissions are checked at the VM that received them; the answer names the field as the caller wrote it, and numbers that do not fit are refused instead of wrapped. Logs tell results, verbs and states by name. Ruled out: a task array with an occurrence index inside one job record (a job of 10,000 occurrences would be rewritten with each change).

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -132,8 +132,8 @@
   case CELL_STORE_UNKNOWN:
     break;
   }
-  gr_log (&cell->log, GR_EV_KEY_GAINED, "leadership claim ended: result=%d offset=%lld",
-          (int) claim, (long long) offset);
+  gr_log (&cell->log, GR_EV_KEY_GAINED, "leadership claim ended: result=%s offset=%lld",
+          cell_store_result_name (result), (long long) offset);
   on_store_result (cell, result == CELL_STORE_OK || result == CELL_STORE_END_MISMATCH);
   ldr_claim_result (cell->ldr, claim, offset, cell_now (cell));
   cell_tick_soon (cell);
--- a/src/cell/cell_calls.c
+++ b/src/cell/cell_calls.c
@@ -15,6 +15,29 @@
 /* Time after which callers should retry, sent when no leader has answered. */
 #define RETRY_AFTER_MS 1000
 
+static const char *
+verb_name (CellVerb verb)
+{
+  static const char *const names[] = { [CELL_VERB_SUBMIT] = "submit",
+                                       [CELL_VERB_STATUS] = "status",
+                                       [CELL_VERB_CANCEL] = "cancel",
+                                       [CELL_VERB_PENDING] = "pending" };
+  return names[verb];
+}
+
+static const char *
+answer_name (CellAnswerKind kind)
+{
+  static const char *const names[] = {
+    [CELL_ANSWER_ACCEPTED] = "accepted", [CELL_ANSWER_CANCELLED] = "cancelled",
+    [CELL_ANSWER_STATE] = "state",       [CELL_ANSWER_PENDING] = "pending",
+    [CELL_ANSWER_NO_JOB] = "no-job",     [CELL_ANSWER_NO_QUEUE] = "no-queue",
+    [CELL_ANSWER_INVALID] = "invalid",   [CELL_ANSWER_REFUSED] = "refused",
+    [CELL_ANSWER_UNKNOWN] = "unknown",   [CELL_ANSWER_NOT_LEADER] = "not-leader",
+  };
+  return names[kind];
+}
+
 static CellOpenCall *
 find_call (const Cell *cell, uint64_t id)
 {
@@ -45,9 +68,9 @@
   if (answer.kind == CELL_ANSWER_REFUSED && call->maybe_applied)
     answer.kind = CELL_ANSWER_UNKNOWN;
   gr_log (&cell->log, GR_EV_ROUTED,
-          "id=%.*s queue=%.*s verb=%d answer=%d value=%lld term=%lld after_ms=%lld",
-          GR_NAME_ARG (call->job), GR_NAME_ARG (call->queue), (int) call->verb, (int) answer.kind,
-          (long long) answer.value, (long long) call->term,
+          "id=%.*s queue=%.*s verb=%s answer=%s value=%lld term=%lld after_ms=%lld",
+          GR_NAME_ARG (call->job), GR_NAME_ARG (call->queue), verb_name (call->verb),
+          answer_name (answer.kind), (long long) answer.value, (long long) call->term,
           (long long) (cell_now (cell) - call->received_at));
   GrMetrics *metrics = cell->options.metrics;
   gr_metric_observe (metrics, GR_METRIC_CALL_MS, cell_now (cell) - call->received_at);
--- a/src/cell/cell_port.h
+++ b/src/cell/cell_port.h
@@ -31,6 +31,27 @@
   CELL_STORE_UNKNOWN       /* append: it may have taken effect, or may still do so */
 } CellStoreResult;
 
+/* Name for logs. */
+static inline const char *
+cell_store_result_name (CellStoreResult result)
+{
+  switch (result) {
+  case CELL_STORE_OK:
+    return "ok";
+  case CELL_STORE_END_MISMATCH:
+    return "end-mismatch";
+  case CELL_STORE_FENCED:
+    return "fenced";
+  case CELL_STORE_TRIMMED:
+    return "trimmed";
+  case CELL_STORE_FAILED:
+    return "failed";
+  case CELL_STORE_UNKNOWN:
+    break;
+  }
+  return "unknown";
+}
+
 typedef struct {
   CellTopic topic;
   const CellEntry *entries; /* borrowed for the call; none: only the term is set */
--- a/src/cell/cell_priv.h
+++ b/src/cell/cell_priv.h
@@ -70,16 +70,16 @@
   bool removing; /* the deletion of a member record is in flight */
   int64_t remove_scan_at;
   CellConfig config;
-  GrBuf config_doc;   /* as published, for peers that cannot reach the store */
-  CellLeader *leader; /* NULL while this VM does not lead */
+  GrBuf config_doc;      /* as published, for peers that cannot reach the store */
+  CellLeader *leader;    /* NULL while this VM does not lead */
   CellPayload *payloads; /* of jobs whose starts this VM sends for the leader */
   CellOpenCall *calls;
-  int64_t leader_served_at; /* when there was last a live leader that accepts calls */
-  uint64_t next_call;       /* id of the last call */
+  int64_t leader_served_at;   /* when there was last a live leader that accepts calls */
+  uint64_t next_call;         /* id of the last call */
   int64_t heartbeat_at;       /* next ones to the electors */
   int64_t other_heartbeat_at; /* next ones to the other VMs */
-  int64_t tick_at; /* when the timer is due; INT64_MAX: it is not set */
-  bool leaving;    /* a planned stop has begun */
+  int64_t tick_at;            /* when the timer is due; INT64_MAX: it is not set */
+  bool leaving;               /* a planned stop has begun */
   bool freeing;
 };
 
--- a/src/cell/cell_records.c
+++ b/src/cell/cell_records.c
@@ -42,8 +42,8 @@
   if (result != CELL_STORE_OK) {
     /* The retry carries the same sequence number and is therefore idempotent. */
     leader->retry_at = cell_leader_now (leader) + RETRY_INTERVAL_MS;
-    gr_log (&leader->cell->log, GR_EV_APPEND_RETRY, "sequence=%lld result=%d open=%d",
-            (long long) sequence, (int) result, leader->appends_open);
+    gr_log (&leader->cell->log, GR_EV_APPEND_RETRY, "sequence=%lld result=%s open=%d",
+            (long long) sequence, cell_store_result_name (result), leader->appends_open);
     return;
   }
   GrMetrics *metrics = leader->cell->options.metrics;
--- a/src/dag/dag.c
+++ b/src/dag/dag.c
@@ -55,6 +55,7 @@
   gr_list_clear (&dag->queues);
   gr_list_clear (&dag->ready);
   gr_list_clear (&dag->target_list);
+  gr_list_clear (&dag->timetables);
   free (dag);
 }
 
@@ -62,6 +63,7 @@
 dag_loaded (DagState *dag, int64_t now_ms)
 {
   dag->loaded = true;
+  dag_timetable_loaded (dag, now_ms);
   for (DagJob *job = dag->jobs; job; job = job->hh.next) {
     if (dag_job_is_open (job)) {
       dag_queue_ready_steps (dag, job);
@@ -195,6 +197,20 @@
   return dag->dirty && !dag->batch_open;
 }
 
+/* True if nothing needs the ended job any more. Callers ask for a job for some time; an occurrence
+   is needed until the job with the timetable is stored. */
+static bool
+is_expired (const DagState *dag, const DagJob *job, int64_t now_ms)
+{
+  if (job->stored_state == DAG_JOB_UNKNOWN || job->dirty || job->batch != 0
+      || job->occurrences.count > 0 || dag_job_has_runs (job))
+    return false;
+  const DagJob *owner = job->timetable_job;
+  if (owner)
+    return !owner->dirty && owner->batch == 0;
+  return now_ms - job->ended_at >= dag->options.status_keep_ms;
+}
+
 static void
 drop_expired_jobs (DagState *dag, int64_t now_ms)
 {
@@ -204,10 +220,7 @@
   DagJob *job, *next;
   HASH_ITER (hh, dag->jobs, job, next)
   {
-    if (job->stored_state == DAG_JOB_UNKNOWN || job->dirty || job->batch != 0
-        || now_ms - job->ended_at < dag->options.status_keep_ms)
-      continue;
-    if (!job->dropped) {
+    if (is_expired (dag, job, now_ms) && !job->dropped) {
       job->dropped = true;
       dag_job_mark_dirty (dag, job);
     }
@@ -220,6 +233,7 @@
   if (!dag->loaded || dag->deposed)
     return;
   dag_targets_tick (dag, now_ms);
+  dag_timetable_tick (dag, now_ms);
   dag_runs_tick (dag, now_ms);
   dag_avail_tick (dag, now_ms);
   if (dag->ready.count > 0 && now_ms - dag->placed_at >= PLACEMENT_RETRY_MS)
--- a/src/dag/dag.h
+++ b/src/dag/dag.h
@@ -37,8 +37,13 @@
 /* Most tasks of one job, over all its steps. */
 #define DAG_MAX_TASKS 4096
 
+/* Most occurrences of a timetable. */
+#define DAG_MAX_OCCURRENCES 10000
+
 /* Longest estimate, latency or validity that is accepted: 366 days. */
 #define DAG_DURATION_MAX_MS ((int64_t) 366 * 24 * 3600 * 1000)
+/* Latest Unix time that is accepted: the year 2286. */
+#define DAG_UNIX_TIME_MAX_MS ((int64_t) 9999999999999)
 /* Largest slack factor of a queue. */
 #define DAG_SLACK_MAX 1e6
 
@@ -68,6 +73,14 @@
   int32_t max_unavailable;
 } DagStepSpec;
 
+/* Times at which the steps of a job run. Occurrence K, from 0 on, is due at start_at_unix_ms plus K
+   times interval_ms; occurrences may overlap. */
+typedef struct {
+  int32_t count; /* 0: no timetable, the job runs once and at once */
+  int64_t start_at_unix_ms;
+  int64_t interval_ms;
+} DagTimetable;
+
 /* A submission. Pointers are borrowed for the duration of the call. */
 typedef struct {
   GrName id;
@@ -75,6 +88,7 @@
   GrStr payload;
   const DagStepSpec *steps;
   size_t step_count;
+  DagTimetable timetable;
 } DagJobSpec;
 
 /* Policy of a queue. */
@@ -116,6 +130,8 @@
   int64_t remaining_ms; /* while draining: shortest time that it keeps serving */
 } DagTargetInfo;
 
+/* In a job with a timetable, job is the id followed by "." and the number of the occurrence, except
+   for occurrence 0, which has the id itself. */
 typedef struct {
   GrName job;
   uint32_t step;
@@ -255,6 +271,10 @@
   DAG_JOB_CANCELLED
 } DagJobState;
 
+/* Names for logs. */
+const char *dag_job_state_name (DagJobState state);
+const char *dag_order_result_name (DagOrderResult result);
+
 typedef enum {
   DAG_SUBMIT_PENDING,  /* answered by DAG_CMD_ACCEPTED */
   DAG_SUBMIT_KNOWN,    /* already stored */
@@ -317,6 +337,9 @@
 /* The target is no longer in the list. */
 void dag_target_unlisted (DagState *dag, const GrName *id, int64_t now_ms);
 
+/* Checks a submission as dag_submit() does. Errors: GR_ERR_INVALID or GR_ERR_TOO_LARGE with the
+   name of the field. */
+bool dag_check_job_spec (const DagJobSpec *spec, GrErr *err);
 /* call identifies the caller in DAG_CMD_ACCEPTED. *retry_after_ms is 0 except with
    DAG_SUBMIT_OVERLOAD; err is set with DAG_SUBMIT_INVALID only. If the id is known, spec is not
    compared with the known job. */
@@ -330,7 +353,7 @@
 bool dag_cancel (DagState *dag, const GrName *id, int64_t call, int64_t now_ms);
 /* State of the job for callers. Ended states are returned only once they are stored. */
 DagJobState dag_status (const DagState *dag, const GrName *id);
-/* Number of open jobs of the queue for which no task has started. */
+/* Number of open jobs of the queue for which no task has started. Occurrences do not count. */
 int64_t dag_pending (const DagState *dag, const GrName *queue);
 
 /* Results of the orders. An unknown or outdated task, run or token is ignored. DAG_ORDER_FENCED
--- a/src/dag/dag_advice.c
+++ b/src/dag/dag_advice.c
@@ -243,7 +243,7 @@
   gr_list_push (&dag->advise_names, names);
   const DagQueue *queue = &step->job->queue;
   DagCmd cmd = { .type = DAG_CMD_ADVISE };
-  cmd.u.advise.job = step->job->id;
+  cmd.u.advise.job = dag_task_job_name (step->job);
   cmd.u.advise.step = step->number;
   cmd.u.advise.token = call.token;
   cmd.u.advise.priority = queue->priority;
@@ -342,7 +342,7 @@
 dag_handle_advice (DagState *dag, const GrName *job_id, uint32_t number, int64_t token, bool ok,
                    const DagAllowed *allowed, size_t count, int64_t age_ms, int64_t now_ms)
 {
-  DagJob *job = dag_find_job (dag, job_id);
+  DagJob *job = dag_find_task_job (dag, job_id);
   if (!job || number >= job->step_count)
     return;
   DagStep *step = &job->steps[number];
--- a/src/dag/dag_codec.c
+++ b/src/dag/dag_codec.c
@@ -1,10 +1,13 @@
 /* Encoding of the records of the durable store, in MessagePack.
 
    Key "j" + id: the submission, written once and deleted after the job has ended:
-     [format, id, queue policy, accepted at (Unix ms), payload, [step, ...]].
+     [format, id, queue policy, accepted at (Unix ms), payload, [step, ...]], with a timetable also
+     count, start at (Unix ms), interval.
    Key "p" + id: the progress, written with each change:
      [format, state, begun, ended at (Unix ms) or 0, [[task, ...], ...]] with one list per step, or
-     no lists if the job has ended and has no runs. A task is 1 if done, 0 if it waits and was never
+     no lists if the job has ended and has no runs. A job with a timetable has the bit set of the
+     occurrences that are done in place of the lists; the key of an occurrence is "p" + id + "." +
+     number. A task is 1 if done, 0 if it waits and was never
      assigned, else [state, run, failures, target, incarnation, checkpoint]; target is empty if the
      task has no run that may be alive. */
 #include <stdlib.h>
@@ -16,7 +19,9 @@
 #define SPEC_KEY 'j'
 #define PROGRESS_KEY 'p'
 #define SPEC_FIELDS 6
+#define TIMETABLE_FIELDS 3
 #define PROGRESS_FIELDS 5
+#define CALL_SPEC_FIELDS 4
 #define TASK_FIELDS 6
 #define POLICY_FIELDS 10
 #define STEP_FIELDS (GR_RES_COUNT + 7)
@@ -72,12 +77,20 @@
   msgpack_pack_int64 (packer, step->tail_target_ms);
 }
 
+static void
+pack_timetable (msgpack_packer *packer, const DagTimetable *timetable)
+{
+  msgpack_pack_int (packer, timetable->count);
+  msgpack_pack_int64 (packer, timetable->start_at_unix_ms);
+  msgpack_pack_int64 (packer, timetable->interval_ms);
+}
+
 void
 dag_pack_spec (const DagState *dag, const DagJob *job, GrBuf *out)
 {
   msgpack_packer packer;
   gr_pack_init (&packer, out);
-  msgpack_pack_array (&packer, SPEC_FIELDS);
+  msgpack_pack_array (&packer, SPEC_FIELDS + (dag_has_timetable (job) ? TIMETABLE_FIELDS : 0));
   msgpack_pack_int (&packer, FORMAT);
   gr_pack_name (&packer, &job->id);
   pack_policy (&packer, &job->queue);
@@ -86,6 +99,8 @@
   msgpack_pack_array (&packer, job->step_count);
   for (size_t s = 0; s < job->step_count; s++)
     pack_step (&packer, &job->steps[s].spec);
+  if (dag_has_timetable (job))
+    pack_timetable (&packer, &job->timetable);
 }
 
 void
@@ -93,13 +108,16 @@
 {
   msgpack_packer packer;
   gr_pack_init (&packer, out);
-  msgpack_pack_array (&packer, 4);
+  bool timed = spec->timetable.count != 0;
+  msgpack_pack_array (&packer, CALL_SPEC_FIELDS + (timed ? TIMETABLE_FIELDS : 0));
   gr_pack_name (&packer, &spec->id);
   gr_pack_name (&packer, &spec->queue);
   gr_pack_bin (&packer, spec->payload);
   msgpack_pack_array (&packer, spec->step_count);
   for (size_t s = 0; s < spec->step_count; s++)
     pack_step (&packer, &spec->steps[s]);
+  if (timed)
+    pack_timetable (&packer, &spec->timetable);
 }
 
 static void
@@ -122,19 +140,6 @@
   gr_pack_name (packer, dag_checkpoint (task));
 }
 
-/* True if a run of the job may be alive. Only then are the tasks of an ended job stored. */
-static bool
-has_runs (const DagJob *job)
-{
-  for (size_t s = 0; s < job->step_count; s++) {
-    for (int32_t i = 0; i < job->steps[s].spec.count; i++) {
-      if (job->steps[s].tasks[i].target)
-        return true;
-    }
-  }
-  return false;
-}
-
 void
 dag_pack_progress (const DagState *dag, const DagJob *job, GrBuf *out)
 {
@@ -145,7 +150,11 @@
   msgpack_pack_int (&packer, (int) job->state);
   gr_pack_bool (&packer, job->begun);
   msgpack_pack_int64 (&packer, job->ended_at > 0 ? job->ended_at + dag->options.unix_offset_ms : 0);
-  if (!dag_job_is_open (job) && !has_runs (job)) {
+  if (dag_has_timetable (job)) {
+    gr_pack_bin (&packer, (GrStr){ (const char *) job->done_bits, dag_timetable_bytes (job) });
+    return;
+  }
+  if (!dag_job_is_open (job) && !dag_job_has_runs (job)) {
     msgpack_pack_array (&packer, 0);
     return;
   }
@@ -251,12 +260,34 @@
   return true;
 }
 
+static bool
+read_timetable (const msgpack_object *f, DagTimetable *timetable)
+{
+  /* A call may hold other values; dag_submit() refuses them with an error that names the field. */
+  return gr_unpack_int32 (&f[0], &timetable->count)
+         && gr_unpack_int (&f[1], &timetable->start_at_unix_ms)
+         && gr_unpack_int (&f[2], &timetable->interval_ms);
+}
+
+/* Returns true for an array of size elements, with or without a timetable at its end, and sets
+ *timed. */
+static bool
+is_array_with_timetable (const msgpack_object *object, uint32_t size, bool *timed)
+{
+  *timed = gr_unpack_is_array (object, size + TIMETABLE_FIELDS);
+  return *timed || gr_unpack_is_array (object, size);
+}
+
 bool
 dag_unpack_job_spec (GrStr bytes, msgpack_unpacked *unpacked, DagStepSpec *steps, DagJobSpec *spec)
 {
-  if (!gr_unpack_array (unpacked, bytes) || !gr_unpack_is_array (&unpacked->data, 4))
+  bool timed;
+  if (!gr_unpack_array (unpacked, bytes)
+      || !is_array_with_timetable (&unpacked->data, CALL_SPEC_FIELDS, &timed))
     return false;
   const msgpack_object *f = unpacked->data.via.array.ptr;
+  if (timed && !read_timetable (&f[CALL_SPEC_FIELDS], &spec->timetable))
+    return false;
   memset (steps, 0, DAG_MAX_STEPS * sizeof *steps);
   spec->steps = steps;
   return gr_unpack_name (&f[0], &spec->id) && gr_unpack_name (&f[1], &spec->queue)
@@ -266,7 +297,8 @@
 static bool
 load_spec (DagState *dag, const msgpack_object *object)
 {
-  if (!gr_unpack_is_array (object, SPEC_FIELDS))
+  bool timed;
+  if (!is_array_with_timetable (object, SPEC_FIELDS, &timed))
     return false;
   const msgpack_object *f = object->via.array.ptr;
   int64_t format, accepted;
@@ -279,6 +311,10 @@
     return false;
   spec.queue = queue.name;
   spec.steps = steps;
+  if (timed
+      && (!read_timetable (&f[SPEC_FIELDS], &spec.timetable)
+          || !dag_check_timetable (&spec.timetable, NULL)))
+    return false;
   if (dag_find_job (dag, &spec.id))
     return true;
   DagJob *job = dag_job_create (dag, &spec, &queue, accepted - dag->options.unix_offset_ms);
@@ -326,6 +362,24 @@
   return true;
 }
 
+/* The job of a progress record. An occurrence is created if the job with its timetable is known. */
+static DagJob *
+find_loaded_job (DagState *dag, const GrName *id)
+{
+  DagJob *job = dag_find_job (dag, id);
+  const char *dot = memchr (id->data, '.', id->len);
+  int64_t number;
+  GrName owner_id;
+  if (job || !dot || !gr_name_set (&owner_id, (GrStr){ id->data, (size_t) (dot - id->data) })
+      || !gr_str_to_int64 ((GrStr){ dot + 1, id->len - owner_id.len - 1 }, &number)
+      || number > DAG_MAX_OCCURRENCES)
+    return job;
+  DagJob *owner = dag_find_job (dag, &owner_id);
+  return owner && dag_has_timetable (owner)
+             ? dag_timetable_occurrence (dag, owner, (int32_t) number)
+             : NULL;
+}
+
 static bool
 load_progress (DagState *dag, const GrName *id, const msgpack_object *object, int64_t now_ms)
 {
@@ -336,9 +390,9 @@
   bool begun;
   if (!gr_unpack_int (&f[0], &format) || format != FORMAT || !gr_unpack_int (&f[1], &state)
       || !gr_unpack_bool (&f[2], &begun) || !read_int (&f[3], 0, NUMBER_MAX, &ended)
-      || f[4].type != MSGPACK_OBJECT_ARRAY || state < DAG_JOB_QUEUED || state > DAG_JOB_CANCELLED)
+      || state < DAG_JOB_QUEUED || state > DAG_JOB_CANCELLED)
     return false;
-  DagJob *job = dag_find_job (dag, id);
+  DagJob *job = find_loaded_job (dag, id);
   if (!job) {
     /* The submission record is deleted after the job has ended. */
     DagJobSpec spec = { .id = *id };
@@ -348,7 +402,16 @@
     job->spec_dropped = true;
   }
   job->begun = begun;
-  size_t steps = f[4].via.array.size;
+  GrStr done_bits;
+  if (dag_has_timetable (job)
+      && (!gr_unpack_bytes (&f[4], &done_bits) || !dag_timetable_set_done (job, done_bits)))
+    return false;
+  bool has_steps = f[4].type == MSGPACK_OBJECT_ARRAY;
+  /* Of an ended job with a timetable the submission record may be gone. */
+  bool ended_job = state != DAG_JOB_QUEUED && state != DAG_JOB_IN_PROGRESS;
+  if (!has_steps && !dag_has_timetable (job) && !ended_job)
+    return false;
+  size_t steps = has_steps ? f[4].via.array.size : 0;
   for (size_t s = 0; s < steps && s < job->step_count; s++) {
     const msgpack_object *tasks = &f[4].via.array.ptr[s];
     DagStep *step = &job->steps[s];
@@ -419,7 +482,8 @@
   dag_pack_progress (dag, job, &progress);
   bytes += progress.len;
   push_record (out, PROGRESS_KEY, &job->id, progress);
-  if (!dag_job_is_open (job) && !has_runs (job) && !job->spec_dropped) {
+  if (!dag_job_is_open (job) && !dag_job_has_runs (job) && job->occurrences.count == 0
+      && !job->spec_dropped) {
     push_record (out, SPEC_KEY, &job->id, (GrBuf){ 0 });
     job->spec_dropped = true;
   }
--- a/src/dag/dag_job.c
+++ b/src/dag/dag_job.c
@@ -11,6 +11,40 @@
 #define INITIAL_RUNTIME_RATIO 1.0
 #define INITIAL_ALLOWED_SHARE 0.5
 
+const char *
+dag_job_state_name (DagJobState state)
+{
+  switch (state) {
+  case DAG_JOB_UNKNOWN:
+    break;
+  case DAG_JOB_QUEUED:
+    return "queued";
+  case DAG_JOB_IN_PROGRESS:
+    return "in_progress";
+  case DAG_JOB_COMPLETED:
+    return "completed";
+  case DAG_JOB_FAILED:
+    return "failed";
+  case DAG_JOB_CANCELLED:
+    return "cancelled";
+  }
+  return "unknown";
+}
+
+const char *
+dag_order_result_name (DagOrderResult result)
+{
+  static const char *const names[] = {
+    [DAG_ORDER_OK] = "ok",           [DAG_ORDER_FENCED] = "fenced",
+    [DAG_ORDER_OLD] = "old",         [DAG_ORDER_LATE] = "late",
+    [DAG_ORDER_NO_ROOM] = "no-room", [DAG_ORDER_NO_TICKET] = "no-ticket",
+    [DAG_ORDER_INVALID] = "invalid", [DAG_ORDER_REFUSED] = "refused",
+    [DAG_ORDER_GONE] = "gone",       [DAG_ORDER_NOT_SENT] = "not-sent",
+    [DAG_ORDER_LOST] = "lost",
+  };
+  return names[result];
+}
+
 DagJob *
 dag_find_job (const DagState *dag, const GrName *id)
 {
@@ -40,6 +74,18 @@
   return job->state == DAG_JOB_QUEUED || job->state == DAG_JOB_IN_PROGRESS;
 }
 
+bool
+dag_job_has_runs (const DagJob *job)
+{
+  for (size_t s = 0; s < job->step_count; s++) {
+    for (int32_t i = 0; i < job->steps[s].spec.count; i++) {
+      if (job->steps[s].tasks[i].target)
+        return true;
+    }
+  }
+  return false;
+}
+
 void
 dag_job_mark_dirty (DagState *dag, DagJob *job)
 {
@@ -54,7 +100,7 @@
 dag_step_is_ready (const DagStep *step)
 {
   const DagJob *job = step->job;
-  return dag_job_is_open (job)
+  return dag_job_is_open (job) && !dag_has_timetable (job)
          && (step->spec.depends_on & job->steps_done) == step->spec.depends_on;
 }
 
@@ -75,10 +121,26 @@
     dag_queue_step (dag, &job->steps[s]);
 }
 
+DagJob *
+dag_find_task_job (const DagState *dag, const GrName *name)
+{
+  DagJob *job = dag_find_job (dag, name);
+  if (!job || !dag_has_timetable (job))
+    return job;
+  GrName first = gr_name_format ("%.*s.0", GR_NAME_ARG (*name));
+  return dag_find_job (dag, &first);
+}
+
+GrName
+dag_task_job_name (const DagJob *job)
+{
+  return job->timetable_job && job->occurrence == 0 ? job->timetable_job->id : job->id;
+}
+
 DagTask *
 dag_find_task (const DagState *dag, const DagTaskRef *ref)
 {
-  DagJob *job = dag_find_job (dag, &ref->job);
+  DagJob *job = dag_find_task_job (dag, &ref->job);
   if (!job || ref->step >= job->step_count
       || ref->index >= (uint32_t) job->steps[ref->step].spec.count)
     return NULL;
@@ -88,7 +150,7 @@
 DagTaskRef
 dag_task_ref (const DagTask *task)
 {
-  return (DagTaskRef){ task->step->job->id, task->step->number, task->index };
+  return (DagTaskRef){ dag_task_job_name (task->step->job), task->step->number, task->index };
 }
 
 /* Expected duration of a step, with the call for advice if its queue needs one. */
@@ -156,6 +218,9 @@
       step->tasks[i].index = (uint32_t) i;
     }
   }
+  job->timetable = spec->timetable;
+  if (dag_has_timetable (job))
+    dag_timetable_init (dag, job);
   set_objective (dag, job);
   HASH_ADD_KEYPTR (hh, dag->jobs, job->id.data, job->id.len, job);
   dag->open_jobs++;
@@ -178,6 +243,7 @@
 dag_job_free (DagState *dag, DagJob *job)
 {
   unqueue_steps (dag, job);
+  dag_timetable_release (dag, job);
   for (size_t s = 0; s < job->step_count; s++) {
     DagStep *step = &job->steps[s];
     dag_advice_clear (step);
@@ -216,10 +282,12 @@
     for (int32_t i = 0; i < step->spec.count; i++)
       dag_run_stop (dag, &step->tasks[i], now_ms);
   }
-  DAG_LOG (dag, GR_EV_ENDED, "id=%.*s queue=%.*s state=%d after_ms=%lld", GR_NAME_ARG (job->id),
-           GR_NAME_ARG (job->queue.name), (int) state, (long long) (now_ms - job->accepted_at));
+  DAG_LOG (dag, GR_EV_ENDED, "id=%.*s queue=%.*s state=%s after_ms=%lld", GR_NAME_ARG (job->id),
+           GR_NAME_ARG (job->queue.name), dag_job_state_name (state),
+           (long long) (now_ms - job->accepted_at));
   if (dag->options.metrics)
     gr_metric_add (dag->options.metrics, GR_METRIC_ENDED, 1);
+  dag_timetable_handle_end (dag, job, now_ms);
 }
 
 static const DagQueue *
@@ -247,10 +315,12 @@
   dag->place_wanted = true;
 }
 
-static bool
-check_spec (const DagJobSpec *spec, GrErr *err)
+bool
+dag_check_job_spec (const DagJobSpec *spec, GrErr *err)
 {
   int64_t tasks = 0;
+  if (!dag_check_timetable (&spec->timetable, err))
+    return false;
   if (spec->step_count == 0 || spec->step_count > DAG_MAX_STEPS)
     return gr_err_set (err, GR_ERR_INVALID, "steps", "a job must have 1 to %d steps, not %zu",
                        DAG_MAX_STEPS, spec->step_count);
@@ -293,7 +363,7 @@
   const DagQueue *queue = find_queue (dag, &spec->queue);
   if (!queue)
     return DAG_SUBMIT_NO_QUEUE;
-  if (!check_spec (spec, err))
+  if (!dag_check_job_spec (spec, err))
     return DAG_SUBMIT_INVALID;
   job = dag_job_create (dag, spec, queue, now_ms);
   gr_list_push (&job->submit_calls, call);
@@ -360,7 +430,8 @@
 {
   int64_t count = 0;
   for (const DagJob *job = dag->jobs; job; job = job->hh.next) {
-    if (dag_job_is_open (job) && !job->begun && gr_name_equal (&job->queue.name, queue))
+    if (dag_job_is_open (job) && !job->begun && !job->timetable_job
+        && gr_name_equal (&job->queue.name, queue))
       count++;
   }
   return count;
--- a/src/dag/dag_place.c
+++ b/src/dag/dag_place.c
@@ -1,10 +1,11 @@
 /* Placement: assigns waiting tasks to targets.
 
    Long-running steps come first: they hold their room for long, and work that ends frees some again
-   soon. Steps whose job can still meet its objective are placed first, then those whose job can meet its
-   hard deadline, then the rest. Within each group the order is by priority, then by the latest
-   start time that meets the objective, earliest first. Gang scheduling is all or nothing. The first
-   gangs that do not fit reserve targets, so that later, smaller steps do not starve them. */
+   soon. Steps whose job can still meet its objective are placed first, then those whose job can
+   meet its hard deadline, then the rest. Within each group the order is by priority, then by the
+   latest start time that meets the objective, earliest first. Gang scheduling is all or nothing.
+   The first gangs that do not fit reserve targets, so that later, smaller steps do not starve them.
+ */
 #include <stdlib.h>
 
 #include "dag/dag_priv.h"
--- a/src/dag/dag_priv.h
+++ b/src/dag/dag_priv.h
@@ -87,6 +87,8 @@
   bool advice_received; /* at least one call was answered */
 };
 
+/* A job with a timetable has no runs of its own: each occurrence that is due is a job that refers
+   to it. Occurrences have no submission record, and their progress is stored under their own id. */
 struct DagJob {
   GrName id;
   UT_hash_handle hh;
@@ -116,6 +118,13 @@
   GR_LIST (int64_t) cancel_calls; /* calls to answer once the cancellation is stored */
   DagJob *dirty_next;
   DagJob *batch_next;
+  DagJob *timetable_job; /* of an occurrence: the job with the timetable */
+  int32_t occurrence;    /* of an occurrence: its number */
+  DagTimetable timetable;
+  GR_LIST (DagJob *) occurrences; /* those that exist as jobs */
+  unsigned char *done_bits;       /* bit set of the occurrences that are done */
+  int32_t done_count;
+  int32_t next_occurrence; /* all earlier ones are done or exist as jobs */
 };
 
 /* A hold in flight. */
@@ -214,12 +223,13 @@
   int64_t next_token;
   uint64_t next_job_serial;
   uint32_t next_target_serial;
-  int64_t pass;      /* number of the newest placement pass */
-  int64_t mark;      /* newest DagTarget.mark */
-  bool place_wanted; /* a placement pass is requested */
-  int64_t placed_at; /* time of the last placement pass */
-  bool loaded;       /* recovery is complete */
-  bool deposed;      /* a target has seen a later term; ticks do nothing */
+  int64_t pass;                  /* number of the newest placement pass */
+  int64_t mark;                  /* newest DagTarget.mark */
+  bool place_wanted;             /* a placement pass is requested */
+  int64_t placed_at;             /* time of the last placement pass */
+  bool loaded;                   /* recovery is complete */
+  bool deposed;                  /* a target has seen a later term; ticks do nothing */
+  GR_LIST (DagJob *) timetables; /* jobs with a timetable */
   size_t open_jobs;
   int64_t expire_scan_at; /* time of the next scan for expired jobs */
 };
@@ -237,6 +247,8 @@
 void dag_job_end (DagState *dag, DagJob *job, DagJobState state, int64_t now_ms);
 /* True if the job has not ended. */
 bool dag_job_is_open (const DagJob *job);
+/* True if a run of the job may be alive. Only then are the tasks of an ended job stored. */
+bool dag_job_has_runs (const DagJob *job);
 /* True if the job is open and all steps that this step depends on are done. */
 bool dag_step_is_ready (const DagStep *step);
 /* Requests a placement pass. Adds the step to dag->ready if it is ready and has waiting tasks. */
@@ -244,11 +256,38 @@
 void dag_queue_ready_steps (DagState *dag, DagJob *job);
 DagTask *dag_find_task (const DagState *dag, const DagTaskRef *ref);
 DagTaskRef dag_task_ref (const DagTask *task);
+/* Job that a DagTaskRef names; NULL if there is none. */
+DagJob *dag_find_task_job (const DagState *dag, const GrName *name);
+/* Name of the job in DagTaskRef. */
+GrName dag_task_job_name (const DagJob *job);
 /* Creates the statistics of the queue on first use. */
 DagQueueStats *dag_queue_stats (DagState *dag, const GrName *queue);
 /* Removes the advice about the target from all steps, before it is freed or after its restart. */
 void dag_drop_target_refs (DagState *dag, const DagTarget *target);
 
+/* dag_timetable.c */
+/* True if the job has a timetable, and so no runs of its own. */
+bool dag_has_timetable (const DagJob *job);
+/* Returns false and sets GR_ERR_INVALID with the name of the field if a value is out of range. */
+bool dag_check_timetable (const DagTimetable *timetable, GrErr *err);
+/* Sets up the state of a job that was just created with a timetable. */
+void dag_timetable_init (DagState *dag, DagJob *job);
+/* Releases the state; occurrences that still exist lose their reference to the job. */
+void dag_timetable_release (DagState *dag, DagJob *job);
+/* Returns the occurrence as a job, which is created if it does not exist; NULL if the number is out
+   of range. */
+DagJob *dag_timetable_occurrence (DagState *dag, DagJob *job, int32_t number);
+/* Size of done_bits in bytes. */
+size_t dag_timetable_bytes (const DagJob *job);
+/* Replaces done_bits; false if the size does not match. */
+bool dag_timetable_set_done (DagJob *job, GrStr bits);
+/* An occurrence or a job with a timetable has ended. */
+void dag_timetable_handle_end (DagState *dag, DagJob *job, int64_t now_ms);
+/* After recovery: brings jobs with a timetable and their occurrences in line. */
+void dag_timetable_loaded (DagState *dag, int64_t now_ms);
+/* Creates the occurrences that are due. */
+void dag_timetable_tick (DagState *dag, int64_t now_ms);
+
 /* dag_codec.c */
 void dag_pack_spec (const DagState *dag, const DagJob *job, GrBuf *out);
 void dag_pack_progress (const DagState *dag, const DagJob *job, GrBuf *out);
--- a/src/dag/dag_run.c
+++ b/src/dag/dag_run.c
@@ -147,6 +147,18 @@
   task->start_open = true;
 }
 
+static void
+mark_begun (DagState *dag, DagJob *job)
+{
+  if (job->begun)
+    return;
+  job->begun = true;
+  if (dag_job_is_open (job))
+    job->state = DAG_JOB_IN_PROGRESS;
+  if (dag_has_timetable (job))
+    dag_job_mark_dirty (dag, job);
+}
+
 void
 dag_run_start (DagState *dag, DagTask *task, int64_t now_ms)
 {
@@ -164,10 +176,10 @@
   }
   task->state = TASK_STARTING;
   send_start (dag, task, now_ms);
+  if (job->timetable_job)
+    mark_begun (dag, job->timetable_job);
   if (!job->begun) {
-    job->begun = true;
-    if (dag_job_is_open (job))
-      job->state = DAG_JOB_IN_PROGRESS;
+    mark_begun (dag, job);
     if (dag->options.metrics)
       gr_metric_observe (dag->options.metrics, GR_METRIC_WAIT_MS, now_ms - job->accepted_at);
   }
@@ -374,9 +386,9 @@
     return;
   task->start_open = false;
   if (result != DAG_ORDER_OK)
-    DAG_LOG (dag, GR_EV_REFUSED, "id=%.*s step=%u index=%u run=%lld target=%.*s result=%d",
+    DAG_LOG (dag, GR_EV_REFUSED, "id=%.*s step=%u index=%u run=%lld target=%.*s result=%s",
              GR_NAME_ARG (ref->job), ref->step, ref->index, (long long) run,
-             GR_NAME_ARG (target->info.id), (int) result);
+             GR_NAME_ARG (target->info.id), dag_order_result_name (result));
   if (result == DAG_ORDER_OK) {
     task->state = TASK_RUNNING;
     task->confirmed_at = now_ms;
--- a/src/dag/dag_target.c
+++ b/src/dag/dag_target.c
@@ -505,8 +505,8 @@
   for (int i = 0; i < target->hold_failures && pause < HOLD_RETRY_MAX_MS; i++)
     pause *= 2;
   if (target->hold_failures++ == 0)
-    DAG_LOG (dag, GR_EV_TARGET_STATE, "target=%.*s state=silent result=%d runs=%d",
-             GR_NAME_ARG (target->info.id), (int) result, target->run_count);
+    DAG_LOG (dag, GR_EV_TARGET_STATE, "target=%.*s state=silent result=%s runs=%d",
+             GR_NAME_ARG (target->info.id), dag_order_result_name (result), target->run_count);
   target->hold_retry_at = now_ms + pause;
 }
 
--- /dev/null
+++ b/tests/test_plat.c
@@ -0,0 +1,150 @@
+/* Unit tests of the adapter's decoders: submissions, names of tasks, and answers to bad input. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include <cmocka.h>
+
+#include "platform/plat.h"
+
+/* Guards against bad input that is taken for something else (numbers that wrap, flags that are
+   ignored) or refused without saying which field is wrong, and against refusing fields of later
+   versions. */
+static void
+submissions_are_decoded_or_refused_by_field (void **state)
+{
+  (void) state;
+  static const struct {
+    const char *steps, *more; /* fields of the one step, and of the job */
+    const char *field;        /* NULL: accepted */
+  } cases[] = {
+    { "\"count\":2", "", NULL },
+    { "\"count\":2,\"later\":{\"a\":[1]}", ",\"alsoLater\":true", NULL },
+    { "\"count\":2,\"longRunning\":true,\"maxUnavailable\":1", "", NULL },
+    { "\"count\":2", ",\"repeatCount\":3,\"startAtMs\":1700000000000,\"intervalMs\":500", NULL },
+    { "\"count\":0", "", "count" },
+    { "\"count\":1,\"estimateMs\":1e15", "", "estimateMs" },
+    { "\"count\":4294967298", "", "count" },
+    { "\"count\":-1", "", "count" },
+    { "\"count\":1,\"cpu\":-5", "", "cpu" },
+    { "\"count\":1,\"memMb\":1e300", "", "memMb" },
+    { "\"count\":1,\"maxUnavailable\":-1", "", "maxUnavailable" },
+    { "\"count\":1,\"antiAffinity\":4294967297", "", "antiAffinity" },
+    { "\"count\":1,\"dependsOn\":[0]", "", "dependsOn" },
+    { "\"count\":1", ",\"repeatCount\":-1", "repeatCount" },
+    { "\"count\":1", ",\"repeatCount\":1000000", "repeatCount" },
+    { "\"count\":1", ",\"repeatCount\":2,\"intervalMs\":-1", "intervalMs" },
+    { "\"count\":1", ",\"repeatCount\":2,\"startAtMs\":-1", "startAtMs" },
+  };
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+    GrBuf text = { 0 };
+    gr_buf_printf (&text, "{\"spec\":\"x\",\"steps\":[{%s}]%s}", cases[i].steps, cases[i].more);
+    DagStepSpec steps[DAG_MAX_STEPS];
+    DagJobSpec spec = { .id = gr_name ("0123456789abcdef"), .queue = gr_name ("q") };
+    json_t *body = NULL;
+    GrErr err = { 0 };
+    bool ok = plat_decode_job (gr_buf_str (&text), steps, &spec, &body, &err)
+              && dag_check_job_spec (&spec, &err);
+    if (ok != (cases[i].field == NULL))
+      fail_msg ("%s: %s", text.data, ok ? "accepted" : err.detail);
+    const char *wire_name = plat_field_name (&err.field);
+    GrName field = wire_name ? gr_name (wire_name) : err.field;
+    if (!ok && !gr_str_equal (gr_name_str (&field), gr_str_from_c (cases[i].field)))
+      fail_msg ("%s: field %.*s", text.data, GR_NAME_ARG (field));
+    json_decref (body);
+    gr_buf_clear (&text);
+  }
+}
+
+static void
+malformed_bodies_are_refused (void **state)
+{
+  (void) state;
+  static const char *const cases[] = {
+    "", "{", "[]", "null", "{\"steps\":{}}", "{\"steps\":[]}", "{\"spec\":\"x\"}", "\xff\xfe"
+  };
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+    DagStepSpec steps[DAG_MAX_STEPS];
+    DagJobSpec spec = { 0 };
+    json_t *body = NULL;
+    GrErr err = { 0 };
+    assert_false (plat_decode_job (gr_str_from_c (cases[i]), steps, &spec, &body, &err));
+    assert_int_equal (err.code, GR_ERR_INVALID);
+    json_decref (body);
+  }
+}
+
+/* Guards against runs that are taken for those of another occurrence: a task's name holds the
+   occurrence, which is 0 also for jobs without a timetable. */
+static void
+task_names_round_trip (void **state)
+{
+  (void) state;
+  static const struct {
+    const char *name, *job; /* job NULL: not a name */
+    uint32_t step, index;
+  } cases[] = { { "0123456789abcdef.0.1.17", "0123456789abcdef", 1, 17 },
+                { "0123456789abcdef.3.0.2", "0123456789abcdef.3", 0, 2 },
+                { "0123456789abcdef.0.1", NULL, 0, 0 },
+                { "0123456789abcdef.0.1.2.3", NULL, 0, 0 },
+                { "0123456789abcdef.a.1.2", NULL, 0, 0 },
+                { "", NULL, 0, 0 } };
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+    DagTaskRef task = { 0 };
+    bool ok = plat_parse_task (cases[i].name, &task);
+    assert_int_equal (ok, cases[i].job != NULL);
+    if (!ok)
+      continue;
+    assert_true (gr_str_equal (gr_name_str (&task.job), gr_str_from_c (cases[i].job)));
+    assert_int_equal (task.step, cases[i].step);
+    assert_int_equal (task.index, cases[i].index);
+    GrName name = plat_task_name (&task);
+    assert_true (gr_str_equal (gr_name_str (&name), gr_str_from_c (cases[i].name)));
+  }
+}
+
+/* Guards against the use of a target whose entry was written by something else. */
+static void
+foreign_target_entries_are_refused (void **state)
+{
+  (void) state;
+  static const struct {
+    const char *entry;
+    bool ok;
+  } cases[] = {
+    { "{\"service\":\"s\",\"address\":\"h:1\",\"zone\":\"z\",\"state\":\"ready\",\"capacity\":{"
+      "\"cpu\":1}}",
+      true },
+    { "{\"service\":\"s\",\"address\":\"h:1\",\"zone\":\"z\",\"state\":\"odd\",\"capacity\":{"
+      "\"cpu\":1}}",
+      false },
+    { "{\"service\":7,\"address\":\"h:1\",\"zone\":\"z\",\"state\":\"ready\",\"capacity\":{}}",
+      false },
+    { "{\"service\":\"s\",\"address\":\"h:1\",\"zone\":\"z\",\"state\":\"ready\"}", false },
+    { "{\"service\":\"s\",\"state\":\"ready\",\"capacity\":{}}", false },
+    { "\xff{", false },
+    { "[1]", false },
+  };
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+    DagTargetInfo info = { 0 };
+    GrErr err = { 0 };
+    bool ok = plat_decode_target (NULL, GR_STR ("t1"), gr_str_from_c (cases[i].entry), &info, &err);
+    if (ok != cases[i].ok)
+      fail_msg ("%s: %s", cases[i].entry, ok ? "accepted" : err.detail);
+  }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (submissions_are_decoded_or_refused_by_field),
+    cmocka_unit_test (malformed_bodies_are_refused),
+    cmocka_unit_test (task_names_round_trip),
+    cmocka_unit_test (foreign_target_entries_are_refused),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
