cell, dag: flow control of starts, and overdue holds are repeated

Cause: (1) the timeout of a start was fixed and ran from the decision; a sender at its limit took late answers for lost ones, repeated, stopped and placed again, and carried less the more it was offered. Change: cell_flow.c limits the starts in flight on each path (own connections, each relay) by the delay of answers and derives the timeout from them; starts that wait go by priority and are given up when their ticket or time is over; holds and stops are never held back. A hold whose answer is 150 ms overdue is followed by one that does not wait, without a renewal; the failure of the older one then says nothing.

--- a/src/cell/cell_orders.c
+++ b/src/cell/cell_orders.c
@@ -4,10 +4,9 @@
 
 #include <uthash.h>
 
+#include "cell/cell_flow.h"
 #include "cell/cell_leader_priv.h"
 
-/* Targets answer a start within some 50 ms; a start without an answer is retried. */
-#define START_TIMEOUT_MS 250
 #define STOP_TIMEOUT_MS 700
 #define PACE_TIMEOUT_MS 700
 /* Timeout of a hold, in addition to the time that it waits at the target. */
@@ -18,10 +17,14 @@
 #define RELAYS_INTERVAL_MS 500
 #define OVERDUE_INTERVAL_MS 50
 
+typedef struct Path Path;
+
 /* An order without a result. */
 typedef struct {
   CellLeader *leader;
-  int64_t token; /* of an order by way of a relay */
+  Path *path;      /* of a start */
+  int64_t sent_at; /* of a start */
+  int64_t token;   /* of an order by way of a relay */
   DagCmdType type;
   GrName target;
   GrName relay; /* empty: sent by this VM */
@@ -32,9 +35,25 @@
   UT_hash_handle hh;
 } Order;
 
+/* A start that waits until its path carries it. */
+typedef struct {
+  Order *order;
+  DagCmd cmd;
+  char *payload; /* copy of that of the command */
+} QueuedStart;
+
+/* Way of starts to targets: this VM's own connections, or a relay. Other orders are not held back:
+   renewals of leases and stops go before new starts. */
+struct Path {
+  GrName relay; /* empty: this VM */
+  CellFlow flow;
+  GR_LIST (QueuedStart) queue;
+};
+
 struct CellOrders {
   CellLeader *leader;
   CellRelays *relays;
+  GR_LIST (Path *) paths;
   Order *relayed; /* by token */
   int64_t next_token;
   int64_t relays_set_at;
@@ -52,11 +71,25 @@
   return orders;
 }
 
+static void
+free_path (Path *path)
+{
+  for (size_t i = 0; i < path->queue.count; i++) {
+    free (path->queue.items[i].order);
+    free (path->queue.items[i].payload);
+  }
+  gr_list_clear (&path->queue);
+  free (path);
+}
+
 void
 cell_orders_free (CellOrders *orders)
 {
   if (!orders)
     return;
+  for (size_t i = 0; i < orders->paths.count; i++)
+    free_path (orders->paths.items[i]);
+  gr_list_clear (&orders->paths);
   Order *order, *next;
   HASH_ITER (hh, orders->relayed, order, next)
   {
@@ -67,6 +100,18 @@
   free (orders);
 }
 
+static void
+measure (const Order *order, DagOrderResult result, int64_t now_ms)
+{
+  CellFlow *flow = &order->path->flow;
+  if (result == DAG_ORDER_LOST)
+    cell_flow_lost (flow, now_ms);
+  else if (result == DAG_ORDER_NOT_SENT)
+    cell_flow_not_sent (flow);
+  else
+    cell_flow_answered (flow, now_ms - order->sent_at, now_ms);
+}
+
 /* Passes the result to the scheduler and frees the order. */
 static void
 finish (Order *order, DagOrderResult result, int64_t clock_ms, const DagInventory *inventory)
@@ -74,6 +119,8 @@
   CellLeader *leader = order->leader;
   DagState *dag = leader->dag;
   int64_t now_ms = cell_leader_now (leader);
+  if (order->sent_at > 0)
+    measure (order, result, now_ms);
   switch (order->type) {
   case DAG_CMD_START:
     dag_handle_start_result (dag, &order->task, order->run, result, clock_ms, now_ms);
@@ -96,6 +143,8 @@
   free (order);
 }
 
+static void send_queued (CellOrders *orders, Path *path);
+
 static void
 on_ordered (void *user, DagOrderResult result, int64_t clock_ms)
 {
@@ -105,7 +154,10 @@
     free (order);
     return;
   }
+  Path *path = order->path;
   finish (order, result, clock_ms, NULL);
+  if (path)
+    send_queued (leader->orders, path);
   cell_leader_run_commands (leader);
 }
 
@@ -131,7 +183,6 @@
   case DAG_CMD_START:
     order->task = cmd->u.start.task;
     order->run = cmd->u.start.run;
-    *timeout_ms = START_TIMEOUT_MS;
     return &cmd->u.start.target;
   case DAG_CMD_STOP:
     order->task = cmd->u.stop.task;
@@ -179,29 +230,115 @@
   return true;
 }
 
+/* Returns the path; creates it on first use. */
+static Path *
+find_path (CellOrders *orders, const GrName *relay)
+{
+  for (size_t i = 0; i < orders->paths.count; i++) {
+    if (gr_name_equal (&orders->paths.items[i]->relay, relay))
+      return orders->paths.items[i];
+  }
+  Path *path = gr_calloc (1, sizeof *path);
+  path->relay = *relay;
+  cell_flow_init (&path->flow);
+  /* NOLINTNEXTLINE(bugprone-sizeof-expression): a list of pointers */
+  gr_list_push (&orders->paths, path);
+  return path;
+}
+
+/* Sends the order by way of order->relay if there is one, else from this VM. */
+static void
+transmit (CellOrders *orders, Order *order, const DagCmd *cmd, int64_t timeout_ms)
+{
+  CellLeader *leader = orders->leader;
+  const CellPlatform *platform = leader->cell->platform;
+  if (order->relay.len > 0 && send_to_relay (orders, order, cmd, timeout_ms))
+    return;
+  order->relay.len = 0;
+  leader->refs++;
+  int64_t timeout_at = cell_leader_now (leader) + timeout_ms;
+  if (cmd->type == DAG_CMD_HOLD)
+    platform->hold (platform->adapter, cmd, leader->term, timeout_at, on_held, order);
+  else
+    cell_send_order (platform, cmd, leader->term, timeout_at, on_ordered, order);
+}
+
+static void
+transmit_start (CellOrders *orders, Order *order, const DagCmd *cmd)
+{
+  order->sent_at = cell_leader_now (orders->leader);
+  cell_flow_sent (&order->path->flow);
+  transmit (orders, order, cmd, cell_flow_timeout_ms (&order->path->flow));
+}
+
+static QueuedStart
+remove_queued (Path *path, size_t at)
+{
+  QueuedStart queued = path->queue.items[at];
+  path->queue.count--;
+  memmove (&path->queue.items[at], &path->queue.items[at + 1],
+           (path->queue.count - at) * sizeof path->queue.items[0]);
+  return queued;
+}
+
+/* Removes the start with the highest priority that waits on the path, the oldest among equals. */
+static QueuedStart
+take_queued (Path *path)
+{
+  size_t best = 0;
+  for (size_t i = 1; i < path->queue.count; i++) {
+    if (path->queue.items[i].cmd.u.start.priority < path->queue.items[best].cmd.u.start.priority)
+      best = i;
+  }
+  return remove_queued (path, best);
+}
+
+/* Sends the starts that the path now carries, and gives up those whose time is over. */
+static void
+send_queued (CellOrders *orders, Path *path)
+{
+  while (path->queue.count > 0 && cell_flow_may_send (&path->flow)) {
+    QueuedStart queued = take_queued (path);
+    if (cell_leader_now (orders->leader) > queued.cmd.u.start.send_by)
+      finish (queued.order, DAG_ORDER_NOT_SENT, 0, NULL);
+    else
+      transmit_start (orders, queued.order, &queued.cmd);
+    free (queued.payload);
+  }
+}
+
+static void
+send_or_queue_start (CellOrders *orders, Order *order, const DagCmd *cmd)
+{
+  Path *path = find_path (orders, &order->relay);
+  order->path = path;
+  if (path->queue.count == 0 && cell_flow_may_send (&path->flow)) {
+    transmit_start (orders, order, cmd);
+    return;
+  }
+  QueuedStart queued = { order, *cmd, gr_str_dup (cmd->u.start.payload) };
+  queued.cmd.u.start.payload.data = queued.payload;
+  gr_list_push (&path->queue, queued);
+  gr_metric_add (orders->leader->cell->options.metrics, GR_METRIC_STARTS_QUEUED, 1);
+}
+
 void
 cell_orders_send (CellOrders *orders, const DagCmd *cmd)
 {
   CellLeader *leader = orders->leader;
-  const CellPlatform *platform = leader->cell->platform;
-  int64_t now_ms = cell_leader_now (leader);
   int64_t timeout_ms = 0;
   Order *order = gr_calloc (1, sizeof *order);
   const DagTargetRef *target = describe (order, cmd, &timeout_ms);
   order->leader = leader;
   order->target = target->target;
-  const GrName *relay = cell_relays_choose (orders->relays, &target->target, &target->zone, now_ms);
-  if (relay) {
+  const GrName *relay = cell_relays_choose (orders->relays, &target->target, &target->zone,
+                                            cell_leader_now (leader));
+  if (relay)
     order->relay = *relay;
-    if (send_to_relay (orders, order, cmd, timeout_ms))
-      return;
-  }
-  leader->refs++;
-  int64_t timeout_at = now_ms + timeout_ms;
-  if (cmd->type == DAG_CMD_HOLD)
-    platform->hold (platform->adapter, cmd, leader->term, timeout_at, on_held, order);
+  if (cmd->type == DAG_CMD_START)
+    send_or_queue_start (orders, order, cmd);
   else
-    cell_send_order (platform, cmd, leader->term, timeout_at, on_ordered, order);
+    transmit (orders, order, cmd, timeout_ms);
 }
 
 void
@@ -214,8 +351,25 @@
   HASH_DEL (orders->relayed, order);
   bool answered = result->result != DAG_ORDER_LOST && result->result != DAG_ORDER_NOT_SENT;
   cell_relays_result (orders->relays, vm, answered, cell_leader_now (orders->leader));
+  Path *path = order->path;
   finish (order, result->result, result->clock_ms,
           result->has_inventory ? &result->inventory : NULL);
+  if (path)
+    send_queued (orders, path);
+}
+
+/* Gives up the starts that waited too long. */
+static void
+expire_queued (CellOrders *orders, Path *path)
+{
+  int64_t now_ms = cell_leader_now (orders->leader);
+  for (size_t i = path->queue.count; i-- > 0;) {
+    if (now_ms <= path->queue.items[i].cmd.u.start.send_by)
+      continue;
+    QueuedStart queued = remove_queued (path, i);
+    finish (queued.order, DAG_ORDER_NOT_SENT, 0, NULL);
+    free (queued.payload);
+  }
 }
 
 /* The relay has not answered: whether the order was sent is unknown. */
@@ -276,4 +430,8 @@
     if (now_ms >= order->overdue_at)
       lose (orders, order);
   }
+  for (size_t i = 0; i < orders->paths.count; i++) {
+    expire_queued (orders, orders->paths.items[i]);
+    send_queued (orders, orders->paths.items[i]);
+  }
 }
--- a/src/cell/cell_orders.h
+++ b/src/cell/cell_orders.h
@@ -1,4 +1,5 @@
-/* Orders of the leader to targets: sent by this VM, or by a relay (see cell_relays.h). */
+/* Orders of the leader to targets: sent by this VM, or by a relay (see cell_relays.h). Starts wait
+   here while their path is at its limit (see cell_flow.h). */
 #pragma once
 
 #include "cell/cell_relays.h"
--- a/src/dag/dag.h
+++ b/src/dag/dag.h
@@ -229,6 +229,8 @@
       GrStr payload;       /* valid until the next input */
       GrName checkpoint;   /* to resume from; empty: none */
       char ticket[48];     /* empty: the queue needs no advice */
+      int32_t priority;    /* 0 goes first */
+      int64_t send_by;     /* local time; a start that is not sent by then must not be sent */
     } start;
     struct {
       DagTargetRef target;
--- a/src/dag/dag_avail.c
+++ b/src/dag/dag_avail.c
@@ -79,6 +79,7 @@
              "id=%.*s step=%u index=%u run=%lld target=%.*s reason=draining",
              GR_NAME_ARG (step->job->id), step->number, task->index, (long long) task->run,
              GR_NAME_ARG (target->info.id));
+    dag_count (dag, GR_METRIC_INTERRUPTED);
     dag_run_stop (dag, task, now_ms);
   }
 }
--- a/src/dag/dag_pace.c
+++ b/src/dag/dag_pace.c
@@ -210,6 +210,7 @@
     cmd.u.pace.percent = target->pace.limit;
     gr_list_push (&dag->cmds, cmd);
     task->pace_open = true;
+    dag_count (dag, GR_METRIC_PACE_ORDERS);
   }
 }
 
@@ -226,6 +227,7 @@
     DAG_LOG (dag, GR_EV_INTERRUPTED, "id=%.*s step=%u index=%u run=%lld target=%.*s reason=paced",
              GR_NAME_ARG (task->step->job->id), task->step->number, task->index,
              (long long) task->run, GR_NAME_ARG (target->info.id));
+    dag_count (dag, GR_METRIC_INTERRUPTED);
     dag_run_stop (dag, task, now_ms);
     target->pace.low_since = now_ms;
     return;
--- a/src/dag/dag_priv.h
+++ b/src/dag/dag_priv.h
@@ -131,7 +131,8 @@
 typedef struct {
   int64_t token;
   int64_t sent_at;
-  bool long_poll; /* waits at the target for an end */
+  int64_t expected_by; /* later, its answer counts as lost and another hold is sent */
+  bool long_poll;      /* waits at the target for an end */
 } DagOpenHold;
 
 /* Pace of the best-effort runs of one target, which disturb the tasks there that serve users. */
@@ -153,7 +154,7 @@
 } DagPair;
 
 /* Most holds in flight to one target. */
-#define DAG_MAX_HOLDS 3
+#define DAG_MAX_HOLDS 4
 
 struct DagTarget {
   DagTargetInfo info;
@@ -176,9 +177,10 @@
   DagOpenHold holds[DAG_MAX_HOLDS];
   int hold_count;
   int64_t hold_sent_at;
-  int64_t hold_retry_at; /* earliest time of the next hold, after failures */
-  int hold_failures;     /* failed holds since the last answer */
-  bool probe_wanted;     /* a hold without wait is to be sent even if a long poll is in flight */
+  int64_t hold_answered_at; /* sending time of the newest hold that was answered */
+  int64_t hold_retry_at;    /* earliest time of the next hold, after failures */
+  int hold_failures;        /* failed holds since the last answer */
+  bool probe_wanted;        /* a hold without wait is to be sent even if a long poll is in flight */
   /* Runs in the last inventory that are not assigned here. They take room, so nothing is placed on
      the target until there are none. */
   int unknown_runs;
@@ -398,6 +400,14 @@
 /* Drops the advice about one target, also from calls in flight. */
 void dag_advice_drop_target (DagStep *step, const DagTarget *target);
 
+/* Adds one to a counter if there are metrics. */
+static inline void
+dag_count (const DagState *dag, GrMetricId id)
+{
+  if (dag->options.metrics)
+    gr_metric_add (dag->options.metrics, id, 1);
+}
+
 /* Writes a log line unless options.quiet is set. */
 #define DAG_LOG(dag, event, ...)                                                                   \
   do {                                                                                             \
--- a/src/dag/dag_run.c
+++ b/src/dag/dag_run.c
@@ -16,6 +16,8 @@
 #define RUNTIME_RATIO_WEIGHT 0.05
 /* Approximate time until a start reaches its target; the ticket must be valid then. */
 #define START_LATENCY_MS 40
+/* A start that has not left within this time is given up and the task placed again. */
+#define START_QUEUE_MAX_MS 1000
 /* Most targets with a failed run that a step remembers. */
 #define FAILED_ON_MAX 64
 
@@ -130,6 +132,16 @@
   return NULL;
 }
 
+/* Last time at which the start may leave. A target must get it before the ticket expires, and long
+   before the lease that it carries. */
+static int64_t
+last_start_time (const DagTask *task, int64_t now_ms)
+{
+  int64_t by_lease = now_ms + START_QUEUE_MAX_MS;
+  int64_t by_ticket = task->ticket_until - START_LATENCY_MS;
+  return task->ticket_until > 0 && by_ticket < by_lease ? by_ticket : by_lease;
+}
+
 static void
 send_start (DagState *dag, DagTask *task, int64_t now_ms)
 {
@@ -140,6 +152,8 @@
   cmd.u.start.run = task->run;
   cmd.u.start.lease_until = dag_target_lease (dag, task->target, now_ms);
   cmd.u.start.payload = (GrStr){ job->payload, job->payload_len };
+  cmd.u.start.priority = job->queue.priority;
+  cmd.u.start.send_by = last_start_time (task, now_ms);
   if (task->step->spec.checkpoints)
     cmd.u.start.checkpoint = *dag_checkpoint (task);
   memcpy (cmd.u.start.ticket, task->ticket, sizeof cmd.u.start.ticket);
--- a/src/dag/dag_target.c
+++ b/src/dag/dag_target.c
@@ -7,6 +7,9 @@
 #define HOLD_WAIT_MS 1000
 /* The same for targets whose best-effort runs are paced: their figures change every half second. */
 #define HOLD_WAIT_MIXED_MS 500
+/* Time after which the answer to a hold counts as lost, in addition to its wait at the target. Ends
+   of runs go unnoticed until another hold is answered. */
+#define HOLD_ANSWER_MS 150
 /* Interval of renewals while ends wait to be stored. */
 #define LEASE_RENEW_MS 1000
 /* Exponential backoff after failed holds. */
@@ -218,6 +221,7 @@
   target->acknowledged = 0;
   target->acknowledged_sent = 0;
   target->hold_count = 0;
+  target->hold_answered_at = 0;
   target->unknown_runs = 0;
   target->hold_retry_at = 0;
   target->hold_failures = 0;
@@ -231,12 +235,26 @@
   dag->place_wanted = true;
 }
 
-/* True if a hold with this kind of wait is in flight. */
+/* True if a hold is in flight whose answer may still come in time; without_wait: one that does not
+   wait at the target. */
 static bool
-has_open_hold (const DagTarget *target, bool long_poll)
+expects_answer (const DagTarget *target, bool without_wait, int64_t now_ms)
 {
   for (int i = 0; i < target->hold_count; i++) {
-    if (target->holds[i].long_poll == long_poll)
+    const DagOpenHold *hold = &target->holds[i];
+    if (now_ms < hold->expected_by && !(without_wait && hold->long_poll))
+      return true;
+  }
+  return false;
+}
+
+/* True if the answer to a hold is overdue and no later hold was answered. */
+static bool
+is_overdue (const DagTarget *target, int64_t now_ms)
+{
+  for (int i = 0; i < target->hold_count; i++) {
+    const DagOpenHold *hold = &target->holds[i];
+    if (now_ms >= hold->expected_by && hold->sent_at >= target->hold_answered_at)
       return true;
   }
   return false;
@@ -253,12 +271,14 @@
   cmd.u.hold.wait_ms = wait_ms;
   cmd.u.hold.acknowledged = target->acknowledged;
   /* A target that does not answer gets no renewal, so that its runs lapse eventually. */
-  if (target->inventoried && target->run_count > 0 && target->hold_failures == 0)
+  if (target->inventoried && target->run_count > 0 && target->hold_failures == 0
+      && !is_overdue (target, now_ms))
     cmd.u.hold.lease_until = dag_target_lease (dag, target, now_ms);
   gr_list_push (&dag->cmds, cmd);
   target->acknowledged_sent = target->acknowledged;
   target->hold_sent_at = now_ms;
-  target->holds[target->hold_count++] = (DagOpenHold){ cmd.u.hold.token, now_ms, wait_ms > 0 };
+  target->holds[target->hold_count++]
+      = (DagOpenHold){ cmd.u.hold.token, now_ms, now_ms + wait_ms + HOLD_ANSWER_MS, wait_ms > 0 };
 }
 
 /* True if the target has runs past their start. */
@@ -284,12 +304,12 @@
 {
   if (now_ms < target->hold_retry_at || target->info.address.len == 0)
     return;
-  if (target->probe_wanted && !has_open_hold (target, false)) {
+  if (target->probe_wanted && !expects_answer (target, true, now_ms)) {
     target->probe_wanted = false;
     send_hold (dag, target, 0, now_ms);
     return;
   }
-  if (target->hold_count > 0)
+  if (expects_answer (target, false, now_ms))
     return;
   if (!target->inventoried) {
     if (target->listed || target->run_count > 0)
@@ -312,7 +332,8 @@
       send_hold (dag, target, 0, now_ms);
     return;
   }
-  if (target->hold_failures > 0)
+  /* After a hold without an answer, the next one does not wait for an end. */
+  if (target->hold_failures > 0 || is_overdue (target, now_ms))
     send_hold (dag, target, 0, now_ms);
   else
     send_hold (dag, target, long_poll_ms (target), now_ms);
@@ -528,9 +549,12 @@
     return;
   }
   if (result != DAG_ORDER_OK) {
-    handle_failed_hold (dag, target, result, now_ms);
+    if (hold.sent_at >= target->hold_answered_at)
+      handle_failed_hold (dag, target, result, now_ms);
     return;
   }
+  if (hold.sent_at > target->hold_answered_at)
+    target->hold_answered_at = hold.sent_at;
   if (inventory->incarnation > 0 && inventory->incarnation != target->info.incarnation) {
     if (inventory->incarnation < target->info.incarnation)
       return;
--- a/src/dag/dag_timetable.c
+++ b/src/dag/dag_timetable.c
@@ -173,8 +173,10 @@
          && job->occurrences.count < OCCURRENCES_OPEN_MAX
          && now_ms >= due_at (dag, job, job->next_occurrence)) {
     int32_t number = job->next_occurrence++;
-    if (!is_done (job, number))
-      dag_queue_ready_steps (dag, dag_timetable_occurrence (dag, job, number));
+    if (is_done (job, number))
+      continue;
+    dag_queue_ready_steps (dag, dag_timetable_occurrence (dag, job, number));
+    dag_count (dag, GR_METRIC_OCCURRENCES);
   }
 }
 
--- a/src/ldr/ldr.h
+++ b/src/ldr/ldr.h
@@ -76,7 +76,8 @@
 
 /* Replaces the members. The list may include this VM. */
 void ldr_set_members (LdrState *ldr, const LdrMember *members, size_t count);
-/* Sets a delay that is added to the claims of this VM; 0 for the VMs that replace a leader first. */
+/* Sets a delay that is added to the claims of this VM; 0 for the VMs that replace a leader first.
+ */
 void ldr_set_claim_delay (LdrState *ldr, int64_t delay_ms);
 /* Input: the election topic was read up to end_offset, its end. */
 void ldr_topic_read (LdrState *ldr, const LdrRecord *newest, int64_t end_offset, int64_t now_ms);
--- a/tests/test_dag.c
+++ b/tests/test_dag.c
@@ -348,6 +348,46 @@
   dag_free (fixture.dag);
 }
 
+/* Guards against ends of runs that go unnoticed for as long as a hold may take, when its answer is
+   lost: another hold is sent as soon as the answer is overdue. A single lost answer must not take
+   the target out of use, and a silent target must not get its leases renewed. */
+static void
+overdue_holds_are_repeated (void **state)
+{
+  (void) state;
+  Fixture fixture = fixture_with_start ();
+  DagTaskRef task = { gr_name ("job"), 0, 0 };
+  dag_cmds_reset (fixture.dag);
+  dag_handle_start_result (fixture.dag, &task, 1, DAG_ORDER_OK, fixture.now_ms, fixture.now_ms);
+  dag_tick (fixture.dag, fixture.now_ms);
+  DagCmd lost = dag_cmds (fixture.dag)->items[0];
+  assert_int_equal (lost.type, DAG_CMD_HOLD);
+  assert_true (lost.u.hold.wait_ms > 0);
+  dag_cmds_reset (fixture.dag);
+  int64_t sent_at = fixture.now_ms;
+  while (count_cmds (&fixture, DAG_CMD_HOLD) == 0) {
+    fixture.now_ms += 20;
+    dag_tick (fixture.dag, fixture.now_ms);
+    assert_true (fixture.now_ms - sent_at <= lost.u.hold.wait_ms + 250);
+  }
+  DagCmd repeat = dag_cmds (fixture.dag)->items[0];
+  assert_int_equal (repeat.u.hold.wait_ms, 0);
+  assert_int_equal (repeat.u.hold.lease_until, 0);
+  dag_cmds_reset (fixture.dag);
+  DagRunReport report = { .task = task, .run = 1, .percent = 10 };
+  DagInventory inventory = { 1, fixture.now_ms, &report, 1, NULL, 0 };
+  dag_handle_hold_result (fixture.dag, &repeat.u.hold.target.target, repeat.u.hold.token,
+                          DAG_ORDER_OK, &inventory, fixture.now_ms);
+  dag_handle_hold_result (fixture.dag, &lost.u.hold.target.target, lost.u.hold.token,
+                          DAG_ORDER_LOST, NULL, fixture.now_ms);
+  assert_int_equal (dag_counts (fixture.dag, fixture.now_ms).usable_targets, 1);
+  /* The next hold waits again: there is one, not a row of them. */
+  fixture.now_ms += 20;
+  dag_tick (fixture.dag, fixture.now_ms);
+  assert_int_equal (count_cmds (&fixture, DAG_CMD_HOLD), 1);
+  dag_free (fixture.dag);
+}
+
 static void
 jobs_are_withdrawn_only_before_their_record_is_taken (void **state)
 {
@@ -380,6 +420,7 @@
     cmocka_unit_test (inventory_decides_about_unanswered_starts),
     cmocka_unit_test (unresponsive_targets_get_no_renewal),
     cmocka_unit_test (unresponsive_targets_get_holds_until_they_answer),
+    cmocka_unit_test (overdue_holds_are_repeated),
     cmocka_unit_test (jobs_are_withdrawn_only_before_their_record_is_taken),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
