--- a/src/cell/cell_calls.c
+++ b/src/cell/cell_calls.c
@@ -64,9 +64,12 @@
 static void
 finish (Cell *cell, CellOpenCall *call, CellAnswer answer)
 {
-  /* A refusal states that no attempt had an effect. */
-  if (answer.kind == CELL_ANSWER_REFUSED && call->maybe_applied)
+  /* A refusal states that no attempt had an effect, which is always true of reads. */
+  bool reads = call->verb == CELL_VERB_STATUS || call->verb == CELL_VERB_PENDING;
+  if (answer.kind == CELL_ANSWER_REFUSED && call->maybe_applied && !reads)
     answer.kind = CELL_ANSWER_UNKNOWN;
+  else if (answer.kind == CELL_ANSWER_UNKNOWN && reads)
+    answer.kind = CELL_ANSWER_REFUSED;
   gr_log (&cell->log, GR_EV_ROUTED,
           "id=%.*s queue=%.*s verb=%s answer=%s value=%lld term=%lld after_ms=%lld",
           GR_NAME_ARG (call->job), GR_NAME_ARG (call->queue), verb_name (call->verb),
