--- a/src/cell/cell_members.c
+++ b/src/cell/cell_members.c
@@ -9,16 +9,6 @@
 #define MEMBER_GONE_MS 20000
 #define REMOVE_SCAN_INTERVAL_MS 1000
 
-static LdrMember *
-find_member (Cell *cell, const GrName *vm)
-{
-  for (size_t i = 0; i < cell->members.count; i++) {
-    if (gr_name_equal (&cell->members.items[i].vm.vm, vm))
-      return &cell->members.items[i];
-  }
-  return NULL;
-}
-
 static void
 remove_member (Cell *cell, GrStr key)
 {
@@ -29,12 +19,13 @@
     cell->joined = false;
     return;
   }
-  LdrMember *member = find_member (cell, &vm);
-  if (!member)
-    return;
-  gr_log (&cell->log, GR_EV_MEMBER_STATE, "vm=%.*s state=removed", GR_NAME_ARG (vm));
-  gr_list_swap_remove (&cell->members, (size_t) (member - cell->members.items));
-  cell->members_changed = true;
+  for (size_t i = cell->members.count; i-- > 0;) {
+    if (!gr_name_equal (&cell->members.items[i].vm.vm, &vm))
+      continue;
+    gr_log (&cell->log, GR_EV_MEMBER_STATE, "vm=%.*s state=removed", GR_NAME_ARG (vm));
+    gr_list_swap_remove (&cell->members, i);
+    cell->members_changed = true;
+  }
 }
 
 void
@@ -50,13 +41,17 @@
             entry->value.len);
     return;
   }
-  LdrMember *known = find_member (cell, &member.vm.vm);
-  if (!known)
-    gr_list_push (&cell->members, member);
-  else if (member.vm.incarnation > known->vm.incarnation)
-    *known = member;
-  else
+  for (size_t i = 0; i < cell->members.count; i++) {
+    LdrMember *known = &cell->members.items[i];
+    if (!gr_name_equal (&known->vm.vm, &member.vm.vm))
+      continue;
+    if (member.vm.incarnation > known->vm.incarnation) {
+      *known = member;
+      cell->members_changed = true;
+    }
     return;
+  }
+  gr_list_push (&cell->members, member);
   cell->members_changed = true;
 }
 
--- a/src/cell/cell_orders.c
+++ b/src/cell/cell_orders.c
@@ -90,11 +90,12 @@
   for (size_t i = 0; i < orders->paths.count; i++)
     free_path (orders->paths.items[i]);
   gr_list_clear (&orders->paths);
-  Order *order, *next;
-  HASH_ITER (hh, orders->relayed, order, next)
-  {
-    HASH_DEL (orders->relayed, order);
+  Order *order = orders->relayed;
+  HASH_CLEAR (hh, orders->relayed);
+  while (order) {
+    Order *next = order->hh.next;
     free (order);
+    order = next;
   }
   cell_relays_free (orders->relays);
   free (orders);
--- a/src/cell/cell_relay.c
+++ b/src/cell/cell_relay.c
@@ -51,9 +51,10 @@
 }
 
 static void
-drop_payload (Cell *cell, CellPayload *payload)
+free_payload (CellPayload *payload)
 {
-  HASH_DEL (cell->payloads, payload);
+  if (!payload)
+    return;
   free (payload->data);
   free (payload);
 }
@@ -69,17 +70,18 @@
 static void
 keep_payload (Cell *cell, const GrName *job, GrStr data)
 {
-  CellPayload *payload = find_payload (cell, job);
-  if (payload)
-    drop_payload (cell, payload);
   /* The hash keeps the order of insertion, so its first entry is the oldest. */
-  if (HASH_COUNT (cell->payloads) >= CELL_RELAY_PAYLOADS)
-    drop_payload (cell, cell->payloads);
-  payload = gr_calloc (1, sizeof *payload);
+  CellPayload *dropped = find_payload (cell, job);
+  if (!dropped && HASH_COUNT (cell->payloads) >= CELL_RELAY_PAYLOADS)
+    dropped = cell->payloads;
+  if (dropped)
+    HASH_DEL (cell->payloads, dropped);
+  CellPayload *payload = gr_calloc (1, sizeof *payload);
   payload->job = *job;
   payload->data = gr_str_dup (data);
   payload->len = data.len;
   HASH_ADD_KEYPTR (hh, cell->payloads, payload->job.data, payload->job.len, payload);
+  free_payload (dropped);
 }
 
 /* Completes the payload of a start; false if this VM does not have it. */
@@ -119,8 +121,13 @@
 void
 cell_relay_clear (Cell *cell)
 {
-  while (cell->payloads)
-    drop_payload (cell, cell->payloads);
+  CellPayload *payload = cell->payloads;
+  HASH_CLEAR (hh, cell->payloads);
+  while (payload) {
+    CellPayload *next = payload->hh.next;
+    free_payload (payload);
+    payload = next;
+  }
 }
 
 void
--- a/src/cell/cell_relays.c
+++ b/src/cell/cell_relays.c
@@ -46,11 +46,12 @@
 static void
 forget_payloads (Relay *relay)
 {
-  SentPayload *payload, *next;
-  HASH_ITER (hh, relay->payloads, payload, next)
-  {
-    HASH_DEL (relay->payloads, payload);
+  SentPayload *payload = relay->payloads;
+  HASH_CLEAR (hh, relay->payloads);
+  while (payload) {
+    SentPayload *next = payload->hh.next;
     free (payload);
+    payload = next;
   }
 }
 
@@ -217,14 +218,15 @@
   if (payload)
     return true;
   /* The hash keeps the order of insertion, so its first entry is the oldest. */
+  SentPayload *oldest = NULL;
   if (HASH_COUNT (relay->payloads) >= SENT_PAYLOADS_MAX) {
-    SentPayload *oldest = relay->payloads;
+    oldest = relay->payloads;
     HASH_DEL (relay->payloads, oldest);
-    free (oldest);
   }
   payload = gr_calloc (1, sizeof *payload);
   payload->job = *job;
   HASH_ADD_KEYPTR (hh, relay->payloads, payload->job.data, payload->job.len, payload);
+  free (oldest);
   return false;
 }
 
--- a/src/dag/dag.h
+++ b/src/dag/dag.h
@@ -34,8 +34,8 @@
 
 /* Most steps of one job. Dependencies are stored as a 64-bit set. */
 #define DAG_MAX_STEPS 64
-/* Most tasks of one job, over all its steps: their progress has to fit into one record of the store,
-   256 KiB. */
+/* Most tasks of one job, over all its steps: their progress has to fit into one record of the
+   store, 256 KiB. */
 #define DAG_MAX_TASKS 3000
 
 /* Most occurrences of a timetable. */
--- a/src/dag/dag_pace.c
+++ b/src/dag/dag_pace.c
@@ -274,10 +274,11 @@
 void
 dag_pace_clear (DagState *dag)
 {
-  DagPair *pair, *next;
-  HASH_ITER (hh, dag->pairs, pair, next)
-  {
-    HASH_DEL (dag->pairs, pair);
+  DagPair *pair = dag->pairs;
+  HASH_CLEAR (hh, dag->pairs);
+  while (pair) {
+    DagPair *next = pair->hh.next;
     free (pair);
+    pair = next;
   }
 }
