dag, cell, platform: parts by job, logic that stood twice

dag_target.c keeps the table of targets; dag_hold.c sends holds, dag_inventory.c reads their answers, and the stops of runs on draining targets are with the other voluntary ends in dag_avail.c.

--- a/src/cell/cell_links.c
+++ b/src/cell/cell_links.c
@@ -5,18 +5,18 @@
 #define CLAIM_DELAY_MS 600
 #define CLAIM_SPREAD_MS 1200
 
-/* Number of electors in the zone. */
+/* Number of chosen members in the zone. */
 static size_t
-electors_in_zone (const LdrMember *members, const bool *electors, size_t count, const GrName *zone)
+chosen_in_zone (const LdrMember *members, const bool *chosen, size_t count, const GrName *zone)
 {
   size_t sum = 0;
   for (size_t i = 0; i < count; i++)
-    sum += electors[i] && gr_name_equal (&members[i].zone, zone);
+    sum += chosen[i] && gr_name_equal (&members[i].zone, zone);
   return sum;
 }
 
-/* True if a precedes b among members of the same weight and with the same number of electors in
-   their zones. The hash keeps the order independent of how names are given. */
+/* Order among members of the same weight and with the same number of chosen ones in their zones.
+   The hash keeps it independent of how names are given. */
 static bool
 precedes (const LdrMember *a, const LdrMember *b)
 {
@@ -24,6 +24,26 @@
   return x != y ? x < y : gr_name_compare (&a->vm.vm, &b->vm.vm) < 0;
 }
 
+size_t
+cell_links_next_strongest (const LdrMember *members, const bool *chosen, size_t count)
+{
+  size_t best = count;
+  size_t best_in_zone = 0;
+  for (size_t i = 0; i < count; i++) {
+    if (chosen[i] || (best < count && members[i].weight < members[best].weight))
+      continue;
+    size_t in_zone = chosen_in_zone (members, chosen, count, &members[i].zone);
+    bool better = best == count || members[i].weight > members[best].weight
+                  || in_zone < best_in_zone
+                  || (in_zone == best_in_zone && precedes (&members[i], &members[best]));
+    if (!better)
+      continue;
+    best = i;
+    best_in_zone = in_zone;
+  }
+  return best;
+}
+
 void
 cell_links_choose_electors (const LdrMember *members, size_t count, bool *electors)
 {
@@ -31,25 +51,8 @@
     electors[i] = count <= CELL_ELECTORS_MAX;
   if (count <= CELL_ELECTORS_MAX)
     return;
-  for (int chosen = 0; chosen < CELL_ELECTORS_MAX; chosen++) {
-    size_t best = count;
-    size_t best_in_zone = 0;
-    for (size_t i = 0; i < count; i++) {
-      if (electors[i])
-        continue;
-      size_t in_zone = electors_in_zone (members, electors, count, &members[i].zone);
-      bool better
-          = best == count || members[i].weight > members[best].weight
-            || (members[i].weight == members[best].weight
-                && (in_zone < best_in_zone
-                    || (in_zone == best_in_zone && precedes (&members[i], &members[best]))));
-      if (!better)
-        continue;
-      best = i;
-      best_in_zone = in_zone;
-    }
-    electors[best] = true;
-  }
+  for (int chosen = 0; chosen < CELL_ELECTORS_MAX; chosen++)
+    electors[cell_links_next_strongest (members, electors, count)] = true;
 }
 
 int64_t
--- a/src/cell/cell_links.h
+++ b/src/cell/cell_links.h
@@ -12,6 +12,9 @@
 /* Most electors of a cell. */
 #define CELL_ELECTORS_MAX 16
 
+/* Returns the index of the strongest member that is not chosen, among equals one of the zone with
+   the fewest chosen ones; count if all are chosen. */
+size_t cell_links_next_strongest (const LdrMember *members, const bool *chosen, size_t count);
 /* Sets electors[i] for each member; the array has room for count flags. */
 void cell_links_choose_electors (const LdrMember *members, size_t count, bool *electors);
 /* Delay that a VM which is not an elector adds to its claims to leadership, so that electors go
--- a/src/cell/cell_relays.c
+++ b/src/cell/cell_relays.c
@@ -5,6 +5,8 @@
 
 #include <uthash.h>
 
+#include "cell/cell_links.h"
+
 /* A VM sends the orders of a target itself if it has this much processor time for each. LdrMember
    weights are in thousandths of a core. */
 #define DIRECT_WEIGHT_PER_TARGET 3
@@ -76,40 +78,6 @@
   return NULL;
 }
 
-/* Number of chosen VMs in the zone. */
-static size_t
-chosen_in_zone (const LdrMember *linked, const bool *chosen, size_t count, const GrName *zone)
-{
-  size_t sum = 0;
-  for (size_t i = 0; i < count; i++)
-    sum += chosen[i] && gr_name_equal (&linked[i].zone, zone);
-  return sum;
-}
-
-/* Next VM to choose: the strongest, among equals one of the zone with the fewest chosen ones.
-   Returns count if all are chosen. */
-static size_t
-next_choice (const LdrMember *linked, const bool *chosen, size_t count)
-{
-  size_t best = count;
-  size_t best_in_zone = 0;
-  for (size_t i = 0; i < count; i++) {
-    if (chosen[i])
-      continue;
-    size_t in_zone = chosen_in_zone (linked, chosen, count, &linked[i].zone);
-    bool better = best == count || linked[i].weight > linked[best].weight
-                  || (linked[i].weight == linked[best].weight
-                      && (in_zone < best_in_zone
-                          || (in_zone == best_in_zone
-                              && gr_name_compare (&linked[i].vm.vm, &linked[best].vm.vm) < 0)));
-    if (!better)
-      continue;
-    best = i;
-    best_in_zone = in_zone;
-  }
-  return best;
-}
-
 static void
 keep_relay (CellRelays *relays, const LdrMember *member)
 {
@@ -135,7 +103,7 @@
     relays->items.items[i].chosen = false;
   bool *chosen = gr_calloc (count + 1, sizeof *chosen);
   while (wanted > 0) {
-    size_t next = next_choice (linked, chosen, count);
+    size_t next = cell_links_next_strongest (linked, chosen, count);
     if (next == count)
       break;
     chosen[next] = true;
--- a/src/dag/dag_avail.c
+++ b/src/dag/dag_avail.c
@@ -1,11 +1,13 @@
 /* Availability of long-running tasks: which runs the scheduler may end by its own choice, when a
-   task starts again after its run has ended, and the move off draining targets.
+   task starts again after its run has ended, and what happens to the runs of draining targets.
 
    A long-running task is available while its run reports full progress. */
 #include "dag/dag_priv.h"
 
 /* A run that ends sooner than this after its start counts as failed at once. */
 #define QUICK_END_MS 3000
+/* Runs of a draining target are stopped this long before it leaves, to keep their checkpoints. */
+#define DRAIN_MARGIN_MS 500
 /* Exponential backoff of a task whose runs fail at once. */
 #define RESTART_BACKOFF_MIN_MS 200
 #define RESTART_BACKOFF_MAX_MS 2000
@@ -84,6 +86,19 @@
   }
 }
 
+/* Stops runs that would be cut off when a draining target leaves. */
+static void
+stop_draining_runs (DagState *dag, DagTarget *target, int64_t now_ms)
+{
+  if (now_ms < target->drain_until - DRAIN_MARGIN_MS)
+    return;
+  for (DagTask *task = target->runs, *next; task; task = next) {
+    next = task->target_next;
+    if (task->state == TASK_RUNNING)
+      dag_run_stop (dag, task, now_ms);
+  }
+}
+
 void
 dag_avail_tick (DagState *dag, int64_t now_ms)
 {
@@ -92,5 +107,6 @@
     if (!target->info.draining || !target->listed || target->run_count == 0)
       continue;
     move_runs (dag, target, now_ms);
+    stop_draining_runs (dag, target, now_ms);
   }
 }
--- /dev/null
+++ b/src/dag/dag_inventory.c
@@ -0,0 +1,207 @@
+/* Inventories: what a target lists as running and ended, and which runs are proven to be over. */
+#include "dag/dag_priv.h"
+
+/* Exponential backoff after failed holds. */
+#define HOLD_RETRY_MIN_MS 200
+#define HOLD_RETRY_MAX_MS 1600
+
+/* Moves the hold with the token from the open ones to *hold; false if it is not open, for instance
+   because it was sent to an earlier incarnation. */
+static bool
+remove_open_hold (DagTarget *target, int64_t token, DagOpenHold *hold)
+{
+  for (int i = 0; i < target->hold_count; i++) {
+    if (target->holds[i].token != token)
+      continue;
+    *hold = target->holds[i];
+    target->holds[i] = target->holds[--target->hold_count];
+    return true;
+  }
+  return false;
+}
+
+/* Handles the ends in the inventory that were not processed before. */
+static void
+process_ends (DagState *dag, DagTarget *target, const DagInventory *inventory, int64_t now_ms)
+{
+  int64_t highest = target->end_processed;
+  for (size_t i = 0; i < inventory->end_count; i++) {
+    const DagEnd *end = &inventory->ends[i];
+    if (end->number <= target->end_processed)
+      continue;
+    if (end->number > highest)
+      highest = end->number;
+    DagTask *task = dag_find_task (dag, &end->task);
+    if (!task || task->target != target || task->run != end->run)
+      continue;
+    dag_run_handle_end (dag, task, end->kind, end->checkpoint, now_ms);
+  }
+  if (highest == target->end_processed)
+    return;
+  target->end_processed = highest;
+  /* The next batch that is taken holds the changes made here. */
+  target->end_batch = dag->batch + 1;
+}
+
+static void
+stop_unknown_run (DagState *dag, DagTarget *target, const DagRunReport *report)
+{
+  DagCmd cmd = { .type = DAG_CMD_STOP };
+  cmd.u.stop.target = dag_target_ref (target);
+  cmd.u.stop.task = report->task;
+  cmd.u.stop.run = report->run;
+  gr_list_push (&dag->cmds, cmd);
+  DAG_LOG (dag, GR_EV_REFUSED, "id=%.*s target=%.*s run=%lld reason=not-ours",
+           GR_NAME_ARG (report->task.job), GR_NAME_ARG (target->info.id), (long long) report->run);
+}
+
+static void
+process_report (DagState *dag, DagTarget *target, const DagRunReport *report, int64_t now_ms)
+{
+  DagTask *task = dag_find_task (dag, &report->task);
+  if (!task || task->target != target || task->run != report->run) {
+    /* The run is from an earlier term, or the task has just been assigned elsewhere. It must not
+       continue here, even if its number is higher than the assigned one. */
+    stop_unknown_run (dag, target, report);
+    target->unknown_runs++;
+    target->probe_wanted = true;
+    return;
+  }
+  dag_keep_checkpoint (task, report->checkpoint);
+  if (task->state == TASK_STARTING || task->state == TASK_ADOPTED) {
+    task->state = TASK_RUNNING;
+    task->confirmed_at = now_ms;
+    task->percent_at = now_ms;
+  }
+  task->usage = report->usage;
+  if (task->percent != report->percent) {
+    task->percent = report->percent;
+    task->percent_at = now_ms;
+  }
+}
+
+static bool
+is_reported (const DagInventory *inventory, const DagTask *task)
+{
+  DagTaskRef ref = dag_task_ref (task);
+  for (size_t i = 0; i < inventory->running_count; i++) {
+    const DagRunReport *report = &inventory->running[i];
+    if (report->run == task->run && report->task.step == ref.step && report->task.index == ref.index
+        && gr_name_equal (&report->task.job, &ref.job))
+      return true;
+  }
+  return false;
+}
+
+/* Releases runs that the inventory does not list although they were known when the hold was sent.
+   Such runs are over. */
+static void
+release_unlisted_runs (DagState *dag, DagTarget *target, const DagInventory *inventory,
+                       int64_t sent_at, int64_t now_ms)
+{
+  DagTask *next;
+  for (DagTask *task = target->runs; task; task = next) {
+    next = task->target_next;
+    bool proven_over = false;
+    bool not_started = false;
+    switch (task->state) {
+    case TASK_RUNNING:
+      proven_over = sent_at > task->confirmed_at;
+      break;
+    case TASK_ADOPTED:
+      /* The hold carried the fencing token of this term, so the target now refuses starts of
+         earlier terms. */
+      proven_over = true;
+      break;
+    case TASK_STOPPING:
+      proven_over = task->stop_acked_at > 0 && sent_at >= task->stop_acked_at;
+      break;
+    case TASK_STARTING:
+      not_started = !task->start_open && sent_at >= task->start_lost_at;
+      break;
+    case TASK_WAITING:
+    case TASK_ASSIGNED:
+    case TASK_DONE:
+      break;
+    }
+    if ((!proven_over && !not_started) || is_reported (inventory, task))
+      continue;
+    /* A start without an answer may still arrive, unless the target has seen a stop of its run. */
+    if (not_started)
+      dag_run_stop_with_gang (dag, task, now_ms);
+    else
+      dag_run_release (dag, task, now_ms);
+    /* Stopping a gang may have removed the next run from the list. */
+    if (next && next->target != target)
+      next = target->runs;
+  }
+}
+
+static void
+handle_failed_hold (DagState *dag, DagTarget *target, DagOrderResult result, int64_t now_ms)
+{
+  int64_t pause = HOLD_RETRY_MIN_MS;
+  for (int i = 0; i < target->hold_failures && pause < HOLD_RETRY_MAX_MS; i++)
+    pause *= 2;
+  if (target->hold_failures++ == 0)
+    DAG_LOG (dag, GR_EV_TARGET_STATE, "target=%.*s state=silent result=%s runs=%d",
+             GR_NAME_ARG (target->info.id), dag_order_result_name (result), target->run_count);
+  target->hold_retry_at = now_ms + pause;
+}
+
+void
+dag_handle_hold_result (DagState *dag, const GrName *id, int64_t token, DagOrderResult result,
+                        const DagInventory *inventory, int64_t now_ms)
+{
+  DagTarget *target = dag_find_target (dag, id);
+  DagOpenHold hold;
+  if (!target || !remove_open_hold (target, token, &hold))
+    return;
+  if (result == DAG_ORDER_FENCED) {
+    dag_depose (dag);
+    return;
+  }
+  if (result == DAG_ORDER_GONE) {
+    target->listed = false;
+    dag_target_release_all (dag, target, "another target answered", now_ms);
+    return;
+  }
+  if (result != DAG_ORDER_OK) {
+    if (hold.sent_at >= target->hold_answered_at)
+      handle_failed_hold (dag, target, result, now_ms);
+    return;
+  }
+  if (hold.sent_at > target->hold_answered_at)
+    target->hold_answered_at = hold.sent_at;
+  if (inventory->incarnation > 0 && inventory->incarnation != target->info.incarnation) {
+    if (inventory->incarnation < target->info.incarnation)
+      return;
+    if (target->info.incarnation > 0)
+      dag_target_restarted (dag, target, inventory->incarnation, now_ms);
+    target->info.incarnation = inventory->incarnation;
+  }
+  if (target->hold_failures > 0) {
+    DAG_LOG (dag, GR_EV_TARGET_STATE, "target=%.*s state=answers", GR_NAME_ARG (*id));
+    dag->place_wanted = true;
+  }
+  target->hold_failures = 0;
+  target->hold_retry_at = 0;
+  if (inventory->clock_ms >= target->clock_ms) {
+    target->clock_ms = inventory->clock_ms;
+    target->clock_at = now_ms;
+  }
+  if (!target->inventoried) {
+    target->inventoried = true;
+    dag->place_wanted = true;
+    /* A scheduler of an earlier term may have set any lease up to the maximum. */
+    if (target->lease_sent < target->clock_ms + dag->options.lease_max_ms)
+      target->lease_sent = target->clock_ms + dag->options.lease_max_ms;
+  }
+  process_ends (dag, target, inventory, now_ms);
+  target->unknown_runs = 0;
+  for (size_t i = 0; i < inventory->running_count; i++)
+    process_report (dag, target, &inventory->running[i], now_ms);
+  release_unlisted_runs (dag, target, inventory, hold.sent_at, now_ms);
+  dag_pace_target (dag, target, now_ms);
+  dag_hold_if_due (dag, target, now_ms);
+}
--- a/src/dag/dag_priv.h
+++ b/src/dag/dag_priv.h
@@ -319,9 +319,17 @@
 /* Excludes the target from placement for a time that doubles with each exclusion. reason is for the
    log. */
 void dag_target_avoid (DagState *dag, DagTarget *target, const char *reason, int64_t now_ms);
+/* Releases all runs of the target, which are proven to be over. proof is for the log. */
+void dag_target_release_all (DagState *dag, DagTarget *target, const char *proof, int64_t now_ms);
+/* The target has restarted under the same id: releases its runs and resets its state. */
+void dag_target_restarted (DagState *dag, DagTarget *target, int64_t incarnation, int64_t now_ms);
 /* Releases lapsed runs, removes targets that are gone, and sends the holds that are due. */
 void dag_targets_tick (DagState *dag, int64_t now_ms);
 
+/* dag_hold.c */
+/* Sends the next hold to the target if one is due. */
+void dag_hold_if_due (DagState *dag, DagTarget *target, int64_t now_ms);
+
 /* dag_run.c */
 /* Resources that are reserved for one task of the step. */
 GrRes dag_reserved_demand (const DagStepSpec *spec);
@@ -357,7 +365,8 @@
 bool dag_may_interrupt (const DagState *dag, const DagTask *task);
 /* Notes the end of a run of a long-running step and sets when its task may start again. */
 void dag_avail_handle_end (DagTask *task, int64_t now_ms);
-/* Moves long-running tasks off draining targets, as soon as there is room for them elsewhere. */
+/* Moves long-running tasks off draining targets, as soon as there is room for them elsewhere, and
+   stops the runs that such a target would cut off. */
 void dag_avail_tick (DagState *dag, int64_t now_ms);
 
 /* dag_pace.c */
--- a/tests/dag_fixture.h
+++ b/tests/dag_fixture.h
@@ -124,6 +124,17 @@
     dag_stored (fixture->dag, batch, fixture->now_ms);
 }
 
+/* Moves the pending commands to cmds and returns their number. */
+HELPER size_t
+take_cmds (DagState *dag, DagCmd *cmds, size_t max)
+{
+  size_t count = dag_cmds (dag)->count;
+  assert_true (count <= max);
+  memcpy (cmds, dag_cmds (dag)->items, count * sizeof *cmds);
+  dag_cmds_reset (dag);
+  return count;
+}
+
 HELPER size_t
 count_cmds (const Fixture *fixture, DagCmdType type)
 {
--- a/tests/test_dag_long.c
+++ b/tests/test_dag_long.c
@@ -100,10 +100,7 @@
     dag_tick (fixture->dag, fixture->now_ms);
     store (fixture);
     DagCmd cmds[64];
-    size_t count = dag_cmds (fixture->dag)->count;
-    assert_true (count <= 64);
-    memcpy (cmds, dag_cmds (fixture->dag)->items, count * sizeof cmds[0]);
-    dag_cmds_reset (fixture->dag);
+    size_t count = take_cmds (fixture->dag, cmds, 64);
     for (size_t i = 0; i < count; i++)
       carry_out (fixture, targets, &cmds[i]);
   }
--- a/tests/test_dag_timetable.c
+++ b/tests/test_dag_timetable.c
@@ -170,10 +170,7 @@
     if (batch > 0)
       dag_stored (world->dag, batch, world->now_ms);
     DagCmd cmds[64];
-    size_t count = dag_cmds (world->dag)->count;
-    assert_true (count <= 64);
-    memcpy (cmds, dag_cmds (world->dag)->items, count * sizeof cmds[0]);
-    dag_cmds_reset (world->dag);
+    size_t count = take_cmds (world->dag, cmds, 64);
     for (size_t i = 0; i < count; i++)
       carry_out (world, &cmds[i]);
   }
