dag: a cancellation that meets the deletion of its job finds no job

Cause: it marked the job as changed while the batch with its deletion was in flight; the job was freed when that was stored and its entry in the list of changes remained. Test: cancellations_of_dropped_jobs_find_no_job, which fails under the address sanitizer before.

--- a/src/dag/dag_job.c
+++ b/src/dag/dag_job.c
@@ -406,7 +406,8 @@
 dag_cancel (DagState *dag, const GrName *id, int64_t call, int64_t now_ms)
 {
   DagJob *job = dag_find_job (dag, id);
-  if (!job)
+  /* The records of a dropped job are being deleted, and nothing may be added to them. */
+  if (!job || job->dropped)
     return false;
   gr_list_push (&job->cancel_calls, call);
   dag_job_end (dag, job, DAG_JOB_CANCELLED, now_ms);
--- a/tests/test_dag.c
+++ b/tests/test_dag.c
@@ -406,6 +406,32 @@
   }
 }
 
+/* Guards against memory that is used after a job was freed: a cancellation arrives while the deletion
+   of a job, which ended long ago, is being stored. */
+static void
+cancellations_of_dropped_jobs_find_no_job (void **state)
+{
+  (void) state;
+  Fixture fixture = new_fixture (false, 0, 0);
+  DagStepSpec step = step_of (1, 1000, false);
+  GrName id = gr_name ("job");
+  submit (&fixture, &step, 1, NULL);
+  store (&fixture);
+  assert_true (dag_cancel (fixture.dag, &id, 2, fixture.now_ms));
+  store (&fixture);
+  fixture.now_ms += 70000;
+  dag_tick (fixture.dag, fixture.now_ms);
+  DagRecords records = { 0 };
+  int64_t batch = dag_take_batch (fixture.dag, &records);
+  assert_int_not_equal (batch, 0);
+  dag_records_clear (&records);
+  assert_false (dag_cancel (fixture.dag, &id, 3, fixture.now_ms));
+  dag_stored (fixture.dag, batch, fixture.now_ms);
+  store (&fixture);
+  assert_int_equal (dag_counts (fixture.dag, fixture.now_ms).jobs, 0);
+  dag_free (fixture.dag);
+}
+
 int
 main (void)
 {
@@ -421,6 +447,7 @@
     cmocka_unit_test (unresponsive_targets_get_no_renewal),
     cmocka_unit_test (unresponsive_targets_get_holds_until_they_answer),
     cmocka_unit_test (overdue_holds_are_repeated),
+    cmocka_unit_test (cancellations_of_dropped_jobs_find_no_job),
     cmocka_unit_test (jobs_are_withdrawn_only_before_their_record_is_taken),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
