cell: most lanes carry long requests for advice on large cells; a new leader is heard at once

(3) A VM that waits behind others never claimed after a leaving leader that kept sending heartbeats. Change: at most 12 lanes are kept for short requests; taking or leaving the leadership sends heartbeats to all at once; VMs that are not electors claim 1.2 s later at the earliest; the wait behind a leaving leader counts from its first such heartbeat. Tests: large_cells_use_most_lanes_for_long_requests, three rows in claims_only_when_the_leader_is_lost (the third failed before).

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -182,6 +182,7 @@
               (long long) cmd->term);
       cell->leader = cell_leader_new (cell, cmd->term);
       cell->heartbeat_at = 0;
+      cell->other_heartbeat_at = 0;
       break;
     case LDR_CMD_STEP_DOWN:
       stop_leading (cell);
@@ -314,6 +315,7 @@
   cell->leaving = true;
   ldr_leave (cell->ldr);
   cell->heartbeat_at = 0;
+  cell->other_heartbeat_at = 0;
   cell_tick_soon (cell);
 }
 
--- a/src/cell/cell_lanes.c
+++ b/src/cell/cell_lanes.c
@@ -1,12 +1,15 @@
 #include "cell/cell_lanes.h"
 
+#include <math.h>
 #include <stdlib.h>
 
 /* Two short requests per lane: the second is in transit while the first is served. */
 #define MAX_IN_FLIGHT_SHORT 2
 #define MAX_IN_FLIGHT_LONG 1
-/* Share of the lanes that carry long requests. */
-#define LONG_LANES_SHARE 0.67
+/* Lanes that carry short requests only: this share of them, at most SHORT_LANES_MAX. Short requests
+   take little of a lane, so that few lanes carry those of any cell. */
+#define SHORT_LANES_SHARE 0.33
+#define SHORT_LANES_MAX 12
 /* A request times out after its expected time, the same again for each request ahead of it on the
    lane, and this margin. */
 #define OVERDUE_MARGIN_MS 900
@@ -100,14 +103,22 @@
   gr_list_push (&lanes->entries, (Entry){ .request = *request, .serial = ++lanes->serial });
 }
 
+/* Number of lanes, at the start of the list, that carry long requests too. */
+static size_t
+count_long_lanes (size_t lanes)
+{
+  size_t short_only = (size_t) ceil (SHORT_LANES_SHARE * (double) lanes);
+  if (short_only > SHORT_LANES_MAX)
+    short_only = SHORT_LANES_MAX;
+  return lanes > short_only ? lanes - short_only : 1;
+}
+
 /* Returns the lane with the fewest requests in flight, or NULL if all lanes that may carry the
    request are full or in backoff. */
 static Lane *
 choose_lane (CellLanes *lanes, const CellAdviceRequest *request, int64_t now_ms)
 {
-  size_t long_lane_count = (size_t) (LONG_LANES_SHARE * (double) lanes->lanes.count);
-  if (long_lane_count == 0)
-    long_lane_count = 1;
+  size_t long_lane_count = count_long_lanes (lanes->lanes.count);
   Lane *best = NULL;
   for (size_t i = 0; i < lanes->lanes.count; i++) {
     /* Short requests start at the other end: if there are two lanes or more, those at that end
--- a/src/cell/cell_links.c
+++ b/src/cell/cell_links.c
@@ -2,7 +2,7 @@
 
 /* Claims of VMs that are not electors come this long after those of the electors, spread over
    CLAIM_SPREAD_MS. */
-#define CLAIM_DELAY_MS 600
+#define CLAIM_DELAY_MS 1200
 #define CLAIM_SPREAD_MS 1200
 
 /* Number of chosen members in the zone. */
--- a/src/cell/cell_peer.c
+++ b/src/cell/cell_peer.c
@@ -6,7 +6,8 @@
 #define HEARTBEAT_MS 300
 /* Shorter for the leader, since all calls wait until its loss is detected. */
 #define LEADER_HEARTBEAT_MS 150
-/* To and from VMs that are not electors: only calls and orders wait for these. */
+/* Between an elector that does not lead and the VMs that are not electors. These take an elector
+   for a candidate, behind which they wait, only while its heartbeats are recent. */
 #define OTHER_HEARTBEAT_MS 1000
 #define LEADER_OTHER_HEARTBEAT_MS 250
 /* A link that received nothing for this long is closed and reconnected. */
--- a/src/ldr/ldr.c
+++ b/src/ldr/ldr.c
@@ -42,6 +42,7 @@
   LdrStatus status;
   int64_t last_heartbeat_at; /* 0: never */
   int64_t store_lost_at;     /* since when its heartbeats lack store_ok; 0: the last one had it */
+  int64_t leaving_since;     /* first heartbeat that told of its planned stop; 0: none did */
   bool listed;               /* only used while the members are replaced */
 } Peer;
 
@@ -159,6 +160,10 @@
   if (peer) {
     peer->status = *status;
     peer->last_heartbeat_at = now_ms;
+    if (!status->leaving)
+      peer->leaving_since = 0;
+    else if (peer->leaving_since == 0)
+      peer->leaving_since = now_ms;
     if (status->store_ok)
       peer->store_lost_at = 0;
     else if (peer->store_lost_at == 0)
@@ -315,7 +320,7 @@
     return stagger == 0 ? now_ms : at;
   }
   if (current && leader->status.leaving)
-    return leader->last_heartbeat_at + stagger;
+    return leader->leaving_since + stagger;
   if (current && leader->store_lost_at > 0) {
     int64_t store_claim_at = leader->store_lost_at + LEADER_WITHOUT_STORE_MS;
     if (store_claim_at < ldr->store_stable_since + STORE_STABLE_MS)
--- a/tests/test_cell.c
+++ b/tests/test_cell.c
@@ -77,6 +77,37 @@
   cell_lanes_free (lanes);
 }
 
+/* Guards against steps that wait for advice behind a backlog although lanes are idle: after a
+   change of leader on a cell of 147 VMs all steps ask anew, with long requests, and a third of the
+   lanes was kept for short ones, which need a few. */
+static void
+large_cells_use_most_lanes_for_long_requests (void **state)
+{
+  (void) state;
+  static const struct {
+    size_t vms, long_min, long_max;
+  } cases[]
+      = { { 1, 1, 1 }, { 3, 2, 2 }, { 7, 4, 4 }, { 9, 6, 6 }, { 38, 26, 26 }, { 147, 135, 135 } };
+  static GrName vms[147];
+  for (size_t i = 0; i < 147; i++)
+    vms[i] = gr_name_format ("vm%zu", i);
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+    CellLanes *lanes = cell_lanes_new ();
+    cell_lanes_set (lanes, vms, cases[i].vms);
+    for (int64_t token = 1; token <= 400; token++)
+      push_request (lanes, token, 1, 600);
+    GrName vm;
+    size_t sent = 0;
+    while (cell_lanes_next (lanes, &vm, 0))
+      sent++;
+    if (sent < cases[i].long_min || sent > cases[i].long_max)
+      fail_msg ("%zu VMs: %zu long requests in flight", cases[i].vms, sent);
+    push_request (lanes, 1000, 0, 15);
+    assert_int_equal (cell_lanes_next (lanes, &vm, 0) != NULL, cases[i].vms > 1);
+    cell_lanes_free (lanes);
+  }
+}
+
 static void
 requests_of_a_removed_lane_are_sent_again (void **state)
 {
@@ -376,6 +407,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (finds_the_longest_prefix),
     cmocka_unit_test (short_requests_do_not_wait_behind_long_ones),
+    cmocka_unit_test (large_cells_use_most_lanes_for_long_requests),
     cmocka_unit_test (requests_of_a_removed_lane_are_sent_again),
     cmocka_unit_test (limits_configuration_pushes),
     cmocka_unit_test (relays_are_chosen_by_the_number_of_targets),
--- a/tests/test_ldr.c
+++ b/tests/test_ldr.c
@@ -73,7 +73,11 @@
     const char *name;
     bool alive, store_ok, leaves;
     int64_t earliest, latest; /* -1: no claim within 5 s */
+    int64_t claim_delay_ms;
   } cases[] = {
+    { "healthy leader, late candidate", true, true, false, -1, -1, 1500 },
+    { "lost leader, late candidate", false, true, false, START_MS + 2200, START_MS + 2600, 1500 },
+    { "leaving leader, late candidate", true, true, true, START_MS + 1500, START_MS + 2200, 1500 },
     { "healthy leader", true, true, false, -1, -1 },
     { "leader without heartbeats", false, true, false, START_MS + 700, START_MS + 1100 },
     { "leader without the store", true, false, false, START_MS + 900, START_MS + 1800 },
@@ -81,6 +85,7 @@
   };
   for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
     LdrState *ldr = follower (true);
+    ldr_set_claim_delay (ldr, cases[i].claim_delay_ms);
     int64_t at = first_claim (ldr, START_MS + 20, START_MS + 5000, cases[i].alive,
                               cases[i].store_ok, cases[i].leaves);
     bool ok = cases[i].earliest < 0 ? at < 0 : at >= cases[i].earliest && at <= cases[i].latest;
