--- a/src/dag/dag.h
+++ b/src/dag/dag.h
@@ -19,7 +19,10 @@
    reported ends and returns the target's inventory. It may wait at the target until a run ends
    (long poll).
 
-   The runs of a gang start together, share one run number and end together. */
+   The runs of a gang start together, share one run number and end together.
+
+   A long-running task starts again however its run ends, until its job is cancelled. The steps of a
+   job with a timetable run once for each of its occurrences. */
 #pragma once
 
 #include "base/gr_err.h"
