--- a/tests/test_dag.c
+++ b/tests/test_dag.c
@@ -406,8 +406,8 @@
   }
 }
 
-/* Guards against memory that is used after a job was freed: a cancellation arrives while the deletion
-   of a job, which ended long ago, is being stored. */
+/* Guards against memory that is used after a job was freed: a cancellation arrives while the
+   deletion of a job, which ended long ago, is being stored. */
 static void
 cancellations_of_dropped_jobs_find_no_job (void **state)
 {
