dag: calls about all targets come before renewals of reserved ones

The gang had reserved targets, some of them still occupied, that together had room for 36 of its tasks or fewer. Their tickets came from three calls at different times, and each renewal started as soon as the one before was answered. A step has one round of calls in flight, so calls about the other allowed targets, with room for 200 tasks but expired tickets, got no turn.

Ruled out: lost starts and orders (the step never had a run), a failing or slow advice service (calls were answered 6 to 60 ms after the expected time), the limit on advice by free cpu (most was free), a lack of placement passes (one every 50 ms).

Change: a step asks about what it lacks first, and renews the tickets of reserved targets only if no such call is useful. The new test in test_dag plays the load: occupied targets, three groups whose room appears 0.25 to 0.85 s apart, then room everywhere. It fails before.

--- a/src/dag/dag_place.c
+++ b/src/dag/dag_place.c
@@ -517,6 +517,7 @@
     DagStep *step = dag->ready.items[i];
     if (!is_placeable (step))
       continue;
+    bool reserves = false;
     size_t count = list_candidates (dag, step, candidates, now_ms);
     if (step->spec.long_running && !step->spec.gang) {
       place_spread (dag, step, candidates, count, now_ms);
@@ -526,10 +527,14 @@
                && now_ms <= step->job->hard_deadline_at) {
       reserving++;
       reserve_for_gang (dag, step, &reserved, now_ms);
-      dag_advice_renew (dag, step, now_ms);
+      reserves = true;
     }
-    if (step->waiting > 0 && step->job->queue.advised)
+    if (step->waiting > 0 && step->job->queue.advised) {
       request_advice_within_budget (dag, step, &budget, now_ms);
+      /* Only if no other call is useful: the reserved targets alone may never have enough room. */
+      if (reserves)
+        dag_advice_renew (dag, step, now_ms);
+    }
   }
   free (candidates);
   drop_placed_steps (dag);
--- a/tests/test_dag.c
+++ b/tests/test_dag.c
@@ -155,6 +155,96 @@
   }
 }
 
+/* Reports the targets from..to as able to run this many tasks of a gang that takes 15000 of cpu. */
+static void
+report_room (Fixture *fixture, int from, int to, int32_t tasks)
+{
+  for (int i = from; i < to; i++) {
+    DagTargetInfo info = target_info (i);
+    info.capacity.v[GR_RES_CPU_MILLI] = tasks * 15000;
+    dag_target_seen (fixture->dag, &info, fixture->now_ms);
+  }
+}
+
+enum {
+  OPEN_ANSWERS_MAX = 64
+};
+
+/* Answers of the simulated advice service that are not delivered yet. */
+typedef struct {
+  Answer items[OPEN_ANSWERS_MAX];
+  size_t count;
+} OpenAnswers;
+
+/* Lets the time pass until there are as many runs as wanted, at most timeout_ms; answers calls for
+   advice meanwhile. Returns the number of runs. */
+static int64_t
+wait_for_runs (Fixture *fixture, OpenAnswers *open, int64_t wanted, int64_t timeout_ms)
+{
+  int64_t deadline = fixture->now_ms + timeout_ms;
+  int64_t runs = 0;
+  do {
+    dag_tick (fixture->dag, fixture->now_ms);
+    open->count = take_advice_calls (fixture, open->items, open->count);
+    assert_true (open->count < OPEN_ANSWERS_MAX / 2);
+    fixture->now_ms += 20;
+    open->count = deliver_answers (fixture, open->items, open->count);
+    runs = (int64_t) dag_counts (fixture->dag, fixture->now_ms).runs;
+  } while (runs < wanted && fixture->now_ms < deadline);
+  return runs;
+}
+
+/* Guards against a gang that never starts although the cell has become nearly idle. It has reserved
+   targets that together lack room for it. If these got their tickets at different times, the calls
+   that renew the tickets follow each other without a pause and leave no turn for calls about the
+   other targets. */
+static void
+gang_starts_on_targets_that_it_did_not_reserve (void **state)
+{
+  (void) state;
+  enum {
+    CELL_TARGETS = 350,
+    OCCUPIED_TARGETS = 48, /* a third of the targets is allowed */
+    GROUPS = 3,
+    GROUP_TARGETS = 24,
+    RESERVED_TARGETS = OCCUPIED_TARGETS + GROUPS * GROUP_TARGETS,
+    WIDTH = RESERVED_TARGETS / 3,
+    EXPIRY_MS = 4000 /* a call for advice and the validity of its tickets */
+  };
+  static const struct {
+    double fixed_ms, per_target_ms;
+    int64_t interval_ms; /* between the times at which the groups get room */
+  } cases[] = { { 494, 7.15, 700 }, { 494, 7.15, 0 }, { 585, 8.45, 850 }, { 53, 0.75, 250 } };
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+    Fixture fixture = new_fixture (true, cases[i].fixed_ms, cases[i].per_target_ms);
+    add_targets (&fixture, CELL_TARGETS);
+    report_room (&fixture, OCCUPIED_TARGETS, CELL_TARGETS, 0);
+    report_room (&fixture, 0, OCCUPIED_TARGETS, 1);
+    OpenAnswers open = { 0 };
+    GrErr err = { 0 };
+    DagStepSpec other = step_of (OCCUPIED_TARGETS / 3, 15000, false);
+    submit_as (&fixture, "other", &other, 1, &err);
+    assert_int_equal (wait_for_runs (&fixture, &open, other.count, EXPIRY_MS), other.count);
+    DagStepSpec gang = step_of (WIDTH, 15000, true);
+    gang.estimate_ms = 60000; /* a gang past its deadline reserves nothing */
+    submit_as (&fixture, "gang", &gang, 1, &err);
+    report_room (&fixture, CELL_TARGETS - 1, CELL_TARGETS, 1); /* no calls without any room */
+    int64_t all = other.count + WIDTH;
+    assert_int_equal (wait_for_runs (&fixture, &open, all, EXPIRY_MS), other.count);
+    for (int g = 0; g < GROUPS; g++) {
+      int from = OCCUPIED_TARGETS + g * GROUP_TARGETS;
+      report_room (&fixture, from, from + GROUP_TARGETS, 1);
+      wait_for_runs (&fixture, &open, all, cases[i].interval_ms);
+    }
+    assert_int_equal (wait_for_runs (&fixture, &open, all, EXPIRY_MS), other.count);
+    report_room (&fixture, RESERVED_TARGETS, CELL_TARGETS, 2);
+    assert_int_equal (wait_for_runs (&fixture, &open, all, EXPIRY_MS), all);
+    fixture.now_ms += 60000;
+    deliver_answers (&fixture, open.items, open.count);
+    dag_free (fixture.dag);
+  }
+}
+
 /* Guards against useless calls for advice when several gangs arrive together on a cell with room
    for all of them. Each names the same targets with the most room. If a call names just enough, the
    first gang takes that room and the others have to ask again. */
@@ -439,6 +529,7 @@
     cmocka_unit_test (invalid_submissions_are_refused),
     cmocka_unit_test (first_call_for_advice_names_enough_targets),
     cmocka_unit_test (wide_gangs_get_advice_on_enough_targets),
+    cmocka_unit_test (gang_starts_on_targets_that_it_did_not_reserve),
     cmocka_unit_test (gangs_that_arrive_together_start_together),
     cmocka_unit_test (waiting_steps_do_not_all_ask_about_the_same_room),
     cmocka_unit_test (idle_targets_keep_their_assignments),
