dag: the addressee is a field common to all orders

Each of the four kinds of orders held it in its own part of the union, so the sender of orders and the codec each had a switch over the kinds to find it, and the decoder set it in four places. No change of behaviour or of the wire: the round-trip tests of test_cell and test_fuzz hold.

--- a/src/cell/cell_orders.c
+++ b/src/cell/cell_orders.c
@@ -176,7 +176,7 @@
 }
 
 /* Fills in the fields that depend on the kind of the command. */
-static const DagTargetRef *
+static void
 describe (Order *order, const DagCmd *cmd, int64_t *timeout_ms)
 {
   order->type = cmd->type;
@@ -184,22 +184,22 @@
   case DAG_CMD_START:
     order->task = cmd->u.start.task;
     order->run = cmd->u.start.run;
-    return &cmd->u.start.target;
+    return;
   case DAG_CMD_STOP:
     order->task = cmd->u.stop.task;
     order->run = cmd->u.stop.run;
     *timeout_ms = STOP_TIMEOUT_MS;
-    return &cmd->u.stop.target;
+    return;
   case DAG_CMD_PACE:
     order->task = cmd->u.pace.task;
     order->run = cmd->u.pace.run;
     order->percent = cmd->u.pace.percent;
     *timeout_ms = PACE_TIMEOUT_MS;
-    return &cmd->u.pace.target;
+    return;
   case DAG_CMD_HOLD:
     order->run = cmd->u.hold.token;
     *timeout_ms = cmd->u.hold.wait_ms + HOLD_MARGIN_MS;
-    return &cmd->u.hold.target;
+    return;
   case DAG_CMD_ACCEPTED:
   case DAG_CMD_CANCELLED:
   case DAG_CMD_ADVISE:
@@ -329,10 +329,10 @@
   CellLeader *leader = orders->leader;
   int64_t timeout_ms = 0;
   Order *order = gr_calloc (1, sizeof *order);
-  const DagTargetRef *target = describe (order, cmd, &timeout_ms);
+  describe (order, cmd, &timeout_ms);
   order->leader = leader;
-  order->target = target->target;
-  const GrName *relay = cell_relays_choose (orders->relays, &target->target, &target->zone,
+  order->target = cmd->target.target;
+  const GrName *relay = cell_relays_choose (orders->relays, &cmd->target.target, &cmd->target.zone,
                                             cell_leader_now (leader));
   if (relay)
     order->relay = *relay;
--- a/src/cell/cell_wire_order.c
+++ b/src/cell/cell_wire_order.c
@@ -40,40 +40,18 @@
   gr_pack_bin (packer, payload_stored ? (GrStr){ "", 0 } : cmd->u.start.payload);
 }
 
-static const DagTargetRef *
-target_of (const DagCmd *cmd)
-{
-  switch (cmd->type) {
-  case DAG_CMD_START:
-    return &cmd->u.start.target;
-  case DAG_CMD_STOP:
-    return &cmd->u.stop.target;
-  case DAG_CMD_HOLD:
-    return &cmd->u.hold.target;
-  case DAG_CMD_PACE:
-    return &cmd->u.pace.target;
-  case DAG_CMD_ACCEPTED:
-  case DAG_CMD_CANCELLED:
-  case DAG_CMD_ADVISE:
-  case DAG_CMD_DEPOSED:
-    break;
-  }
-  return NULL;
-}
-
 void
 cell_wire_pack_order (msgpack_packer *packer, const CellWireOrder *order)
 {
   const DagCmd *cmd = &order->cmd;
-  const DagTargetRef *target = target_of (cmd);
   cell_wire_pack_head (packer, CELL_WIRE_ORDER, ORDER_FIELDS);
   msgpack_pack_int64 (packer, order->token);
   msgpack_pack_int64 (packer, order->term);
   msgpack_pack_int64 (packer, order->timeout_ms);
   msgpack_pack_int (packer, (int) cmd->type);
-  gr_pack_name (packer, &target->target);
-  gr_pack_name (packer, &target->address);
-  msgpack_pack_int64 (packer, target->incarnation);
+  gr_pack_name (packer, &cmd->target.target);
+  gr_pack_name (packer, &cmd->target.address);
+  msgpack_pack_int64 (packer, cmd->target.incarnation);
   switch (cmd->type) {
   case DAG_CMD_START:
     pack_start (packer, cmd, order->payload_stored);
@@ -193,27 +171,23 @@
 cell_wire_read_order (const msgpack_object *fields, uint32_t size, CellWireOrder *order)
 {
   int64_t kind;
-  DagTargetRef target = { 0 };
+  DagTargetRef *target = &order->cmd.target;
   if (size != ORDER_FIELDS || !gr_unpack_int (&fields[0], &order->token)
       || !gr_unpack_int (&fields[1], &order->term)
       || !gr_unpack_int (&fields[2], &order->timeout_ms) || !gr_unpack_int (&fields[3], &kind)
-      || !gr_unpack_name (&fields[4], &target.target)
-      || !gr_unpack_name (&fields[5], &target.address)
-      || !gr_unpack_int (&fields[6], &target.incarnation))
+      || !gr_unpack_name (&fields[4], &target->target)
+      || !gr_unpack_name (&fields[5], &target->address)
+      || !gr_unpack_int (&fields[6], &target->incarnation))
     return false;
   order->cmd.type = (DagCmdType) kind;
   switch (kind) {
   case DAG_CMD_START:
-    order->cmd.u.start.target = target;
     return read_start (&fields[7], order);
   case DAG_CMD_STOP:
-    order->cmd.u.stop.target = target;
     return read_stop (&fields[7], &order->cmd);
   case DAG_CMD_HOLD:
-    order->cmd.u.hold.target = target;
     return read_hold (&fields[7], &order->cmd);
   case DAG_CMD_PACE:
-    order->cmd.u.pace.target = target;
     return read_pace (&fields[7], &order->cmd);
   default:
     return false;
--- a/src/dag/dag.h
+++ b/src/dag/dag.h
@@ -223,10 +223,10 @@
 
 typedef struct {
   DagCmdType type;
+  DagTargetRef target; /* of an order */
   union {
     int64_t call; /* as passed to dag_submit() or dag_cancel() */
     struct {
-      DagTargetRef target;
       DagTaskRef task;
       int64_t run;
       int64_t lease_until; /* clock of the target */
@@ -237,18 +237,15 @@
       int64_t send_by;     /* local time; a start that is not sent by then must not be sent */
     } start;
     struct {
-      DagTargetRef target;
       DagTaskRef task;
       int64_t run;
     } stop;
     struct {
-      DagTargetRef target;
       DagTaskRef task;
       int64_t run;
       int32_t percent; /* share of its usual speed at which the run works */
     } pace;
     struct {
-      DagTargetRef target;
       int64_t lease_until;  /* clock of the target; 0: no renewal */
       int64_t acknowledged; /* ends up to this number are stored; the target may drop them */
       int64_t wait_ms;      /* longest wait at the target for an end; 0: answer at once */
@@ -277,7 +274,7 @@
   DAG_JOB_CANCELLED
 } DagJobState;
 
-/* Names for logs. */
+/* Names for logs; those of states also go to callers. */
 const char *dag_job_state_name (DagJobState state);
 const char *dag_order_result_name (DagOrderResult result);
 
--- a/src/dag/dag_hold.c
+++ b/src/dag/dag_hold.c
@@ -43,7 +43,7 @@
   if (target->hold_count == DAG_MAX_HOLDS)
     return;
   DagCmd cmd = { .type = DAG_CMD_HOLD };
-  cmd.u.hold.target = dag_target_ref (target);
+  cmd.target = dag_target_ref (target);
   cmd.u.hold.token = ++dag->next_token;
   cmd.u.hold.wait_ms = wait_ms;
   cmd.u.hold.acknowledged = target->acknowledged;
--- a/src/dag/dag_inventory.c
+++ b/src/dag/dag_inventory.c
@@ -47,7 +47,7 @@
 stop_unknown_run (DagState *dag, DagTarget *target, const DagRunReport *report)
 {
   DagCmd cmd = { .type = DAG_CMD_STOP };
-  cmd.u.stop.target = dag_target_ref (target);
+  cmd.target = dag_target_ref (target);
   cmd.u.stop.task = report->task;
   cmd.u.stop.run = report->run;
   gr_list_push (&dag->cmds, cmd);
--- a/src/dag/dag_pace.c
+++ b/src/dag/dag_pace.c
@@ -204,7 +204,7 @@
         || task->pace == target->pace.limit)
       continue;
     DagCmd cmd = { .type = DAG_CMD_PACE };
-    cmd.u.pace.target = dag_target_ref (target);
+    cmd.target = dag_target_ref (target);
     cmd.u.pace.task = dag_task_ref (task);
     cmd.u.pace.run = task->run;
     cmd.u.pace.percent = target->pace.limit;
--- a/src/dag/dag_run.c
+++ b/src/dag/dag_run.c
@@ -73,7 +73,7 @@
 send_stop (DagState *dag, DagTask *task)
 {
   DagCmd cmd = { .type = DAG_CMD_STOP };
-  cmd.u.stop.target = dag_target_ref (task->target);
+  cmd.target = dag_target_ref (task->target);
   cmd.u.stop.task = dag_task_ref (task);
   cmd.u.stop.run = task->run;
   gr_list_push (&dag->cmds, cmd);
@@ -147,7 +147,7 @@
 {
   DagJob *job = task->step->job;
   DagCmd cmd = { .type = DAG_CMD_START };
-  cmd.u.start.target = dag_target_ref (task->target);
+  cmd.target = dag_target_ref (task->target);
   cmd.u.start.task = dag_task_ref (task);
   cmd.u.start.run = task->run;
   cmd.u.start.lease_until = dag_target_lease (dag, task->target, now_ms);
--- a/tests/dag_fixture.h
+++ b/tests/dag_fixture.h
@@ -77,7 +77,7 @@
       continue;
     leases += copy[i].u.hold.lease_until > 0;
     DagInventory inventory = { .incarnation = 1, .clock_ms = fixture->now_ms };
-    dag_handle_hold_result (fixture->dag, &copy[i].u.hold.target.target, copy[i].u.hold.token,
+    dag_handle_hold_result (fixture->dag, &copy[i].target.target, copy[i].u.hold.token,
                             answer ? DAG_ORDER_OK : DAG_ORDER_LOST, answer ? &inventory : NULL,
                             fixture->now_ms);
   }
@@ -201,6 +201,6 @@
   DagInventory inventory = {
     .incarnation = 1, .clock_ms = fixture->now_ms, .running = &report, .running_count = running
   };
-  dag_handle_hold_result (fixture->dag, &hold.u.hold.target.target, hold.u.hold.token, DAG_ORDER_OK,
+  dag_handle_hold_result (fixture->dag, &hold.target.target, hold.u.hold.token, DAG_ORDER_OK,
                           &inventory, fixture->now_ms);
 }
--- a/tests/dag_world.hh
+++ b/tests/dag_world.hh
@@ -582,7 +582,7 @@
   {
     const auto &start = cmd.u.start;
     std::string name = name_of (start.task);
-    if (start.target.incarnation != target.incarnation)
+    if (cmd.target.incarnation != target.incarnation)
       return { DAG_ORDER_GONE, 0 };
     if (fenced (target, term))
       return { DAG_ORDER_FENCED, clock_of (target) };
@@ -699,7 +699,7 @@
   {
     const auto &stop = cmd.u.stop;
     std::string name = name_of (stop.task);
-    if (stop.target.incarnation != target.incarnation)
+    if (cmd.target.incarnation != target.incarnation)
       return { DAG_ORDER_GONE, 0 };
     if (fenced (target, term))
       return { DAG_ORDER_FENCED, clock_of (target) };
@@ -772,7 +772,7 @@
   handle_hold (Target &target, const DagCmd &cmd, int64_t term)
   {
     const auto &hold = cmd.u.hold;
-    if (hold.target.incarnation != target.incarnation)
+    if (cmd.target.incarnation != target.incarnation)
       return { DAG_ORDER_GONE, std::nullopt };
     end_lapsed_runs (target);
     if (fenced (target, term))
@@ -1037,7 +1037,7 @@
       break;
     case DAG_CMD_START:
       send_order (
-          cmd.u.start.target.target, kStartTimeoutMs,
+          cmd.target.target, kStartTimeoutMs,
           [this, cmd, term] (Target &target) { return handle_start (target, cmd, term); },
           [this, cmd] (const OrderOutcome &outcome) {
             dag_handle_start_result (dag_, &cmd.u.start.task, cmd.u.start.run, outcome.result,
@@ -1046,7 +1046,7 @@
       break;
     case DAG_CMD_STOP:
       send_order (
-          cmd.u.stop.target.target, kOrderTimeoutMs,
+          cmd.target.target, kOrderTimeoutMs,
           [this, cmd, term] (Target &target) { return handle_stop (target, cmd, term); },
           [this, cmd] (const OrderOutcome &outcome) {
             dag_handle_stop_result (dag_, &cmd.u.stop.task, cmd.u.stop.run, outcome.result, now_);
@@ -1062,10 +1062,10 @@
         if (term != term_)
           return;
         send_order (
-            cmd.u.hold.target.target, kOrderTimeoutMs,
+            cmd.target.target, kOrderTimeoutMs,
             [this, cmd, term] (Target &target) { return handle_hold (target, cmd, term); },
             [this, cmd] (const HoldOutcome &outcome) {
-              answer_hold (cmd.u.hold.target.target, cmd.u.hold.token, outcome);
+              answer_hold (cmd.target.target, cmd.u.hold.token, outcome);
             });
       });
       break;
--- a/tests/test_dag.c
+++ b/tests/test_dag.c
@@ -466,10 +466,10 @@
   dag_cmds_reset (fixture.dag);
   DagRunReport report = { .task = task, .run = 1, .percent = 10 };
   DagInventory inventory = { 1, fixture.now_ms, &report, 1, NULL, 0 };
-  dag_handle_hold_result (fixture.dag, &repeat.u.hold.target.target, repeat.u.hold.token,
-                          DAG_ORDER_OK, &inventory, fixture.now_ms);
-  dag_handle_hold_result (fixture.dag, &lost.u.hold.target.target, lost.u.hold.token,
-                          DAG_ORDER_LOST, NULL, fixture.now_ms);
+  dag_handle_hold_result (fixture.dag, &repeat.target.target, repeat.u.hold.token, DAG_ORDER_OK,
+                          &inventory, fixture.now_ms);
+  dag_handle_hold_result (fixture.dag, &lost.target.target, lost.u.hold.token, DAG_ORDER_LOST, NULL,
+                          fixture.now_ms);
   assert_int_equal (dag_counts (fixture.dag, fixture.now_ms).usable_targets, 1);
   /* The next hold waits again: there is one, not a row of them. */
   fixture.now_ms += 20;
--- a/tests/test_dag_long.c
+++ b/tests/test_dag_long.c
@@ -39,7 +39,7 @@
 static void
 answer_hold (Fixture *fixture, const Targets *targets, const DagCmd *cmd)
 {
-  const GrName *target = &cmd->u.hold.target.target;
+  const GrName *target = &cmd->target.target;
   DagRunReport reports[64];
   size_t reported = 0;
   for (size_t r = 0; r < targets->count; r++) {
@@ -69,7 +69,7 @@
     assert_true (targets->count < 64);
     targets->runs[targets->count].task = cmd->u.start.task;
     targets->runs[targets->count].run = cmd->u.start.run;
-    targets->runs[targets->count++].target = cmd->u.start.target.target;
+    targets->runs[targets->count++].target = cmd->target.target;
     dag_handle_start_result (fixture->dag, &cmd->u.start.task, cmd->u.start.run, DAG_ORDER_OK,
                              fixture->now_ms, fixture->now_ms);
     return;
--- a/tests/test_dag_timetable.c
+++ b/tests/test_dag_timetable.c
@@ -99,7 +99,7 @@
     reports[i] = (DagRunReport){ .task = world->runs[i].task, .run = world->runs[i].run };
   DagInventory inventory
       = { 1, world->now_ms, reports, world->run_count, world->ends, world->end_count };
-  dag_handle_hold_result (world->dag, &cmd->u.hold.target.target, cmd->u.hold.token, DAG_ORDER_OK,
+  dag_handle_hold_result (world->dag, &cmd->target.target, cmd->u.hold.token, DAG_ORDER_OK,
                           &inventory, world->now_ms);
 }
 
