dag: one piece of code for interruptions, tail ratios and counters

The log line, the counter and the stop of a run that the scheduler ends by its own choice stood in dag_avail and dag_pace, the ratio of a tail twice in dag_pace, and three places counted around dag_count(). load_progress() derived twice whether the job had ended; its loop over the steps is now a function. No change of behaviour.

--- a/src/dag/dag_avail.c
+++ b/src/dag/dag_avail.c
@@ -41,6 +41,17 @@
   return unavailable < max_unavailable (&step->spec);
 }
 
+void
+dag_interrupt (DagState *dag, DagTask *task, const char *reason, int64_t now_ms)
+{
+  const DagStep *step = task->step;
+  DAG_LOG (dag, GR_EV_INTERRUPTED, "id=%.*s step=%u index=%u run=%lld target=%.*s reason=%s",
+           GR_NAME_ARG (step->job->id), step->number, task->index, (long long) task->run,
+           GR_NAME_ARG (task->target->info.id), reason);
+  dag_count (dag, GR_METRIC_INTERRUPTED, 1);
+  dag_run_stop (dag, task, now_ms);
+}
+
 void
 dag_avail_handle_end (DagTask *task, int64_t now_ms)
 {
@@ -75,14 +86,8 @@
       continue;
     if (step->job->queue.advised)
       dag_advice_request (dag, step, 1, now_ms);
-    if (!dag_may_interrupt (dag, task) || !dag_has_room (dag, step, now_ms))
-      continue;
-    DAG_LOG (dag, GR_EV_INTERRUPTED,
-             "id=%.*s step=%u index=%u run=%lld target=%.*s reason=draining",
-             GR_NAME_ARG (step->job->id), step->number, task->index, (long long) task->run,
-             GR_NAME_ARG (target->info.id));
-    dag_count (dag, GR_METRIC_INTERRUPTED);
-    dag_run_stop (dag, task, now_ms);
+    if (dag_may_interrupt (dag, task) && dag_has_room (dag, step, now_ms))
+      dag_interrupt (dag, task, "draining", now_ms);
   }
 }
 
--- a/src/dag/dag_codec.c
+++ b/src/dag/dag_codec.c
@@ -362,6 +362,24 @@
   return true;
 }
 
+static bool
+load_steps (DagState *dag, const msgpack_object *list, DagJob *job)
+{
+  for (size_t s = 0; s < list->via.array.size && s < job->step_count; s++) {
+    const msgpack_object *tasks = &list->via.array.ptr[s];
+    DagStep *step = &job->steps[s];
+    if (!gr_unpack_is_array (tasks, (uint32_t) step->spec.count))
+      return false;
+    for (int32_t i = 0; i < step->spec.count; i++) {
+      if (!load_task (dag, &tasks->via.array.ptr[i], &step->tasks[i]))
+        return false;
+    }
+    if (step->done == step->spec.count)
+      job->steps_done |= (uint64_t) 1 << s;
+  }
+  return true;
+}
+
 /* The job of a progress record. An occurrence is created if the job with its timetable is known. */
 static DagJob *
 find_loaded_job (DagState *dag, const GrName *id)
@@ -406,25 +424,14 @@
   if (dag_has_timetable (job)
       && (!gr_unpack_bytes (&f[4], &done_bits) || !dag_timetable_set_done (job, done_bits)))
     return false;
+  bool ended_job = state != DAG_JOB_QUEUED && state != DAG_JOB_IN_PROGRESS;
   bool has_steps = f[4].type == MSGPACK_OBJECT_ARRAY;
   /* Of an ended job with a timetable the submission record may be gone. */
-  bool ended_job = state != DAG_JOB_QUEUED && state != DAG_JOB_IN_PROGRESS;
   if (!has_steps && !dag_has_timetable (job) && !ended_job)
     return false;
-  size_t steps = has_steps ? f[4].via.array.size : 0;
-  for (size_t s = 0; s < steps && s < job->step_count; s++) {
-    const msgpack_object *tasks = &f[4].via.array.ptr[s];
-    DagStep *step = &job->steps[s];
-    if (!gr_unpack_is_array (tasks, (uint32_t) step->spec.count))
-      return false;
-    for (int32_t i = 0; i < step->spec.count; i++) {
-      if (!load_task (dag, &tasks->via.array.ptr[i], &step->tasks[i]))
-        return false;
-    }
-    if (step->done == step->spec.count)
-      job->steps_done |= (uint64_t) 1 << s;
-  }
-  if (state != DAG_JOB_QUEUED && state != DAG_JOB_IN_PROGRESS) {
+  if (has_steps && !load_steps (dag, &f[4], job))
+    return false;
+  if (ended_job) {
     job->state = (DagJobState) state;
     job->stored_state = job->state;
     job->ended_at = ended > 0 ? ended - dag->options.unix_offset_ms : now_ms;
--- a/src/dag/dag_job.c
+++ b/src/dag/dag_job.c
@@ -285,8 +285,7 @@
   DAG_LOG (dag, GR_EV_ENDED, "id=%.*s queue=%.*s state=%s after_ms=%lld", GR_NAME_ARG (job->id),
            GR_NAME_ARG (job->queue.name), dag_job_state_name (state),
            (long long) (now_ms - job->accepted_at));
-  if (dag->options.metrics)
-    gr_metric_add (dag->options.metrics, GR_METRIC_ENDED, 1);
+  dag_count (dag, GR_METRIC_ENDED, 1);
   dag_timetable_handle_end (dag, job, now_ms);
 }
 
--- a/src/dag/dag_pace.c
+++ b/src/dag/dag_pace.c
@@ -113,15 +113,22 @@
   return serving && best_effort;
 }
 
+/* Ratio of the tail that a serving task reported to its target; -1 if it reported none. */
+static double
+tail_ratio (const DagTask *task)
+{
+  if (!serves (task) || task->state != TASK_RUNNING || task->usage < 0)
+    return -1;
+  return (double) task->usage / (double) task->step->spec.tail_target_ms;
+}
+
 /* Worst ratio of a reported tail to its target; 0 if none is reported. */
 static double
 worst_ratio (const DagTarget *target)
 {
   double worst = 0;
   for (const DagTask *task = target->runs; task; task = task->target_next) {
-    if (!serves (task) || task->state != TASK_RUNNING || task->usage < 0)
-      continue;
-    double ratio = (double) task->usage / (double) task->step->spec.tail_target_ms;
+    double ratio = tail_ratio (task);
     if (ratio > worst)
       worst = ratio;
   }
@@ -163,10 +170,8 @@
   if (target->pace.limit < 100 - RAISE_PERCENT)
     return;
   for (const DagTask *serving = target->runs; serving; serving = serving->target_next) {
-    if (!serves (serving) || serving->state != TASK_RUNNING || serving->usage < 0)
-      continue;
-    double ratio = (double) serving->usage / (double) serving->step->spec.tail_target_ms;
-    if (ratio >= RATIO_LOW && ratio < 1)
+    double ratio = tail_ratio (serving);
+    if (ratio < 0 || (ratio >= RATIO_LOW && ratio < 1))
       continue;
     for (const DagTask *task = target->runs; task; task = task->target_next) {
       if (is_best_effort (task) && task->state == TASK_RUNNING)
@@ -210,7 +215,7 @@
     cmd.u.pace.percent = target->pace.limit;
     gr_list_push (&dag->cmds, cmd);
     task->pace_open = true;
-    dag_count (dag, GR_METRIC_PACE_ORDERS);
+    dag_count (dag, GR_METRIC_PACE_ORDERS, 1);
   }
 }
 
@@ -224,11 +229,7 @@
     if (!is_best_effort (task) || task->state != TASK_RUNNING || task->step->spec.gang
         || !dag_may_interrupt (dag, task))
       continue;
-    DAG_LOG (dag, GR_EV_INTERRUPTED, "id=%.*s step=%u index=%u run=%lld target=%.*s reason=paced",
-             GR_NAME_ARG (task->step->job->id), task->step->number, task->index,
-             (long long) task->run, GR_NAME_ARG (target->info.id));
-    dag_count (dag, GR_METRIC_INTERRUPTED);
-    dag_run_stop (dag, task, now_ms);
+    dag_interrupt (dag, task, "paced", now_ms);
     target->pace.low_since = now_ms;
     return;
   }
--- a/src/dag/dag_priv.h
+++ b/src/dag/dag_priv.h
@@ -363,6 +363,8 @@
    available. Every stop of a run that is not forced by an end, a cancellation or a proof that the
    run is over asks here first. */
 bool dag_may_interrupt (const DagState *dag, const DagTask *task);
+/* Stops the run by the scheduler's own choice. reason is for the log. */
+void dag_interrupt (DagState *dag, DagTask *task, const char *reason, int64_t now_ms);
 /* Notes the end of a run of a long-running step and sets when its task may start again. */
 void dag_avail_handle_end (DagTask *task, int64_t now_ms);
 /* Moves long-running tasks off draining targets, as soon as there is room for them elsewhere, and
@@ -409,12 +411,12 @@
 /* Drops the advice about one target, also from calls in flight. */
 void dag_advice_drop_target (DagStep *step, const DagTarget *target);
 
-/* Adds one to a counter if there are metrics. */
+/* Adds to a counter if there are metrics. */
 static inline void
-dag_count (const DagState *dag, GrMetricId id)
+dag_count (const DagState *dag, GrMetricId id, int64_t delta)
 {
   if (dag->options.metrics)
-    gr_metric_add (dag->options.metrics, id, 1);
+    gr_metric_add (dag->options.metrics, id, delta);
 }
 
 /* Writes a log line unless options.quiet is set. */
--- a/src/dag/dag_run.c
+++ b/src/dag/dag_run.c
@@ -197,10 +197,8 @@
     if (dag->options.metrics)
       gr_metric_observe (dag->options.metrics, GR_METRIC_WAIT_MS, now_ms - job->accepted_at);
   }
-  if (dag->options.metrics) {
-    gr_metric_add (dag->options.metrics, GR_METRIC_STARTS, 1);
-    gr_metric_add (dag->options.metrics, GR_METRIC_RETRIES, task->run > 1);
-  }
+  dag_count (dag, GR_METRIC_STARTS, 1);
+  dag_count (dag, GR_METRIC_RETRIES, task->run > 1);
   DAG_LOG (dag, GR_EV_PLACED,
            "id=%.*s step=%u index=%u run=%lld target=%.*s waited_ms=%lld free_cpu=%d",
            GR_NAME_ARG (job->id), task->step->number, task->index, (long long) task->run,
--- a/src/dag/dag_timetable.c
+++ b/src/dag/dag_timetable.c
@@ -176,7 +176,7 @@
     if (is_done (job, number))
       continue;
     dag_queue_ready_steps (dag, dag_timetable_occurrence (dag, job, number));
-    dag_count (dag, GR_METRIC_OCCURRENCES);
+    dag_count (dag, GR_METRIC_OCCURRENCES, 1);
   }
 }
 
