base, sch, dag, cell, job: one macro empties a hash table

The loop that empties a uthash table and frees its entries stood fourteen times in three forms; gr_hash_clear() replaces it. The chains of entries with one id and the services have one function each that frees them. No change of behaviour.

--- a/src/cell/cell_orders.c
+++ b/src/cell/cell_orders.c
@@ -2,8 +2,7 @@
 
 #include <stdlib.h>
 
-#include <uthash.h>
-
+#include "base/gr_hash_priv.h"
 #include "cell/cell_flow.h"
 #include "cell/cell_leader_priv.h"
 
@@ -90,13 +89,7 @@
   for (size_t i = 0; i < orders->paths.count; i++)
     free_path (orders->paths.items[i]);
   gr_list_clear (&orders->paths);
-  Order *order = orders->relayed;
-  HASH_CLEAR (hh, orders->relayed);
-  while (order) {
-    Order *next = order->hh.next;
-    free (order);
-    order = next;
-  }
+  gr_hash_clear (orders->relayed, free);
   cell_relays_free (orders->relays);
   free (orders);
 }
--- a/src/cell/cell_priv.h
+++ b/src/cell/cell_priv.h
@@ -1,8 +1,7 @@
 /* Private state of one VM of a cell, shared by the cell_*.c files only. */
 #pragma once
 
-#include <uthash.h>
-
+#include "base/gr_hash_priv.h"
 #include "cell/cell.h"
 #include "cell/cell_follow.h"
 #include "cell/cell_lanes.h"
--- a/src/cell/cell_relay.c
+++ b/src/cell/cell_relay.c
@@ -121,13 +121,7 @@
 void
 cell_relay_clear (Cell *cell)
 {
-  CellPayload *payload = cell->payloads;
-  HASH_CLEAR (hh, cell->payloads);
-  while (payload) {
-    CellPayload *next = payload->hh.next;
-    free_payload (payload);
-    payload = next;
-  }
+  gr_hash_clear (cell->payloads, free_payload);
 }
 
 void
--- a/src/cell/cell_relays.c
+++ b/src/cell/cell_relays.c
@@ -3,8 +3,7 @@
 #include <math.h>
 #include <stdlib.h>
 
-#include <uthash.h>
-
+#include "base/gr_hash_priv.h"
 #include "cell/cell_links.h"
 
 /* A VM sends the orders of a target itself if it has this much processor time for each. LdrMember
@@ -48,13 +47,7 @@
 static void
 forget_payloads (Relay *relay)
 {
-  SentPayload *payload = relay->payloads;
-  HASH_CLEAR (hh, relay->payloads);
-  while (payload) {
-    SentPayload *next = payload->hh.next;
-    free (payload);
-    payload = next;
-  }
+  gr_hash_clear (relay->payloads, free);
 }
 
 void
--- a/src/dag/dag.c
+++ b/src/dag/dag.c
@@ -38,16 +38,8 @@
     return;
   while (dag->jobs)
     dag_job_free (dag, dag->jobs);
-  HASH_CLEAR (hh, dag->targets);
-  for (size_t i = 0; i < dag->target_list.count; i++)
-    free (dag->target_list.items[i]);
-  DagQueueStats *stats = dag->queue_stats;
-  HASH_CLEAR (hh, dag->queue_stats);
-  while (stats) {
-    DagQueueStats *next = stats->hh.next;
-    free (stats);
-    stats = next;
-  }
+  gr_hash_clear (dag->targets, free);
+  gr_hash_clear (dag->queue_stats, free);
   dag_pace_clear (dag);
   dag_cmds_reset (dag);
   gr_list_clear (&dag->cmds);
--- a/src/dag/dag_pace.c
+++ b/src/dag/dag_pace.c
@@ -275,11 +275,5 @@
 void
 dag_pace_clear (DagState *dag)
 {
-  DagPair *pair = dag->pairs;
-  HASH_CLEAR (hh, dag->pairs);
-  while (pair) {
-    DagPair *next = pair->hh.next;
-    free (pair);
-    pair = next;
-  }
+  gr_hash_clear (dag->pairs, free);
 }
--- a/src/dag/dag_priv.h
+++ b/src/dag/dag_priv.h
@@ -3,8 +3,7 @@
    Times are local monotonic times in ms unless they say otherwise. */
 #pragma once
 
-#include <uthash.h>
-
+#include "base/gr_hash_priv.h"
 #include "dag/dag.h"
 
 /* Longest checkpoint name that is kept; longer ones are ignored. */
--- a/src/job/job.c
+++ b/src/job/job.c
@@ -71,13 +71,7 @@
     job_delete (state, state->jobs);
   while (state->orphans)
     job_drop_orphan (state, state->orphans);
-  JobPending *pending = state->pending;
-  HASH_CLEAR (hh, state->pending);
-  while (pending) {
-    JobPending *next = pending->hh.next;
-    free (pending);
-    pending = next;
-  }
+  gr_hash_clear (state->pending, free);
   release_last_step (state);
   gr_list_clear (&state->cmd_bytes);
   gr_list_clear (&state->ended);
--- a/src/job/job_private.h
+++ b/src/job/job_private.h
@@ -4,8 +4,7 @@
    callers check the phase before they go on. */
 #pragma once
 
-#include <uthash.h>
-
+#include "base/gr_hash_priv.h"
 #include "job/job.h"
 
 /* Time of a deadline, timer or expiry that is not set. */
--- a/src/sch/sch.c
+++ b/src/sch/sch.c
@@ -45,42 +45,26 @@
   return s;
 }
 
+/* Frees the entry and those that follow it with the same id. */
+static void
+free_entries (SchEntry *first)
+{
+  for (SchEntry *e = first, *next; e; e = next) {
+    next = e->same_id;
+    free (e);
+  }
+}
+
 void
 sch_free (SchState *s)
 {
   if (!s)
     return;
-  SchEntry *first = s->entries;
-  HASH_CLEAR (hh, s->entries);
-  for (SchEntry *next_first; first; first = next_first) {
-    next_first = first->hh.next;
-    for (SchEntry *e = first, *next; e; e = next) {
-      next = e->same_id;
-      free (e);
-    }
-  }
-  for (SchEntry *e = s->free_entries, *next; e; e = next) {
-    next = e->same_id;
-    free (e);
-  }
-  SchTeam *team = s->teams;
-  HASH_CLEAR (hh, s->teams);
-  for (SchTeam *next; team; team = next) {
-    next = team->hh.next;
-    free (team);
-  }
-  SchKind *kind = s->kinds;
-  HASH_CLEAR (hh, s->kinds);
-  for (SchKind *next; kind; kind = next) {
-    next = kind->hh.next;
-    free (kind);
-  }
-  SchGang *gang = s->gangs;
-  HASH_CLEAR (hh, s->gangs);
-  for (SchGang *next; gang; gang = next) {
-    next = gang->hh.next;
-    free (gang);
-  }
+  gr_hash_clear (s->entries, free_entries);
+  free_entries (s->free_entries);
+  gr_hash_clear (s->teams, free);
+  gr_hash_clear (s->kinds, free);
+  gr_hash_clear (s->gangs, free);
   sch_spread_clear (s);
   sch_health_clear (s);
   sch_queues_clear (s);
--- a/src/sch/sch_health.c
+++ b/src/sch/sch_health.c
@@ -76,12 +76,7 @@
 void
 sch_health_clear (SchState *s)
 {
-  SchJobStat *stat = s->job_stats;
-  HASH_CLEAR (hh, s->job_stats);
-  for (SchJobStat *next; stat; stat = next) {
-    next = stat->hh.next;
-    free (stat);
-  }
+  gr_hash_clear (s->job_stats, free);
 }
 
 static void
--- a/src/sch/sch_priv.h
+++ b/src/sch/sch_priv.h
@@ -3,9 +3,9 @@
 
 #include <stdlib.h>
 
-#include <uthash.h>
 #include <utlist.h>
 
+#include "base/gr_hash_priv.h"
 #include "sch/sch.h"
 
 typedef struct SchEntry SchEntry;
--- a/src/sch/sch_queue.c
+++ b/src/sch/sch_queue.c
@@ -108,12 +108,7 @@
 void
 sch_queues_clear (SchState *s)
 {
-  SchQueue *queue = s->queues;
-  HASH_CLEAR (hh, s->queues);
-  for (SchQueue *next; queue; queue = next) {
-    next = queue->hh.next;
-    free (queue);
-  }
+  gr_hash_clear (s->queues, free);
   for (int c = 0; c < SCH_CLASS_COUNT; c++)
     gr_list_clear (&s->active[c]);
 }
--- a/src/sch/sch_spread.c
+++ b/src/sch/sch_spread.c
@@ -85,6 +85,14 @@
   CHANGE_COUNT (&service->groups, s->targets.group[e->target], 1);
 }
 
+static void
+free_service (SchService *service)
+{
+  gr_list_clear (&service->zones);
+  gr_list_clear (&service->groups);
+  free (service);
+}
+
 void
 sch_spread_remove (SchState *s, SchEntry *e)
 {
@@ -97,20 +105,11 @@
   if (--service->refs > 0)
     return;
   HASH_DEL (s->services, service);
-  gr_list_clear (&service->zones);
-  gr_list_clear (&service->groups);
-  free (service);
+  free_service (service);
 }
 
 void
 sch_spread_clear (SchState *s)
 {
-  SchService *service = s->services;
-  HASH_CLEAR (hh, s->services);
-  for (SchService *next; service; service = next) {
-    next = service->hh.next;
-    gr_list_clear (&service->zones);
-    gr_list_clear (&service->groups);
-    free (service);
-  }
+  gr_hash_clear (s->services, free_service);
 }
--- a/src/sch/sch_target.c
+++ b/src/sch/sch_target.c
@@ -19,12 +19,7 @@
 void
 sch_targets_clear (SchTargets *t)
 {
-  SchTargetName *name = t->names;
-  HASH_CLEAR (hh, t->names);
-  for (SchTargetName *next; name; name = next) {
-    next = name->hh.next;
-    free (name);
-  }
+  gr_hash_clear (t->names, free);
   free (t->name);
   free (t->group);
   free (t->zone);
