base, dag, cell, net, node: one backoff; no checks for a link to oneself

The doubling of a pause within bounds stood five times. A long-running task now stores its last pause instead of a count from which the pause was computed: 200, 400, 800, 1600, 2000 ms as before. Three loops over the members of a cell skipped this VM before they asked for a link to it; there never is one, which net_peer.h now says. No change of behaviour.

--- a/src/cell/cell_leader.c
+++ b/src/cell/cell_leader.c
@@ -204,7 +204,7 @@
   gr_list_push (&vms, cell->options.self.vm.vm);
   for (size_t i = 0; i < cell->members.count; i++) {
     const GrName *vm = &cell->members.items[i].vm.vm;
-    if (!gr_name_equal (vm, &cell->options.self.vm.vm) && net_peers_is_up (cell->peers, vm))
+    if (net_peers_is_up (cell->peers, vm))
       gr_list_push (&vms, *vm);
   }
   cell_lanes_set (leader->lanes, vms.items, vms.count);
--- a/src/cell/cell_orders.c
+++ b/src/cell/cell_orders.c
@@ -394,8 +394,7 @@
   GR_LIST (LdrMember) linked = { 0 };
   for (size_t i = 0; i < cell->members.count; i++) {
     const LdrMember *member = &cell->members.items[i];
-    if (!gr_name_equal (&member->vm.vm, &cell->options.self.vm.vm)
-        && net_peers_is_up (cell->peers, &member->vm.vm))
+    if (net_peers_is_up (cell->peers, &member->vm.vm))
       gr_list_push (&linked, *member);
   }
   size_t before = cell_relays_count (orders->relays);
--- a/src/cell/cell_peer.c
+++ b/src/cell/cell_peer.c
@@ -92,8 +92,7 @@
   for (size_t i = 0; i < cell->members.count; i++) {
     const GrName *vm = &cell->members.items[i].vm.vm;
     bool close = is_close_peer (cell, i);
-    if ((close ? !close_due : !other_due) || gr_name_equal (vm, &cell->options.self.vm.vm)
-        || !net_peers_is_up (cell->peers, vm))
+    if ((close ? !close_due : !other_due) || !net_peers_is_up (cell->peers, vm))
       continue;
     check_link (cell, vm, close ? LINK_TIMEOUT_MS : OTHER_LINK_TIMEOUT_MS);
   }
--- a/src/cell/cell_relays.c
+++ b/src/cell/cell_relays.c
@@ -3,6 +3,7 @@
 #include <math.h>
 #include <stdlib.h>
 
+#include "base/gr_backoff.h"
 #include "base/gr_hash_priv.h"
 #include "cell/cell_links.h"
 
@@ -162,9 +163,7 @@
   }
   if (++relay->lost < LOST_MAX || now_ms < relay->avoid_until)
     return;
-  relay->avoid_ms = relay->avoid_ms == 0 ? AVOID_MIN_MS : relay->avoid_ms * 2;
-  if (relay->avoid_ms > AVOID_MAX_MS)
-    relay->avoid_ms = AVOID_MAX_MS;
+  relay->avoid_ms = gr_backoff_next (relay->avoid_ms, AVOID_MIN_MS, AVOID_MAX_MS);
   relay->avoid_until = now_ms + relay->avoid_ms;
 }
 
--- a/src/dag/dag_avail.c
+++ b/src/dag/dag_avail.c
@@ -58,14 +58,12 @@
   if (task->state == TASK_STOPPING)
     return;
   if (task->confirmed_at > 0 && now_ms - task->confirmed_at >= QUICK_END_MS) {
-    task->quick_ends = 0;
+    task->restart_pause_ms = 0;
     return;
   }
-  int64_t pause = RESTART_BACKOFF_MIN_MS;
-  for (int i = 0; i < task->quick_ends && pause < RESTART_BACKOFF_MAX_MS; i++)
-    pause *= 2;
-  task->quick_ends++;
-  task->restart_at = now_ms + (pause < RESTART_BACKOFF_MAX_MS ? pause : RESTART_BACKOFF_MAX_MS);
+  task->restart_pause_ms
+      = gr_backoff_next (task->restart_pause_ms, RESTART_BACKOFF_MIN_MS, RESTART_BACKOFF_MAX_MS);
+  task->restart_at = now_ms + task->restart_pause_ms;
 }
 
 static bool
--- a/src/dag/dag_priv.h
+++ b/src/dag/dag_priv.h
@@ -3,6 +3,7 @@
    Times are local monotonic times in ms unless they say otherwise. */
 #pragma once
 
+#include "base/gr_backoff.h"
 #include "base/gr_hash_priv.h"
 #include "dag/dag.h"
 
@@ -34,7 +35,7 @@
   bool start_open;                    /* a start of this run is in flight */
   int64_t start_lost_at;              /* when the newest start of this run went unanswered */
   int64_t restart_at;                 /* waiting: earliest time of the next start, after failures */
-  int quick_ends;                     /* long-running: runs in a row that ended soon after start */
+  int64_t restart_pause_ms;           /* long-running: 0 unless the last run ended soon */
   DagTarget *target;                  /* NULL: no run that may be alive */
   DagTask *target_prev, *target_next; /* list of the runs of the target */
   int64_t batch;                      /* batch that stores the assignment; 0: not taken yet */
--- a/src/dag/dag_target.c
+++ b/src/dag/dag_target.c
@@ -107,9 +107,7 @@
 {
   if (now_ms < target->avoid_until)
     return;
-  target->avoid_ms = target->avoid_ms == 0 ? AVOID_MIN_MS : target->avoid_ms * 2;
-  if (target->avoid_ms > AVOID_MAX_MS)
-    target->avoid_ms = AVOID_MAX_MS;
+  target->avoid_ms = gr_backoff_next (target->avoid_ms, AVOID_MIN_MS, AVOID_MAX_MS);
   target->avoid_until = now_ms + target->avoid_ms;
   DAG_LOG (dag, GR_EV_TARGET_STATE, "target=%.*s state=avoided reason=%s for_ms=%lld",
            GR_NAME_ARG (target->info.id), reason, (long long) target->avoid_ms);
--- a/src/net/net_peer.c
+++ b/src/net/net_peer.c
@@ -6,6 +6,7 @@
 
 #include <openssl/rand.h>
 
+#include "base/gr_backoff.h"
 #include "net/net_proof.h"
 
 #define BACKLOG 256
@@ -160,9 +161,7 @@
   if (peer->removed || peer->link || !is_dialler (peer->peers, peer))
     return;
   uv_timer_start (&peer->redial, on_redial, (uint64_t) peer->backoff_ms, 0);
-  peer->backoff_ms *= 2;
-  if (peer->backoff_ms > REDIAL_MAX_MS)
-    peer->backoff_ms = REDIAL_MAX_MS;
+  peer->backoff_ms = gr_backoff_next (peer->backoff_ms, REDIAL_MIN_MS, REDIAL_MAX_MS);
 }
 
 static void
--- a/src/net/net_peer.h
+++ b/src/net/net_peer.h
@@ -80,6 +80,7 @@
 /* Closes the link to the VM; the VM with the lower id dials again. For links on which nothing
    arrives although no reset was received. */
 void net_peers_reset (NetPeers *peers, const GrName *vm);
+/* Returns true if there is a link to the VM; there is none to this VM itself. */
 bool net_peers_is_up (const NetPeers *peers, const GrName *vm);
 int64_t net_peers_bytes_in (const NetPeers *peers);
 int64_t net_peers_bytes_out (const NetPeers *peers);
--- a/src/node/node_targets.c
+++ b/src/node/node_targets.c
@@ -2,6 +2,7 @@
 
 #include <stdlib.h>
 
+#include "base/gr_backoff.h"
 #include "node/node_list.h"
 #include "node/node_own.h"
 #include "node/node_poll.h"
@@ -257,9 +258,7 @@
   target->polled_once = true;
   target->seq = 0;
   target->retry_at_ms = now + target->retry_delay_ms;
-  target->retry_delay_ms *= 2;
-  if (target->retry_delay_ms > RETRY_MAX_MS)
-    target->retry_delay_ms = RETRY_MAX_MS;
+  target->retry_delay_ms = gr_backoff_next (target->retry_delay_ms, RETRY_MIN_MS, RETRY_MAX_MS);
   if (target->state == NODE_TARGET_LISTED) {
     target->state = NODE_TARGET_UNKNOWN;
     gr_log (&targets->log, GR_EV_TARGET_STATE,
