tests: one loop answers calls for advice in test_dag

The three tests of wide gangs had their own copies of the loop that lets time pass and answers calls; they now share wait_for_runs(). Their bounds on open calls (31, 63, 31), on the time and on the number of runs are the same.

--- a/tests/test_dag.c
+++ b/tests/test_dag.c
@@ -73,10 +73,17 @@
   size_t count;
 } Answer;
 
-/* Appends an answer for each call for advice and drops all commands; returns the new number of
-   answers. The service allows one target in three. */
-static size_t
-take_advice_calls (Fixture *fixture, Answer *answers, size_t count)
+/* Answers that are not delivered yet. More than limit are an error of the scheduler. */
+typedef struct {
+  Answer items[128];
+  size_t count;
+  size_t limit;
+} OpenAnswers;
+
+/* Adds an answer for each call for advice and drops all commands. The service allows one target in
+   three. */
+static void
+take_advice_calls (Fixture *fixture, OpenAnswers *open)
 {
   const DagCmds *cmds = dag_cmds (fixture->dag);
   for (size_t c = 0; c < cmds->count; c++) {
@@ -91,28 +98,53 @@
       if (atoi (cmd->u.advise.targets[i].data + 1) % 3 == 0)
         answer.allowed[answer.count++].target = cmd->u.advise.targets[i];
     }
-    answers[count++] = answer;
+    assert_true (open->count + 1 < open->limit);
+    open->items[open->count++] = answer;
   }
   dag_cmds_reset (fixture->dag);
-  return count;
 }
 
-/* Delivers the answers that are due; returns how many are left. */
-static size_t
-deliver_answers (Fixture *fixture, Answer *answers, size_t count)
+/* Delivers the answers that are due. */
+static void
+deliver_answers (Fixture *fixture, OpenAnswers *open)
 {
-  size_t open = 0;
-  for (size_t i = 0; i < count; i++) {
-    Answer answer = answers[i];
+  size_t left = 0;
+  for (size_t i = 0; i < open->count; i++) {
+    Answer answer = open->items[i];
     if (answer.due > fixture->now_ms) {
-      answers[open++] = answer;
+      open->items[left++] = answer;
       continue;
     }
     dag_handle_advice (fixture->dag, &answer.job, 0, answer.token, true, answer.allowed,
                        answer.count, 0, fixture->now_ms);
     free (answer.allowed);
   }
-  return open;
+  open->count = left;
+}
+
+/* Lets the time pass until there are as many runs as wanted, at most timeout_ms; answers calls for
+   advice meanwhile. Returns the number of runs. */
+static int64_t
+wait_for_runs (Fixture *fixture, OpenAnswers *open, int64_t wanted, int64_t timeout_ms)
+{
+  int64_t deadline = fixture->now_ms + timeout_ms;
+  int64_t runs = 0;
+  do {
+    dag_tick (fixture->dag, fixture->now_ms);
+    take_advice_calls (fixture, open);
+    fixture->now_ms += 20;
+    deliver_answers (fixture, open);
+    runs = (int64_t) dag_counts (fixture->dag, fixture->now_ms).runs;
+  } while (runs < wanted && fixture->now_ms < deadline);
+  return runs;
+}
+
+static void
+free_advised (Fixture *fixture, OpenAnswers *open)
+{
+  fixture->now_ms += 60000;
+  deliver_answers (fixture, open);
+  dag_free (fixture->dag);
 }
 
 /* Guards against gangs that never start on an idle cell because they need a large share of the
@@ -127,8 +159,7 @@
     int32_t cpu;
   } cases[] = { { 8, 9000 }, { 60, 15000 }, { 120, 15000 }, { 150, 10000 } };
   enum {
-    WIDE_TARGETS = 350,
-    ANSWERS_MAX = 64
+    WIDE_TARGETS = 350
   };
   for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
     Fixture fixture = new_fixture (true, 440, 6.4);
@@ -136,22 +167,9 @@
     DagStepSpec gang = step_of (cases[i].width, cases[i].cpu, true);
     GrErr err = { 0 };
     submit (&fixture, &gang, 1, &err);
-    Answer answers[ANSWERS_MAX];
-    size_t open = 0;
-    int64_t deadline = fixture.now_ms + 2500;
-    DagCounts counts = dag_counts (fixture.dag, fixture.now_ms);
-    while (counts.runs == 0 && fixture.now_ms < deadline) {
-      dag_tick (fixture.dag, fixture.now_ms);
-      open = take_advice_calls (&fixture, answers, open);
-      assert_true (open < ANSWERS_MAX / 2);
-      fixture.now_ms += 20;
-      open = deliver_answers (&fixture, answers, open);
-      counts = dag_counts (fixture.dag, fixture.now_ms);
-    }
-    assert_int_equal (counts.runs, cases[i].width);
-    fixture.now_ms += 60000;
-    deliver_answers (&fixture, answers, open);
-    dag_free (fixture.dag);
+    OpenAnswers open = { .limit = 32 };
+    assert_int_equal (wait_for_runs (&fixture, &open, 1, 2500), cases[i].width);
+    free_advised (&fixture, &open);
   }
 }
 
@@ -166,34 +184,6 @@
   }
 }
 
-enum {
-  OPEN_ANSWERS_MAX = 64
-};
-
-/* Answers of the simulated advice service that are not delivered yet. */
-typedef struct {
-  Answer items[OPEN_ANSWERS_MAX];
-  size_t count;
-} OpenAnswers;
-
-/* Lets the time pass until there are as many runs as wanted, at most timeout_ms; answers calls for
-   advice meanwhile. Returns the number of runs. */
-static int64_t
-wait_for_runs (Fixture *fixture, OpenAnswers *open, int64_t wanted, int64_t timeout_ms)
-{
-  int64_t deadline = fixture->now_ms + timeout_ms;
-  int64_t runs = 0;
-  do {
-    dag_tick (fixture->dag, fixture->now_ms);
-    open->count = take_advice_calls (fixture, open->items, open->count);
-    assert_true (open->count < OPEN_ANSWERS_MAX / 2);
-    fixture->now_ms += 20;
-    open->count = deliver_answers (fixture, open->items, open->count);
-    runs = (int64_t) dag_counts (fixture->dag, fixture->now_ms).runs;
-  } while (runs < wanted && fixture->now_ms < deadline);
-  return runs;
-}
-
 /* Guards against a gang that never starts although the cell has become nearly idle. It has reserved
    targets that together lack room for it. If these got their tickets at different times, the calls
    that renew the tickets follow each other without a pause and leave no turn for calls about the
@@ -220,7 +210,7 @@
     add_targets (&fixture, CELL_TARGETS);
     report_room (&fixture, OCCUPIED_TARGETS, CELL_TARGETS, 0);
     report_room (&fixture, 0, OCCUPIED_TARGETS, 1);
-    OpenAnswers open = { 0 };
+    OpenAnswers open = { .limit = 32 };
     GrErr err = { 0 };
     DagStepSpec other = step_of (OCCUPIED_TARGETS / 3, 15000, false);
     submit_as (&fixture, "other", &other, 1, &err);
@@ -239,9 +229,7 @@
     assert_int_equal (wait_for_runs (&fixture, &open, all, EXPIRY_MS), other.count);
     report_room (&fixture, RESERVED_TARGETS, CELL_TARGETS, 2);
     assert_int_equal (wait_for_runs (&fixture, &open, all, EXPIRY_MS), all);
-    fixture.now_ms += 60000;
-    deliver_answers (&fixture, open.items, open.count);
-    dag_free (fixture.dag);
+    free_advised (&fixture, &open);
   }
 }
 
@@ -255,8 +243,7 @@
   enum {
     CELL_TARGETS = 350,
     GANGS = 12,
-    WIDTH = 20,
-    ANSWERS_MAX = 128
+    WIDTH = 20
   };
   Fixture fixture = new_fixture (true, 440, 6.4);
   add_targets (&fixture, CELL_TARGETS);
@@ -267,23 +254,10 @@
     snprintf (id, sizeof id, "job%d", i);
     submit_as (&fixture, id, &gang, 1, &err);
   }
-  Answer answers[ANSWERS_MAX];
-  size_t open = 0;
+  OpenAnswers open = { .limit = 64 };
   /* Two successive calls of a hundred targets each take 2.2 s together. */
-  int64_t deadline = fixture.now_ms + 2500;
-  DagCounts counts = dag_counts (fixture.dag, fixture.now_ms);
-  while (counts.runs < GANGS * WIDTH && fixture.now_ms < deadline) {
-    dag_tick (fixture.dag, fixture.now_ms);
-    open = take_advice_calls (&fixture, answers, open);
-    assert_true (open < ANSWERS_MAX / 2);
-    fixture.now_ms += 20;
-    open = deliver_answers (&fixture, answers, open);
-    counts = dag_counts (fixture.dag, fixture.now_ms);
-  }
-  assert_int_equal (counts.runs, GANGS * WIDTH);
-  fixture.now_ms += 60000;
-  deliver_answers (&fixture, answers, open);
-  dag_free (fixture.dag);
+  assert_int_equal (wait_for_runs (&fixture, &open, GANGS * WIDTH, 2500), GANGS * WIDTH);
+  free_advised (&fixture, &open);
 }
 
 /* Guards against keeping the advice service busy with useless calls when a long queue of bulk work
@@ -390,15 +364,23 @@
   }
 }
 
-/* Guards against renewing leases of a target that does not answer: its runs would never lapse. */
-static void
-unresponsive_targets_get_no_renewal (void **state)
+/* One target on which task 0 of step 0 of "job" runs. */
+static Fixture
+fixture_with_run (void)
 {
-  (void) state;
   Fixture fixture = fixture_with_start ();
   DagTaskRef task = { gr_name ("job"), 0, 0 };
   dag_cmds_reset (fixture.dag);
   dag_handle_start_result (fixture.dag, &task, 1, DAG_ORDER_OK, fixture.now_ms, fixture.now_ms);
+  return fixture;
+}
+
+/* Guards against renewing leases of a target that does not answer: its runs would never lapse. */
+static void
+unresponsive_targets_get_no_renewal (void **state)
+{
+  (void) state;
+  Fixture fixture = fixture_with_run ();
   dag_tick (fixture.dag, fixture.now_ms);
   assert_int_equal (answer_holds (&fixture, false), 1);
   int leases = 0;
@@ -419,9 +401,7 @@
 unresponsive_targets_get_holds_until_they_answer (void **state)
 {
   (void) state;
-  Fixture fixture = fixture_with_start ();
-  DagTaskRef task = { gr_name ("job"), 0, 0 };
-  dag_handle_start_result (fixture.dag, &task, 1, DAG_ORDER_OK, fixture.now_ms, fixture.now_ms);
+  Fixture fixture = fixture_with_run ();
   for (int i = 0; i < 600; i++) {
     fixture.now_ms += 20;
     dag_tick (fixture.dag, fixture.now_ms);
@@ -445,10 +425,7 @@
 overdue_holds_are_repeated (void **state)
 {
   (void) state;
-  Fixture fixture = fixture_with_start ();
-  DagTaskRef task = { gr_name ("job"), 0, 0 };
-  dag_cmds_reset (fixture.dag);
-  dag_handle_start_result (fixture.dag, &task, 1, DAG_ORDER_OK, fixture.now_ms, fixture.now_ms);
+  Fixture fixture = fixture_with_run ();
   dag_tick (fixture.dag, fixture.now_ms);
   DagCmd lost = dag_cmds (fixture.dag)->items[0];
   assert_int_equal (lost.type, DAG_CMD_HOLD);
@@ -464,7 +441,7 @@
   assert_int_equal (repeat.u.hold.wait_ms, 0);
   assert_int_equal (repeat.u.hold.lease_until, 0);
   dag_cmds_reset (fixture.dag);
-  DagRunReport report = { .task = task, .run = 1, .percent = 10 };
+  DagRunReport report = { .task = { gr_name ("job"), 0, 0 }, .run = 1, .percent = 10 };
   DagInventory inventory = { 1, fixture.now_ms, &report, 1, NULL, 0 };
   dag_handle_hold_result (fixture.dag, &repeat.target.target, repeat.u.hold.token, DAG_ORDER_OK,
                           &inventory, fixture.now_ms);
