--- a/Makefile
+++ b/Makefile
@@ -46,10 +46,10 @@
 	@scripts/run-soak $(BUILD) $(SEED)
 
 format:
-	@git ls-files '*.c' '*.h' '*.cc' | xargs clang-format -i
+	@git ls-files '*.c' '*.h' '*.cc' '*.hh' | xargs clang-format -i
 
 format-check:
-	@git ls-files '*.c' '*.h' '*.cc' | xargs clang-format --dry-run -Werror
+	@git ls-files '*.c' '*.h' '*.cc' '*.hh' | xargs clang-format --dry-run -Werror
 
 lint: build
 	@scripts/run-lint $(BUILD)
--- a/tests/dag_world.hh
+++ b/tests/dag_world.hh
@@ -742,8 +742,8 @@
     int at_work = 0;
     for (const Target &other : targets_) {
       for (const auto &entry : other.running)
-        at_work += gr_name_equal (&entry.second.task.job, &run.task.job)
-                   && is_at_work (entry.second);
+        at_work
+            += gr_name_equal (&entry.second.task.job, &run.task.job) && is_at_work (entry.second);
     }
     if (step.count - at_work >= step.max_unavailable)
       report_violation ("stop of " + run.name + " while " + std::to_string (step.count - at_work)
@@ -821,8 +821,7 @@
     std::vector<DagEnd> ends;
     for (auto &entry : seen.running) {
       int32_t percent
-          = job_of (entry.second.task).long_running
-                ? (is_at_work (entry.second) ? 100 : 50)
+          = job_of (entry.second.task).long_running ? (is_at_work (entry.second) ? 100 : 50)
             : entry.second.ends_at == 0
                 ? 0
                 : (int32_t) std::min<int64_t> (99, (now_ - entry.second.started_at) / 10);
@@ -938,8 +937,8 @@
     for (const DagStepSpec &step : job.steps)
       trace ("submit " + job.id + " count " + std::to_string (step.count) + " cpu "
              + std::to_string (step.demand.v[GR_RES_CPU_MILLI]) + (step.gang ? " gang" : "")
-             + (step.long_running ? " long-running" : "")
-             + (step.max_per_target ? " apart" : "") + (job.advised ? " advised" : ""));
+             + (step.long_running ? " long-running" : "") + (step.max_per_target ? " apart" : "")
+             + (job.advised ? " advised" : ""));
     job_index_[job.id] = (int) jobs_.size ();
     jobs_.push_back (job);
     int index = (int) jobs_.size () - 1;
