tests: removed members and tickets that run out while a start waits

Two guards in the table of faults of docs/platform.md stood on tests that did not reach them: a removed VM as a candidate (fails if ldr_set_members() keeps it), and a start whose record is stored late (fails if the ticket does not bound the last time to send).

--- a/tests/test_dag.c
+++ b/tests/test_dag.c
@@ -283,6 +283,41 @@
   dag_free (fixture.dag);
 }
 
+/* Guards against acting on a ticket that has run out, when the record is stored late or the start
+   has to wait for its turn: it must leave before the ticket expires, or not at all. */
+static void
+starts_leave_before_their_ticket_expires (void **state)
+{
+  (void) state;
+  enum {
+    TICKET_MS = 2500 /* as the queue of the fixture has it */
+  };
+  static const struct {
+    int64_t stored_after_ms;
+    size_t starts;
+  } cases[] = { { 0, 1 }, { 2000, 1 }, { 2600, 0 } };
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+    Fixture fixture = new_fixture (true, 53, 0.75);
+    add_targets (&fixture, 1);
+    DagStepSpec step = step_of (1, 1000, false);
+    GrErr err = { 0 };
+    submit (&fixture, &step, 1, &err);
+    OpenAnswers open = { .limit = 32 };
+    assert_int_equal (wait_for_runs (&fixture, &open, 1, 1000), 1);
+    int64_t expires_by = fixture.now_ms + TICKET_MS;
+    dag_cmds_reset (fixture.dag);
+    fixture.now_ms += cases[i].stored_after_ms;
+    store (&fixture);
+    assert_int_equal (count_cmds (&fixture, DAG_CMD_START), cases[i].starts);
+    for (size_t c = 0; c < dag_cmds (fixture.dag)->count; c++) {
+      const DagCmd *cmd = &dag_cmds (fixture.dag)->items[c];
+      if (cmd->type == DAG_CMD_START)
+        assert_in_range (cmd->u.start.send_by, fixture.now_ms, expires_by);
+    }
+    free_advised (&fixture, &open);
+  }
+}
+
 /* Guards against releasing tasks that are assigned to an idle target whose last lease lapsed long
    ago. */
 static void
@@ -507,6 +542,7 @@
     cmocka_unit_test (first_call_for_advice_names_enough_targets),
     cmocka_unit_test (wide_gangs_get_advice_on_enough_targets),
     cmocka_unit_test (gang_starts_on_targets_that_it_did_not_reserve),
+    cmocka_unit_test (starts_leave_before_their_ticket_expires),
     cmocka_unit_test (gangs_that_arrive_together_start_together),
     cmocka_unit_test (waiting_steps_do_not_all_ask_about_the_same_room),
     cmocka_unit_test (idle_targets_keep_their_assignments),
--- a/tests/test_ldr.c
+++ b/tests/test_ldr.c
@@ -140,7 +140,8 @@
 }
 
 /* Guards against a leader that is too weak, or that has a long round trip to the store for each
-   job, while a better candidate is available: the worse one must claim later. */
+   job, while a better candidate is available: the worse one must claim later. A VM that was removed
+   from the members is no candidate, whatever it still sends. */
 static void
 better_candidates_claim_first (void **state)
 {
@@ -151,6 +152,8 @@
     int64_t store_rtt_ms, other_store_rtt_ms;
     bool other_alive;
     bool waits; /* the other one has 100 ms or more to claim first */
+    bool other_removed;
+    int64_t claim_delay_ms;
   } cases[] = {
     { "higher weight", 120, 500, 5, 5, true, true },
     { "higher weight, no heartbeat since the start", 120, 500, 5, 5, false, true },
@@ -160,6 +163,8 @@
     { "equal weight, longer round trip", 500, 500, 5, 55, true, false },
     { "equal weight, round trip not measured", 500, 500, 55, 0, true, false },
     { "equal weight, round trips in one class", 500, 500, 9, 3, true, false },
+    { "higher weight, removed", 120, 500, 5, 5, true, false, true },
+    { "lower weight, this VM goes last", 500, 120, 5, 5, true, true, false, 1200 },
   };
   for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
     LdrMember self = member ("a", 10);
@@ -170,6 +175,9 @@
         = { .self = self, .election_timeout_ms = 1000, .log = { gr_name ("a"), "test" } };
     LdrState *ldr = ldr_new (&options);
     ldr_set_members (ldr, &other, 1);
+    if (cases[i].other_removed)
+      ldr_set_members (ldr, NULL, 0);
+    ldr_set_claim_delay (ldr, cases[i].claim_delay_ms);
     ldr_topic_read (ldr, &(LdrRecord){ 0 }, 0, START_MS);
     ldr_store_rtt (ldr, cases[i].store_rtt_ms + 40);
     ldr_store_rtt (ldr, cases[i].store_rtt_ms);
