dag, cell: spread counted once, the hash of a relay kept

Placing a long-running step counted the runs on each candidate's target, rack and zone anew for each of its tasks: tasks x candidates x tasks comparisons of names in one pass. The counts are now kept with the candidates and raised with each choice; the order of choices is the same. cell_relays hashed the name of each relay again for each order.

--- a/src/cell/cell_relays.c
+++ b/src/cell/cell_relays.c
@@ -28,7 +28,8 @@
 
 typedef struct {
   LdrMember member;
-  int lost; /* orders without an answer since the last answer */
+  uint64_t hash; /* of the name of the VM */
+  int lost;      /* orders without an answer since the last answer */
   int64_t avoid_until;
   int64_t avoid_ms;      /* length of the last exclusion, 0 after an answer */
   SentPayload *payloads; /* in the order in which they were sent */
@@ -77,7 +78,8 @@
 {
   Relay *relay = find_relay (relays, &member->vm.vm);
   if (!relay) {
-    gr_list_push (&relays->items, (Relay){ .member = *member, .chosen = true });
+    Relay added = { .member = *member, .hash = gr_name_hash (&member->vm.vm, 0), .chosen = true };
+    gr_list_push (&relays->items, added);
     return;
   }
   if (relay->member.vm.incarnation != member->vm.incarnation)
@@ -123,7 +125,7 @@
 static double
 score (const Relay *relay, const GrName *target)
 {
-  uint64_t hash = gr_name_hash (target, gr_name_hash (&relay->member.vm.vm, 0));
+  uint64_t hash = gr_name_hash (target, relay->hash);
   double uniform = ((double) (hash >> 11) + 0.5) / (double) ((uint64_t) 1 << 53);
   return -(double) relay->member.weight / log (uniform);
 }
--- a/src/dag/dag_place.c
+++ b/src/dag/dag_place.c
@@ -79,6 +79,11 @@
   return limit > 0 && limit < fits ? limit : fits;
 }
 
+/* Runs of one step that would be lost together with a target, its rack or its zone. */
+typedef struct {
+  int32_t on_target, on_rack, in_zone;
+} Exposure;
+
 /* A target on which tasks of the step can start now. */
 typedef struct {
   DagTarget *target;
@@ -90,6 +95,7 @@
   bool near_data;          /* on the rack of the data, or the step names none */
   bool best_effort;        /* the step takes cpu that others leave idle */
   double expected_harm;    /* between tasks of the step and the runs of the target */
+  Exposure exposure;       /* of a long-running step */
 } Candidate;
 
 static const char no_ticket[sizeof ((DagTask *) 0)->ticket];
@@ -237,24 +243,13 @@
   }
 }
 
-/* Runs of one step that would be lost together with a target, its rack or its zone. */
-typedef struct {
-  int32_t on_target, on_rack, in_zone;
-} Exposure;
-
-static Exposure
-exposure (const DagStep *step, const DagTarget *target)
+/* Counts a run on the other target. */
+static void
+add_exposure (Exposure *sum, const DagTarget *target, const DagTarget *other)
 {
-  Exposure sum = { 0 };
-  for (int32_t i = 0; i < step->spec.count; i++) {
-    const DagTarget *other = step->tasks[i].target;
-    if (!other)
-      continue;
-    sum.on_target += other == target;
-    sum.on_rack += gr_name_equal (&other->info.rack, &target->info.rack);
-    sum.in_zone += gr_name_equal (&other->info.zone, &target->info.zone);
-  }
-  return sum;
+  sum->on_target += other == target;
+  sum->on_rack += gr_name_equal (&other->info.rack, &target->info.rack);
+  sum->in_zone += gr_name_equal (&other->info.zone, &target->info.zone);
 }
 
 static int
@@ -270,39 +265,48 @@
 /* The candidate on which the next long-running task shares the least with the other tasks of its
    step; NULL if none has room. Among equals the order of the candidates decides. */
 static Candidate *
-choose_spread (const DagStep *step, Candidate *candidates, size_t count)
+choose_spread (Candidate *candidates, size_t count)
 {
   Candidate *best = NULL;
-  Exposure least = { 0 };
   for (size_t i = 0; i < count; i++) {
     Candidate *candidate = &candidates[i];
     if (candidate->fits == 0)
       continue;
     if (best && candidate->failed_before > best->failed_before)
       break;
-    Exposure here = exposure (step, candidate->target);
-    if (best && compare_exposures (&here, &least) >= 0)
-      continue;
-    best = candidate;
-    least = here;
+    if (!best || compare_exposures (&candidate->exposure, &best->exposure) < 0)
+      best = candidate;
   }
   return best;
 }
 
+/* Counts a run of the step on the target for all candidates. */
+static void
+expose (Candidate *candidates, size_t count, const DagTarget *target)
+{
+  for (size_t i = 0; i < count; i++)
+    add_exposure (&candidates[i].exposure, candidates[i].target, target);
+}
+
 /* Spreads the tasks of a long-running step over targets, racks and zones, so that a loss takes few
    of them. */
 static void
 place_spread (DagState *dag, DagStep *step, Candidate *candidates, size_t count, int64_t now_ms)
 {
+  for (int32_t i = 0; i < step->spec.count; i++) {
+    if (step->tasks[i].target)
+      expose (candidates, count, step->tasks[i].target);
+  }
   int32_t at = 0;
   DagTask *task;
   while ((task = next_waiting (step, &at, now_ms)) != NULL) {
-    Candidate *chosen = choose_spread (step, candidates, count);
+    Candidate *chosen = choose_spread (candidates, count);
     if (!chosen)
       return;
     chosen->fits--;
     dag_run_assign (dag, task, chosen->target, next_run (task), chosen->ticket,
                     chosen->ticket_until);
+    expose (candidates, count, chosen->target);
   }
 }
 
