dag: lost runs are logged, crashed targets counted

On-call engineers could not tell which tasks were on a target when it was lost, nor how long they had run: E502 gave the number of runs only, and a silent target looked like one that had crashed. E508 names each lost run with the proof, how long it is known to have worked and how many runs were lost with it; two counters tell crashes and lost runs. How long a run has worked is measured on the target's own clock, from its answer to the start to its newest inventory. No decision changes.

--- a/src/dag/dag_inventory.c
+++ b/src/dag/dag_inventory.c
@@ -56,7 +56,8 @@
 }
 
 static void
-process_report (DagState *dag, DagTarget *target, const DagRunReport *report, int64_t now_ms)
+process_report (DagState *dag, DagTarget *target, const DagRunReport *report, int64_t clock_ms,
+                int64_t now_ms)
 {
   DagTask *task = dag_find_task (dag, &report->task);
   if (!task || task->target != target || task->run != report->run) {
@@ -68,6 +69,7 @@
     return;
   }
   dag_keep_checkpoint (task, report->checkpoint);
+  dag_run_note_alive (task, clock_ms);
   if (task->state == TASK_STARTING || task->state == TASK_ADOPTED) {
     task->state = TASK_RUNNING;
     task->confirmed_at = now_ms;
@@ -163,6 +165,7 @@
   }
   if (result == DAG_ORDER_GONE) {
     target->listed = false;
+    dag_crash_handle (dag, target, "another target answered");
     dag_target_release_all (dag, target, "another target answered", now_ms);
     return;
   }
@@ -200,7 +203,7 @@
   process_ends (dag, target, inventory, now_ms);
   target->unknown_runs = 0;
   for (size_t i = 0; i < inventory->running_count; i++)
-    process_report (dag, target, &inventory->running[i], now_ms);
+    process_report (dag, target, &inventory->running[i], inventory->clock_ms, now_ms);
   release_unlisted_runs (dag, target, inventory, hold.sent_at, now_ms);
   dag_pace_target (dag, target, now_ms);
   dag_hold_if_due (dag, target, now_ms);
--- a/src/dag/dag_priv.h
+++ b/src/dag/dag_priv.h
@@ -40,6 +40,8 @@
   DagTask *target_prev, *target_next; /* list of the runs of the target */
   int64_t batch;                      /* batch that stores the assignment; 0: not taken yet */
   int64_t confirmed_at;               /* when the target confirmed the run */
+  int64_t confirmed_clock_ms;         /* clock of the target at that time; 0: not known */
+  int64_t survived_ms;                /* how long the run is known to have worked */
   int64_t stop_acked_at;              /* when the target confirmed the stop; 0: not yet */
   int64_t stop_retry_at;              /* earliest time to repeat a failed stop */
   bool stop_in_flight;
@@ -164,6 +166,7 @@
   DagTask *runs;     /* linked by DagTask.target_next */
   int32_t run_count; /* length of runs */
   bool listed;       /* in the list of targets */
+  bool crashed;      /* it has ended without draining */
   int64_t seen_at;   /* when its newest entry was read */
   bool inventoried;  /* it has answered a hold in this term and incarnation */
   /* The target read clock_ms from its monotonic clock between the sending of an order and the local
@@ -358,6 +361,16 @@
 /* Repeats stops, stops broken gangs and stops stalled runs. */
 void dag_runs_tick (DagState *dag, int64_t now_ms);
 
+/* Notes that the target lists the run as working at clock_ms of its own clock. */
+void dag_run_note_alive (DagTask *task, int64_t clock_ms);
+
+/* dag_crash.c */
+/* The target has ended without draining; its runs, which are released afterwards, are lost. proof
+   is for the log. No effect if that is known already. */
+void dag_crash_handle (DagState *dag, DagTarget *target, const char *proof);
+/* Logs that the run is lost. */
+void dag_crash_log_run (const DagState *dag, const DagTask *task, const char *proof);
+
 /* dag_avail.c */
 /* True if the scheduler may end the run now by its own choice: enough other tasks of the step are
    available. Every stop of a run that is not forced by an end, a cancellation or a proof that the
--- a/src/dag/dag_run.c
+++ b/src/dag/dag_run.c
@@ -56,6 +56,8 @@
   task->stop_acked_at = 0;
   task->stop_retry_at = 0;
   task->stop_in_flight = false;
+  task->confirmed_clock_ms = 0;
+  task->survived_ms = 0;
   task->percent = 0;
   task->pace = 100;
   task->pace_open = false;
@@ -161,6 +163,15 @@
   task->start_open = true;
 }
 
+void
+dag_run_note_alive (DagTask *task, int64_t clock_ms)
+{
+  if (task->confirmed_clock_ms == 0)
+    task->confirmed_clock_ms = clock_ms;
+  if (task->survived_ms < clock_ms - task->confirmed_clock_ms)
+    task->survived_ms = clock_ms - task->confirmed_clock_ms;
+}
+
 static void
 mark_begun (DagState *dag, DagJob *job)
 {
@@ -405,6 +416,7 @@
     task->state = TASK_RUNNING;
     task->confirmed_at = now_ms;
     task->percent_at = now_ms;
+    dag_run_note_alive (task, clock_ms);
     return;
   }
   if (result == DAG_ORDER_LOST && ++task->starts_unanswered < START_ATTEMPTS_MAX
--- a/src/dag/dag_target.c
+++ b/src/dag/dag_target.c
@@ -182,6 +182,7 @@
     if (task->state == TASK_ASSIGNED)
       continue;
     released++;
+    dag_crash_log_run (dag, task, "leases lapsed");
     dag_run_release (dag, task, now_ms);
   }
   if (released > 0)
@@ -192,7 +193,9 @@
 void
 dag_target_restarted (DagState *dag, DagTarget *target, int64_t incarnation, int64_t now_ms)
 {
+  dag_crash_handle (dag, target, "restart");
   dag_target_release_all (dag, target, "restart", now_ms);
+  target->crashed = false;
   target->info.incarnation = incarnation;
   target->inventoried = false;
   target->clock_ms = 0;
@@ -245,6 +248,7 @@
           || other->info.incarnation >= info->incarnation)
         continue;
       other->listed = false;
+      dag_crash_handle (dag, other, "vm restarted");
       dag_target_release_all (dag, other, "vm restarted", now_ms);
     }
   }
