tests: tasks that crash their targets (red)

A table of cells without network: one culprit and several, gangs, placement advice, long-running steps, timetables, targets that return under a new or their former id, crashes that come late after the start or are learned late, changes of leader, the store away and a lost append answer. Besides, innocent jobs share target after target with a culprit and never complete: both restart at the same moment, and best fit puts them together again.

--- /dev/null
+++ b/tests/crash_world.h
@@ -0,0 +1,744 @@
+/* A small cell for tests of the step job scheduler: targets that run tasks, crash and come back,
+   and a durable store from which a scheduler of a later term recovers. Orders arrive at once; time
+   passes in steps of STEP_MS. Some tasks, the culprits, crash each target that starts them. */
+#pragma once
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "dag/dag.h"
+
+#define WORLD_HELPER __attribute__ ((unused)) static
+
+#define STEP_MS 10
+#define MAX_TARGETS 64
+#define MAX_JOBS 128
+#define MAX_TASKS 32 /* of one job */
+#define MAX_RUNS 64  /* on one target */
+#define MAX_ENDS 256 /* not acknowledged, of one target */
+#define MAX_RECORDS (4 * MAX_JOBS)
+#define WORLD_LEASE_MS 5000
+#define TARGET_CPU 32000
+#define GANG_TIMEOUT_MS 3000
+#define BEAT_MS 1500
+
+typedef struct {
+  int targets;
+  int jobs;
+  int tasks; /* of each job */
+  int32_t cpu;
+  int64_t duration_ms;
+  int64_t arrival_ms; /* interval between submissions */
+  bool gang;
+  bool long_running;
+  int occurrences; /* of a timetable; 0: none */
+  bool advised;
+  int culprit_every; /* in each n-th job task 0 is a culprit; 0: none */
+  bool all_tasks;    /* all tasks of these jobs are culprits */
+  int64_t crash_after_ms;
+  bool no_answer;            /* culprits crash their target before the start is answered */
+  int64_t down_ms;           /* until a crashed target is back */
+  bool same_id;              /* it comes back under its former id */
+  int64_t takeover_ms;       /* interval of changes of leader; 0: none */
+  int64_t takeover_until_ms; /* no change of leader later; 0: no limit */
+  int64_t self_crash_ms;     /* interval at which target 0 crashes by itself; 0: never */
+  /* From the crash of a culprit on the store takes no appends for this long. */
+  int64_t store_away_ms;
+  bool append_answers_lost; /* the first append after a crash is answered a second late */
+  int64_t run_ms;           /* length of the test */
+} WorldOptions;
+
+typedef struct {
+  DagTaskRef task;
+  int64_t run, started_at, ends_at; /* ends_at 0: a gang that is not complete */
+} WorldRun;
+
+typedef struct {
+  GrName id, vm;
+  int64_t incarnation, booted_at, up_at; /* up_at: when it is back; 0: it is up */
+  int64_t lease, beat_at;
+  GrRes capacity;
+  WorldRun runs[MAX_RUNS];
+  int run_count;
+  DagEnd ends[MAX_ENDS];
+  int end_count;
+  int64_t next_end;
+  int64_t poll_token, poll_due; /* long poll that is waiting; token 0: none */
+} WorldTarget;
+
+typedef struct {
+  int starts, crashes, starts_after_third;
+  int lost;  /* runs lost with their target */
+  bool done; /* its end as done was acknowledged */
+} WorldTask;
+
+typedef struct {
+  WorldOptions options;
+  DagState *dag;
+  int64_t now;
+  int64_t term;
+  WorldTarget targets[MAX_TARGETS];
+  WorldTask tasks[MAX_JOBS][MAX_TASKS];
+  int submitted;
+  GrBuf keys[MAX_RECORDS], values[MAX_RECORDS];
+  size_t record_count;
+  DagRecords open_records; /* of the append in flight */
+  int64_t open_batch, append_due, store_away_until;
+  bool delay_append;
+  struct {
+    int64_t due, token;
+    GrName job;
+    uint32_t step;
+    DagAllowed *allowed;
+    size_t count;
+  } advice[MAX_JOBS];
+  size_t advice_count;
+  int64_t last_done_at; /* when an innocent task last ended done */
+  int overloads;        /* starts above the capacity */
+  int64_t completed, failed_innocents, failed_culprits;
+  const char *violation;
+} World;
+
+WORLD_HELPER int
+job_number (const GrName *job)
+{
+  return atoi (job->data + 1);
+}
+
+WORLD_HELPER WorldTask *
+world_task (World *world, const DagTaskRef *task)
+{
+  return &world->tasks[job_number (&task->job)][task->index];
+}
+
+WORLD_HELPER bool
+is_culprit (const World *world, int job, uint32_t index)
+{
+  const WorldOptions *options = &world->options;
+  return options->culprit_every > 0 && job % options->culprit_every == 0
+         && (index == 0 || options->all_tasks);
+}
+
+WORLD_HELPER bool
+is_culprit_job (const World *world, int job)
+{
+  return is_culprit (world, job, 0);
+}
+
+WORLD_HELPER int64_t
+target_clock (const World *world, const WorldTarget *target)
+{
+  return 1000 + world->now - target->booted_at;
+}
+
+WORLD_HELPER DagTargetInfo
+world_target_info (const World *world, int number)
+{
+  const WorldTarget *target = &world->targets[number];
+  DagTargetInfo info = { .id = target->id,
+                         .vm = target->vm,
+                         .incarnation = target->incarnation,
+                         .service = gr_name ("svc"),
+                         .zone = gr_name_format ("z%d", number % 3),
+                         .address = gr_name ("addr"),
+                         .rack = gr_name_format ("r%d", number / 8),
+                         .capacity = target->capacity };
+  return info;
+}
+
+WORLD_HELPER void
+world_scheduler (World *world)
+{
+  dag_free (world->dag);
+  DagOptions options = { .lease_ms = WORLD_LEASE_MS,
+                         .lease_max_ms = 2 * WORLD_LEASE_MS,
+                         .stop_timeout_ms = 200,
+                         .status_keep_ms = 10000000,
+                         .former_leases_lapse_at_ms = world->now + WORLD_LEASE_MS + 300,
+                         .quiet = !getenv ("WORLD_TRACE") };
+  world->dag = dag_new (&options, NULL);
+  world->term++;
+  DagQueue queue = { .name = gr_name ("q"),
+                     .service = gr_name ("svc"),
+                     .max_attempts = 3,
+                     .slack_factor = 2,
+                     .target_latency_ms = 1000,
+                     .advised = world->options.advised,
+                     .advice_ms = 30,
+                     .advice_ms_per_target = 0.5,
+                     .advice_valid_ms = 2500 };
+  DagQueues queues = { &queue, 1 };
+  dag_set_queues (world->dag, &queues, world->now);
+  for (const char *kind = "jp"; *kind; kind++) {
+    for (size_t i = 0; i < world->record_count; i++) {
+      GrErr err = { 0 };
+      if (world->keys[i].data[0] == *kind && world->values[i].len > 0)
+        assert_true (dag_load (world->dag, gr_buf_str (&world->keys[i]),
+                               gr_buf_str (&world->values[i]), world->now, &err));
+    }
+  }
+  for (int i = 0; i < world->options.targets; i++) {
+    DagTargetInfo info = world_target_info (world, i);
+    if (world->targets[i].up_at == 0)
+      dag_target_seen (world->dag, &info, world->now);
+    world->targets[i].poll_token = 0;
+  }
+  dag_loaded (world->dag, world->now);
+  dag_records_clear (&world->open_records);
+  world->open_batch = 0;
+  for (size_t i = 0; i < world->advice_count; i++)
+    free (world->advice[i].allowed);
+  world->advice_count = 0;
+}
+
+WORLD_HELPER void
+world_boot (World *world, int number)
+{
+  WorldTarget *target = &world->targets[number];
+  target->incarnation++;
+  target->id = world->options.same_id
+                   ? gr_name_format ("t%d", number)
+                   : gr_name_format ("t%d-%d", number, (int) target->incarnation);
+  target->vm = gr_name_format ("v%d", number);
+  target->booted_at = world->now;
+  target->up_at = 0;
+  target->beat_at = world->now;
+  target->run_count = 0;
+  target->end_count = 0;
+  target->next_end = 1;
+}
+
+WORLD_HELPER World *
+world_new (const WorldOptions *options)
+{
+  World *world = gr_calloc (1, sizeof *world);
+  world->options = *options;
+  world->now = 100000;
+  for (int i = 0; i < options->targets; i++) {
+    world->targets[i].capacity.v[GR_RES_CPU_MILLI] = TARGET_CPU;
+    world_boot (world, i);
+  }
+  world_scheduler (world);
+  return world;
+}
+
+WORLD_HELPER void
+world_free (World *world)
+{
+  dag_free (world->dag);
+  for (size_t i = 0; i < world->record_count; i++) {
+    gr_buf_clear (&world->keys[i]);
+    gr_buf_clear (&world->values[i]);
+  }
+  for (size_t i = 0; i < world->advice_count; i++)
+    free (world->advice[i].allowed);
+  dag_records_clear (&world->open_records);
+  free (world);
+}
+
+static void answer_poll (World *world, WorldTarget *target, DagOrderResult result);
+
+WORLD_HELPER void
+world_end_run (World *world, WorldTarget *target, int at, DagEndKind kind)
+{
+  WorldRun run = target->runs[at];
+  target->runs[at] = target->runs[--target->run_count];
+  assert_true (target->end_count < MAX_ENDS);
+  target->ends[target->end_count++]
+      = (DagEnd){ .number = target->next_end++, .task = run.task, .run = run.run, .kind = kind };
+  if (kind == DAG_END_DONE && !is_culprit (world, job_number (&run.task.job), run.task.index))
+    world->last_done_at = world->now;
+}
+
+/* Ends the other members of a gang after one of them was lost or has ended. */
+WORLD_HELPER void
+world_break_gang (World *world, const WorldRun *run, DagEndKind kind)
+{
+  for (int i = 0; i < world->options.targets; i++) {
+    WorldTarget *target = &world->targets[i];
+    for (int r = target->run_count; r-- > 0;) {
+      const WorldRun *member = &target->runs[r];
+      if (gr_name_equal (&member->task.job, &run->task.job) && member->run == run->run)
+        world_end_run (world, target, r, kind);
+    }
+  }
+}
+
+WORLD_HELPER void
+world_crash (World *world, int number)
+{
+  WorldTarget *target = &world->targets[number];
+  if (target->up_at > 0)
+    return;
+  for (int r = 0; r < target->run_count; r++) {
+    WorldRun *run = &target->runs[r];
+    WorldTask *task = world_task (world, &run->task);
+    task->lost++;
+    task->crashes += is_culprit (world, job_number (&run->task.job), run->task.index);
+  }
+  WorldRun runs[MAX_RUNS];
+  int count = target->run_count;
+  memcpy (runs, target->runs, sizeof runs);
+  target->run_count = 0;
+  target->up_at = world->now + world->options.down_ms;
+  for (int r = 0; r < count && world->options.gang; r++)
+    world_break_gang (world, &runs[r], DAG_END_BROKEN);
+  if (world->options.store_away_ms > 0)
+    world->store_away_until = world->now + world->options.store_away_ms;
+  world->delay_append = world->options.append_answers_lost;
+  answer_poll (world, target, DAG_ORDER_LOST);
+}
+
+WORLD_HELPER int
+world_find_target (const World *world, const GrName *id)
+{
+  for (int i = 0; i < world->options.targets; i++) {
+    if (gr_name_equal (&world->targets[i].id, id))
+      return i;
+  }
+  return -1;
+}
+
+WORLD_HELPER GrRes
+world_used (const World *world, const WorldTarget *target)
+{
+  GrRes used = { 0 };
+  used.v[GR_RES_CPU_MILLI] = world->options.cpu * target->run_count;
+  return used;
+}
+
+WORLD_HELPER void
+world_handle_start (World *world, const DagCmd *cmd)
+{
+  int number = world_find_target (world, &cmd->target.target);
+  WorldTarget *target = number < 0 ? NULL : &world->targets[number];
+  const DagTaskRef *ref = &cmd->u.start.task;
+  if (!target || target->up_at > 0) {
+    dag_handle_start_result (world->dag, ref, cmd->u.start.run, DAG_ORDER_LOST, 0, world->now);
+    return;
+  }
+  if (cmd->target.incarnation != target->incarnation) {
+    dag_handle_start_result (world->dag, ref, cmd->u.start.run, DAG_ORDER_GONE, 0, world->now);
+    return;
+  }
+  if (target->lease < cmd->u.start.lease_until)
+    target->lease = cmd->u.start.lease_until;
+  for (int r = 0; r < target->run_count; r++) {
+    if (gr_name_equal (&target->runs[r].task.job, &ref->job)
+        && target->runs[r].task.index == ref->index) {
+      dag_handle_start_result (world->dag, ref, cmd->u.start.run, DAG_ORDER_OK,
+                               target_clock (world, target), world->now);
+      return;
+    }
+  }
+  WorldTask *task = world_task (world, ref);
+  bool culprit = is_culprit (world, job_number (&ref->job), ref->index);
+  task->starts++;
+  task->starts_after_third += task->crashes >= 3;
+  if (task->done && !world->options.long_running && world->options.occurrences == 0)
+    world->violation = "start of a task that is done";
+  assert_true (target->run_count < MAX_RUNS);
+  bool ends = !world->options.gang && !world->options.long_running;
+  target->runs[target->run_count++]
+      = (WorldRun){ .task = *ref,
+                    .run = cmd->u.start.run,
+                    .started_at = world->now,
+                    .ends_at = ends ? world->now + world->options.duration_ms : 0 };
+  GrRes used = world_used (world, target);
+  world->overloads += !gr_res_fits (&used, &target->capacity);
+  bool crashes_at_once = culprit && world->options.crash_after_ms == 0;
+  if (crashes_at_once)
+    world_crash (world, number);
+  if (crashes_at_once && world->options.no_answer)
+    dag_handle_start_result (world->dag, ref, cmd->u.start.run, DAG_ORDER_LOST, 0, world->now);
+  else
+    dag_handle_start_result (world->dag, ref, cmd->u.start.run, DAG_ORDER_OK,
+                             target_clock (world, target), world->now);
+}
+
+WORLD_HELPER void
+world_handle_stop (World *world, const DagCmd *cmd)
+{
+  int number = world_find_target (world, &cmd->target.target);
+  WorldTarget *target = number < 0 ? NULL : &world->targets[number];
+  DagOrderResult result = DAG_ORDER_OK;
+  if (!target || target->up_at > 0)
+    result = DAG_ORDER_LOST;
+  else if (cmd->target.incarnation != target->incarnation)
+    result = DAG_ORDER_GONE;
+  for (int r = 0; result == DAG_ORDER_OK && r < target->run_count; r++) {
+    if (gr_name_equal (&target->runs[r].task.job, &cmd->u.stop.task.job)
+        && target->runs[r].task.index == cmd->u.stop.task.index) {
+      world_end_run (world, target, r, DAG_END_STOPPED);
+      break;
+    }
+  }
+  dag_handle_stop_result (world->dag, &cmd->u.stop.task, cmd->u.stop.run, result, world->now);
+}
+
+static void
+answer_hold (World *world, WorldTarget *target, int64_t token)
+{
+  DagRunReport reports[MAX_RUNS];
+  for (int r = 0; r < target->run_count; r++) {
+    bool at_work = world->options.long_running;
+    int64_t passed = (world->now - target->runs[r].started_at) / STEP_MS;
+    reports[r] = (DagRunReport){ .task = target->runs[r].task,
+                                 .run = target->runs[r].run,
+                                 .percent = at_work ? 100 : (int32_t) (passed % 99),
+                                 .usage = -1 };
+  }
+  DagInventory inventory = { .incarnation = target->incarnation,
+                             .clock_ms = target_clock (world, target),
+                             .running = reports,
+                             .running_count = (size_t) target->run_count,
+                             .ends = target->ends,
+                             .end_count = (size_t) target->end_count };
+  dag_handle_hold_result (world->dag, &target->id, token, DAG_ORDER_OK, &inventory, world->now);
+}
+
+static void
+answer_poll (World *world, WorldTarget *target, DagOrderResult result)
+{
+  int64_t token = target->poll_token;
+  target->poll_token = 0;
+  if (token == 0)
+    return;
+  if (result == DAG_ORDER_OK)
+    answer_hold (world, target, token);
+  else
+    dag_handle_hold_result (world->dag, &target->id, token, result, NULL, world->now);
+}
+
+WORLD_HELPER void
+world_handle_hold (World *world, const DagCmd *cmd)
+{
+  int number = world_find_target (world, &cmd->target.target);
+  WorldTarget *target = number < 0 ? NULL : &world->targets[number];
+  if (!target || target->up_at > 0) {
+    dag_handle_hold_result (world->dag, &cmd->target.target, cmd->u.hold.token, DAG_ORDER_LOST,
+                            NULL, world->now);
+    return;
+  }
+  if (cmd->target.incarnation != target->incarnation) {
+    dag_handle_hold_result (world->dag, &cmd->target.target, cmd->u.hold.token, DAG_ORDER_GONE,
+                            NULL, world->now);
+    return;
+  }
+  if (target->lease < cmd->u.hold.lease_until)
+    target->lease = cmd->u.hold.lease_until;
+  int kept = 0;
+  for (int e = 0; e < target->end_count; e++) {
+    const DagEnd *end = &target->ends[e];
+    if (end->number > cmd->u.hold.acknowledged)
+      target->ends[kept++] = *end;
+    else if (end->kind == DAG_END_DONE)
+      world_task (world, &end->task)->done = true;
+  }
+  target->end_count = kept;
+  if (cmd->u.hold.wait_ms > 0 && kept == 0) {
+    answer_poll (world, target, DAG_ORDER_OK);
+    target->poll_token = cmd->u.hold.token;
+    target->poll_due = world->now + cmd->u.hold.wait_ms;
+    return;
+  }
+  answer_hold (world, target, cmd->u.hold.token);
+}
+
+WORLD_HELPER void
+world_take_advice (World *world, const DagCmd *cmd)
+{
+  assert_true (world->advice_count < MAX_JOBS);
+  size_t at = world->advice_count++;
+  world->advice[at].due = world->now + cmd->u.advise.expected_ms;
+  world->advice[at].token = cmd->u.advise.token;
+  world->advice[at].job = cmd->u.advise.job;
+  world->advice[at].step = cmd->u.advise.step;
+  world->advice[at].allowed = gr_calloc (cmd->u.advise.count, sizeof (DagAllowed));
+  world->advice[at].count = 0;
+  for (size_t i = 0; i < cmd->u.advise.count; i++) {
+    /* Two targets in three are allowed. */
+    int number = world_find_target (world, &cmd->u.advise.targets[i]);
+    if (number >= 0 && (number + job_number (&cmd->u.advise.job)) % 3 != 0)
+      world->advice[at].allowed[world->advice[at].count++]
+          = (DagAllowed){ .target = cmd->u.advise.targets[i], .ticket = "t" };
+  }
+}
+
+WORLD_HELPER void
+world_run_commands (World *world)
+{
+  while (dag_cmds (world->dag)->count > 0) {
+    size_t count = dag_cmds (world->dag)->count;
+    DagCmd *cmds = gr_calloc (count, sizeof *cmds);
+    memcpy (cmds, dag_cmds (world->dag)->items, count * sizeof *cmds);
+    for (size_t i = 0; i < count; i++) {
+      if (cmds[i].type == DAG_CMD_ADVISE)
+        world_take_advice (world, &cmds[i]);
+    }
+    dag_cmds_reset (world->dag);
+    for (size_t i = 0; i < count; i++) {
+      switch (cmds[i].type) {
+      case DAG_CMD_START:
+        world_handle_start (world, &cmds[i]);
+        break;
+      case DAG_CMD_STOP:
+        world_handle_stop (world, &cmds[i]);
+        break;
+      case DAG_CMD_HOLD:
+        world_handle_hold (world, &cmds[i]);
+        break;
+      case DAG_CMD_ACCEPTED:
+      case DAG_CMD_CANCELLED:
+      case DAG_CMD_PACE:
+      case DAG_CMD_ADVISE:
+      case DAG_CMD_DEPOSED:
+        break;
+      }
+    }
+    free (cmds);
+  }
+}
+
+WORLD_HELPER void
+world_put (World *world, const DagRecord *record)
+{
+  for (size_t i = 0; i < world->record_count; i++) {
+    if (!gr_str_equal (gr_buf_str (&world->keys[i]), gr_buf_str (&record->key)))
+      continue;
+    gr_buf_clear (&world->values[i]);
+    gr_buf_append_str (&world->values[i], gr_buf_str (&record->value));
+    return;
+  }
+  assert_true (world->record_count < MAX_RECORDS);
+  gr_buf_append_str (&world->keys[world->record_count], gr_buf_str (&record->key));
+  gr_buf_append_str (&world->values[world->record_count], gr_buf_str (&record->value));
+  world->record_count++;
+}
+
+/* Takes a batch if none is in flight. It is durable at once; the answer takes a step or longer. */
+WORLD_HELPER void
+world_store (World *world)
+{
+  if (world->open_batch > 0 && world->now >= world->append_due) {
+    int64_t batch = world->open_batch;
+    world->open_batch = 0;
+    dag_stored (world->dag, batch, world->now);
+  }
+  if (world->open_batch > 0 || world->now < world->store_away_until)
+    return;
+  dag_records_clear (&world->open_records);
+  world->open_batch = dag_take_batch (world->dag, &world->open_records);
+  if (world->open_batch == 0)
+    return;
+  for (size_t i = 0; i < world->open_records.count; i++)
+    world_put (world, &world->open_records.items[i]);
+  world->append_due = world->now + (world->delay_append ? 1000 : STEP_MS);
+  world->delay_append = false;
+}
+
+WORLD_HELPER void
+world_submit (World *world)
+{
+  const WorldOptions *options = &world->options;
+  while (world->submitted < options->jobs
+         && world->now >= 100000 + world->submitted * options->arrival_ms) {
+    DagStepSpec step = { .count = options->tasks,
+                         .estimate_ms = options->duration_ms,
+                         .gang = options->gang,
+                         .long_running = options->long_running };
+    step.demand.v[GR_RES_CPU_MILLI] = options->cpu;
+    GrName id = gr_name_format ("j%d", world->submitted);
+    DagJobSpec spec = {
+      .id = id, .queue = gr_name ("q"), .payload = GR_STR ("work"), .steps = &step, .step_count = 1
+    };
+    spec.timetable = (DagTimetable){ .count = options->occurrences,
+                                     .start_at_unix_ms = options->occurrences ? world->now : 0,
+                                     .interval_ms = 500 };
+    int64_t retry;
+    GrErr err = { 0 };
+    assert_int_equal (dag_submit (world->dag, &spec, 1, world->now, &retry, &err),
+                      DAG_SUBMIT_PENDING);
+    world->submitted++;
+  }
+}
+
+/* Starts gangs that are complete and ends members that have waited for too long. */
+WORLD_HELPER void
+world_check_gangs (World *world)
+{
+  for (int i = 0; i < world->options.targets; i++) {
+    WorldTarget *target = &world->targets[i];
+    for (int r = target->run_count; r-- > 0;) {
+      WorldRun run = target->runs[r];
+      if (run.ends_at > 0)
+        continue;
+      WorldRun *members[MAX_TASKS];
+      int count = 0;
+      for (int t = 0; t < world->options.targets; t++) {
+        WorldTarget *other = &world->targets[t];
+        for (int o = 0; o < other->run_count; o++) {
+          if (gr_name_equal (&other->runs[o].task.job, &run.task.job)
+              && other->runs[o].run == run.run)
+            members[count++] = &other->runs[o];
+        }
+      }
+      for (int m = 0; count == world->options.tasks && m < count; m++)
+        members[m]->ends_at = world->now + world->options.duration_ms;
+      if (count < world->options.tasks && world->now - run.started_at >= GANG_TIMEOUT_MS) {
+        world_end_run (world, target, r, DAG_END_ALONE);
+        r = r < target->run_count ? r : target->run_count;
+      }
+    }
+  }
+}
+
+WORLD_HELPER void
+world_run_target (World *world, int number)
+{
+  WorldTarget *target = &world->targets[number];
+  if (target->up_at > 0) {
+    if (world->now >= target->up_at)
+      world_boot (world, number);
+    return;
+  }
+  bool ended = false;
+  for (int r = target->run_count; r-- > 0;) {
+    WorldRun run = target->runs[r];
+    bool culprit = is_culprit (world, job_number (&run.task.job), run.task.index);
+    if (culprit && world->now - run.started_at >= world->options.crash_after_ms) {
+      world_crash (world, number);
+      return;
+    }
+    DagEndKind kind = target_clock (world, target) > target->lease ? DAG_END_LAPSED : DAG_END_DONE;
+    if (kind == DAG_END_DONE && (run.ends_at == 0 || world->now < run.ends_at))
+      continue;
+    ended = true;
+    if (world->options.gang) {
+      world_break_gang (world, &run, kind);
+      r = r < target->run_count ? r : target->run_count;
+    } else {
+      world_end_run (world, target, r, kind);
+    }
+  }
+  if (target->poll_token > 0 && (ended || world->now >= target->poll_due))
+    answer_poll (world, target, DAG_ORDER_OK);
+}
+
+WORLD_HELPER void
+world_report_targets (World *world)
+{
+  for (int i = 0; i < world->options.targets; i++) {
+    WorldTarget *target = &world->targets[i];
+    if (target->up_at > 0 || world->now < target->beat_at)
+      continue;
+    target->beat_at = world->now + BEAT_MS;
+    DagTargetInfo info = world_target_info (world, i);
+    dag_target_seen (world->dag, &info, world->now);
+  }
+}
+
+WORLD_HELPER void
+world_deliver_advice (World *world)
+{
+  for (size_t i = world->advice_count; i-- > 0;) {
+    if (world->now < world->advice[i].due)
+      continue;
+    dag_handle_advice (world->dag, &world->advice[i].job, world->advice[i].step,
+                       world->advice[i].token, true, world->advice[i].allowed,
+                       world->advice[i].count, 0, world->now);
+    free (world->advice[i].allowed);
+    world->advice[i] = world->advice[--world->advice_count];
+  }
+}
+
+WORLD_HELPER void
+world_step (World *world)
+{
+  const WorldOptions *options = &world->options;
+  world->now += STEP_MS;
+  int64_t passed = world->now - 100000;
+  bool may_take_over = options->takeover_until_ms == 0 || passed <= options->takeover_until_ms;
+  if (options->takeover_ms > 0 && passed % options->takeover_ms == 0 && may_take_over
+      && world->now >= world->store_away_until)
+    world_scheduler (world);
+  if (options->self_crash_ms > 0 && passed % options->self_crash_ms == 0)
+    world_crash (world, 0);
+  world_submit (world);
+  world_report_targets (world);
+  world_deliver_advice (world);
+  if (options->gang)
+    world_check_gangs (world);
+  for (int i = 0; i < options->targets; i++)
+    world_run_target (world, i);
+  dag_tick (world->dag, world->now);
+  world_run_commands (world);
+  world_store (world);
+  world_run_commands (world);
+}
+
+/* Lets the test's time pass and counts how the jobs ended. */
+WORLD_HELPER void
+world_run (World *world)
+{
+  int64_t end = world->now + world->options.run_ms;
+  while (world->now < end)
+    world_step (world);
+  for (int j = 0; j < world->submitted; j++) {
+    GrName id = gr_name_format ("j%d", j);
+    DagJobState state = dag_status (world->dag, &id);
+    world->completed += state == DAG_JOB_COMPLETED;
+    if (state != DAG_JOB_FAILED)
+      continue;
+    if (is_culprit_job (world, j))
+      world->failed_culprits++;
+    else
+      world->failed_innocents++;
+  }
+}
+
+/* Highest number of starts of one culprit after three targets had crashed under it. */
+WORLD_HELPER int
+world_starts_after_third (const World *world)
+{
+  int most = 0;
+  for (int j = 0; j < MAX_JOBS; j++) {
+    for (int t = 0; t < MAX_TASKS; t++) {
+      if (world->tasks[j][t].starts_after_third > most)
+        most = world->tasks[j][t].starts_after_third;
+    }
+  }
+  return most;
+}
+
+/* Most targets that crashed under one culprit; runs lost of all innocent tasks. */
+WORLD_HELPER int
+world_most_crashes (const World *world)
+{
+  int most = 0;
+  for (int j = 0; j < MAX_JOBS; j++) {
+    for (int t = 0; t < MAX_TASKS; t++) {
+      if (world->tasks[j][t].crashes > most)
+        most = world->tasks[j][t].crashes;
+    }
+  }
+  return most;
+}
+
+WORLD_HELPER int
+world_innocent_runs_lost (const World *world)
+{
+  int lost = 0;
+  for (int j = 0; j < MAX_JOBS; j++) {
+    for (uint32_t t = 0; t < MAX_TASKS; t++)
+      lost += is_culprit (world, j, t) ? 0 : world->tasks[j][t].lost;
+  }
+  return lost;
+}
