--- a/src/dag/dag_place.c
+++ b/src/dag/dag_place.c
@@ -20,195 +20,6 @@
 /* Shortest interval between two passes, since inputs come in bursts. */
 #define PASS_INTERVAL_MS 4
 
-bool
-dag_may_run (const DagStep *step, const DagTarget *target)
-{
-  return gr_name_equal (&target->info.service, &step->job->queue.service)
-         && (step->spec.label.len == 0 || gr_name_equal (&step->spec.label, &target->info.kind));
-}
-
-/* Number of runs of the step on the target. */
-static int32_t
-runs_of_step (const DagStep *step, const DagTarget *target)
-{
-  int32_t count = 0;
-  for (int32_t i = 0; i < step->spec.count; i++)
-    count += step->tasks[i].target == target;
-  return count;
-}
-
-/* Number of times that need fits into room. */
-static int32_t
-fits_in (const GrRes *need, const GrRes *room)
-{
-  int32_t fits = DAG_MAX_TASKS;
-  for (int d = 0; d < GR_RES_COUNT; d++) {
-    if (need->v[d] <= 0)
-      continue;
-    int32_t times = room->v[d] > 0 ? room->v[d] / need->v[d] : 0;
-    if (times < fits)
-      fits = times;
-  }
-  return fits;
-}
-
-/* Caps fits so that the target does not exceed max_per_target. */
-static int32_t
-limit_per_target (const DagStep *step, const DagTarget *target, int32_t fits)
-{
-  if (step->spec.max_per_target <= 0)
-    return fits;
-  int32_t left = step->spec.max_per_target - runs_of_step (step, target);
-  return left < fits ? (left > 0 ? left : 0) : fits;
-}
-
-int32_t
-dag_fit_count (const DagStep *step, const DagTarget *target)
-{
-  GrRes need = dag_reserved_demand (&step->spec);
-  GrRes room = dag_target_free_room (target);
-  return limit_per_target (step, target, fits_in (&need, &room));
-}
-
-int32_t
-dag_fit_count_idle (const DagStep *step, const DagTarget *target)
-{
-  GrRes need = dag_reserved_demand (&step->spec);
-  int32_t fits = fits_in (&need, &target->info.capacity);
-  int32_t limit = step->spec.max_per_target;
-  return limit > 0 && limit < fits ? limit : fits;
-}
-
-/* Runs of one step that would be lost together with a target, its rack or its zone. */
-typedef struct {
-  int32_t on_target, on_rack, in_zone;
-} Exposure;
-
-/* A target on which tasks of the step can start now. */
-typedef struct {
-  DagTarget *target;
-  const char *ticket;
-  int64_t ticket_until;
-  int32_t fits;
-  int32_t spare_cpu_milli; /* free cpu after placing as many waiting tasks as fit */
-  bool failed_before;      /* a run of the step failed on it */
-  bool near_data;          /* on the rack of the data, or the step names none */
-  bool best_effort;        /* the step takes cpu that others leave idle */
-  double expected_harm;    /* between tasks of the step and the runs of the target */
-  Exposure exposure;       /* of a long-running step */
-} Candidate;
-
-static const char no_ticket[sizeof ((DagTask *) 0)->ticket];
-
-/* True if a run of the step failed on this incarnation of the target. */
-static bool
-has_failed_on (const DagStep *step, const DagTarget *target)
-{
-  for (size_t i = 0; i < step->failed_on.count; i++) {
-    if (step->failed_on.items[i] == target->serial)
-      return true;
-  }
-  return false;
-}
-
-/* Number of tasks of the step that can start on the target now, leaving advice aside. */
-static int32_t
-startable_count (const DagState *dag, const DagStep *step, const DagTarget *target, int64_t now_ms)
-{
-  if (!dag_target_usable (target, now_ms) || !dag_may_run (step, target)
-      || target->reserved_pass == dag->pass)
-    return 0;
-  return dag_fit_count (step, target);
-}
-
-static bool
-is_valid_permit (const DagPermit *permit, int64_t now_ms)
-{
-  return permit->valid_until > now_ms + DAG_TICKET_MARGIN_MS;
-}
-
-bool
-dag_has_room (DagState *dag, DagStep *step, int64_t now_ms)
-{
-  if (step->job->queue.advised) {
-    for (size_t i = 0; i < step->permits.count; i++) {
-      const DagPermit *permit = &step->permits.items[i];
-      if (is_valid_permit (permit, now_ms)
-          && startable_count (dag, step, permit->target, now_ms) > 0)
-        return true;
-    }
-    return false;
-  }
-  for (size_t i = 0; i < dag->target_list.count; i++) {
-    if (startable_count (dag, step, dag->target_list.items[i], now_ms) > 0)
-      return true;
-  }
-  return false;
-}
-
-/* Appends the target to out if tasks of the step can start on it. permit is NULL if the queue needs
-   no advice. */
-static void
-add_candidate (DagState *dag, DagStep *step, DagTarget *target, const DagPermit *permit,
-               Candidate *out, size_t *count, int64_t now_ms)
-{
-  int32_t fits = startable_count (dag, step, target, now_ms);
-  if (fits == 0)
-    return;
-  GrRes room = dag_target_free_room (target);
-  int32_t cpu = step->spec.demand.v[GR_RES_CPU_MILLI];
-  out[(*count)++] = (Candidate){
-    .target = target,
-    .ticket = permit ? permit->ticket : no_ticket,
-    .ticket_until = permit ? permit->valid_until : 0,
-    .fits = fits,
-    .spare_cpu_milli
-    = room.v[GR_RES_CPU_MILLI] - cpu * (fits < step->waiting ? fits : step->waiting),
-    .failed_before = has_failed_on (step, target),
-    .near_data
-    = step->spec.near_rack.len == 0 || gr_name_equal (&step->spec.near_rack, &target->info.rack),
-    .best_effort = step->spec.best_effort_cpu,
-    .expected_harm = dag_pace_expected_harm (dag, step, target),
-  };
-}
-
-/* Targets on which no run of the step failed come first, then those with the least harm between
-   neighbours, then those near the data, then the best fit, which has the least spare cpu; for
-   best-effort steps the most. */
-static int
-compare_candidates (const void *a, const void *b)
-{
-  const Candidate *x = a, *y = b;
-  if (x->failed_before != y->failed_before)
-    return x->failed_before - y->failed_before;
-  if (x->expected_harm != y->expected_harm)
-    return x->expected_harm < y->expected_harm ? -1 : 1;
-  if (x->near_data != y->near_data)
-    return y->near_data - x->near_data;
-  if (x->spare_cpu_milli != y->spare_cpu_milli)
-    return (x->spare_cpu_milli < y->spare_cpu_milli) != x->best_effort ? -1 : 1;
-  return x->target->serial < y->target->serial ? -1 : 1;
-}
-
-/* Stores the candidates in out, in order of preference, and returns their number. */
-static size_t
-list_candidates (DagState *dag, DagStep *step, Candidate *out, int64_t now_ms)
-{
-  size_t count = 0;
-  if (step->job->queue.advised) {
-    for (size_t i = 0; i < step->permits.count; i++) {
-      const DagPermit *permit = &step->permits.items[i];
-      if (is_valid_permit (permit, now_ms))
-        add_candidate (dag, step, permit->target, permit, out, &count, now_ms);
-    }
-  } else {
-    for (size_t i = 0; i < dag->target_list.count; i++)
-      add_candidate (dag, step, dag->target_list.items[i], NULL, out, &count, now_ms);
-  }
-  qsort (out, count, sizeof *out, compare_candidates);
-  return count;
-}
-
 static int64_t
 next_run (const DagTask *task)
 {
@@ -228,7 +39,7 @@
 }
 
 static void
-place_single_tasks (DagState *dag, DagStep *step, const Candidate *candidates, size_t count,
+place_single_tasks (DagState *dag, DagStep *step, const DagCandidate *candidates, size_t count,
                     int64_t now_ms)
 {
   int32_t at = 0;
@@ -245,7 +56,7 @@
 
 /* Counts a run on the other target. */
 static void
-add_exposure (Exposure *sum, const DagTarget *target, const DagTarget *other)
+add_exposure (DagExposure *sum, const DagTarget *target, const DagTarget *other)
 {
   sum->on_target += other == target;
   sum->on_rack += gr_name_equal (&other->info.rack, &target->info.rack);
@@ -253,7 +64,7 @@
 }
 
 static int
-compare_exposures (const Exposure *a, const Exposure *b)
+compare_exposures (const DagExposure *a, const DagExposure *b)
 {
   if (a->on_target != b->on_target)
     return a->on_target - b->on_target;
@@ -264,12 +75,12 @@
 
 /* The candidate on which the next long-running task shares the least with the other tasks of its
    step; NULL if none has room. Among equals the order of the candidates decides. */
-static Candidate *
-choose_spread (Candidate *candidates, size_t count)
+static DagCandidate *
+choose_spread (DagCandidate *candidates, size_t count)
 {
-  Candidate *best = NULL;
+  DagCandidate *best = NULL;
   for (size_t i = 0; i < count; i++) {
-    Candidate *candidate = &candidates[i];
+    DagCandidate *candidate = &candidates[i];
     if (candidate->fits == 0)
       continue;
     if (best && candidate->failed_before > best->failed_before)
@@ -282,7 +93,7 @@
 
 /* Counts a run of the step on the target for all candidates. */
 static void
-expose (Candidate *candidates, size_t count, const DagTarget *target)
+expose (DagCandidate *candidates, size_t count, const DagTarget *target)
 {
   for (size_t i = 0; i < count; i++)
     add_exposure (&candidates[i].exposure, candidates[i].target, target);
@@ -291,7 +102,7 @@
 /* Spreads the tasks of a long-running step over targets, racks and zones, so that a loss takes few
    of them. */
 static void
-place_spread (DagState *dag, DagStep *step, Candidate *candidates, size_t count, int64_t now_ms)
+place_spread (DagState *dag, DagStep *step, DagCandidate *candidates, size_t count, int64_t now_ms)
 {
   for (int32_t i = 0; i < step->spec.count; i++) {
     if (step->tasks[i].target)
@@ -300,7 +111,7 @@
   int32_t at = 0;
   DagTask *task;
   while ((task = next_waiting (step, &at, now_ms)) != NULL) {
-    Candidate *chosen = choose_spread (candidates, count);
+    DagCandidate *chosen = choose_spread (candidates, count);
     if (!chosen)
       return;
     chosen->fits--;
@@ -312,7 +123,7 @@
 
 /* Number of tasks that fit on the candidates of one rack. */
 static int32_t
-room_on_rack (const Candidate *candidates, size_t count, const GrName *rack)
+room_on_rack (const DagCandidate *candidates, size_t count, const GrName *rack)
 {
   int32_t fits = 0;
   for (size_t i = 0; i < count; i++) {
@@ -324,7 +135,7 @@
 
 /* Best fit: the rack with the least room that fits all waiting tasks; NULL if none does. */
 static const GrName *
-choose_rack (const DagStep *step, const Candidate *candidates, size_t count)
+choose_rack (const DagStep *step, const DagCandidate *candidates, size_t count)
 {
   const GrName *best = NULL;
   int32_t best_fits = 0;
@@ -341,7 +152,8 @@
 
 /* Assigns all tasks of the gang, or none and returns false. */
 static bool
-place_gang (DagState *dag, DagStep *step, const Candidate *candidates, size_t count, int64_t now_ms)
+place_gang (DagState *dag, DagStep *step, const DagCandidate *candidates, size_t count,
+            int64_t now_ms)
 {
   int32_t fits = 0;
   for (size_t i = 0; i < count; i++)
@@ -513,7 +325,7 @@
     return;
   /* NOLINTNEXTLINE(bugprone-sizeof-expression): a list of pointers */
   qsort_r (dag->ready.items, dag->ready.count, sizeof *dag->ready.items, compare_steps, &now_ms);
-  Candidate *candidates = gr_calloc (dag->target_list.count, sizeof *candidates);
+  DagCandidate *candidates = gr_calloc (dag->target_list.count, sizeof *candidates);
   int64_t budget = advice_budget (dag, now_ms);
   size_t reserved = 0;
   int reserving = 0;
@@ -522,7 +334,7 @@
     if (!is_placeable (step))
       continue;
     bool reserves = false;
-    size_t count = list_candidates (dag, step, candidates, now_ms);
+    size_t count = dag_list_candidates (dag, step, candidates, now_ms);
     if (step->spec.long_running && !step->spec.gang) {
       place_spread (dag, step, candidates, count, now_ms);
     } else if (!step->spec.gang) {
--- a/src/dag/dag_priv.h
+++ b/src/dag/dag_priv.h
@@ -396,7 +396,26 @@
 double dag_pace_expected_harm (DagState *dag, const DagStep *step, const DagTarget *target);
 void dag_pace_clear (DagState *dag);
 
-/* dag_place.c */
+/* dag_candidate.c */
+/* Runs of one step that would be lost together with a target, its rack or its zone. */
+typedef struct {
+  int32_t on_target, on_rack, in_zone;
+} DagExposure;
+
+/* A target on which tasks of the step can start now. */
+typedef struct {
+  DagTarget *target;
+  const char *ticket;
+  int64_t ticket_until;
+  int32_t fits;
+  int32_t spare_cpu_milli; /* free cpu after placing as many waiting tasks as fit */
+  bool failed_before;      /* a run of the step failed on it */
+  bool near_data;          /* on the rack of the data, or the step names none */
+  bool best_effort;        /* the step takes cpu that others leave idle */
+  double expected_harm;    /* between tasks of the step and the runs of the target */
+  DagExposure exposure;    /* of a long-running step */
+} DagCandidate;
+
 /* True if a task of the step could start on some target now. */
 bool dag_has_room (DagState *dag, DagStep *step, int64_t now_ms);
 /* True if the target has the service and the label that the step needs. */
@@ -405,6 +424,10 @@
 int32_t dag_fit_count (const DagStep *step, const DagTarget *target);
 /* Number of tasks of the step that fit on the target when nothing else runs there. */
 int32_t dag_fit_count_idle (const DagStep *step, const DagTarget *target);
+/* Stores the candidates in out, in order of preference, and returns their number. */
+size_t dag_list_candidates (DagState *dag, DagStep *step, DagCandidate *out, int64_t now_ms);
+
+/* dag_place.c */
 /* Key of the step, unique within a DagState. */
 uint64_t dag_step_key (const DagStep *step);
 /* Runs a placement pass if one is wanted and the last one is not too recent. */
