dag: tasks that crash their targets are isolated and given up

Cause: a proof that a run is over released its task like any interruption. Only ends that a target reports as failed count as attempts, and a crashed target reports none. Besides, a culprit and its neighbours are released at the same moment, and best fit puts them together again, so an innocent job could follow a culprit to each of its targets.

Change: each crash is counted for the tasks under it, in their stored record. Runs that may be the cause (those that the target has not outlived by half a second) are suspected: they start again in isolation from other jobs, on the emptiest target where nothing else may be the cause. A job that is the only possible cause of a second crash has failed. A run that lasts clears its task. A task with three crashes is suspected however long its runs had worked, so that late crashes are found too. Lapsed leases count once the target is known to have crashed. All of this is derived from records and inventories, so that a new leader goes on with it.

--- a/src/dag/dag.c
+++ b/src/dag/dag.c
@@ -38,7 +38,7 @@
     return;
   while (dag->jobs)
     dag_job_free (dag, dag->jobs);
-  gr_hash_clear (dag->targets, free);
+  gr_hash_clear (dag->targets, dag_target_free);
   gr_hash_clear (dag->queue_stats, free);
   dag_pace_clear (dag);
   dag_cmds_reset (dag);
--- a/src/dag/dag_candidate.c
+++ b/src/dag/dag_candidate.c
@@ -97,14 +97,16 @@
   if (step->job->queue.advised) {
     for (size_t i = 0; i < step->permits.count; i++) {
       const DagPermit *permit = &step->permits.items[i];
-      if (is_valid_permit (permit, now_ms)
+      if (is_valid_permit (permit, now_ms) && !dag_trial_closes (permit->target, step->job, now_ms)
           && startable_count (dag, step, permit->target, now_ms) > 0)
         return true;
     }
     return false;
   }
   for (size_t i = 0; i < dag->target_list.count; i++) {
-    if (startable_count (dag, step, dag->target_list.items[i], now_ms) > 0)
+    const DagTarget *target = dag->target_list.items[i];
+    if (!dag_trial_closes (target, step->job, now_ms)
+        && startable_count (dag, step, target, now_ms) > 0)
       return true;
   }
   return false;
@@ -126,6 +128,7 @@
     .ticket = permit ? permit->ticket : no_ticket,
     .ticket_until = permit ? permit->valid_until : 0,
     .fits = fits,
+    .closed = dag_trial_closes (target, step->job, now_ms),
     .spare_cpu_milli
     = room.v[GR_RES_CPU_MILLI] - cpu * (fits < step->waiting ? fits : step->waiting),
     .failed_before = has_failed_on (step, target),
--- a/src/dag/dag_codec.c
+++ b/src/dag/dag_codec.c
@@ -9,7 +9,8 @@
      occurrences that are done in place of the lists; the key of an occurrence is "p" + id + "." +
      number. A task is 1 if done, 0 if it waits and was never
      assigned, else [state, run, failures, target, incarnation, checkpoint]; target is empty if the
-     task has no run that may be alive. */
+     task has no run that may be alive. A task under which a target has crashed or that is suspected
+     has two more: crashes, suspected. */
 #include <stdlib.h>
 
 #include "base/gr_pack.h"
@@ -23,6 +24,7 @@
 #define PROGRESS_FIELDS 5
 #define CALL_SPEC_FIELDS 4
 #define TASK_FIELDS 6
+#define TASK_CRASH_FIELDS 2
 #define POLICY_FIELDS 10
 #define STEP_FIELDS (GR_RES_COUNT + 7)
 /* Steps that use one of these have more fields: the limit of unavailable tasks, the image and the
@@ -131,13 +133,19 @@
     msgpack_pack_int (packer, 0);
     return;
   }
-  msgpack_pack_array (packer, TASK_FIELDS);
+  /* Earlier versions know only the other fields, so a task without crashes keeps their form. */
+  bool crashed = task->crashes > 0 || task->suspected;
+  msgpack_pack_array (packer, TASK_FIELDS + (crashed ? TASK_CRASH_FIELDS : 0));
   msgpack_pack_int (packer, (int) task->state);
   msgpack_pack_int64 (packer, task->run);
   msgpack_pack_int (packer, task->failures);
   gr_pack_str (packer, task->target ? gr_name_str (&task->target->info.id) : (GrStr){ "", 0 });
   msgpack_pack_int64 (packer, task->target ? task->target->info.incarnation : 0);
   gr_pack_name (packer, dag_checkpoint (task));
+  if (!crashed)
+    return;
+  msgpack_pack_int (packer, task->crashes);
+  gr_pack_bool (packer, task->suspected);
 }
 
 void
@@ -323,6 +331,18 @@
   return true;
 }
 
+static bool
+load_crashes (const msgpack_object *f, DagTask *task)
+{
+  int64_t crashes;
+  bool suspected;
+  if (!read_int (&f[0], 0, INT32_MAX - 1, &crashes) || !gr_unpack_bool (&f[1], &suspected))
+    return false;
+  task->crashes = (int32_t) crashes;
+  dag_crash_set_suspected (task, suspected);
+  return true;
+}
+
 static bool
 load_task (DagState *dag, const msgpack_object *object, DagTask *task)
 {
@@ -335,9 +355,12 @@
     }
     return true;
   }
-  if (!gr_unpack_is_array (object, TASK_FIELDS))
+  bool crashed = gr_unpack_is_array (object, TASK_FIELDS + TASK_CRASH_FIELDS);
+  if (!crashed && !gr_unpack_is_array (object, TASK_FIELDS))
     return false;
   const msgpack_object *f = object->via.array.ptr;
+  if (crashed && !load_crashes (&f[TASK_FIELDS], task))
+    return false;
   int64_t state, failures, incarnation;
   GrName target_id;
   if (!gr_unpack_int (&f[0], &state) || !read_int (&f[1], 0, NUMBER_MAX, &task->run)
@@ -353,8 +376,10 @@
   if (target->info.incarnation == 0)
     target->info.incarnation = incarnation;
   /* The target has restarted since, so the run is over. */
-  if (target->info.incarnation > incarnation)
+  if (target->info.incarnation > incarnation) {
+    dag_crash_note_loaded (task);
     return true;
+  }
   task->step->waiting--;
   dag_target_attach (task, target);
   task->state = TASK_ADOPTED;
--- a/src/dag/dag_crash.c
+++ b/src/dag/dag_crash.c
@@ -1,6 +1,25 @@
-/* Targets that end without draining, and the runs that are lost with them. */
+/* Targets that crash, and the tasks that cause it.
+
+   A task may crash each target that starts it, and all runs beside it are lost with the target.
+   When a target crashes, the runs that had only just started, or that were suspected before, may be
+   the cause; those that had worked for a while are not. A task that may be the cause is suspected:
+   it starts again in isolation from other jobs (dag_trial.c), so that at the next crash no other
+   job can be the cause. Then its job is given up. A run that lasts clears its task. */
 #include "dag/dag_priv.h"
 
+/* How long a target has to live after the start of a run before this run is not the cause of its
+   crash. */
+#define CAUSE_MS 500
+/* A task is given up after this many crashes, if no other job can have caused the last one. */
+#define GIVE_UP_CRASHES 2
+/* A task is suspected after this many crashes, however long its runs had lasted. */
+#define SUSPECT_CRASHES 3
+/* A run that has worked for longer than this has not caused the crash of its target. */
+#define COUNTED_MAX_MS 60000
+/* A trial has to outlast earlier runs that ended with a crash by this time: how long these had
+   lasted is known from inventories about a second apart. */
+#define TRIAL_MARGIN_MS 1000
+
 /* True if the run may have been at work when its target ended. */
 static bool
 may_have_run (const DagTask *task)
@@ -19,27 +38,211 @@
   return false;
 }
 
+/* How long the target is known to have lived since it started the run. */
+static int64_t
+target_survived_ms (const DagTask *task)
+{
+  if (task->confirmed_clock_ms == 0)
+    return 0;
+  return task->target->clock_ms - task->confirmed_clock_ms;
+}
+
+bool
+dag_crash_may_be_cause (const DagTask *task)
+{
+  return may_have_run (task) && (task->on_trial || target_survived_ms (task) < CAUSE_MS);
+}
+
+void
+dag_crash_set_suspected (DagTask *task, bool suspected)
+{
+  task->step->suspects += suspected - task->suspected;
+  task->suspected = suspected;
+}
+
+/* How long a run of the suspected task has to last. */
+static int64_t
+trial_ms (const DagTask *task)
+{
+  int64_t outlast_ms = task->crash_survived_ms > 0 ? task->crash_survived_ms + TRIAL_MARGIN_MS : 0;
+  return outlast_ms > CAUSE_MS ? outlast_ms : CAUSE_MS;
+}
+
 void
-dag_crash_log_run (const DagState *dag, const DagTask *task, const char *proof)
+dag_crash_check_trial (DagState *dag, DagTask *task)
+{
+  if (!task->on_trial || task->survived_ms < trial_ms (task))
+    return;
+  task->on_trial = false;
+  task->target->trials--;
+  task->step->job->trials--;
+  dag_crash_set_suspected (task, false);
+  dag_job_mark_dirty (dag, task->step->job);
+  dag->place_wanted = true;
+}
+
+void
+dag_crash_probe_trial (DagTask *task, int64_t now_ms)
+{
+  if (task->on_trial && task->state == TASK_RUNNING
+      && now_ms - task->confirmed_at >= trial_ms (task))
+    task->target->probe_wanted = true;
+}
+
+static void
+log_lost_run (const DagState *dag, const DagTask *task, const char *proof)
 {
   const DagTarget *target = task->target;
   dag_count (dag, GR_METRIC_RUNS_LOST, 1);
   DAG_LOG (dag, GR_EV_RUN_LOST,
-           "id=%.*s step=%u index=%u run=%lld target=%.*s proof=%s survived_ms=%lld others=%d",
+           "id=%.*s step=%u index=%u run=%lld target=%.*s proof=%s survived_ms=%lld others=%d "
+           "crashes=%d suspected=%d",
            GR_NAME_ARG (task->step->job->id), task->step->number, task->index,
            (long long) task->run, GR_NAME_ARG (target->info.id), proof,
-           (long long) task->survived_ms, target->run_count - 1);
+           (long long) task->survived_ms, target->run_count - 1, task->crashes, task->suspected);
+}
+
+static void
+count_crash (DagTask *task, int64_t survived_ms)
+{
+  task->crashes++;
+  if (task->crash_survived_ms < survived_ms)
+    task->crash_survived_ms = survived_ms;
+  if (task->crashes >= SUSPECT_CRASHES)
+    dag_crash_set_suspected (task, true);
+}
+
+/* True if the run was certainly on its target. A start without an answer may never have arrived,
+   and a run of an earlier term may have ended; for suspected tasks such a crash counts all the
+   same. */
+static bool
+crash_counts (const DagTask *task, bool alone)
+{
+  return alone || task->suspected || task->confirmed_clock_ms > 0;
+}
+
+/* The only job with runs on the target that may be the cause if it crashes; NULL if there is none
+   or if there are several. */
+static DagJob *
+find_only_cause (const DagTarget *target)
+{
+  DagJob *found = NULL;
+  for (const DagTask *task = target->runs; task; task = task->target_next) {
+    if (!dag_crash_may_be_cause (task))
+      continue;
+    if (found && found != task->step->job)
+      return NULL;
+    found = task->step->job;
+  }
+  return target->unknown_runs == 0 ? found : NULL;
+}
+
+static void
+give_up (DagState *dag, const DagTask *task, int64_t now_ms)
+{
+  DagJob *job = task->step->job;
+  dag_count (dag, GR_METRIC_GIVEN_UP, 1);
+  DAG_LOG (dag, GR_EV_GIVEN_UP, "id=%.*s step=%u index=%u run=%lld crashes=%d",
+           GR_NAME_ARG (job->id), task->step->number, task->index, (long long) task->run,
+           task->crashes);
+  dag_job_end (dag, job, DAG_JOB_FAILED, now_ms);
+}
+
+/* The crash, or the lapse, of a target may be due to the run. Returns true if its task is to be
+   given up. */
+static bool
+note_run (DagTask *task, const DagJob *only_cause, bool crashed)
+{
+  if (!may_have_run (task) || !dag_job_is_open (task->step->job)
+      || task->survived_ms > COUNTED_MAX_MS)
+    return false;
+  bool alone = dag_crash_may_be_cause (task) && task->step->job == only_cause;
+  bool was_suspected = task->suspected;
+  if (crashed && crash_counts (task, alone))
+    count_crash (task, task->survived_ms);
+  if (dag_crash_may_be_cause (task))
+    dag_crash_set_suspected (task, true);
+  return alone && was_suspected && task->crashes >= GIVE_UP_CRASHES;
+}
+
+/* Runs that were released when their leases had lapsed: the target has crashed after all. Their
+   tasks may have started elsewhere since. */
+static void
+count_lapsed_runs (DagState *dag, DagTarget *target)
+{
+  for (size_t i = 0; i < target->lapsed.count; i++) {
+    const DagLapsedRun *run = &target->lapsed.items[i];
+    DagTask *task = dag_find_task (dag, &run->task);
+    if (!task || !run->counts || !dag_job_is_open (task->step->job))
+      continue;
+    count_crash (task, run->survived_ms);
+    dag_job_mark_dirty (dag, task->step->job);
+  }
+  gr_list_reset (&target->lapsed);
 }
 
 void
-dag_crash_handle (DagState *dag, DagTarget *target, const char *proof)
+dag_crash_forget_lapse (DagTarget *target)
 {
-  if (target->crashed || target->info.draining)
-    return;
-  target->crashed = true;
-  dag_count (dag, GR_METRIC_TARGET_CRASHES, 1);
-  for (DagTask *task = target->runs; task; task = task->target_next) {
-    if (may_have_run (task))
-      dag_crash_log_run (dag, task, proof);
+  gr_list_reset (&target->lapsed);
+}
+
+void
+dag_crash_handle (DagState *dag, DagTarget *target, const char *proof, int64_t now_ms)
+{
+  bool crashed = !target->crashed && !target->info.draining;
+  DagTask *culprit = NULL;
+  if (crashed) {
+    target->crashed = true;
+    dag_count (dag, GR_METRIC_TARGET_CRASHES, 1);
+    count_lapsed_runs (dag, target);
+    const DagJob *only_cause = find_only_cause (target);
+    for (DagTask *task = target->runs; task; task = task->target_next) {
+      if (note_run (task, only_cause, true))
+        culprit = task;
+      if (may_have_run (task))
+        log_lost_run (dag, task, proof);
+    }
   }
+  dag_target_release_all (dag, target, proof, now_ms);
+  if (culprit)
+    give_up (dag, culprit, now_ms);
+}
+
+void
+dag_crash_handle_lapse (DagState *dag, DagTarget *target, int64_t now_ms)
+{
+  DagTask *culprit = NULL;
+  const DagJob *only_cause = find_only_cause (target);
+  int released = 0;
+  DagTask *next;
+  for (DagTask *task = target->runs; task; task = next) {
+    next = task->target_next;
+    /* Runs that wait for their record have no lease yet. */
+    if (task->state == TASK_ASSIGNED)
+      continue;
+    released++;
+    DagLapsedRun lapsed = { .task = dag_task_ref (task),
+                            .survived_ms = task->survived_ms,
+                            .counts = crash_counts (task, task->step->job == only_cause) };
+    if (task->survived_ms <= COUNTED_MAX_MS)
+      gr_list_push (&target->lapsed, lapsed);
+    if (note_run (task, only_cause, false))
+      culprit = task;
+    log_lost_run (dag, task, "leases lapsed");
+    dag_run_release (dag, task, now_ms);
+  }
+  if (released > 0)
+    DAG_LOG (dag, GR_EV_TARGET_STATE, "target=%.*s state=lost proof=leases lapsed runs=%d",
+             GR_NAME_ARG (target->info.id), released);
+  if (culprit)
+    give_up (dag, culprit, now_ms);
+}
+
+void
+dag_crash_note_loaded (DagTask *task)
+{
+  if (task->suspected)
+    task->crashes++;
+  dag_crash_set_suspected (task, true);
 }
--- a/src/dag/dag_inventory.c
+++ b/src/dag/dag_inventory.c
@@ -69,7 +69,7 @@
     return;
   }
   dag_keep_checkpoint (task, report->checkpoint);
-  dag_run_note_alive (task, clock_ms);
+  dag_run_note_alive (dag, task, clock_ms);
   if (task->state == TASK_STARTING || task->state == TASK_ADOPTED) {
     task->state = TASK_RUNNING;
     task->confirmed_at = now_ms;
@@ -165,8 +165,7 @@
   }
   if (result == DAG_ORDER_GONE) {
     target->listed = false;
-    dag_crash_handle (dag, target, "another target answered");
-    dag_target_release_all (dag, target, "another target answered", now_ms);
+    dag_crash_handle (dag, target, "another target answered", now_ms);
     return;
   }
   if (result != DAG_ORDER_OK) {
@@ -189,6 +188,7 @@
   }
   target->hold_failures = 0;
   target->hold_retry_at = 0;
+  dag_crash_forget_lapse (target);
   if (inventory->clock_ms >= target->clock_ms) {
     target->clock_ms = inventory->clock_ms;
     target->clock_at = now_ms;
--- a/src/dag/dag_place.c
+++ b/src/dag/dag_place.c
@@ -26,30 +26,54 @@
   return (task->step->spec.gang ? task->step->run : task->run) + 1;
 }
 
-/* Next waiting task from index *at on that may start now; NULL if there is none. Advances *at. */
+/* Next waiting task from index *at on that may start now, either suspected or not; NULL if there is
+   none. Advances *at. */
 static DagTask *
-next_waiting (DagStep *step, int32_t *at, int64_t now_ms)
+next_waiting (DagStep *step, bool suspected, int32_t *at, int64_t now_ms)
 {
   while (*at < step->spec.count) {
     DagTask *task = &step->tasks[(*at)++];
-    if (task->state == TASK_WAITING && now_ms >= task->restart_at)
+    if (task->state == TASK_WAITING && task->suspected == suspected && now_ms >= task->restart_at)
       return task;
   }
   return NULL;
 }
 
+static void
+assign (DagState *dag, DagTask *task, const DagCandidate *candidate, int64_t run)
+{
+  dag_run_assign (dag, task, candidate->target, run, candidate->ticket, candidate->ticket_until);
+}
+
+/* Starts suspected tasks in isolation. */
+static void
+place_suspects (DagState *dag, DagStep *step, DagCandidate *candidates, size_t count,
+                int64_t now_ms)
+{
+  int32_t at = 0;
+  DagTask *task;
+  while ((task = next_waiting (step, true, &at, now_ms)) != NULL) {
+    DagCandidate *chosen = dag_trial_choose (step, candidates, count, now_ms);
+    if (!chosen) {
+      dag_trial_prepare (dag, step->job, candidates, count, now_ms);
+      return;
+    }
+    assign (dag, task, chosen, next_run (task));
+    chosen->fits--;
+  }
+}
+
 static void
 place_single_tasks (DagState *dag, DagStep *step, const DagCandidate *candidates, size_t count,
                     int64_t now_ms)
 {
   int32_t at = 0;
   for (size_t i = 0; i < count; i++) {
-    for (int32_t n = 0; n < candidates[i].fits; n++) {
-      DagTask *task = next_waiting (step, &at, now_ms);
+    for (int32_t n = 0; n < candidates[i].fits && !candidates[i].closed; n++) {
+      DagTask *task = next_waiting (step, false, &at, now_ms);
       if (!task)
         return;
-      dag_run_assign (dag, task, candidates[i].target, next_run (task), candidates[i].ticket,
-                      candidates[i].ticket_until);
+      assign (dag, task, &candidates[i], next_run (task));
     }
   }
 }
@@ -81,7 +105,7 @@
   DagCandidate *best = NULL;
   for (size_t i = 0; i < count; i++) {
     DagCandidate *candidate = &candidates[i];
-    if (candidate->fits == 0)
+    if (candidate->fits == 0 || candidate->closed)
       continue;
     if (best && candidate->failed_before > best->failed_before)
       break;
@@ -110,39 +134,38 @@
   }
   int32_t at = 0;
   DagTask *task;
-  while ((task = next_waiting (step, &at, now_ms)) != NULL) {
+  while ((task = next_waiting (step, false, &at, now_ms)) != NULL) {
     DagCandidate *chosen = choose_spread (candidates, count);
     if (!chosen)
       return;
     chosen->fits--;
-    dag_run_assign (dag, task, chosen->target, next_run (task), chosen->ticket,
-                    chosen->ticket_until);
+    assign (dag, task, chosen, next_run (task));
     expose (candidates, count, chosen->target);
   }
 }
 
-/* Number of tasks that fit on the candidates of one rack. */
+/* Number of tasks that fit on the candidates, of one rack or, if rack is NULL, of all. */
 static int32_t
-room_on_rack (const DagCandidate *candidates, size_t count, const GrName *rack)
+room_on (const DagCandidate *candidates, size_t count, const GrName *rack)
 {
   int32_t fits = 0;
   for (size_t i = 0; i < count; i++) {
-    if (gr_name_equal (&candidates[i].target->info.rack, rack))
+    if (!candidates[i].closed && (!rack || gr_name_equal (&candidates[i].target->info.rack, rack)))
       fits += candidates[i].fits;
   }
   return fits;
 }
 
-/* Best fit: the rack with the least room that fits all waiting tasks; NULL if none does. */
+/* Best fit: the rack with the least room that fits this number of tasks; NULL if none does. */
 static const GrName *
-choose_rack (const DagStep *step, const DagCandidate *candidates, size_t count)
+choose_rack (int32_t tasks, const DagCandidate *candidates, size_t count)
 {
   const GrName *best = NULL;
   int32_t best_fits = 0;
   for (size_t i = 0; i < count; i++) {
     const GrName *rack = &candidates[i].target->info.rack;
-    int32_t fits = room_on_rack (candidates, count, rack);
-    if (fits >= step->waiting && (!best || fits < best_fits)) {
+    int32_t fits = room_on (candidates, count, rack);
+    if (fits >= tasks && (!best || fits < best_fits)) {
       best = rack;
       best_fits = fits;
     }
@@ -150,31 +173,64 @@
   return best;
 }
 
-/* Assigns all tasks of the gang, or none and returns false. */
+/* Chooses a target for each suspected member of the gang and takes it from the candidates. Returns
+   false if there are not enough. */
 static bool
-place_gang (DagState *dag, DagStep *step, const DagCandidate *candidates, size_t count,
-            int64_t now_ms)
+choose_trials (DagState *dag, DagStep *step, DagCandidate *candidates, size_t count,
+               DagCandidate **chosen, int32_t *chosen_count, int64_t now_ms)
+{
+  int32_t at = 0;
+  while (next_waiting (step, true, &at, now_ms)) {
+    DagCandidate *candidate = dag_trial_choose (step, candidates, count, now_ms);
+    if (!candidate) {
+      dag_trial_prepare (dag, step->job, candidates, count, now_ms);
+      return false;
+    }
+    candidate->trial = true;
+    candidate->fits--;
+    chosen[(*chosen_count)++] = candidate;
+  }
+  return true;
+}
+
+/* Assigns the members of the gang that are not suspected. */
+static void
+place_members (DagState *dag, DagStep *step, const DagCandidate *candidates, size_t count,
+               const GrName *rack, int64_t run, int64_t now_ms)
 {
-  int32_t fits = 0;
-  for (size_t i = 0; i < count; i++)
-    fits += candidates[i].fits;
-  if (fits < step->waiting)
-    return false;
-  const GrName *rack = step->spec.one_rack ? choose_rack (step, candidates, count) : NULL;
-  int64_t run = step->run + 1;
   int32_t at = 0;
   for (size_t i = 0; i < count; i++) {
-    if (rack && !gr_name_equal (&candidates[i].target->info.rack, rack))
+    if (candidates[i].closed || (rack && !gr_name_equal (&candidates[i].target->info.rack, rack)))
       continue;
     for (int32_t n = 0; n < candidates[i].fits; n++) {
-      DagTask *task = next_waiting (step, &at, now_ms);
+      DagTask *task = next_waiting (step, false, &at, now_ms);
       if (!task)
-        return true;
-      dag_run_assign (dag, task, candidates[i].target, run, candidates[i].ticket,
-                      candidates[i].ticket_until);
+        return;
+      assign (dag, task, &candidates[i], run);
     }
   }
-  return true;
+}
+
+/* Assigns all tasks of the gang, or none and returns false. Suspected members start in isolation
+   from other jobs. */
+static bool
+place_gang (DagState *dag, DagStep *step, DagCandidate *candidates, size_t count, int64_t now_ms)
+{
+  int32_t trials = 0;
+  DagCandidate **chosen = gr_calloc ((size_t) step->suspects + 1, sizeof *chosen);
+  bool placed = choose_trials (dag, step, candidates, count, chosen, &trials, now_ms)
+                && room_on (candidates, count, NULL) >= step->waiting - trials;
+  if (placed) {
+    const GrName *rack
+        = step->spec.one_rack ? choose_rack (step->waiting - trials, candidates, count) : NULL;
+    int64_t run = step->run + 1;
+    int32_t at = 0;
+    for (int32_t i = 0; i < trials; i++)
+      assign (dag, next_waiting (step, true, &at, now_ms), chosen[i], run);
+    place_members (dag, step, candidates, count, rack, run, now_ms);
+  }
+  free (chosen);
+  return placed;
 }
 
 uint64_t
@@ -335,6 +391,8 @@
       continue;
     bool reserves = false;
     size_t count = dag_list_candidates (dag, step, candidates, now_ms);
+    if (step->suspects > 0 && !step->spec.gang)
+      place_suspects (dag, step, candidates, count, now_ms);
     if (step->spec.long_running && !step->spec.gang) {
       place_spread (dag, step, candidates, count, now_ms);
     } else if (!step->spec.gang) {
--- a/src/dag/dag_priv.h
+++ b/src/dag/dag_priv.h
@@ -42,6 +42,10 @@
   int64_t confirmed_at;               /* when the target confirmed the run */
   int64_t confirmed_clock_ms;         /* clock of the target at that time; 0: not known */
   int64_t survived_ms;                /* how long the run is known to have worked */
+  int32_t crashes;                    /* targets that have crashed under its runs */
+  bool suspected;                     /* it may have caused a crash: it starts in isolation */
+  bool on_trial;                      /* suspected, and its run has not lasted long enough yet */
+  int64_t crash_survived_ms;          /* longest survived_ms of a run that ended with a crash */
   int64_t stop_acked_at;              /* when the target confirmed the stop; 0: not yet */
   int64_t stop_retry_at;              /* earliest time to repeat a failed stop */
   bool stop_in_flight;
@@ -76,6 +80,7 @@
   DagTask *tasks;
   int32_t waiting;      /* tasks in TASK_WAITING */
   int32_t done;         /* tasks in TASK_DONE */
+  int32_t suspects;     /* suspected tasks */
   bool queued;          /* in dag->ready */
   int64_t run;          /* newest run number of all tasks; a gang starts with the next one */
   GrName checkpoint;    /* of a gang: shared by all members */
@@ -99,6 +104,7 @@
   size_t payload_len;
   DagStep *steps;
   size_t step_count;
+  int32_t trials;           /* tasks on trial */
   uint64_t steps_done;      /* bit set */
   DagJobState state;        /* may be ahead of the store */
   DagJobState stored_state; /* ended state once it is stored; DAG_JOB_UNKNOWN before */
@@ -155,6 +161,14 @@
   double harm;
 } DagPair;
 
+/* A run whose target fell silent and whose lease has lapsed: whether the target has crashed is
+   learned later. */
+typedef struct {
+  DagTaskRef task;
+  int64_t survived_ms;
+  bool counts; /* the run was certainly at work on the target */
+} DagLapsedRun;
+
 /* Most holds in flight to one target. */
 #define DAG_MAX_HOLDS 4
 
@@ -167,8 +181,15 @@
   int32_t run_count; /* length of runs */
   bool listed;       /* in the list of targets */
   bool crashed;      /* it has ended without draining */
-  int64_t seen_at;   /* when its newest entry was read */
-  bool inventoried;  /* it has answered a hold in this term and incarnation */
+  int32_t trials;    /* runs on trial */
+  DagJob *trial_job; /* job of these runs; no task of another job starts beside them */
+  /* No task that is not suspected starts before: a trial waits until the newest runs have lasted.
+   */
+  int64_t quiet_until;
+  int64_t vm_crashed_at; /* when the previous target of its VM crashed; 0: never */
+  GR_LIST (DagLapsedRun) lapsed;
+  int64_t seen_at;  /* when its newest entry was read */
+  bool inventoried; /* it has answered a hold in this term and incarnation */
   /* The target read clock_ms from its monotonic clock between the sending of an order and the local
      time clock_at. */
   int64_t clock_ms, clock_at;
@@ -239,6 +260,27 @@
   int64_t expire_scan_at; /* time of the next scan for expired jobs */
 };
 
+/* Runs of one step that would be lost together with a target, its rack or its zone. */
+typedef struct {
+  int32_t on_target, on_rack, in_zone;
+} DagExposure;
+
+/* A target on which tasks of the step can start now. */
+typedef struct {
+  DagTarget *target;
+  const char *ticket;
+  int64_t ticket_until;
+  int32_t fits;
+  bool closed;             /* dag_trial_closes() */
+  bool trial;              /* chosen for a suspected member of the gang */
+  int32_t spare_cpu_milli; /* free cpu after placing as many waiting tasks as fit */
+  bool failed_before;      /* a run of the step failed on it */
+  bool near_data;          /* on the rack of the data, or the step names none */
+  bool best_effort;        /* the step takes cpu that others leave idle */
+  double expected_harm;    /* between tasks of the step and the runs of the target */
+  DagExposure exposure;    /* of a long-running step */
+} DagCandidate;
+
 /* dag_job.c */
 /* Lookups return NULL if there is no such object. */
 DagJob *dag_find_job (const DagState *dag, const GrName *id);
@@ -307,6 +349,7 @@
 DagTarget *dag_find_target (const DagState *dag, const GrName *id);
 /* Returns the known target, or creates an unlisted one. */
 DagTarget *dag_target_create (DagState *dag, const GrName *id);
+void dag_target_free (DagTarget *target);
 DagTargetRef dag_target_ref (const DagTarget *target);
 /* Add and remove a run of the target, with its reservation. */
 void dag_target_attach (DagTask *task, DagTarget *target);
@@ -362,14 +405,39 @@
 void dag_runs_tick (DagState *dag, int64_t now_ms);
 
 /* Notes that the target lists the run as working at clock_ms of its own clock. */
-void dag_run_note_alive (DagTask *task, int64_t clock_ms);
+void dag_run_note_alive (DagState *dag, DagTask *task, int64_t clock_ms);
 
 /* dag_crash.c */
-/* The target has ended without draining; its runs, which are released afterwards, are lost. proof
-   is for the log. No effect if that is known already. */
-void dag_crash_handle (DagState *dag, DagTarget *target, const char *proof);
-/* Logs that the run is lost. */
-void dag_crash_log_run (const DagState *dag, const DagTask *task, const char *proof);
+/* The target has ended: releases its runs. Unless it was draining, it has crashed: the runs that
+   may be the cause are suspected, and a task that proves to be is given up. proof is for the log.
+ */
+void dag_crash_handle (DagState *dag, DagTarget *target, const char *proof, int64_t now_ms);
+/* All leases of the target have lapsed: releases the runs that were sent. Whether the target has
+   crashed is not known yet. */
+void dag_crash_handle_lapse (DagState *dag, DagTarget *target, int64_t now_ms);
+/* The target has answered again, so it has not crashed. */
+void dag_crash_forget_lapse (DagTarget *target);
+/* The target of the loaded task has restarted since the record was written. */
+void dag_crash_note_loaded (DagTask *task);
+/* True if the run may be the cause if its target crashes now. */
+bool dag_crash_may_be_cause (const DagTask *task);
+/* Marks the task as suspected, or clears it. */
+void dag_crash_set_suspected (DagTask *task, bool suspected);
+/* Ends the trial of a run that has lasted long enough, and the suspicion with it. */
+void dag_crash_check_trial (DagState *dag, DagTask *task);
+/* Asks the target about a run on trial as soon as it may have lasted long enough. */
+void dag_crash_probe_trial (DagTask *task, int64_t now_ms);
+
+/* dag_trial.c */
+/* True if a trial keeps tasks of the job that are not suspected from the target. */
+bool dag_trial_closes (const DagTarget *target, const DagJob *job, int64_t now_ms);
+/* The candidate on which a suspected task of the step should start; NULL if there is none now. */
+DagCandidate *dag_trial_choose (const DagStep *step, DagCandidate *candidates, size_t count,
+                                int64_t now_ms);
+/* Keeps other tasks from the candidate that can take a suspected task of the job soonest, and asks
+   it whether it lives. */
+void dag_trial_prepare (DagState *dag, const DagJob *job, const DagCandidate *candidates,
+                        size_t count, int64_t now_ms);
 
 /* dag_avail.c */
 /* True if the scheduler may end the run now by its own choice: enough other tasks of the step are
@@ -397,24 +465,6 @@
 void dag_pace_clear (DagState *dag);
 
 /* dag_candidate.c */
-/* Runs of one step that would be lost together with a target, its rack or its zone. */
-typedef struct {
-  int32_t on_target, on_rack, in_zone;
-} DagExposure;
-
-/* A target on which tasks of the step can start now. */
-typedef struct {
-  DagTarget *target;
-  const char *ticket;
-  int64_t ticket_until;
-  int32_t fits;
-  int32_t spare_cpu_milli; /* free cpu after placing as many waiting tasks as fit */
-  bool failed_before;      /* a run of the step failed on it */
-  bool near_data;          /* on the rack of the data, or the step names none */
-  bool best_effort;        /* the step takes cpu that others leave idle */
-  double expected_harm;    /* between tasks of the step and the runs of the target */
-  DagExposure exposure;    /* of a long-running step */
-} DagCandidate;
 
 /* True if a task of the step could start on some target now. */
 bool dag_has_room (DagState *dag, DagStep *step, int64_t now_ms);
--- a/src/dag/dag_run.c
+++ b/src/dag/dag_run.c
@@ -164,12 +164,13 @@
 }
 
 void
-dag_run_note_alive (DagTask *task, int64_t clock_ms)
+dag_run_note_alive (DagState *dag, DagTask *task, int64_t clock_ms)
 {
   if (task->confirmed_clock_ms == 0)
     task->confirmed_clock_ms = clock_ms;
   if (task->survived_ms < clock_ms - task->confirmed_clock_ms)
     task->survived_ms = clock_ms - task->confirmed_clock_ms;
+  dag_crash_check_trial (dag, task);
 }
 
 static void
@@ -210,11 +211,14 @@
   }
   dag_count (dag, GR_METRIC_STARTS, 1);
   dag_count (dag, GR_METRIC_RETRIES, task->run > 1);
+  dag_count (dag, GR_METRIC_TRIALS, task->on_trial);
   DAG_LOG (dag, GR_EV_PLACED,
-           "id=%.*s step=%u index=%u run=%lld target=%.*s waited_ms=%lld free_cpu=%d",
+           "id=%.*s step=%u index=%u run=%lld target=%.*s waited_ms=%lld free_cpu=%d crashes=%d "
+           "trial=%d",
            GR_NAME_ARG (job->id), task->step->number, task->index, (long long) task->run,
            GR_NAME_ARG (target->info.id), (long long) (now_ms - job->accepted_at),
-           target->info.capacity.v[GR_RES_CPU_MILLI] - target->used.v[GR_RES_CPU_MILLI]);
+           target->info.capacity.v[GR_RES_CPU_MILLI] - target->used.v[GR_RES_CPU_MILLI],
+           task->crashes, task->on_trial);
 }
 
 void
@@ -416,7 +420,7 @@
     task->state = TASK_RUNNING;
     task->confirmed_at = now_ms;
     task->percent_at = now_ms;
-    dag_run_note_alive (task, clock_ms);
+    dag_run_note_alive (dag, task, clock_ms);
     return;
   }
   if (result == DAG_ORDER_LOST && ++task->starts_unanswered < START_ATTEMPTS_MAX
@@ -516,6 +520,7 @@
       task->target->probe_wanted = true;
     return;
   }
+  dag_crash_probe_trial (task, now_ms);
   DagStep *step = task->step;
   if (step->gang_stop_at > 0 && now_ms >= step->gang_stop_at)
     stop_gang (dag, step, true, now_ms);
--- a/src/dag/dag_target.c
+++ b/src/dag/dag_target.c
@@ -47,6 +47,13 @@
   return target;
 }
 
+void
+dag_target_free (DagTarget *target)
+{
+  gr_list_clear (&target->lapsed);
+  free (target);
+}
+
 DagTargetRef
 dag_target_ref (const DagTarget *target)
 {
@@ -66,6 +73,12 @@
   target->runs = task;
   target->run_count++;
   gr_res_add (&target->used, &need);
+  task->on_trial = task->suspected;
+  if (!task->on_trial)
+    return;
+  target->trials++;
+  target->trial_job = task->step->job;
+  task->step->job->trials++;
 }
 
 void
@@ -82,6 +95,9 @@
   task->target_prev = NULL;
   task->target_next = NULL;
   task->target = NULL;
+  target->trials -= task->on_trial;
+  task->step->job->trials -= task->on_trial;
+  task->on_trial = false;
   target->run_count--;
   gr_res_sub (&target->used, &need);
 }
@@ -170,31 +186,12 @@
     dag_run_release (dag, target->runs, now_ms);
 }
 
-/* All leases of the target have lapsed: releases the runs that were sent. Runs that wait for their
-   record have no lease yet. */
-static void
-release_lapsed_runs (DagState *dag, DagTarget *target, int64_t now_ms)
-{
-  int released = 0;
-  DagTask *next;
-  for (DagTask *task = target->runs; task; task = next) {
-    next = task->target_next;
-    if (task->state == TASK_ASSIGNED)
-      continue;
-    released++;
-    dag_crash_log_run (dag, task, "leases lapsed");
-    dag_run_release (dag, task, now_ms);
-  }
-  if (released > 0)
-    DAG_LOG (dag, GR_EV_TARGET_STATE, "target=%.*s state=lost proof=leases lapsed runs=%d",
-             GR_NAME_ARG (target->info.id), released);
-}
-
 void
 dag_target_restarted (DagState *dag, DagTarget *target, int64_t incarnation, int64_t now_ms)
 {
-  dag_crash_handle (dag, target, "restart");
-  dag_target_release_all (dag, target, "restart", now_ms);
+  dag_crash_handle (dag, target, "restart", now_ms);
+  if (target->crashed)
+    target->vm_crashed_at = now_ms;
   target->crashed = false;
   target->info.incarnation = incarnation;
   target->inventoried = false;
@@ -248,8 +245,9 @@
           || other->info.incarnation >= info->incarnation)
         continue;
       other->listed = false;
-      dag_crash_handle (dag, other, "vm restarted");
-      dag_target_release_all (dag, other, "vm restarted", now_ms);
+      dag_crash_handle (dag, other, "vm restarted", now_ms);
+      if (other->crashed && target->vm_crashed_at == 0)
+        target->vm_crashed_at = now_ms;
     }
   }
   dag_hold_if_due (dag, target, now_ms);
@@ -270,14 +268,15 @@
 }
 
 static void
-remove_target (DagState *dag, size_t at)
+remove_target (DagState *dag, size_t at, int64_t now_ms)
 {
   DagTarget *target = dag->target_list.items[at];
   DAG_LOG (dag, GR_EV_TARGET_STATE, "target=%.*s state=forgotten", GR_NAME_ARG (target->info.id));
+  dag_crash_handle (dag, target, "gone", now_ms);
   dag_drop_target_refs (dag, target);
   HASH_DEL (dag->targets, target);
   gr_list_swap_remove (&dag->target_list, at);
-  free (target);
+  dag_target_free (target);
 }
 
 void
@@ -287,17 +286,17 @@
     DagTarget *target = dag->target_list.items[i];
     if (target->run_count > 0 && now_ms >= leases_lapse_at (dag, target)
         && !dag->options.broken_restart_before_lapse) {
-      release_lapsed_runs (dag, target, now_ms);
+      dag_crash_handle_lapse (dag, target, now_ms);
     } else if (dag->options.broken_restart_before_lapse && target->hold_failures > 1) {
       dag_target_release_all (dag, target, "silence", now_ms);
     }
     if (!target->listed && target->run_count == 0 && target->hold_count == 0
         && target->end_processed <= target->acknowledged) {
-      remove_target (dag, i);
+      remove_target (dag, i, now_ms);
       continue;
     }
     if (!target->listed && target->run_count == 0 && target->hold_failures > 3) {
-      remove_target (dag, i);
+      remove_target (dag, i, now_ms);
       continue;
     }
     dag_hold_if_due (dag, target, now_ms);
--- a/tests/crash_world.h
+++ b/tests/crash_world.h
@@ -20,7 +20,7 @@
 #define STEP_MS 10
 #define MAX_TARGETS 64
 #define MAX_JOBS 128
-#define MAX_TASKS 32 /* of one job */
+#define MAX_TASKS 32 /* of one job, over all its occurrences */
 #define MAX_RUNS 64  /* on one target */
 #define MAX_ENDS 256 /* not acknowledged, of one target */
 #define MAX_RECORDS (4 * MAX_JOBS)
@@ -75,7 +75,6 @@
 
 typedef struct {
   int starts, crashes, starts_after_third;
-  int lost;  /* runs lost with their target */
   bool done; /* its end as done was acknowledged */
 } WorldTask;
 
@@ -100,8 +99,9 @@
     size_t count;
   } advice[MAX_JOBS];
   size_t advice_count;
-  int64_t last_done_at; /* when an innocent task last ended done */
-  int overloads;        /* starts above the capacity */
+  int64_t last_done_at;   /* when an innocent task last ended done */
+  int innocent_runs_lost; /* with their target */
+  int overloads;          /* starts above the capacity */
   int64_t completed, failed_innocents, failed_culprits;
   const char *violation;
 } World;
@@ -115,7 +115,11 @@
 WORLD_HELPER WorldTask *
 world_task (World *world, const DagTaskRef *task)
 {
-  return &world->tasks[job_number (&task->job)][task->index];
+  const char *dot = memchr (task->job.data, '.', task->job.len);
+  uint32_t occurrence = dot ? (uint32_t) atoi (dot + 1) : 0;
+  uint32_t at = occurrence * (uint32_t) world->options.tasks + task->index;
+  assert_true (at < MAX_TASKS);
+  return &world->tasks[job_number (&task->job)][at];
 }
 
 WORLD_HELPER bool
@@ -280,8 +284,9 @@
   for (int r = 0; r < target->run_count; r++) {
     WorldRun *run = &target->runs[r];
     WorldTask *task = world_task (world, &run->task);
-    task->lost++;
-    task->crashes += is_culprit (world, job_number (&run->task.job), run->task.index);
+    bool culprit = is_culprit (world, job_number (&run->task.job), run->task.index);
+    task->crashes += culprit;
+    world->innocent_runs_lost += !culprit;
   }
   WorldRun runs[MAX_RUNS];
   int count = target->run_count;
@@ -544,30 +549,42 @@
   world->delay_append = false;
 }
 
+WORLD_HELPER void
+world_send_job (World *world, int number)
+{
+  const WorldOptions *options = &world->options;
+  DagStepSpec step = { .count = options->tasks,
+                       .estimate_ms = options->duration_ms,
+                       .gang = options->gang,
+                       .long_running = options->long_running };
+  step.demand.v[GR_RES_CPU_MILLI] = options->cpu;
+  DagJobSpec spec = { .id = gr_name_format ("j%d", number),
+                      .queue = gr_name ("q"),
+                      .payload = GR_STR ("work"),
+                      .steps = &step,
+                      .step_count = 1 };
+  spec.timetable = (DagTimetable){ .count = options->occurrences,
+                                   .start_at_unix_ms = options->occurrences ? world->now : 0,
+                                   .interval_ms = 500 };
+  int64_t retry;
+  GrErr err = { 0 };
+  assert_int_equal (dag_submit (world->dag, &spec, 1, world->now, &retry, &err),
+                    DAG_SUBMIT_PENDING);
+}
+
+/* Sends the jobs that are due, and again those that a change of leader has lost. */
 WORLD_HELPER void
 world_submit (World *world)
 {
   const WorldOptions *options = &world->options;
-  while (world->submitted < options->jobs
-         && world->now >= 100000 + world->submitted * options->arrival_ms) {
-    DagStepSpec step = { .count = options->tasks,
-                         .estimate_ms = options->duration_ms,
-                         .gang = options->gang,
-                         .long_running = options->long_running };
-    step.demand.v[GR_RES_CPU_MILLI] = options->cpu;
-    GrName id = gr_name_format ("j%d", world->submitted);
-    DagJobSpec spec = {
-      .id = id, .queue = gr_name ("q"), .payload = GR_STR ("work"), .steps = &step, .step_count = 1
-    };
-    spec.timetable = (DagTimetable){ .count = options->occurrences,
-                                     .start_at_unix_ms = options->occurrences ? world->now : 0,
-                                     .interval_ms = 500 };
-    int64_t retry;
-    GrErr err = { 0 };
-    assert_int_equal (dag_submit (world->dag, &spec, 1, world->now, &retry, &err),
-                      DAG_SUBMIT_PENDING);
-    world->submitted++;
+  for (int j = 0; j < world->submitted; j++) {
+    GrName id = gr_name_format ("j%d", j);
+    if (dag_status (world->dag, &id) == DAG_JOB_UNKNOWN)
+      world_send_job (world, j);
   }
+  while (world->submitted < options->jobs
+         && world->now >= 100000 + world->submitted * options->arrival_ms)
+    world_send_job (world, world->submitted++);
 }
 
 /* Starts gangs that are complete and ends members that have waited for too long. */
@@ -718,7 +735,7 @@
   return most;
 }
 
-/* Most targets that crashed under one culprit; runs lost of all innocent tasks. */
+/* Most targets that crashed under one culprit. */
 WORLD_HELPER int
 world_most_crashes (const World *world)
 {
@@ -731,14 +748,3 @@
   }
   return most;
 }
-
-WORLD_HELPER int
-world_innocent_runs_lost (const World *world)
-{
-  int lost = 0;
-  for (int j = 0; j < MAX_JOBS; j++) {
-    for (uint32_t t = 0; t < MAX_TASKS; t++)
-      lost += is_culprit (world, j, t) ? 0 : world->tasks[j][t].lost;
-  }
-  return lost;
-}
--- a/tests/test_dag_crash.c
+++ b/tests/test_dag_crash.c
@@ -213,7 +213,7 @@
                    cases[i].name, (long long) world->failed_culprits,
                    (long long) cases[i].culprit_jobs, (long long) completed, (long long) innocent,
                    (long long) world->failed_innocents, world_most_crashes (world),
-                   world_starts_after_third (world), world_innocent_runs_lost (world),
+                   world_starts_after_third (world), world->innocent_runs_lost,
                    (long long) (world->last_done_at - 100000));
     ok &= !world->violation && world->overloads == 0
           && world->failed_culprits == cases[i].culprit_jobs && completed == innocent
