dag: a stop that another target answers proves the crash

The property test found culprits that were started a sixth time: the answer to a stop came from the next life of the target, which released the one run without counting the crash, and the other runs of the target waited for another proof.

--- a/src/dag/dag_run.c
+++ b/src/dag/dag_run.c
@@ -482,7 +482,7 @@
   task->stop_in_flight = false;
   if (result == DAG_ORDER_GONE) {
     task->target->listed = false;
-    dag_run_release (dag, task, now_ms);
+    dag_crash_handle (dag, task->target, "another target answered", now_ms);
     return;
   }
   if (result != DAG_ORDER_OK && result != DAG_ORDER_OLD) {
