dag: innocent tasks outlive crashes that only look like theirs

A start that had never arrived counted as a run under the crash, lapsed leases counted like restarts, and two coincidences were enough to give a job up.

Now a crash counts only if the run was certainly at work or on trial. Two crashes are enough only if the targets fell silent as soon as the run had started, which the record keeps; otherwise three. The target is asked 100 ms after the start of a trial, so that this is seen without a reset connection too. Beside a trial no other run can be the cause, also for a new leader that knows nothing of them yet.

--- a/src/dag/dag_codec.c
+++ b/src/dag/dag_codec.c
@@ -10,7 +10,7 @@
      number. A task is 1 if done, 0 if it waits and was never
      assigned, else [state, run, failures, target, incarnation, checkpoint]; target is empty if the
      task has no run that may be alive. A task under which a target has crashed or that is suspected
-     has two more: crashes, suspected. */
+     has three more: crashes, crashes at once, suspected. */
 #include <stdlib.h>
 
 #include "base/gr_pack.h"
@@ -24,7 +24,7 @@
 #define PROGRESS_FIELDS 5
 #define CALL_SPEC_FIELDS 4
 #define TASK_FIELDS 6
-#define TASK_CRASH_FIELDS 2
+#define TASK_CRASH_FIELDS 3
 #define POLICY_FIELDS 10
 #define STEP_FIELDS (GR_RES_COUNT + 7)
 /* Steps that use one of these have more fields: the limit of unavailable tasks, the image and the
@@ -145,6 +145,7 @@
   if (!crashed)
     return;
   msgpack_pack_int (packer, task->crashes);
+  msgpack_pack_int (packer, task->crashes_at_once);
   gr_pack_bool (packer, task->suspected);
 }
 
@@ -334,11 +335,13 @@
 static bool
 load_crashes (const msgpack_object *f, DagTask *task)
 {
-  int64_t crashes;
+  int64_t crashes, at_once;
   bool suspected;
-  if (!read_int (&f[0], 0, INT32_MAX - 1, &crashes) || !gr_unpack_bool (&f[1], &suspected))
+  if (!read_int (&f[0], 0, INT32_MAX - 1, &crashes) || !read_int (&f[1], 0, INT32_MAX - 1, &at_once)
+      || !gr_unpack_bool (&f[2], &suspected))
     return false;
   task->crashes = (int32_t) crashes;
+  task->crashes_at_once = (int32_t) at_once;
   dag_crash_set_suspected (task, suspected);
   return true;
 }
--- a/src/dag/dag_crash.c
+++ b/src/dag/dag_crash.c
@@ -10,8 +10,14 @@
 /* How long a target has to live after the start of a run before this run is not the cause of its
    crash. */
 #define CAUSE_MS 500
-/* A task is given up after this many crashes, if no other job can have caused the last one. */
-#define GIVE_UP_CRASHES 2
+/* A task is given up after this many crashes, if no other job can have caused the last one. Crashes
+   as soon as a run has started are rarely a coincidence, so fewer of them are enough. */
+#define GIVE_UP_CRASHES 3
+#define GIVE_UP_CRASHES_AT_ONCE 2
+/* A target that falls silent within this time of a start has crashed at once. */
+#define AT_ONCE_MS 300
+/* When a target is first asked about a run on trial, after the start. */
+#define FIRST_PROBE_MS 100
 /* A task is suspected after this many crashes, however long its runs had lasted. */
 #define SUSPECT_CRASHES 3
 /* A run that has worked for longer than this has not caused the crash of its target. */
@@ -50,7 +56,10 @@
 bool
 dag_crash_may_be_cause (const DagTask *task)
 {
-  return may_have_run (task) && (task->on_trial || target_survived_ms (task) < CAUSE_MS);
+  if (!may_have_run (task))
+    return false;
+  /* Beside a trial there are only runs that were ruled out before it began. */
+  return task->target->trials > 0 ? task->on_trial : target_survived_ms (task) < CAUSE_MS;
 }
 
 void
@@ -84,8 +93,11 @@
 void
 dag_crash_probe_trial (DagTask *task, int64_t now_ms)
 {
-  if (task->on_trial && task->state == TASK_RUNNING
-      && now_ms - task->confirmed_at >= trial_ms (task))
+  if (!task->on_trial || task->state != TASK_RUNNING)
+    return;
+  int64_t first_at = task->confirmed_at + FIRST_PROBE_MS;
+  bool first = now_ms >= first_at && task->target->clock_at < first_at;
+  if (first || now_ms - task->confirmed_at >= trial_ms (task))
     task->target->probe_wanted = true;
 }
 
@@ -102,6 +114,29 @@
            (long long) task->survived_ms, target->run_count - 1, task->crashes, task->suspected);
 }
 
+/* True if the target fell silent as soon as the run had started. */
+static bool
+fell_silent_at_once (const DagTask *task, int64_t now_ms)
+{
+  const DagTarget *target = task->target;
+  int64_t silent_at = target->hold_failures > 0 ? target->silent_at : now_ms;
+  switch (task->state) {
+  case TASK_STARTING:
+    return true;
+  case TASK_RUNNING:
+  case TASK_STOPPING:
+    return task->confirmed_at > 0 && silent_at - task->confirmed_at <= AT_ONCE_MS;
+  case TASK_ADOPTED:
+    /* Had it lasted, its record would not say that it is suspected. */
+    return task->suspected;
+  case TASK_WAITING:
+  case TASK_ASSIGNED:
+  case TASK_DONE:
+    return false;
+  }
+  return false;
+}
+
 static void
 count_crash (DagTask *task, int64_t survived_ms)
 {
@@ -116,9 +151,9 @@
    and a run of an earlier term may have ended; for suspected tasks such a crash counts all the
    same. */
 static bool
-crash_counts (const DagTask *task, bool alone)
+crash_counts (const DagTask *task)
 {
-  return alone || task->suspected || task->confirmed_clock_ms > 0;
+  return task->suspected || task->confirmed_clock_ms > 0;
 }
 
 /* The only job with runs on the target that may be the cause if it crashes; NULL if there is none
@@ -151,18 +186,21 @@
 /* The crash, or the lapse, of a target may be due to the run. Returns true if its task is to be
    given up. */
 static bool
-note_run (DagTask *task, const DagJob *only_cause, bool crashed)
+note_run (DagTask *task, const DagJob *only_cause, bool crashed, int64_t now_ms)
 {
   if (!may_have_run (task) || !dag_job_is_open (task->step->job)
       || task->survived_ms > COUNTED_MAX_MS)
     return false;
   bool alone = dag_crash_may_be_cause (task) && task->step->job == only_cause;
   bool was_suspected = task->suspected;
-  if (crashed && crash_counts (task, alone))
+  if (crashed && crash_counts (task)) {
+    task->crashes_at_once += fell_silent_at_once (task, now_ms);
     count_crash (task, task->survived_ms);
+  }
   if (dag_crash_may_be_cause (task))
     dag_crash_set_suspected (task, true);
-  return alone && was_suspected && task->crashes >= GIVE_UP_CRASHES;
+  return alone && was_suspected
+         && (task->crashes >= GIVE_UP_CRASHES || task->crashes_at_once >= GIVE_UP_CRASHES_AT_ONCE);
 }
 
 /* Runs that were released when their leases had lapsed: the target has crashed after all. Their
@@ -198,7 +236,7 @@
     count_lapsed_runs (dag, target);
     const DagJob *only_cause = find_only_cause (target);
     for (DagTask *task = target->runs; task; task = task->target_next) {
-      if (note_run (task, only_cause, true))
+      if (note_run (task, only_cause, true, now_ms))
         culprit = task;
       if (may_have_run (task))
         log_lost_run (dag, task, proof);
@@ -224,10 +262,10 @@
     released++;
     DagLapsedRun lapsed = { .task = dag_task_ref (task),
                             .survived_ms = task->survived_ms,
-                            .counts = crash_counts (task, task->step->job == only_cause) };
+                            .counts = crash_counts (task) };
     if (task->survived_ms <= COUNTED_MAX_MS)
       gr_list_push (&target->lapsed, lapsed);
-    if (note_run (task, only_cause, false))
+    if (note_run (task, only_cause, false, now_ms))
       culprit = task;
     log_lost_run (dag, task, "leases lapsed");
     dag_run_release (dag, task, now_ms);
--- a/src/dag/dag_inventory.c
+++ b/src/dag/dag_inventory.c
@@ -145,9 +145,11 @@
   int64_t pause = HOLD_RETRY_MIN_MS;
   for (int i = 0; i < target->hold_failures && pause < HOLD_RETRY_MAX_MS; i++)
     pause *= 2;
-  if (target->hold_failures++ == 0)
+  if (target->hold_failures++ == 0) {
+    target->silent_at = now_ms;
     DAG_LOG (dag, GR_EV_TARGET_STATE, "target=%.*s state=silent result=%s runs=%d",
              GR_NAME_ARG (target->info.id), dag_order_result_name (result), target->run_count);
+  }
   target->hold_retry_at = now_ms + pause;
 }
 
--- a/src/dag/dag_priv.h
+++ b/src/dag/dag_priv.h
@@ -43,6 +43,7 @@
   int64_t confirmed_clock_ms;         /* clock of the target at that time; 0: not known */
   int64_t survived_ms;                /* how long the run is known to have worked */
   int32_t crashes;                    /* targets that have crashed under its runs */
+  int32_t crashes_at_once;            /* those that fell silent as soon as the run had started */
   bool suspected;                     /* it may have caused a crash: it starts in isolation */
   bool on_trial;                      /* suspected, and its run has not lasted long enough yet */
   int64_t crash_survived_ms;          /* longest survived_ms of a run that ended with a crash */
@@ -204,6 +205,7 @@
   int64_t hold_answered_at; /* sending time of the newest hold that was answered */
   int64_t hold_retry_at;    /* earliest time of the next hold, after failures */
   int hold_failures;        /* failed holds since the last answer */
+  int64_t silent_at;        /* when the first of them failed */
   bool probe_wanted;        /* a hold without wait is to be sent even if a long poll is in flight */
   /* Runs in the last inventory that are not assigned here. They take room, so nothing is placed on
      the target until there are none. */
@@ -425,7 +427,7 @@
 void dag_crash_set_suspected (DagTask *task, bool suspected);
 /* Ends the trial of a run that has lasted long enough, and the suspicion with it. */
 void dag_crash_check_trial (DagState *dag, DagTask *task);
-/* Asks the target about a run on trial as soon as it may have lasted long enough. */
+/* Asks the target about a run on trial soon after its start, and once it may have lasted. */
 void dag_crash_probe_trial (DagTask *task, int64_t now_ms);
 
 /* dag_trial.c */
--- a/tests/dag_world.hh
+++ b/tests/dag_world.hh
@@ -28,6 +28,7 @@
   bool takeovers = true;
   bool cancels = true;
   bool drains = true;
+  bool culprits = true; /* tasks that crash each target that starts them */
 };
 
 struct Options {
@@ -58,11 +59,16 @@
 constexpr int64_t kOrderTimeoutMs = 700;
 constexpr int64_t kStartTimeoutMs = 250;
 constexpr int64_t kAdviceValidMs = 2500;
+constexpr int kMaxAttempts = 3;
 /* A long-running task is at work this long after its start. */
 constexpr int64_t kStartupMs = 300;
 /* After the last fault: when a target leaves, and when long-running jobs are cancelled. */
 constexpr int64_t kLateDrainAfterMs = 9000;
 constexpr int64_t kCancelLongAfterMs = 15000;
+/* A culprit crashes its target this long after its start. */
+constexpr int64_t kCulpritCrashMs = 10;
+/* Most starts of a culprit after three targets have crashed under it. */
+constexpr int kStartsAfterThirdMax = 2;
 /* Shortest time that a draining target keeps serving after its notice. */
 constexpr int64_t kDrainMs = 3000;
 
@@ -163,6 +169,9 @@
     bool done_acknowledged = false;
     bool done = false;
     int failures = 0;
+    int failed_runs = 0;        /* whether their ends are acknowledged or not */
+    int crashes = 0;            /* targets that crashed under it */
+    int starts_after_third = 0; /* after three such crashes */
   };
 
   struct Job {
@@ -172,6 +181,7 @@
     int64_t accepted_at = -1;
     bool cancelled = false;
     bool always_fails = false;
+    bool culprit = false; /* its first task crashes each target that starts it */
     bool advised = false;
     bool long_running = false;
     std::map<std::string, Task> tasks; /* by "step.index" */
@@ -193,6 +203,7 @@
   int64_t batch_open_ = 0;
   int64_t store_down_until_ = 0;
   int64_t tick_at_ = -1;
+  int64_t crashed_at_ = 0; /* last crash of a target; culprits cause some after the other faults */
   Result result_;
   std::map<int64_t, int> calls_; /* pending submit calls, and the indices of their jobs */
   int64_t next_call_ = 0;
@@ -367,6 +378,7 @@
     Job &job = job_of (run.task);
     if (kind == DAG_END_DONE)
       job.tasks[key_of (run.task)].done = true;
+    job.tasks[key_of (run.task)].failed_runs += kind == DAG_END_FAILED;
     if (job.steps[run.task.step].gang && kind != DAG_END_DONE)
       break_gang (run, kind);
   }
@@ -415,6 +427,7 @@
   {
     Target &target = targets_[(size_t) index];
     target.up = false;
+    crashed_at_ = now_;
     trace ("crash " + target.id + (same_id ? " same id" : ""));
     std::vector<Run> runs;
     for (auto &entry : target.running)
@@ -422,6 +435,7 @@
     target.running.clear ();
     target.used = GrRes{};
     for (Run &run : runs) {
+      job_of (run.task).tasks[key_of (run.task)].crashes++;
       if (job_of (run.task).steps[run.task.step].gang)
         break_gang (run, DAG_END_BROKEN);
     }
@@ -534,6 +548,12 @@
     target.lease = std::max (target.lease, until);
   }
 
+  bool
+  is_culprit (const DagTaskRef &task)
+  {
+    return job_of (task).culprit && task.step == 0 && task.index == 0;
+  }
+
   /* Checks the invariants of a start that is about to be carried out. */
   void
   check_start (Target &target, const DagTaskRef &task, int64_t term)
@@ -549,8 +569,12 @@
     }
     if (known.done_acknowledged && !job.long_running)
       report_violation ("start of " + name + " after its end was acknowledged");
+    if (known.crashes >= 3 && is_culprit (task)
+        && ++known.starts_after_third > kStartsAfterThirdMax)
+      report_violation ("another start of " + name + ", which has crashed "
+                        + std::to_string (known.crashes) + " targets");
     int failures = step.gang ? job.gang_failures[std::to_string (task.step)] : known.failures;
-    if (failures >= 3 && !job.long_running)
+    if (failures >= kMaxAttempts && !job.long_running)
       report_violation ("start of " + name + " after its last attempt");
     for (size_t s = 0; s < job.steps.size (); s++) {
       if (!(step.depends_on >> s & 1))
@@ -608,6 +632,8 @@
     run.fails = job.always_fails || (chance (0.04) && (!job.long_running || in_fault_phase ()));
     target.running[name] = run;
     gr_res_add (&target.used, &step.demand);
+    if (is_culprit (start.task))
+      crash_soon (target);
     if (step.gang)
       start_gang_if_complete (job, start.task, start.run);
     else if (job.long_running && !run.fails)
@@ -617,6 +643,17 @@
     return { DAG_ORDER_OK, clock_of (target) };
   }
 
+  void
+  crash_soon (const Target &target)
+  {
+    int index = target.index;
+    int64_t incarnation = target.incarnation;
+    schedule (now_ + kCulpritCrashMs, [this, index, incarnation] {
+      if (targets_[(size_t) index].incarnation == incarnation && targets_[(size_t) index].up)
+        crash (index, chance (0.5));
+    });
+  }
+
   /* The run ends after duration unless it is stopped before. */
   void
   start_run (Target &target, const std::string &name, int64_t duration)
@@ -735,7 +772,7 @@
   {
     const Job &job = job_of (run.task);
     const DagStepSpec &step = job.steps[run.task.step];
-    bool calm = now_ >= options_.faults_ms + kLeaseMaxMs;
+    bool calm = now_ >= std::max (options_.faults_ms, crashed_at_) + kLeaseMaxMs;
     bool leaves = target.drains_until > 0 && now_ >= target.drains_until - kDrainMs / 4;
     if (step.max_unavailable <= 0 || job.cancelled || leaves || !calm || !is_at_work (run))
       return;
@@ -755,7 +792,7 @@
   check_long_running ()
   {
     for (const Job &job : jobs_) {
-      if (!job.long_running || job.cancelled || job.accepted_at < 0)
+      if (!job.long_running || job.cancelled || job.culprit || job.accepted_at < 0)
         continue;
       for (int i = 0; i < job.steps[0].count; i++) {
         std::string name = job.id + ".0." + std::to_string (i);
@@ -866,7 +903,7 @@
       queues[q].name = gr_name (q ? "advised" : "plain");
       queues[q].service = gr_name ("svc");
       queues[q].priority = q;
-      queues[q].max_attempts = 3;
+      queues[q].max_attempts = kMaxAttempts;
       queues[q].slack_factor = 2;
       queues[q].target_latency_ms = 500;
       queues[q].advised = q == 1;
@@ -906,6 +943,7 @@
     job.id = "job" + std::to_string (number);
     job.submitted_at = now_;
     job.always_fails = chance (0.05);
+    job.culprit = options_.faults.culprits && chance (0.05);
     job.advised = chance (0.4);
     job.long_running = chance (0.06);
     int steps = job.long_running ? 1 : 1 + (int) random_below (3);
@@ -944,14 +982,23 @@
     int index = (int) jobs_.size () - 1;
     send_job (index);
     if (job.long_running)
-      schedule (options_.faults_ms + kCancelLongAfterMs, [this, index] {
-        check_long_running ();
-        cancel (index);
-      });
+      schedule (options_.faults_ms + kCancelLongAfterMs, [this, index] { end_long (index); });
     if (options_.faults.cancels && chance (0.1))
       schedule (now_ + random_below (4000), [this, index] { cancel (index); });
   }
 
+  /* Checks and cancels a long-running job once no target has crashed for a while. */
+  void
+  end_long (int index)
+  {
+    if (now_ < crashed_at_ + kLeaseMaxMs) {
+      schedule (crashed_at_ + kLeaseMaxMs, [this, index] { end_long (index); });
+      return;
+    }
+    check_long_running ();
+    cancel (index);
+  }
+
   void
   send_job (int index)
   {
@@ -1190,6 +1237,24 @@
       });
   }
 
+  /* A gang counts the failed runs of its members together. */
+  static bool
+  has_reason_to_fail (const Job &job)
+  {
+    bool failed = job.culprit;
+    for (size_t s = 0; s < job.steps.size (); s++) {
+      int sum = 0;
+      for (auto &task : job.tasks) {
+        if (std::stoul (task.first) != s)
+          continue;
+        sum += task.second.failed_runs;
+        failed |= task.second.failed_runs >= kMaxAttempts;
+      }
+      failed |= job.steps[s].gang && sum >= kMaxAttempts;
+    }
+    return failed;
+  }
+
   /* Checks the states that callers see. */
   void
   check_states ()
@@ -1215,6 +1280,8 @@
           }
         }
       }
+      if (state == DAG_JOB_FAILED && !has_reason_to_fail (job))
+        report_violation (job.id + " has failed without a reason");
       result_.failed += state == DAG_JOB_FAILED;
       result_.cancelled += state == DAG_JOB_CANCELLED;
     }
--- a/tests/prop_dag.cc
+++ b/tests/prop_dag.cc
@@ -1,9 +1,10 @@
 /* Properties of the step job scheduler: no task has two runs at a time or starts after its end was
    acknowledged, targets stay within their capacity, steps run in order of their dependencies,
-   attempts are bounded, gangs run as a whole, long-running tasks are at work until they are
-   cancelled and are moved a few at a time, and every other accepted job ends. Faults are late
-   orders, lost answers, crashes, departures, network partitions, outages of the store and
-   takeovers. Faulty variants of the scheduler must be detected. */
+   attempts are bounded, tasks that crash their targets are given up and no others, gangs run as a
+   whole, long-running tasks are at work until they are cancelled and are moved a few at a time, and
+   every other accepted job ends. Faults are late orders, lost answers, crashes, tasks that cause
+   crashes, departures, network partitions, outages of the store and takeovers. Faulty variants of
+   the scheduler must be detected. */
 #include <cstdio>
 
 #include <rapidcheck.h>
