dag: a job has begun once a run of it is confirmed

Now it has begun once a target confirms a run, lists it or reports its end. The time of a confirmation belongs to one run: it was kept over a restart, and a run that ended before it was confirmed was measured from the start of another.

Test: jobs_are_pending_until_a_start_is_confirmed (failed before: 0 pending).

--- a/src/dag/dag_inventory.c
+++ b/src/dag/dag_inventory.c
@@ -70,11 +70,8 @@
   }
   dag_keep_checkpoint (task, report->checkpoint);
   dag_run_note_alive (dag, task, clock_ms);
-  if (task->state == TASK_STARTING || task->state == TASK_ADOPTED) {
-    task->state = TASK_RUNNING;
-    task->confirmed_at = now_ms;
-    task->percent_at = now_ms;
-  }
+  if (task->state == TASK_STARTING || task->state == TASK_ADOPTED)
+    dag_run_confirm (dag, task, now_ms);
   task->usage = report->usage;
   if (task->percent != report->percent) {
     task->percent = report->percent;
--- a/src/dag/dag_place.c
+++ b/src/dag/dag_place.c
@@ -217,6 +217,7 @@
 place_gang (DagState *dag, DagStep *step, DagCandidate *candidates, size_t count, int64_t now_ms)
 {
   int32_t trials = 0;
+  /* NOLINTNEXTLINE(bugprone-sizeof-expression): a list of pointers */
   DagCandidate **chosen = gr_calloc ((size_t) step->suspects + 1, sizeof *chosen);
   bool placed = choose_trials (dag, step, candidates, count, chosen, &trials, now_ms)
                 && room_on (candidates, count, NULL) >= step->waiting - trials;
--- a/src/dag/dag_priv.h
+++ b/src/dag/dag_priv.h
@@ -109,7 +109,7 @@
   uint64_t steps_done;      /* bit set */
   DagJobState state;        /* may be ahead of the store */
   DagJobState stored_state; /* ended state once it is stored; DAG_JOB_UNKNOWN before */
-  bool begun;               /* the start of a task was sent */
+  bool begun;               /* a run was at work */
   bool stored;              /* the submission is in the store */
   bool spec_written;        /* the submission record was taken for storing */
   bool spec_dropped;        /* the deletion of that record was taken for storing */
@@ -406,6 +406,8 @@
 /* Repeats stops, stops broken gangs and stops stalled runs. */
 void dag_runs_tick (DagState *dag, int64_t now_ms);
 
+/* The target has confirmed that the run is at work. */
+void dag_run_confirm (DagState *dag, DagTask *task, int64_t now_ms);
 /* Notes that the target lists the run as working at clock_ms of its own clock. */
 void dag_run_note_alive (DagState *dag, DagTask *task, int64_t clock_ms);
 
--- a/src/dag/dag_run.c
+++ b/src/dag/dag_run.c
@@ -56,6 +56,7 @@
   task->stop_acked_at = 0;
   task->stop_retry_at = 0;
   task->stop_in_flight = false;
+  task->confirmed_at = 0;
   task->confirmed_clock_ms = 0;
   task->survived_ms = 0;
   task->percent = 0;
@@ -163,6 +164,39 @@
   task->start_open = true;
 }
 
+static void
+set_begun (DagJob *job)
+{
+  job->begun = true;
+  if (dag_job_is_open (job))
+    job->state = DAG_JOB_IN_PROGRESS;
+}
+
+/* A run of the job was at work. */
+static void
+mark_begun (DagState *dag, DagJob *job, int64_t now_ms)
+{
+  if (job->begun)
+    return;
+  set_begun (job);
+  if (dag->options.metrics)
+    gr_metric_observe (dag->options.metrics, GR_METRIC_WAIT_MS, now_ms - job->accepted_at);
+  DagJob *owner = job->timetable_job;
+  if (!owner || owner->begun)
+    return;
+  set_begun (owner);
+  dag_job_mark_dirty (dag, owner);
+}
+
+void
+dag_run_confirm (DagState *dag, DagTask *task, int64_t now_ms)
+{
+  task->state = TASK_RUNNING;
+  task->confirmed_at = now_ms;
+  task->percent_at = now_ms;
+  mark_begun (dag, task->step->job, now_ms);
+}
+
 void
 dag_run_note_alive (DagState *dag, DagTask *task, int64_t clock_ms)
 {
@@ -173,18 +207,6 @@
   dag_crash_check_trial (dag, task);
 }
 
-static void
-mark_begun (DagState *dag, DagJob *job)
-{
-  if (job->begun)
-    return;
-  job->begun = true;
-  if (dag_job_is_open (job))
-    job->state = DAG_JOB_IN_PROGRESS;
-  if (dag_has_timetable (job))
-    dag_job_mark_dirty (dag, job);
-}
-
 void
 dag_run_start (DagState *dag, DagTask *task, int64_t now_ms)
 {
@@ -202,13 +224,6 @@
   }
   task->state = TASK_STARTING;
   send_start (dag, task, now_ms);
-  if (job->timetable_job)
-    mark_begun (dag, job->timetable_job);
-  if (!job->begun) {
-    mark_begun (dag, job);
-    if (dag->options.metrics)
-      gr_metric_observe (dag->options.metrics, GR_METRIC_WAIT_MS, now_ms - job->accepted_at);
-  }
   dag_count (dag, GR_METRIC_STARTS, 1);
   dag_count (dag, GR_METRIC_RETRIES, task->run > 1);
   dag_count (dag, GR_METRIC_TRIALS, task->on_trial);
@@ -367,6 +382,7 @@
 dag_run_handle_end (DagState *dag, DagTask *task, DagEndKind kind, GrStr checkpoint, int64_t now_ms)
 {
   DagJob *job = task->step->job;
+  mark_begun (dag, job, now_ms);
   dag_keep_checkpoint (task, checkpoint);
   dag_job_mark_dirty (dag, job);
   if (!dag_job_is_open (job)) {
@@ -417,9 +433,7 @@
              GR_NAME_ARG (ref->job), ref->step, ref->index, (long long) run,
              GR_NAME_ARG (target->info.id), dag_order_result_name (result));
   if (result == DAG_ORDER_OK) {
-    task->state = TASK_RUNNING;
-    task->confirmed_at = now_ms;
-    task->percent_at = now_ms;
+    dag_run_confirm (dag, task, now_ms);
     dag_run_note_alive (dag, task, clock_ms);
     return;
   }
--- a/tests/test_dag.c
+++ b/tests/test_dag.c
@@ -490,6 +490,39 @@
   dag_free (fixture.dag);
 }
 
+/* Guards against jobs that are not shown as pending although none of their tasks has started: the
+   target was gone when the start arrived. */
+static void
+jobs_are_pending_until_a_start_is_confirmed (void **state)
+{
+  (void) state;
+  static const struct {
+    DagOrderResult result; /* of the first start */
+    bool listed;           /* by the inventory afterwards */
+    int64_t pending;
+    DagJobState state;
+  } cases[] = { { DAG_ORDER_OK, false, 0, DAG_JOB_IN_PROGRESS },
+                { DAG_ORDER_LOST, false, 1, DAG_JOB_QUEUED },
+                { DAG_ORDER_LOST, true, 0, DAG_JOB_IN_PROGRESS },
+                { DAG_ORDER_NO_ROOM, false, 1, DAG_JOB_QUEUED } };
+  GrName queue = gr_name ("q");
+  GrName id = gr_name ("job");
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+    Fixture fixture = fixture_with_start ();
+    assert_int_equal (dag_pending (fixture.dag, &queue), 1);
+    answer_start (&fixture, cases[i].result);
+    if (cases[i].result == DAG_ORDER_LOST) {
+      fixture.now_ms += 400;
+      for (int n = 0; n < 2; n++)
+        answer_start (&fixture, DAG_ORDER_LOST);
+      report_inventory (&fixture, cases[i].listed, 1, 0);
+    }
+    assert_int_equal (dag_pending (fixture.dag, &queue), cases[i].pending);
+    assert_int_equal (dag_status (fixture.dag, &id), cases[i].state);
+    dag_free (fixture.dag);
+  }
+}
+
 static void
 jobs_are_withdrawn_only_before_their_record_is_taken (void **state)
 {
@@ -552,6 +585,7 @@
     cmocka_unit_test (unresponsive_targets_get_holds_until_they_answer),
     cmocka_unit_test (overdue_holds_are_repeated),
     cmocka_unit_test (cancellations_of_dropped_jobs_find_no_job),
+    cmocka_unit_test (jobs_are_pending_until_a_start_is_confirmed),
     cmocka_unit_test (jobs_are_withdrawn_only_before_their_record_is_taken),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
