dag: starts are checked against the capacity that the target has then

The capacity of a target may shrink while assignments wait for their record, while an unanswered start waits for its repeat, and while runs are being stopped; the start was sent all the same and brought the target over its capacity (LIMIT).

Now a start, and the repeat of one, is sent only if all that is assigned to the target still fits; else the task, or the whole gang, is placed again. A change of capacity is logged with what is in use and wakes placement, so that waiting tasks start as soon as a target has grown. Targets that hold more than they have no longer count as negative room of the cell, which kept others from asking for advice.

--- a/src/dag/dag.c
+++ b/src/dag/dag.c
@@ -270,7 +270,7 @@
     counts.usable_targets += dag_target_usable (target, now_ms);
     counts.runs += (size_t) target->run_count;
     counts.capacity_cpu_milli += target->info.capacity.v[GR_RES_CPU_MILLI];
-    counts.free_cpu_milli += dag_target_free_room (target).v[GR_RES_CPU_MILLI];
+    counts.free_cpu_milli += dag_target_free_cpu (target);
   }
   return counts;
 }
--- a/src/dag/dag_place.c
+++ b/src/dag/dag_place.c
@@ -293,7 +293,7 @@
   for (size_t i = 0; i < dag->target_list.count; i++) {
     const DagTarget *target = dag->target_list.items[i];
     if (dag_target_usable (target, now_ms))
-      budget += dag_target_free_room (target).v[GR_RES_CPU_MILLI];
+      budget += dag_target_free_cpu (target);
   }
   return (int64_t) (ADVICE_BUDGET_FACTOR * (double) budget);
 }
--- a/src/dag/dag_priv.h
+++ b/src/dag/dag_priv.h
@@ -358,7 +358,10 @@
 void dag_target_detach (DagTask *task);
 /* Lease for an order that is sent now, on the clock of the target. Counts as sent. */
 int64_t dag_target_lease (DagState *dag, DagTarget *target, int64_t now_ms);
+/* Capacity that no run reserves; negative where the capacity has shrunk below that. */
 GrRes dag_target_free_room (const DagTarget *target);
+/* Free cpu in millicores, at least 0. */
+int32_t dag_target_free_cpu (const DagTarget *target);
 /* True if new runs may be placed on the target. */
 bool dag_target_usable (const DagTarget *target, int64_t now_ms);
 /* Records a failed run; failures of different jobs in a row exclude the target from placement. */
--- a/src/dag/dag_run.c
+++ b/src/dag/dag_run.c
@@ -122,8 +122,21 @@
     dag_run_stop (dag, &step->tasks[i], now_ms);
 }
 
-/* Reason why the start must not be sent, or NULL. The target may have left and the ticket may have
-   expired since the task was assigned. */
+/* True if the target can still hold all that is assigned to it, as far as the task needs it. */
+static bool
+still_fits (const DagTask *task)
+{
+  GrRes need = dag_reserved_demand (&task->step->spec);
+  GrRes room = dag_target_free_room (task->target);
+  for (int d = 0; d < GR_RES_COUNT; d++) {
+    if (need.v[d] > 0 && room.v[d] < 0)
+      return false;
+  }
+  return true;
+}
+
+/* Reason why the start must not be sent, or NULL. Since the task was assigned, the target may have
+   left or lost capacity, and the ticket may have expired. */
 static const char *
 reason_not_to_start (const DagTask *task, int64_t now_ms)
 {
@@ -132,6 +145,8 @@
     return "target-left";
   if (task->ticket_until > 0 && now_ms > task->ticket_until - START_LATENCY_MS)
     return "ticket-expired";
+  if (!still_fits (task))
+    return "no-room";
   return NULL;
 }
 
--- a/src/dag/dag_target.c
+++ b/src/dag/dag_target.c
@@ -110,6 +110,13 @@
   return room;
 }
 
+int32_t
+dag_target_free_cpu (const DagTarget *target)
+{
+  int32_t cpu = dag_target_free_room (target).v[GR_RES_CPU_MILLI];
+  return cpu > 0 ? cpu : 0;
+}
+
 bool
 dag_target_usable (const DagTarget *target, int64_t now_ms)
 {
@@ -217,6 +224,18 @@
   dag->place_wanted = true;
 }
 
+static void
+log_capacity (const DagState *dag, const DagTarget *target, const GrRes *capacity)
+{
+  DAG_LOG (dag, GR_EV_TARGET_STATE,
+           "target=%.*s state=resized cpu=%d memory=%d accelerators=%d used_cpu=%d used_memory=%d "
+           "used_accelerators=%d",
+           GR_NAME_ARG (target->info.id), capacity->v[GR_RES_CPU_MILLI],
+           capacity->v[GR_RES_MEMORY_MB], capacity->v[GR_RES_ACCELERATORS],
+           target->used.v[GR_RES_CPU_MILLI], target->used.v[GR_RES_MEMORY_MB],
+           target->used.v[GR_RES_ACCELERATORS]);
+}
+
 void
 dag_target_seen (DagState *dag, const DagTargetInfo *info, int64_t now_ms)
 {
@@ -227,6 +246,11 @@
     dag_target_restarted (dag, target, info->incarnation, now_ms);
   bool was_draining = target->info.draining;
   bool state_changed = !target->listed || was_draining != info->draining;
+  bool capacity_changed
+      = target->listed
+        && memcmp (&target->info.capacity, &info->capacity, sizeof info->capacity) != 0;
+  if (capacity_changed)
+    log_capacity (dag, target, &info->capacity);
   target->info = *info;
   target->listed = true;
   target->seen_at = now_ms;
@@ -236,8 +260,9 @@
     DAG_LOG (dag, GR_EV_TARGET_STATE, "target=%.*s state=%s zone=%.*s rack=%.*s remaining_ms=%lld",
              GR_NAME_ARG (info->id), info->draining ? "draining" : "ready",
              GR_NAME_ARG (info->zone), GR_NAME_ARG (info->rack), (long long) info->remaining_ms);
-    dag->place_wanted = true;
   }
+  if (state_changed || capacity_changed)
+    dag->place_wanted = true;
   if (info->vm.len > 0) {
     for (size_t i = 0; i < dag->target_list.count; i++) {
       DagTarget *other = dag->target_list.items[i];
--- a/tests/dag_world.hh
+++ b/tests/dag_world.hh
@@ -29,6 +29,7 @@
   bool cancels = true;
   bool drains = true;
   bool culprits = true; /* tasks that crash each target that starts them */
+  bool resizes = true;  /* the capacity of targets shrinks and grows again */
 };
 
 struct Options {
@@ -60,6 +61,11 @@
 constexpr int64_t kStartTimeoutMs = 250;
 constexpr int64_t kAdviceValidMs = 2500;
 constexpr int kMaxAttempts = 3;
+constexpr int32_t kCapacity = 8000;
+/* Orders that are on their way when a target reports a smaller capacity arrive within this time. */
+constexpr int64_t kResizeGraceMs = 300;
+/* An order that arrives later than this was held up on its way. */
+constexpr int64_t kLateOrderMs = 300;
 /* A long-running task is at work this long after its start. */
 constexpr int64_t kStartupMs = 300;
 /* After the last fault: when a target leaves, and when long-running jobs are cancelled. */
@@ -161,6 +167,10 @@
     int64_t fence = 0;
     int64_t lease = 0; /* end of the lease, own clock */
     GrRes used{};
+    int32_t capacity = kCapacity; /* cpu and memory */
+    /* Starts must stay within this: a smaller capacity counts kResizeGraceMs after it was reported.
+     */
+    int32_t limit = kCapacity;
     int64_t reported_at = 0;
     bool listed = false;
   };
@@ -278,8 +288,8 @@
     info.address = gr_name (target.id.c_str ());
     info.kind = gr_name (target.index % 2 ? "a" : "b");
     info.rack = gr_name (target.index % 3 ? "r1" : "r2");
-    info.capacity.v[GR_RES_CPU_MILLI] = 8000;
-    info.capacity.v[GR_RES_MEMORY_MB] = 8000;
+    info.capacity.v[GR_RES_CPU_MILLI] = target.capacity;
+    info.capacity.v[GR_RES_MEMORY_MB] = target.capacity;
     info.draining = target.drains_until > 0;
     info.remaining_ms = std::max<int64_t> (0, target.drains_until - now_);
     return info;
@@ -302,6 +312,30 @@
     target.listed = true;
     DagTargetInfo info = info_of (target);
     dag_target_seen (dag_, &info, now_);
+    if (target.capacity < target.limit)
+      lower_limit_later (target);
+  }
+
+  void
+  lower_limit_later (const Target &target)
+  {
+    int index = target.index;
+    int64_t incarnation = target.incarnation;
+    int32_t reported = target.capacity;
+    schedule (now_ + kResizeGraceMs, [this, index, incarnation, reported] {
+      Target &there = targets_[(size_t) index];
+      if (there.incarnation == incarnation && there.capacity <= reported)
+        there.limit = std::min (there.limit, reported);
+    });
+  }
+
+  void
+  resize (int index, int32_t capacity)
+  {
+    Target &target = targets_[(size_t) index];
+    trace ("resize " + target.id + " to " + std::to_string (capacity));
+    target.capacity = capacity;
+    target.limit = std::max (target.limit, capacity);
   }
 
   /* The target announces that it leaves, and does so after kDrainMs. */
@@ -556,7 +590,7 @@
 
   /* Checks the invariants of a start that is about to be carried out. */
   void
-  check_start (Target &target, const DagTaskRef &task, int64_t term)
+  check_start (Target &target, const DagTaskRef &task, int64_t term, bool late)
   {
     Job &job = job_of (task);
     const DagStepSpec &step = job.steps[task.step];
@@ -597,12 +631,13 @@
     }
     GrRes used = target.used;
     gr_res_add (&used, &step.demand);
-    if (used.v[GR_RES_CPU_MILLI] > 8000 || used.v[GR_RES_MEMORY_MB] > 8000)
-      report_violation ("target " + target.id + " is over its capacity");
+    int32_t limit = late ? kCapacity : target.limit;
+    if (used.v[GR_RES_CPU_MILLI] > limit || used.v[GR_RES_MEMORY_MB] > limit)
+      report_violation ("start of " + name + ": target " + target.id + " is over its capacity");
   }
 
   OrderOutcome
-  handle_start (Target &target, const DagCmd &cmd, int64_t term)
+  handle_start (Target &target, const DagCmd &cmd, int64_t term, int64_t sent_at)
   {
     const auto &start = cmd.u.start;
     std::string name = name_of (start.task);
@@ -619,7 +654,7 @@
       return { it->second.run == start.run ? DAG_ORDER_OK : DAG_ORDER_OLD, clock_of (target) };
     if (target.ended.count (name) && start.run <= target.ended[name])
       return { DAG_ORDER_OLD, clock_of (target) };
-    check_start (target, start.task, term);
+    check_start (target, start.task, term, now_ - sent_at > kLateOrderMs);
     trace ("start " + name + " run " + std::to_string (start.run) + " on " + target.id);
     result_.starts++;
     Job &job = job_of (start.task);
@@ -1084,7 +1119,9 @@
     case DAG_CMD_START:
       send_order (
           cmd.target.target, kStartTimeoutMs,
-          [this, cmd, term] (Target &target) { return handle_start (target, cmd, term); },
+          [this, cmd, term, sent_at = now_] (Target &target) {
+            return handle_start (target, cmd, term, sent_at);
+          },
           [this, cmd] (const OrderOutcome &outcome) {
             dag_handle_start_result (dag_, &cmd.u.start.task, cmd.u.start.run, outcome.result,
                                      outcome.clock, now_);
@@ -1227,6 +1264,13 @@
       int index = (int) random_below (options_.targets);
       schedule (1000 + random_below (span), [this, index] { drain (index); });
     }
+    for (int i = 0; faults.resizes && i < 12; i++) {
+      int index = (int) random_below (options_.targets);
+      int32_t capacity = 1000 + (int32_t) random_below (kCapacity - 1000);
+      schedule (1000 + random_below (span), [this, index, capacity] { resize (index, capacity); });
+    }
+    for (int i = 0; faults.resizes && i < options_.targets; i++)
+      schedule (options_.faults_ms, [this, i] { resize (i, kCapacity); });
     /* A target that leaves in calm times. */
     if (faults.drains)
       schedule (options_.faults_ms + kLateDrainAfterMs, [this] { drain (0); });
--- a/tests/prop_dag.cc
+++ b/tests/prop_dag.cc
@@ -3,8 +3,8 @@
    attempts are bounded, tasks that crash their targets are given up and no others, gangs run as a
    whole, long-running tasks are at work until they are cancelled and are moved a few at a time, and
    every other accepted job ends. Faults are late orders, lost answers, crashes, tasks that cause
-   crashes, departures, network partitions, outages of the store and takeovers. Faulty variants of
-   the scheduler must be detected. */
+   crashes, departures, network partitions, outages of the store, capacity that shrinks and grows
+   again, and takeovers. Faulty variants of the scheduler must be detected. */
 #include <cstdio>
 
 #include <rapidcheck.h>
