dag: a target that only lost its entry has not crashed

A target that left the list while it still answered was counted as crashed when it was forgotten, and logged so. Now only if it is silent, or was never heard in this term. A trial looks at the runs of a target only if the target is the better one.

The cells of test_dag_crash have defaults, so that a case shows what is special about it; crashes that are learned twice are a case.

--- a/src/dag/dag_target.c
+++ b/src/dag/dag_target.c
@@ -297,7 +297,9 @@
 {
   DagTarget *target = dag->target_list.items[at];
   DAG_LOG (dag, GR_EV_TARGET_STATE, "target=%.*s state=forgotten", GR_NAME_ARG (target->info.id));
-  dag_crash_handle (dag, target, "gone", now_ms);
+  /* A target that still answers has only lost its entry. */
+  if (target->hold_failures > 0 || !target->inventoried)
+    dag_crash_handle (dag, target, "gone", now_ms);
   dag_drop_target_refs (dag, target);
   HASH_DEL (dag->targets, target);
   gr_list_swap_remove (&dag->target_list, at);
--- a/src/dag/dag_trial.c
+++ b/src/dag/dag_trial.c
@@ -70,10 +70,11 @@
       continue;
     if (is_trial_of (candidate, step->job))
       return candidate;
-    if (candidate->target->trials > 0 || !is_settled (candidate->target))
+    if (candidate->target->trials > 0
+        || (best && !is_better (candidate->target, best->target, now_ms))
+        || !is_settled (candidate->target))
       continue;
-    if (!best || is_better (candidate->target, best->target, now_ms))
-      best = candidate;
+    best = candidate;
   }
   return step->job->trials > 0 && !step->spec.gang ? NULL : best;
 }
--- a/tests/crash_world.h
+++ b/tests/crash_world.h
@@ -29,13 +29,16 @@
 #define GANG_TIMEOUT_MS 3000
 #define BEAT_MS 1500
 
+/* Sizes and times that are 0 have the default. */
 typedef struct {
-  int targets;
-  int jobs;
-  int tasks; /* of each job */
-  int32_t cpu;
-  int64_t duration_ms;
-  int64_t arrival_ms; /* interval between submissions */
+  int targets;         /* 24 */
+  int jobs;            /* 40 */
+  int tasks;           /* of each job; 4 */
+  int32_t cpu;         /* of a task, in millicores; 4000 */
+  int64_t duration_ms; /* of a run; 1500 */
+  int64_t arrival_ms;  /* interval between submissions; 100 */
+  int64_t down_ms;     /* until a crashed target is back; 3200 */
+  int64_t run_ms;      /* length of the test; 60000 */
   bool gang;
   bool long_running;
   int occurrences; /* of a timetable; 0: none */
@@ -44,15 +47,13 @@
   bool all_tasks;    /* all tasks of these jobs are culprits */
   int64_t crash_after_ms;
   bool no_answer;            /* culprits crash their target before the start is answered */
-  int64_t down_ms;           /* until a crashed target is back */
-  bool same_id;              /* it comes back under its former id */
+  bool same_id;              /* a crashed target comes back under its former id */
+  bool address_reused;       /* orders to a crashed target reach its next life */
   int64_t takeover_ms;       /* interval of changes of leader; 0: none */
   int64_t takeover_until_ms; /* no change of leader later; 0: no limit */
   int64_t self_crash_ms;     /* interval at which target 0 crashes by itself; 0: never */
-  /* From the crash of a culprit on the store takes no appends for this long. */
-  int64_t store_away_ms;
-  bool append_answers_lost; /* the first append after a crash is answered a second late */
-  int64_t run_ms;           /* length of the test */
+  int64_t store_away_ms;     /* from a crash on the store takes no appends for this long */
+  bool append_answers_lost;  /* the first append after a crash is answered a second late */
 } WorldOptions;
 
 typedef struct {
@@ -74,7 +75,7 @@
 } WorldTarget;
 
 typedef struct {
-  int starts, crashes, starts_after_third;
+  int crashes, starts_after_third;
   bool done; /* its end as done was acknowledged */
 } WorldTask;
 
@@ -219,11 +220,22 @@
   target->next_end = 1;
 }
 
+#define DEFAULT(field, value) ((field) = (field) ? (field) : (value))
+
 WORLD_HELPER World *
-world_new (const WorldOptions *options)
+world_new (const WorldOptions *given)
 {
   World *world = gr_calloc (1, sizeof *world);
-  world->options = *options;
+  world->options = *given;
+  WorldOptions *options = &world->options;
+  DEFAULT (options->targets, 24);
+  DEFAULT (options->jobs, 40);
+  DEFAULT (options->tasks, 4);
+  DEFAULT (options->cpu, 4000);
+  DEFAULT (options->duration_ms, 1500);
+  DEFAULT (options->arrival_ms, 100);
+  DEFAULT (options->down_ms, 3200);
+  DEFAULT (options->run_ms, 60000);
   world->now = 100000;
   for (int i = 0; i < options->targets; i++) {
     world->targets[i].capacity.v[GR_RES_CPU_MILLI] = TARGET_CPU;
@@ -311,6 +323,15 @@
   return -1;
 }
 
+/* Whether an order to a target that is not there gets no answer or reaches another one. */
+WORLD_HELPER DagOrderResult
+result_of_missing (const World *world, const DagCmd *cmd)
+{
+  int vm = atoi (cmd->target.target.data + 1);
+  bool next_life = world->targets[vm].up_at == 0;
+  return world->options.address_reused && next_life ? DAG_ORDER_GONE : DAG_ORDER_LOST;
+}
+
 WORLD_HELPER GrRes
 world_used (const World *world, const WorldTarget *target)
 {
@@ -326,7 +347,8 @@
   WorldTarget *target = number < 0 ? NULL : &world->targets[number];
   const DagTaskRef *ref = &cmd->u.start.task;
   if (!target || target->up_at > 0) {
-    dag_handle_start_result (world->dag, ref, cmd->u.start.run, DAG_ORDER_LOST, 0, world->now);
+    dag_handle_start_result (world->dag, ref, cmd->u.start.run, result_of_missing (world, cmd), 0,
+                             world->now);
     return;
   }
   if (cmd->target.incarnation != target->incarnation) {
@@ -345,7 +367,6 @@
   }
   WorldTask *task = world_task (world, ref);
   bool culprit = is_culprit (world, job_number (&ref->job), ref->index);
-  task->starts++;
   task->starts_after_third += task->crashes >= 3;
   if (task->done && !world->options.long_running && world->options.occurrences == 0)
     world->violation = "start of a task that is done";
@@ -375,7 +396,7 @@
   WorldTarget *target = number < 0 ? NULL : &world->targets[number];
   DagOrderResult result = DAG_ORDER_OK;
   if (!target || target->up_at > 0)
-    result = DAG_ORDER_LOST;
+    result = result_of_missing (world, cmd);
   else if (cmd->target.incarnation != target->incarnation)
     result = DAG_ORDER_GONE;
   for (int r = 0; result == DAG_ORDER_OK && r < target->run_count; r++) {
@@ -428,8 +449,8 @@
   int number = world_find_target (world, &cmd->target.target);
   WorldTarget *target = number < 0 ? NULL : &world->targets[number];
   if (!target || target->up_at > 0) {
-    dag_handle_hold_result (world->dag, &cmd->target.target, cmd->u.hold.token, DAG_ORDER_LOST,
-                            NULL, world->now);
+    dag_handle_hold_result (world->dag, &cmd->target.target, cmd->u.hold.token,
+                            result_of_missing (world, cmd), NULL, world->now);
     return;
   }
   if (cmd->target.incarnation != target->incarnation) {
@@ -721,30 +742,19 @@
   }
 }
 
-/* Highest number of starts of one culprit after three targets had crashed under it. */
-WORLD_HELPER int
-world_starts_after_third (const World *world)
-{
-  int most = 0;
-  for (int j = 0; j < MAX_JOBS; j++) {
-    for (int t = 0; t < MAX_TASKS; t++) {
-      if (world->tasks[j][t].starts_after_third > most)
-        most = world->tasks[j][t].starts_after_third;
-    }
-  }
-  return most;
-}
-
-/* Most targets that crashed under one culprit. */
-WORLD_HELPER int
-world_most_crashes (const World *world)
+/* Of all culprits, the most crashes and the most starts after the third one. */
+WORLD_HELPER WorldTask
+world_worst (const World *world)
 {
-  int most = 0;
+  WorldTask worst = { 0 };
   for (int j = 0; j < MAX_JOBS; j++) {
     for (int t = 0; t < MAX_TASKS; t++) {
-      if (world->tasks[j][t].crashes > most)
-        most = world->tasks[j][t].crashes;
+      const WorldTask *task = &world->tasks[j][t];
+      if (task->crashes > worst.crashes)
+        worst.crashes = task->crashes;
+      if (task->starts_after_third > worst.starts_after_third)
+        worst.starts_after_third = task->starts_after_third;
     }
   }
-  return most;
+  return worst;
 }
