--- a/tests/test_fuzz.c
+++ b/tests/test_fuzz.c
@@ -315,12 +315,54 @@
   msgpack_unpacked_destroy (&unpacked);
 }
 
+/* Appends the progress record of "j1" as it is now; the batch counts as stored. */
+static void
+take_progress (DagState *dag, int64_t now_ms, GrBuf *out)
+{
+  DagRecords records = { 0 };
+  int64_t batch = dag_take_batch (dag, &records);
+  assert_int_not_equal (batch, 0);
+  gr_buf_append_str (out, gr_buf_str (&records.items[records.count - 1].value));
+  dag_records_clear (&records);
+  dag_stored (dag, batch, now_ms);
+}
+
+/* Lists a target with room for all tasks and answers its hold. */
+static void
+add_target (DagState *dag, int64_t incarnation, int64_t now_ms)
+{
+  DagTargetInfo info = { .id = gr_name ("t"),
+                         .incarnation = incarnation,
+                         .service = gr_name ("svc"),
+                         .address = gr_name ("h:1") };
+  dag_cmds_reset (dag);
+  dag_target_seen (dag, &info, now_ms);
+  DagCmd hold = dag_cmds (dag)->items[dag_cmds (dag)->count - 1];
+  assert_int_equal (hold.type, DAG_CMD_HOLD);
+  DagInventory inventory = { .incarnation = incarnation, .clock_ms = now_ms };
+  dag_handle_hold_result (dag, &info.id, hold.u.hold.token, DAG_ORDER_OK, &inventory, now_ms);
+}
+
+/* Progress records of a job whose tasks are assigned, and whose target has crashed under them. */
+static void
+pack_progress_of_runs (DagState *dag, GrBuf *assigned, GrBuf *crashed)
+{
+  dag_loaded (dag, 10);
+  add_target (dag, 1, 20);
+  dag_tick (dag, 30);
+  take_progress (dag, 30, assigned);
+  DagTaskRef task = { gr_name ("j1"), 0, 0 };
+  dag_handle_start_result (dag, &task, 1, DAG_ORDER_OK, 40, 40);
+  add_target (dag, 2, 50);
+  take_progress (dag, 50, crashed);
+}
+
 static void
 step_job_records (void **state)
 {
   (void) state;
   enum {
-    SEEDS = 3
+    SEEDS = 5
   };
   GrBuf seeds[SEEDS] = { 0 };
   DagState *dag = new_dag ();
@@ -332,11 +374,15 @@
   int64_t retry_after_ms;
   assert_int_equal (dag_submit (dag, &spec, 1, 10, &retry_after_ms, &err), DAG_SUBMIT_PENDING);
   DagRecords records = { 0 };
-  assert_int_not_equal (dag_take_batch (dag, &records), 0);
+  int64_t batch = dag_take_batch (dag, &records);
+  assert_int_not_equal (batch, 0);
   assert_int_equal (records.count, 2);
   for (size_t i = 0; i < 2; i++)
     gr_buf_append_str (&seeds[1 + i], gr_buf_str (&records.items[i].value));
   dag_records_clear (&records);
+  dag_stored (dag, batch, 10);
+  pack_progress_of_runs (dag, &seeds[3], &seeds[4]);
+  assert_true (seeds[4].len > seeds[3].len);
   dag_free (dag);
   fuzz (seeds, SEEDS, decode_job_progress);
   clear_seeds (seeds, SEEDS);
