dag: outdated entries of a target are ignored

For a moment the target had the capacity, or the state, that it had before: work could start above its capacity, or on a target that drains. Entries carry a number; lower ones are ignored within one incarnation.

Test: outdated_entries_are_ignored (failed before: 32000 instead of 8000).

--- a/src/dag/dag.h
+++ b/src/dag/dag.h
@@ -124,6 +124,7 @@
   GrName id;
   GrName vm; /* a target that starts later on the same VM proves that this one has ended */
   int64_t incarnation; /* start time in Unix ms */
+  int64_t number;      /* increases with each entry of one incarnation; 0: not known */
   GrName service;
   GrName zone;
   GrName address;
@@ -334,8 +335,9 @@
 /* Replaces the queues. Jobs whose queue is still configured take over its new policy, the others
    keep their old one. */
 void dag_set_queues (DagState *dag, const DagQueues *queues, int64_t now_ms);
-/* The entry of a target was read from the list of targets. Entries of earlier incarnations are
-   ignored. */
+/* The entry of a target was read from the list of targets. Entries of earlier incarnations and
+   earlier entries of the present one are ignored: a stale read must not bring back a capacity or a
+   state that the target has left. */
 void dag_target_seen (DagState *dag, const DagTargetInfo *info, int64_t now_ms);
 /* The target is no longer in the list. */
 void dag_target_unlisted (DagState *dag, const GrName *id, int64_t now_ms);
--- a/src/dag/dag_target.c
+++ b/src/dag/dag_target.c
@@ -224,6 +224,15 @@
   dag->place_wanted = true;
 }
 
+/* True if the entry was written before the newest one of the target. */
+static bool
+is_outdated (const DagTarget *target, const DagTargetInfo *info)
+{
+  if (info->incarnation != target->info.incarnation)
+    return info->incarnation < target->info.incarnation;
+  return info->number > 0 && info->number < target->info.number;
+}
+
 static void
 log_capacity (const DagState *dag, const DagTarget *target, const GrRes *capacity)
 {
@@ -240,7 +249,7 @@
 dag_target_seen (DagState *dag, const DagTargetInfo *info, int64_t now_ms)
 {
   DagTarget *target = dag_target_create (dag, &info->id);
-  if (info->incarnation < target->info.incarnation)
+  if (is_outdated (target, info))
     return;
   if (target->info.incarnation > 0 && info->incarnation > target->info.incarnation)
     dag_target_restarted (dag, target, info->incarnation, now_ms);
--- a/tests/test_dag_capacity.c
+++ b/tests/test_dag_capacity.c
@@ -141,6 +141,33 @@
   dag_free (fixture.dag);
 }
 
+/* Guards against a stale read of the list that brings back a capacity which the target has lost. A
+   later life of the target counts its entries anew. */
+static void
+outdated_entries_are_ignored (void **state)
+{
+  (void) state;
+  static const struct {
+    int64_t incarnation, number;
+    int32_t cpu, expected;
+  } entries[]
+      = { { 1, 4, CPU, CPU },         { 1, 3, 4 * CPU, CPU },     { 1, 5, 2 * CPU, 2 * CPU },
+          { 1, 5, 2 * CPU, 2 * CPU }, { 2, 1, 3 * CPU, 3 * CPU }, { 1, 6, CPU, 3 * CPU },
+          { 2, 0, CPU, CPU } };
+  Fixture fixture = new_fixture (false, 0, 0);
+  for (size_t i = 0; i < sizeof entries / sizeof entries[0]; i++) {
+    DagTargetInfo info = target_info (0);
+    info.incarnation = entries[i].incarnation;
+    info.number = entries[i].number;
+    info.capacity.v[GR_RES_CPU_MILLI] = entries[i].cpu;
+    dag_target_seen (fixture.dag, &info, fixture.now_ms);
+    GrRes used, capacity;
+    assert_true (dag_target_room (fixture.dag, &info.id, &used, &capacity));
+    assert_int_equal (capacity.v[GR_RES_CPU_MILLI], entries[i].expected);
+  }
+  dag_free (fixture.dag);
+}
+
 /* Guards against a cell that seems full because some targets hold more than they have. */
 static void
 overfull_targets_do_not_reduce_the_room_of_others (void **state)
@@ -187,6 +214,7 @@
     cmocka_unit_test (tasks_start_when_the_capacity_grows_again),
     cmocka_unit_test (starts_are_not_repeated_above_the_capacity),
     cmocka_unit_test (stopping_runs_count_against_the_capacity),
+    cmocka_unit_test (outdated_entries_are_ignored),
     cmocka_unit_test (overfull_targets_do_not_reduce_the_room_of_others),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
