--- a/tests/test_dag_capacity.c
+++ b/tests/test_dag_capacity.c
@@ -141,6 +141,79 @@
   dag_free (fixture.dag);
 }
 
+/* Answers all calls for advice: every named target is allowed. Confirms all starts, answers all
+   holds with what runs; returns the starts of the job. */
+static size_t
+answer_all (Fixture *fixture, const char *job)
+{
+  DagCmd cmds[64];
+  size_t count = take_cmds (fixture->dag, cmds, 64);
+  size_t starts = 0;
+  GrName id = gr_name (job);
+  for (size_t i = 0; i < count; i++) {
+    const DagCmd *cmd = &cmds[i];
+    if (cmd->type == DAG_CMD_START) {
+      starts += gr_name_equal (&cmd->u.start.task.job, &id);
+      dag_handle_start_result (fixture->dag, &cmd->u.start.task, cmd->u.start.run, DAG_ORDER_OK,
+                               fixture->now_ms, fixture->now_ms);
+    }
+    if (cmd->type != DAG_CMD_ADVISE)
+      continue;
+    DagAllowed allowed[2] = { { gr_name ("t0"), "t" }, { gr_name ("t1"), "t" } };
+    dag_handle_advice (fixture->dag, &cmd->u.advise.job, cmd->u.advise.step, cmd->u.advise.token,
+                       true, allowed, 2, 0, fixture->now_ms);
+  }
+  return starts;
+}
+
+/* Lets the time pass; returns the starts of the job. */
+static size_t
+pass_time (Fixture *fixture, const char *job, int ticks)
+{
+  size_t starts = 0;
+  for (int i = 0; i < ticks; i++) {
+    fixture->now_ms += 20;
+    dag_tick (fixture->dag, fixture->now_ms);
+    store (fixture);
+    starts += answer_all (fixture, job);
+  }
+  return starts;
+}
+
+/* Guards against room that stays reserved for a gang on a target that has become too small for any
+   member, and against a gang that does not come back when the target has grown again. */
+static void
+reservations_follow_the_capacity (void **state)
+{
+  (void) state;
+  Fixture fixture = new_fixture (true, 10, 1);
+  add_targets (&fixture, 2);
+  DagStepSpec filler = step_of (4, CPU, false);
+  DagStepSpec gang = step_of (6, CPU, true);
+  DagStepSpec small = step_of (1, 1000, false);
+  submit_as (&fixture, "filler", &filler, 1, NULL);
+  assert_int_equal (pass_time (&fixture, "filler", 10), 4);
+  submit_as (&fixture, "gang", &gang, 1, NULL);
+  assert_int_equal (pass_time (&fixture, "gang", 10), 0);
+  submit_as (&fixture, "small", &small, 1, NULL);
+  assert_int_equal (pass_time (&fixture, "small", 10), 0);
+  GrRes used[2], capacity;
+  for (int i = 0; i < 2; i++) {
+    GrName id = gr_name_format ("t%d", i);
+    assert_true (dag_target_room (fixture.dag, &id, &used[i], &capacity));
+  }
+  int empty = used[1].v[GR_RES_CPU_MILLI] == 0;
+  assert_int_equal (used[empty].v[GR_RES_CPU_MILLI], 0);
+  DagTargetInfo info = target_info (empty);
+  info.capacity.v[GR_RES_CPU_MILLI] = CPU - 1;
+  dag_target_seen (fixture.dag, &info, fixture.now_ms);
+  assert_int_equal (pass_time (&fixture, "small", 10), 1);
+  info.capacity.v[GR_RES_CPU_MILLI] = 6 * CPU + 1000;
+  dag_target_seen (fixture.dag, &info, fixture.now_ms);
+  assert_int_equal (pass_time (&fixture, "gang", 20), 6);
+  dag_free (fixture.dag);
+}
+
 /* Guards against a stale read of the list that brings back a capacity which the target has lost. A
    later life of the target counts its entries anew. */
 static void
@@ -214,6 +287,7 @@
     cmocka_unit_test (tasks_start_when_the_capacity_grows_again),
     cmocka_unit_test (starts_are_not_repeated_above_the_capacity),
     cmocka_unit_test (stopping_runs_count_against_the_capacity),
+    cmocka_unit_test (reservations_follow_the_capacity),
     cmocka_unit_test (outdated_entries_are_ignored),
     cmocka_unit_test (overfull_targets_do_not_reduce_the_room_of_others),
   };
