--- a/src/dag/dag_crash.c
+++ b/src/dag/dag_crash.c
@@ -7,9 +7,9 @@
    job can be the cause. Then its job is given up. A run that lasts clears its task. */
 #include "dag/dag_priv.h"
 
-/* How long a target has to live after the start of a run before this run is not the cause of its
-   crash. */
-#define CAUSE_MS 500
+/* A run is ruled out as the cause of a crash once its target has lived for this long since the
+   start. */
+#define CAUSE_WINDOW_MS 500
 /* A task is given up after this many crashes, if no other job can have caused the last one. Crashes
    as soon as a run has started are rarely a coincidence, so fewer of them are enough. */
 #define GIVE_UP_CRASHES 3
@@ -59,7 +59,7 @@
   if (!may_have_run (task))
     return false;
   /* Beside a trial there are only runs that were ruled out before it began. */
-  return task->target->trials > 0 ? task->on_trial : target_survived_ms (task) < CAUSE_MS;
+  return task->target->trials > 0 ? task->on_trial : target_survived_ms (task) < CAUSE_WINDOW_MS;
 }
 
 void
@@ -74,7 +74,7 @@
 trial_ms (const DagTask *task)
 {
   int64_t outlast_ms = task->crash_survived_ms > 0 ? task->crash_survived_ms + TRIAL_MARGIN_MS : 0;
-  return outlast_ms > CAUSE_MS ? outlast_ms : CAUSE_MS;
+  return outlast_ms > CAUSE_WINDOW_MS ? outlast_ms : CAUSE_WINDOW_MS;
 }
 
 void
