--- a/tests/dag_world.hh
+++ b/tests/dag_world.hh
@@ -395,8 +395,9 @@
     return job_of (task).steps[task.step].demand;
   }
 
+  /* name is a copy, since callers pass the key of the entry that is erased. */
   void
-  end_run (Target &target, const std::string &name, DagEndKind kind)
+  end_run (Target &target, std::string name, DagEndKind kind)
   {
     auto it = target.running.find (name);
     if (it == target.running.end ())
