dag: a step asks for advice beyond targets that a trial keeps from it

Its tickets were for a target on which a suspected task of another job was on trial for seconds. Placement passed that target over, and the call for advice counted its room and asked about no other. Now such a target has no room for the step until the trial is over.

--- a/src/dag/dag_advice.c
+++ b/src/dag/dag_advice.c
@@ -169,8 +169,9 @@
     DagTarget *target = dag->target_list.items[i];
     if (!dag_target_usable (target, now_ms) || !dag_may_run (step, target))
       continue;
-    Candidate candidate = { target, dag_fit_count (step, target), dag_fit_count_idle (step, target),
-                            allowed_share };
+    bool closed = dag_trial_closes (target, step->job, now_ms);
+    Candidate candidate = { target, closed ? 0 : dag_fit_count (step, target),
+                            dag_fit_count_idle (step, target), allowed_share };
     if (target->mark == mark) {
       if (!target->marked_permit)
         continue;
