job: a run is stopped once its cancellation stands in the log

Cause: a cancellation was appended and the run was stopped at the same moment. If the partition changed hands before the append was in the log, the next owner got the report "stopped" without the cancellation. For work that is not idempotent it took that for a failed run. A record that comes after its effect: the class of fault that the design forbids for starts, but not for stops.

Change: the stop goes out when the cancel record is committed or read back under the lease; a rejected append is repeated; an owner that reads the cancellation after the takeover stops the runs that were reported to it, which it did not do at all before.

--- a/src/job/job.c
+++ b/src/job/job.c
@@ -112,11 +112,31 @@
   }
 }
 
+/* The cancel record was not written: appends it again after a while. */
+static void
+retry_cancel (JobState *state, Job *job, int64_t now_ms)
+{
+  job->cancel_appended = job->cancel_durable;
+  job_timer_add (state, now_ms + state->options.backoff_min_ms, &job->id, JOB_TIMER_JOB);
+}
+
+static void
+append_due_cancel (JobState *state, Job *job, int64_t now_ms, JobCmds *out)
+{
+  if (!job->cancelled || job->cancel_appended || !state->parts[job->part].owned)
+    return;
+  if (job_part_active (state, job->part, now_ms))
+    job_cancel (state, job, now_ms, out);
+  else
+    job_timer_add (state, now_ms + JOB_SUSPENDED_RETRY_MS, &job->id, JOB_TIMER_JOB);
+}
+
 static void
 job_timer_due (JobState *state, Job *job, int64_t now_ms, JobCmds *out)
 {
   reply_timed_out (state, job, now_ms, out);
   if (job->phase != JOB_ENDED) {
+    append_due_cancel (state, job, now_ms, out);
     expire_unplaced (state, job, now_ms, out);
     return;
   }
@@ -219,10 +239,16 @@
   case JOB_RECORD_ATTEMPT:
     job_attempt_recorded (state, job, pending->index, pending->attempt, now_ms, out);
     break;
+  case JOB_RECORD_CANCEL:
+    /* Without an accept record before it, readers ignore it. */
+    if (job->durable)
+      job_cancel_recorded (state, job, now_ms, out);
+    else
+      retry_cancel (state, job, now_ms);
+    break;
   case JOB_RECORD_END:
     /* The first end record in log order decides, which is known only once it is read back. */
   case JOB_RECORD_TASK_END:
-  case JOB_RECORD_CANCEL:
   case JOB_RECORD_OPEN:
     break;
   }
@@ -250,6 +276,8 @@
     task->attempt_recorded = false;
     if (task->phase == JOB_TASK_RECORDING)
       job_schedule_retry (state, job, pending->index, false, now_ms);
+  } else if (pending->kind == JOB_RECORD_CANCEL) {
+    retry_cancel (state, job, now_ms);
   }
 
 done:
@@ -276,12 +304,7 @@
   job_add_waiter (state, job, msg->ref.call, JOB_NEVER, false);
   if (job->cancelled || job->phase == JOB_ENDED)
     return;
-  job->cancelled = true;
-  if (job->accept_appended) {
-    JobRecord record = { .kind = JOB_RECORD_CANCEL, .id = job->id };
-    job_append (state, &record, out);
-  }
-  job_cancel_tasks (state, job, now_ms, out);
+  job_cancel (state, job, now_ms, out);
 }
 
 static void
@@ -333,6 +356,7 @@
       continue;
     if (job->durable)
       job_reply_accepted (state, job, out);
+    job_stop_cancelled (state, job, now_ms, out);
     job_advance_all (state, job, now_ms, out);
   }
 }
--- a/src/job/job_attempt.c
+++ b/src/job/job_attempt.c
@@ -305,7 +305,7 @@
   job_append_accept (state, job, out);
   if (job->spec.deadline_ms != JOB_NEVER)
     job_timer_add (state, job->spec.deadline_ms + JOB_PLACE_TIMEOUT_MS, &job->id, index);
-  if (job->cancelled)
+  if (job->cancel_durable)
     job_emit_task_cmd (job, index, JOB_CMD_CANCEL_TASK, out);
 }
 
@@ -357,7 +357,7 @@
     task->attempt = msg->place.attempt;
     task->attempt_open = true;
     task->scheduler = msg->place.scheduler;
-    if (job->cancelled)
+    if (job->cancel_durable)
       job_emit_task_cmd (job, index, JOB_CMD_CANCEL_TASK, out);
     else if (is_gang (job) && all_tasks_held (job))
       commit_gang (job, out);
@@ -371,15 +371,49 @@
   }
 }
 
+/* The accept record comes first, since readers ignore the cancellation of an unknown job. */
+static void
+append_cancel (JobState *state, Job *job, JobCmds *out)
+{
+  job_append_accept (state, job, out);
+  job->cancel_appended = true;
+  JobRecord record = { .kind = JOB_RECORD_CANCEL, .id = job->id };
+  job_append (state, &record, out);
+}
+
 void
-job_cancel_tasks (JobState *state, Job *job, int64_t now_ms, JobCmds *out)
+job_cancel (JobState *state, Job *job, int64_t now_ms, JobCmds *out)
 {
+  job->cancelled = true;
+  for (int32_t i = 0; i < job->spec.tasks && job->phase != JOB_ENDED; i++) {
+    JobTaskPhase phase = job->tasks[i].phase;
+    if (phase == JOB_TASK_IDLE || phase == JOB_TASK_RECORDING)
+      job_finish_task (state, job, i, JOB_OUTCOME_CANCELLED, GR_ERR_CANCELLED, GR_STR (""), now_ms,
+                       out);
+  }
+  if (job->phase != JOB_ENDED && !job->cancel_appended)
+    append_cancel (state, job, out);
+}
+
+void
+job_cancel_recorded (JobState *state, Job *job, int64_t now_ms, JobCmds *out)
+{
+  if (job->cancel_durable)
+    return;
+  job->cancelled = job->cancel_appended = job->cancel_durable = true;
+  job_stop_cancelled (state, job, now_ms, out);
+}
+
+void
+job_stop_cancelled (JobState *state, Job *job, int64_t now_ms, JobCmds *out)
+{
+  if (!job->cancel_durable || !job_part_active (state, job->part, now_ms))
+    return;
   for (int32_t i = 0; i < job->spec.tasks && job->phase != JOB_ENDED; i++) {
     switch (job->tasks[i].phase) {
     case JOB_TASK_IDLE:
     case JOB_TASK_RECORDING:
-      job_finish_task (state, job, i, JOB_OUTCOME_CANCELLED, GR_ERR_CANCELLED, GR_STR (""), now_ms,
-                       out);
+    case JOB_TASK_DONE:
       break;
     case JOB_TASK_PLACING:
     case JOB_TASK_QUEUED:
@@ -392,8 +426,6 @@
       else
         job_emit_task_cmd (job, i, JOB_CMD_CANCEL_TASK, out);
       break;
-    case JOB_TASK_DONE:
-      break;
     }
   }
 }
--- a/src/job/job_end.c
+++ b/src/job/job_end.c
@@ -211,7 +211,7 @@
   task->avoid_count = 0;
   job->phase = JOB_RUNNING;
   job_append_accept (state, job, out);
-  if (job->cancelled || job->abandoned)
+  if (job->cancel_durable || job->abandoned)
     job_emit_task_cmd (job, index, JOB_CMD_CANCEL_TASK, out);
 }
 
--- a/src/job/job_private.h
+++ b/src/job/job_private.h
@@ -85,7 +85,9 @@
   bool must_record;     /* accept record before any attempt: jobs and non-idempotent requests */
   bool accept_appended; /* its accept record was appended or read back */
   bool durable;         /* its accept record is in the log */
-  bool cancelled;       /* a caller cancelled it */
+  bool cancelled;       /* a caller cancelled it: no attempt starts any more */
+  bool cancel_appended; /* its cancel record was appended or read back */
+  bool cancel_durable;  /* its cancel record is in the log: attempts are stopped */
   bool gang_restart;    /* gang: all tasks are being stopped before they are retried together */
   bool abandoned;       /* gang: a task ended without completing; the others are not retried */
   bool end_pending;     /* ENDED: callers get the outcome once the end record is read back */
@@ -252,9 +254,15 @@
 /* Ends a restart: makes the unfinished tasks due at the same time once all of them are idle. */
 void job_reschedule_gang (JobState *state, Job *job, int64_t now_ms);
 void job_emit_task_cmd (Job *job, int32_t index, JobCmdKind kind, JobCmds *out);
-/* Ends the tasks that have not been placed and emits JOB_CMD_CANCEL_TASK for the others. The cost
-   is O(1) for each task. */
-void job_cancel_tasks (JobState *state, Job *job, int64_t now_ms, JobCmds *out);
+/* Ends the tasks of a cancelled job that have not been placed, and appends the cancel record if
+   there are others. The cost is O(1) for each task. */
+void job_cancel (JobState *state, Job *job, int64_t now_ms, JobCmds *out);
+/* The cancel record is in the log. */
+void job_cancel_recorded (JobState *state, Job *job, int64_t now_ms, JobCmds *out);
+/* Emits JOB_CMD_CANCEL_TASK for the tasks that were placed, if the cancel record is in the log and
+   the partition is active: then every later owner knows why the attempts end. Without the lease, a
+   new owner may not have read the record yet. */
+void job_stop_cancelled (JobState *state, Job *job, int64_t now_ms, JobCmds *out);
 
 /* job_end.c */
 /* Returns the orphan of the task, set to this attempt and without an answer. NULL if it has a later
--- a/src/job/job_replay.c
+++ b/src/job/job_replay.c
@@ -155,7 +155,7 @@
   case JOB_RECORD_CANCEL: {
     Job *job = job_find (state, &record.id);
     if (job)
-      job->cancelled = true;
+      job_cancel_recorded (state, job, now_ms, out);
     return;
   }
   case JOB_RECORD_OPEN:
--- a/tests/job_world.hh
+++ b/tests/job_world.hh
@@ -154,6 +154,8 @@
       if (!history.succeeded || answer != "answer " + id + "/0")
         record_violation ("replied completed without the complete answer of the task");
     }
+    if (cmd.outcome == JOB_OUTCOME_FAILED && !history.failed)
+      record_violation ("replied failed although no attempt had failed");
     if (cmd.outcome == JOB_OUTCOME_CANCELLED) {
       history.replied_cancelled = true;
       if (history.running > 0)
@@ -259,6 +261,8 @@
     histories_[key.first].running--;
     if (state == AttemptState::Succeeded)
       histories_[key.first].succeeded = true;
+    if (state == AttemptState::Failed)
+      histories_[key.first].failed = true;
     report_attempt (current_, key);
   }
 
@@ -457,6 +461,7 @@
       AttemptKey key = it->first;
       trace ("target lost " + key.first + " attempt " + std::to_string (key.second));
       histories_[key.first].running--;
+      histories_[key.first].failed = true;
       attempts_.erase (it);
       tombstones_.insert (key);
       lapsed_.insert (key);
--- a/tests/job_world_types.hh
+++ b/tests/job_world_types.hh
@@ -82,6 +82,7 @@
   int starts = 0;
   int running = 0;
   bool succeeded = false;
+  bool failed = false; /* an attempt failed or was lost with its target */
   bool replied_not_run = false;
   bool replied_cancelled = false;
   bool idempotent = true;
--- a/tests/test_job.c
+++ b/tests/test_job.c
@@ -494,6 +494,88 @@
   }
 }
 
+static void
+read_record (Fixture *fixture, const JobRecord *record)
+{
+  GrBuf bytes = { 0 };
+  job_record_encode (record, &bytes);
+  step (fixture, (JobMsg){ .kind = JOB_MSG_RECORD, .record = { gr_buf_str (&bytes) } });
+  gr_buf_clear (&bytes);
+}
+
+/* A fixture whose request r1 is not idempotent and runs. */
+static Fixture
+fixture_with_run (void)
+{
+  Fixture fixture = fixture_new ();
+  JobSpec spec = request_spec ("r1", false);
+  submit (&fixture, &spec, 1, true);
+  commit (&fixture, only_cmd (&fixture, JOB_CMD_APPEND)->token);
+  commit (&fixture, only_cmd (&fixture, JOB_CMD_APPEND)->token);
+  assert_non_null (only_cmd (&fixture, JOB_CMD_PLACE));
+  report (&fixture, "r1/0", 1, JOB_TASK_RUNNING, "");
+  return fixture;
+}
+
+/* Guards against telling "failed" of a run that a cancellation stopped: the cancellation was not in
+   the log when the partition changed hands, and the next owner saw the stop only. */
+static void
+cancelled_runs_are_stopped_once_that_is_recorded (void **unused)
+{
+  (void) unused;
+  static const struct {
+    const char *name;
+    bool rejected, lease_lapses, read_back;
+  } cases[] = {
+    { "committed", false, false, false },
+    { "rejected, appended again and committed", true, false, false },
+    { "read back without a lease, which then returns", false, true, true },
+  };
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+    Fixture fixture = fixture_with_run ();
+    step (&fixture, (JobMsg){ .kind = JOB_MSG_CANCEL, .ref = { .call = 2, .id = gr_name ("r1") } });
+    assert_null (only_cmd (&fixture, JOB_CMD_CANCEL_TASK));
+    int64_t token = only_cmd (&fixture, JOB_CMD_APPEND)->token;
+    if (cases[i].rejected) {
+      step (&fixture, (JobMsg){ .kind = JOB_MSG_APPEND_REJECTED, .append = { token } });
+      assert_null (only_cmd (&fixture, JOB_CMD_CANCEL_TASK));
+      fixture.now_ms += 1000;
+      step (&fixture, (JobMsg){ .kind = JOB_MSG_TICK });
+      token = only_cmd (&fixture, JOB_CMD_APPEND)->token;
+    }
+    if (cases[i].lease_lapses)
+      step (&fixture, (JobMsg){ .kind = JOB_MSG_PART_ACTIVE, .part = { 0, fixture.now_ms, 0 } });
+    if (cases[i].read_back)
+      read_record (&fixture,
+                   &(JobRecord){ .kind = JOB_RECORD_CANCEL, .id = gr_name ("r1"), .epoch = 1 });
+    else
+      commit (&fixture, token);
+    if (cases[i].lease_lapses) {
+      assert_null (only_cmd (&fixture, JOB_CMD_CANCEL_TASK));
+      step (&fixture, (JobMsg){ .kind = JOB_MSG_PART_ACTIVE, .part = { 0, INT64_MAX, 0 } });
+    }
+    if (!only_cmd (&fixture, JOB_CMD_CANCEL_TASK))
+      fail_msg ("%s: not stopped", cases[i].name);
+    fixture_clear (&fixture);
+  }
+}
+
+/* Guards against a cancellation that is read after the takeover and never carried out. */
+static void
+new_owner_stops_a_run_whose_cancellation_it_reads_late (void **unused)
+{
+  (void) unused;
+  Fixture fixture = fixture_with_run ();
+  step (&fixture, (JobMsg){ .kind = JOB_MSG_PART_LOST });
+  step (&fixture, (JobMsg){ .kind = JOB_MSG_PART_GAINED, .part = { .epoch = 2 } });
+  step (&fixture, (JobMsg){ .kind = JOB_MSG_PART_ACTIVE, .part = { 0, INT64_MAX, 0 } });
+  report (&fixture, "r1/0", 1, JOB_TASK_RUNNING, "");
+  read_record (&fixture,
+               &(JobRecord){ .kind = JOB_RECORD_CANCEL, .id = gr_name ("r1"), .epoch = 1 });
+  assert_non_null (only_cmd (&fixture, JOB_CMD_CANCEL_TASK));
+  fixture_clear (&fixture);
+}
+
 int
 main (void)
 {
@@ -511,6 +593,8 @@
     cmocka_unit_test (new_owner_replies_with_the_reported_answer),
     cmocka_unit_test (malformed_records_are_rejected),
     cmocka_unit_test (idempotent_requests_of_an_earlier_owner_may_have_run),
+    cmocka_unit_test (cancelled_runs_are_stopped_once_that_is_recorded),
+    cmocka_unit_test (new_owner_stops_a_run_whose_cancellation_it_reads_late),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
