job: records of the next owner hold over an end that was not read back

Callers would see a second run of work that is not idempotent, or a wrong outcome of it: an owner ends a task, the end is not in the log yet, the owner is paused, and the next one runs the task. On resuming, the first owner read the attempt of the next one, ignored it because the job had ended, lost the partition, undid its own end, and did not know of the attempt when it owned the partition again.

Change: attempts and ends of tasks are noted as long as the end of the job was not read back, and a cancellation that did not reach the log is forgotten with the partition.

--- a/src/job/job_replay.c
+++ b/src/job/job_replay.c
@@ -54,11 +54,19 @@
   }
 }
 
+/* True if the log may still decide about the job. An end that was not read back does not count:
+   reopen () undoes it, and the records of a later owner hold. */
+static bool
+is_undecided (const Job *job)
+{
+  return job && (job->phase != JOB_ENDED || job->end_pending);
+}
+
 static void
 replay_attempt (JobState *state, const JobRecord *record, int64_t now_ms, JobCmds *out)
 {
   Job *job = job_find (state, &record->id);
-  if (!job || job->phase == JOB_ENDED || record->index >= job->spec.tasks)
+  if (!is_undecided (job) || record->index >= job->spec.tasks)
     return;
   JobTask *task = &job->tasks[record->index];
   if (record->attempt < task->attempt)
@@ -73,16 +81,16 @@
 replay_task_end (JobState *state, const JobRecord *record)
 {
   Job *job = job_find (state, &record->id);
-  if (!job || job->phase == JOB_ENDED || record->index >= job->spec.tasks)
+  if (!is_undecided (job) || record->index >= job->spec.tasks)
     return;
   JobTask *task = &job->tasks[record->index];
-  if (task->phase == JOB_TASK_DONE)
+  if (task->end_recorded)
     return;
+  job->done_tasks += task->phase != JOB_TASK_DONE;
   task->phase = JOB_TASK_DONE;
   task->end_recorded = true;
   task->outcome = record->outcome;
   task->why = record->why;
-  job->done_tasks++;
 }
 
 static void
@@ -211,6 +219,7 @@
     if (job->part != part || (job->phase == JOB_ENDED && !job->end_pending))
       continue;
     job_refuse_waiters (job, GR_ERR_UNAVAILABLE, out);
+    job->cancelled = job->cancel_appended = job->cancel_durable;
     if (job->phase == JOB_ENDED)
       reopen (state, job);
     if (!job->durable)
--- a/tests/test_job.c
+++ b/tests/test_job.c
@@ -576,6 +576,38 @@
   fixture_clear (&fixture);
 }
 
+/* Guards against a wrong outcome of a request that the next owner ran: a paused owner had ended the
+   request, its end never reached the log, and it ignored the attempt of the next owner. */
+static void
+records_of_the_next_owner_hold_over_an_undecided_end (void **unused)
+{
+  (void) unused;
+  Fixture fixture = fixture_new ();
+  JobSpec spec = request_spec ("r1", false);
+  submit (&fixture, &spec, 1, true);
+  int64_t accept = only_cmd (&fixture, JOB_CMD_APPEND)->token;
+  step (&fixture, (JobMsg){ .kind = JOB_MSG_CANCEL, .ref = { .call = 2, .id = gr_name ("r1") } });
+  assert_null (only_cmd (&fixture, JOB_CMD_REPLY));
+  commit (&fixture, accept);
+  read_record (&fixture, &(JobRecord){ .kind = JOB_RECORD_OPEN, .epoch = 2 });
+  read_record (&fixture, &(JobRecord){ .kind = JOB_RECORD_ATTEMPT,
+                                       .id = gr_name ("r1"),
+                                       .epoch = 2,
+                                       .attempt = JOB_ATTEMPTS_PER_EPOCH + 1 });
+  step (&fixture, (JobMsg){ .kind = JOB_MSG_PART_LOST });
+  step (&fixture, (JobMsg){ .kind = JOB_MSG_PART_GAINED, .part = { .epoch = 3 } });
+  step (&fixture, (JobMsg){ .kind = JOB_MSG_PART_ACTIVE, .part = { 0, INT64_MAX, 0 } });
+  read_record (&fixture, &(JobRecord){ .kind = JOB_RECORD_OPEN, .epoch = 3 });
+  submit (&fixture, &spec, 3, true);
+  step (&fixture, (JobMsg){ .kind = JOB_MSG_PART_SYNCED });
+  assert_null (only_cmd (&fixture, JOB_CMD_PLACE));
+  replay_appends (&fixture);
+  const JobCmd *reply = only_cmd (&fixture, JOB_CMD_REPLY);
+  assert_non_null (reply);
+  assert_int_equal (reply->outcome, JOB_OUTCOME_UNKNOWN);
+  fixture_clear (&fixture);
+}
+
 int
 main (void)
 {
@@ -595,6 +627,7 @@
     cmocka_unit_test (idempotent_requests_of_an_earlier_owner_may_have_run),
     cmocka_unit_test (cancelled_runs_are_stopped_once_that_is_recorded),
     cmocka_unit_test (new_owner_stops_a_run_whose_cancellation_it_reads_late),
+    cmocka_unit_test (records_of_the_next_owner_hold_over_an_undecided_end),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
