job: an attempt that is read late is resolved

An accepted request never ended and its caller was never answered: a scheduler reported the first attempt of an idempotent request to a new owner, then the owner read the record of a second attempt, which its predecessor had appended before losing the partition. The owner took the second attempt for the running one, and reports about the first were ignored from then on.

Change: the owner asks all schedulers for an attempt that supersedes the one they reported.

--- a/src/job/job_replay.c
+++ b/src/job/job_replay.c
@@ -62,6 +62,14 @@
   return job && (job->phase != JOB_ENDED || job->end_pending);
 }
 
+/* True if a scheduler has reported an attempt that waits or runs. */
+static bool
+is_placed (const JobTask *task)
+{
+  return task->phase == JOB_TASK_QUEUED || task->phase == JOB_TASK_HELD
+         || task->phase == JOB_TASK_ON_TARGET;
+}
+
 static void
 replay_attempt (JobState *state, const JobRecord *record, int64_t now_ms, JobCmds *out)
 {
@@ -71,8 +79,16 @@
   JobTask *task = &job->tasks[record->index];
   if (record->attempt < task->attempt)
     return;
+  bool superseded = record->attempt > task->attempt && is_placed (task);
   task->attempt = record->attempt;
   task->attempt_recorded = true;
+  if (superseded && state->parts[job->part].owned) {
+    /* An earlier owner wrote the record before the OPEN record, after the attempt that was reported
+       here. */
+    task->attempt_open = true;
+    job_resolve_task (state, job, record->index, now_ms, out);
+    return;
+  }
   if (job_part_active (state, job->part, now_ms))
     job_attempt_recorded (state, job, record->index, record->attempt, now_ms, out);
 }
--- a/tests/test_job.c
+++ b/tests/test_job.c
@@ -608,6 +608,38 @@
   fixture_clear (&fixture);
 }
 
+/* Guards against accepted work that never ends: a scheduler reported an attempt, and the record of
+   a later one, whose end nobody reports, was read after that. */
+static void
+attempt_that_is_read_late_is_resolved (void **unused)
+{
+  (void) unused;
+  static const struct {
+    const char *name;
+    bool running; /* otherwise it waits */
+  } cases[] = { { "earlier attempt reported as running", true },
+                { "earlier attempt reported as waiting", false } };
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+    Fixture fixture = fixture_new ();
+    step (&fixture, (JobMsg){ .kind = JOB_MSG_PART_LOST });
+    step (&fixture, (JobMsg){ .kind = JOB_MSG_PART_GAINED, .part = { .epoch = 2 } });
+    step (&fixture, (JobMsg){ .kind = JOB_MSG_PART_ACTIVE, .part = { 0, INT64_MAX, 0 } });
+    JobSpec spec = request_spec ("r1", true);
+    submit (&fixture, &spec, 1, true);
+    if (cases[i].running)
+      report (&fixture, "r1/0", 1, JOB_TASK_RUNNING, "");
+    else
+      place_result (&fixture, "r1/0", 1, JOB_PLACE_QUEUED, GR_ERR_NONE);
+    read_record (
+        &fixture,
+        &(JobRecord){ .kind = JOB_RECORD_ATTEMPT, .id = gr_name ("r1"), .epoch = 1, .attempt = 2 });
+    const JobCmd *resolve = only_cmd (&fixture, JOB_CMD_RESOLVE);
+    if (!resolve || resolve->attempt != 2)
+      fail_msg ("%s: the later attempt is not resolved", cases[i].name);
+    fixture_clear (&fixture);
+  }
+}
+
 int
 main (void)
 {
@@ -628,6 +660,7 @@
     cmocka_unit_test (cancelled_runs_are_stopped_once_that_is_recorded),
     cmocka_unit_test (new_owner_stops_a_run_whose_cancellation_it_reads_late),
     cmocka_unit_test (records_of_the_next_owner_hold_over_an_undecided_end),
+    cmocka_unit_test (attempt_that_is_read_late_is_resolved),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
