--- a/src/dag/dag_crash.c
+++ b/src/dag/dag_crash.c
@@ -107,11 +107,12 @@
   const DagTarget *target = task->target;
   dag_count (dag, GR_METRIC_RUNS_LOST, 1);
   DAG_LOG (dag, GR_EV_RUN_LOST,
-           "id=%.*s step=%u index=%u run=%lld target=%.*s proof=%s survived_ms=%lld others=%d "
-           "crashes=%d suspected=%d",
-           GR_NAME_ARG (task->step->job->id), task->step->number, task->index,
-           (long long) task->run, GR_NAME_ARG (target->info.id), proof,
-           (long long) task->survived_ms, target->run_count - 1, task->crashes, task->suspected);
+           "id=%.*s queue=%.*s step=%u index=%u run=%lld target=%.*s proof=%s survived_ms=%lld "
+           "others=%d crashes=%d suspected=%d",
+           GR_NAME_ARG (task->step->job->id), GR_NAME_ARG (task->step->job->queue.name),
+           task->step->number, task->index, (long long) task->run, GR_NAME_ARG (target->info.id),
+           proof, (long long) task->survived_ms, target->run_count - 1, task->crashes,
+           task->suspected);
 }
 
 /* True if the target fell silent as soon as the run had started. */
