cell: starts that wait for their paths are reported

Which path they waited for, and why, was not told. E512 now gives, once a second while starts wait, how many wait and were given up, and the state of the path with most of them.

--- a/src/cell/cell_orders.c
+++ b/src/cell/cell_orders.c
@@ -15,6 +15,7 @@
 /* Interval between two choices of the relays, and between two looks for overdue orders. */
 #define RELAYS_INTERVAL_MS 500
 #define OVERDUE_INTERVAL_MS 50
+#define REPORT_INTERVAL_MS 1000
 
 typedef struct Path Path;
 
@@ -57,6 +58,8 @@
   int64_t next_token;
   int64_t relays_set_at;
   int64_t overdue_scan_at;
+  int64_t report_at;
+  int64_t expired; /* starts given up in a queue since the last report */
 };
 
 CellOrders *
@@ -293,10 +296,12 @@
 {
   while (path->queue.count > 0 && cell_flow_may_send (&path->flow)) {
     QueuedStart queued = take_queued (path);
-    if (cell_leader_now (orders->leader) > queued.cmd.u.start.send_by)
-      finish (queued.order, DAG_ORDER_NOT_SENT, 0, NULL);
-    else
+    if (cell_leader_now (orders->leader) <= queued.cmd.u.start.send_by)
       transmit_start (orders, queued.order, &queued.cmd);
+    else {
+      orders->expired++;
+      finish (queued.order, DAG_ORDER_NOT_SENT, 0, NULL);
+    }
     free (queued.payload);
   }
 }
@@ -361,6 +366,7 @@
     if (now_ms <= path->queue.items[i].cmd.u.start.send_by)
       continue;
     QueuedStart queued = remove_queued (path, i);
+    orders->expired++;
     finish (queued.order, DAG_ORDER_NOT_SENT, 0, NULL);
     free (queued.payload);
   }
@@ -406,6 +412,30 @@
   gr_list_clear (&linked);
 }
 
+/* Logs how many starts wait for their paths and were given up, and the path with most of them. */
+static void
+report_paths (CellOrders *orders)
+{
+  const Path *longest = NULL;
+  size_t queued = 0;
+  for (size_t i = 0; i < orders->paths.count; i++) {
+    const Path *path = orders->paths.items[i];
+    queued += path->queue.count;
+    if (!longest || path->queue.count > longest->queue.count)
+      longest = path;
+  }
+  if (!longest || (queued == 0 && orders->expired == 0))
+    return;
+  const CellFlow *flow = &longest->flow;
+  gr_log (&orders->leader->cell->log, GR_EV_PATHS_FULL,
+          "paths=%zu queued=%zu given_up=%lld relay=%.*s queued_here=%zu in_flight=%d window=%.0f "
+          "answer_ms=%.0f shortest_ms=%lld lost_share=%.2f",
+          orders->paths.count, queued, (long long) orders->expired, GR_NAME_ARG (longest->relay),
+          longest->queue.count, flow->in_flight, flow->window, flow->srtt_ms,
+          (long long) flow->floor_ms, flow->lost_share);
+  orders->expired = 0;
+}
+
 void
 cell_orders_tick (CellOrders *orders)
 {
@@ -414,6 +444,10 @@
     orders->relays_set_at = now_ms;
     set_relays (orders);
   }
+  if (now_ms >= orders->report_at) {
+    orders->report_at = now_ms + REPORT_INTERVAL_MS;
+    report_paths (orders);
+  }
   if (now_ms < orders->overdue_scan_at)
     return;
   orders->overdue_scan_at = now_ms + OVERDUE_INTERVAL_MS;
