cell: crashed targets do not speak against their relay

Cause: a target that crashes under several orders leaves all of them unanswered. The relay reported that, which is an answer of the relay, but it counted as a relay that does not answer.

Change: three orders that the relay itself does not answer, or a quarter of its targets silent without an answer of any other. Test relays_that_reach_no_targets_are_left_out: with the old rule (trial: every silent target counts as the relay's) two of its cases fail.

--- a/src/cell/cell_orders.c
+++ b/src/cell/cell_orders.c
@@ -340,6 +340,18 @@
     transmit (orders, order, cmd, timeout_ms);
 }
 
+static void
+note_relay_outcome (CellOrders *orders, const GrName *relay, const GrName *target,
+                    CellRelayOutcome outcome)
+{
+  const CellLeader *leader = orders->leader;
+  int64_t left_out_ms
+      = cell_relays_result (orders->relays, relay, target, outcome, cell_leader_now (leader));
+  if (left_out_ms > 0)
+    gr_log (&leader->cell->log, GR_EV_RELAY_LEFT_OUT, "relay=%.*s for_ms=%lld",
+            GR_NAME_ARG (*relay), (long long) left_out_ms);
+}
+
 void
 cell_orders_handle_result (CellOrders *orders, const GrName *vm, const CellWireOrderResult *result)
 {
@@ -349,7 +361,8 @@
     return;
   HASH_DEL (orders->relayed, order);
   bool answered = result->result != DAG_ORDER_LOST && result->result != DAG_ORDER_NOT_SENT;
-  cell_relays_result (orders->relays, vm, answered, cell_leader_now (orders->leader));
+  note_relay_outcome (orders, vm, &order->target,
+                      answered ? CELL_RELAY_ANSWERED : CELL_RELAY_TARGET_SILENT);
   Path *path = order->path;
   finish (order, result->result, result->clock_ms,
           result->has_inventory ? &result->inventory : NULL);
@@ -377,7 +390,7 @@
 lose (CellOrders *orders, Order *order)
 {
   HASH_DEL (orders->relayed, order);
-  cell_relays_result (orders->relays, &order->relay, false, cell_leader_now (orders->leader));
+  note_relay_outcome (orders, &order->relay, &order->target, CELL_RELAY_SILENT);
   finish (order, DAG_ORDER_LOST, 0, NULL);
 }
 
--- a/src/cell/cell_relays.c
+++ b/src/cell/cell_relays.c
@@ -12,9 +12,12 @@
 #define DIRECT_WEIGHT_PER_TARGET 3
 /* Relays are added until they have this much together for each target. */
 #define RELAY_WEIGHT_PER_TARGET 6
-/* Orders without an answer in a row after which a relay is left out. The time doubles with each
+/* Orders that a relay does not answer in a row until it is left out. The time doubles with each
    exclusion. */
-#define LOST_MAX 3
+#define UNANSWERED_MAX 3
+/* The same for targets that do not answer the relay, as a share of the targets that a relay has. A
+   few are silent because they have crashed, many because the relay does not reach them. */
+#define SILENT_TARGETS_SHARE 0.25
 #define AVOID_MIN_MS 1000
 #define AVOID_MAX_MS 16000
 /* Payloads that a relay is taken to have. Lower than what it keeps: it may also receive payloads
@@ -28,8 +31,9 @@
 
 typedef struct {
   LdrMember member;
-  uint64_t hash; /* of the name of the VM */
-  int lost;      /* orders without an answer since the last answer */
+  uint64_t hash;  /* of the name of the VM */
+  int unanswered; /* orders without an answer of the relay since the last answer of a target */
+  GR_LIST (GrName) silent_targets; /* targets that have not answered it since then */
   int64_t avoid_until;
   int64_t avoid_ms;      /* length of the last exclusion, 0 after an answer */
   SentPayload *payloads; /* in the order in which they were sent */
@@ -38,6 +42,7 @@
 
 struct CellRelays {
   GR_LIST (Relay) items;
+  size_t targets; /* of all relays */
 };
 
 CellRelays *
@@ -52,13 +57,20 @@
   gr_hash_clear (relay->payloads, free);
 }
 
+static void
+clear_relay (Relay *relay)
+{
+  forget_payloads (relay);
+  gr_list_clear (&relay->silent_targets);
+}
+
 void
 cell_relays_free (CellRelays *relays)
 {
   if (!relays)
     return;
   for (size_t i = 0; i < relays->items.count; i++)
-    forget_payloads (&relays->items.items[i]);
+    clear_relay (&relays->items.items[i]);
   gr_list_clear (&relays->items);
   free (relays);
 }
@@ -92,6 +104,7 @@
 cell_relays_set (CellRelays *relays, const LdrMember *self, const LdrMember *linked, size_t count,
                  size_t targets)
 {
+  relays->targets = targets;
   int64_t wanted = (int64_t) targets * RELAY_WEIGHT_PER_TARGET;
   if (self->weight >= (int64_t) targets * DIRECT_WEIGHT_PER_TARGET)
     wanted = 0;
@@ -110,7 +123,7 @@
   for (size_t i = relays->items.count; i-- > 0;) {
     if (relays->items.items[i].chosen)
       continue;
-    forget_payloads (&relays->items.items[i]);
+    clear_relay (&relays->items.items[i]);
     gr_list_swap_remove (&relays->items, i);
   }
 }
@@ -152,21 +165,50 @@
   return best ? &best->member.vm.vm : NULL;
 }
 
-void
-cell_relays_result (CellRelays *relays, const GrName *vm, bool answered, int64_t now_ms)
+static void
+note_silent_target (Relay *relay, const GrName *target)
+{
+  for (size_t i = 0; i < relay->silent_targets.count; i++) {
+    if (gr_name_equal (&relay->silent_targets.items[i], target))
+      return;
+  }
+  gr_list_push (&relay->silent_targets, *target);
+}
+
+/* True if the relay, or its way to the targets, seems to be broken. */
+static bool
+is_broken (const CellRelays *relays, const Relay *relay)
+{
+  double targets_each = (double) relays->targets / (double) relays->items.count;
+  double silent_max = fmax (UNANSWERED_MAX, targets_each * SILENT_TARGETS_SHARE);
+  return relay->unanswered >= UNANSWERED_MAX || (double) relay->silent_targets.count >= silent_max;
+}
+
+int64_t
+cell_relays_result (CellRelays *relays, const GrName *vm, const GrName *target,
+                    CellRelayOutcome outcome, int64_t now_ms)
 {
   Relay *relay = find_relay (relays, vm);
   if (!relay)
-    return;
-  if (answered) {
-    relay->lost = 0;
+    return 0;
+  switch (outcome) {
+  case CELL_RELAY_ANSWERED:
+    relay->unanswered = 0;
+    gr_list_reset (&relay->silent_targets);
     relay->avoid_ms = 0;
-    return;
+    return 0;
+  case CELL_RELAY_TARGET_SILENT:
+    note_silent_target (relay, target);
+    break;
+  case CELL_RELAY_SILENT:
+    relay->unanswered++;
+    break;
   }
-  if (++relay->lost < LOST_MAX || now_ms < relay->avoid_until)
-    return;
+  if (now_ms < relay->avoid_until || !is_broken (relays, relay))
+    return 0;
   relay->avoid_ms = gr_backoff_next (relay->avoid_ms, AVOID_MIN_MS, AVOID_MAX_MS);
   relay->avoid_until = now_ms + relay->avoid_ms;
+  return relay->avoid_ms;
 }
 
 bool
--- a/tests/test_cell.c
+++ b/tests/test_cell.c
@@ -232,7 +232,7 @@
     assert_true (share[m] <= 4 * TARGETS / (int) cell_relays_count (relays));
   const GrName silent = before[0];
   for (int lost = 0; lost < 3; lost++)
-    cell_relays_result (relays, &silent, false, 0);
+    cell_relays_result (relays, &silent, &before[0], CELL_RELAY_SILENT, 0);
   for (int t = 0; t < TARGETS; t++) {
     GrName target = gr_name_format ("t%d", t), zone = gr_name_format ("z%d", t % 6);
     const GrName *now = cell_relays_choose (relays, &target, &zone, 10);
@@ -244,6 +244,51 @@
   cell_relays_free (relays);
 }
 
+/* Guards against relays that lose their targets because some of these crash, and against a relay
+   that keeps them although it does not reach them. */
+static void
+relays_that_reach_no_targets_are_left_out (void **state)
+{
+  (void) state;
+  static const struct {
+    const char *name;
+    CellRelayOutcome outcome;
+    int orders, targets; /* orders in a row with this outcome, and the targets that they name */
+    bool answer_between; /* another target answers after each of them */
+    bool left_out;
+  } cases[] = {
+    { "relay silent", CELL_RELAY_SILENT, 3, 3, false, true },
+    { "one order lost", CELL_RELAY_SILENT, 1, 1, false, false },
+    { "one target crashes under many orders", CELL_RELAY_TARGET_SILENT, 50, 1, false, false },
+    { "five targets crash at once", CELL_RELAY_TARGET_SILENT, 20, 5, false, false },
+    { "targets crash one after the other", CELL_RELAY_TARGET_SILENT, 200, 60, true, false },
+    { "no target answers", CELL_RELAY_TARGET_SILENT, 60, 60, false, true },
+  };
+  enum {
+    MEMBERS = 40,
+    TARGETS = 1100
+  };
+  static LdrMember members[MEMBERS];
+  make_members (members, MEMBERS, MEMBERS);
+  LdrMember self = { .vm = { gr_name ("self"), 1 }, .weight = 100 };
+  GrName first = gr_name ("t0"), zone = gr_name ("z0");
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+    CellRelays *relays = cell_relays_new ();
+    cell_relays_set (relays, &self, members, MEMBERS, TARGETS);
+    const GrName relay = *cell_relays_choose (relays, &first, &zone, 0);
+    int64_t left_out_ms = 0;
+    for (int o = 0; o < cases[i].orders; o++) {
+      GrName target = gr_name_format ("t%d", o % cases[i].targets);
+      left_out_ms += cell_relays_result (relays, &relay, &target, cases[i].outcome, o);
+      if (cases[i].answer_between)
+        cell_relays_result (relays, &relay, &first, CELL_RELAY_ANSWERED, o);
+    }
+    if ((left_out_ms > 0) != cases[i].left_out)
+      fail_msg ("%s: left out for %lld ms", cases[i].name, (long long) left_out_ms);
+    cell_relays_free (relays);
+  }
+}
+
 /* Guards against starts without a payload, after a relay has restarted or has dropped old ones. */
 static void
 payloads_are_sent_once_for_each_relay (void **state)
@@ -412,6 +457,7 @@
     cmocka_unit_test (limits_configuration_pushes),
     cmocka_unit_test (relays_are_chosen_by_the_number_of_targets),
     cmocka_unit_test (targets_keep_their_relay_while_it_answers),
+    cmocka_unit_test (relays_that_reach_no_targets_are_left_out),
     cmocka_unit_test (payloads_are_sent_once_for_each_relay),
     cmocka_unit_test (electors_are_few_strong_and_spread),
     cmocka_unit_test (messages_round_trip_and_truncated_ones_are_rejected),
