job: a completion waits for the ends that an earlier owner wrote

Callers of one id were told two outcomes: "unknown" by the old owner, "completed" by the next one.

Cause, from the trace of schedule 124,822: the old owner had appended its end as "unknown" and was paused; the append came into the log before the next owner's OPEN record, so it decides. The next owner got the report of the completed run, and answered without having read that far, since a completion is sent ahead of the log. Sent ahead of one's own records it is harmless, ahead of another owner's it is not.

Change: until the own OPEN record was read back, the completion of a request that may be in the log waits for its end record. Idempotent requests of the new owner without a record are answered at once, as before.

--- a/src/job/job_end.c
+++ b/src/job/job_end.c
@@ -29,14 +29,15 @@
 }
 
 /* Returns whether the end record must be read back before callers get the outcome. Otherwise a new
-   owner could run the job again and send another outcome. A completion is sent at once, since it is
-   true in any case. While the partition is ready, "not run" is sent at once if the job has no
-   accept record, or if the deadline has passed, since no owner starts the job after it. */
+   owner could run the job again and send another outcome. A completion is true in any case; it is
+   sent at once unless an earlier owner may have ended the job with an outcome that was not read
+   yet. While the partition is ready, "not run" is sent at once if the job has no accept record, or
+   if the deadline has passed, since no owner starts the job after it. */
 static bool
 end_must_be_read_back (const JobState *state, const Job *job, int64_t now_ms)
 {
   if (job->outcome == JOB_OUTCOME_COMPLETED)
-    return false;
+    return job->accept_appended && !state->parts[job->part].opened;
   if (!job_part_ready (state, job->part, now_ms))
     return true;
   if (job->outcome == JOB_OUTCOME_NOT_RUN)
--- a/tests/test_job.c
+++ b/tests/test_job.c
@@ -640,6 +640,40 @@
   }
 }
 
+/* Guards against two outcomes for one request: a new owner answers "completed" although the owner
+   before it has ended the request with another outcome, whose record it has not read yet. */
+static void
+completion_waits_for_the_end_of_an_earlier_owner (void **unused)
+{
+  (void) unused;
+  static const struct {
+    const char *name;
+    bool ended; /* by the earlier owner */
+    JobOutcome outcome;
+  } cases[] = { { "earlier owner ended it as unknown", true, JOB_OUTCOME_UNKNOWN },
+                { "earlier owner did not end it", false, JOB_OUTCOME_COMPLETED } };
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+    Fixture fixture = fixture_with_run ();
+    step (&fixture, (JobMsg){ .kind = JOB_MSG_PART_LOST });
+    step (&fixture, (JobMsg){ .kind = JOB_MSG_PART_GAINED, .part = { .epoch = 2 } });
+    step (&fixture, (JobMsg){ .kind = JOB_MSG_PART_ACTIVE, .part = { 0, INT64_MAX, 0 } });
+    JobSpec spec = request_spec ("r1", false);
+    submit (&fixture, &spec, 3, true);
+    report (&fixture, "r1/0", 1, JOB_TASK_SUCCEEDED, "answer");
+    if (only_cmd (&fixture, JOB_CMD_REPLY))
+      fail_msg ("%s: answered too early", cases[i].name);
+    JobRecord end = { .kind = JOB_RECORD_END, .id = gr_name ("r1"), .outcome = cases[i].outcome };
+    end.epoch = cases[i].ended ? 1 : 2;
+    if (!cases[i].ended)
+      read_record (&fixture, &(JobRecord){ .kind = JOB_RECORD_OPEN, .epoch = 2 });
+    read_record (&fixture, &end);
+    const JobCmd *reply = only_cmd (&fixture, JOB_CMD_REPLY);
+    if (!reply || reply->outcome != cases[i].outcome)
+      fail_msg ("%s: wrong outcome", cases[i].name);
+    fixture_clear (&fixture);
+  }
+}
+
 int
 main (void)
 {
@@ -661,6 +695,7 @@
     cmocka_unit_test (new_owner_stops_a_run_whose_cancellation_it_reads_late),
     cmocka_unit_test (records_of_the_next_owner_hold_over_an_undecided_end),
     cmocka_unit_test (attempt_that_is_read_late_is_resolved),
+    cmocka_unit_test (completion_waits_for_the_end_of_an_earlier_owner),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
