dag: crashes of a queue with many starts are not forgotten at once

Cause: the memory was 60 starts, which is a tenth of a second at 600 starts a second, and the limit of 1.5% of the starts is above the share of a job with one deadly task among ten or more.

Change: starts are remembered for 3 s, but at least the last 60; the limit is 0.4%. Only the order of targets follows from it.

--- a/src/dag/dag_risk.c
+++ b/src/dag/dag_risk.c
@@ -12,9 +12,11 @@
 
 #include "dag/dag_priv.h"
 
-/* Number of starts, and time, after which an observation has lost most of its weight. */
+/* Starts lose their weight within MEMORY_MS while there are more than MEMORY_STARTS of them, and
+   the last ones more slowly: queues with few starts are remembered for longer. */
 #define MEMORY_STARTS 60.0
-#define MEMORY_MS 30000.0
+#define MEMORY_MS 3000.0
+#define MEMORY_LAST_MS 30000.0
 /* Counts that each queue begins with. */
 #define PRIOR_STARTS 20.0
 #define PRIOR_CRASHES 0.02
@@ -22,8 +24,8 @@
 #define OTHER_CAUSES_MIN 0.01
 /* A queue is crash-prone from the first of these probabilities on, until it falls below the second.
  */
-#define CRASH_PRONE_PROBABILITY 0.015
-#define NOT_CRASH_PRONE_PROBABILITY 0.005
+#define CRASH_PRONE_PROBABILITY 0.004
+#define NOT_CRASH_PRONE_PROBABILITY 0.0015
 /* Many targets may fall silent at the same moment: their share is then counted once. */
 #define SILENT_SHARE_VALID_MS 20
 /* Failed holds in a row after which a target is blamed on its runs: one connection may be reset by
@@ -37,19 +39,20 @@
          / (stats->starts + stats->crashes + PRIOR_STARTS + PRIOR_CRASHES);
 }
 
-static void
-decay (DagQueueStats *stats, double factor)
-{
-  stats->starts *= factor;
-  stats->crashes *= factor;
-}
-
 static void
 decay_to (DagQueueStats *stats, int64_t now_ms)
 {
-  if (now_ms <= stats->counted_at)
+  double passed_ms = (double) (now_ms - stats->counted_at);
+  if (passed_ms <= 0)
     return;
-  decay (stats, exp ((double) (stats->counted_at - now_ms) / MEMORY_MS));
+  double factor = exp (-passed_ms / MEMORY_MS);
+  if (stats->starts * factor < MEMORY_STARTS) {
+    double slow = exp (-passed_ms / MEMORY_LAST_MS);
+    double to_last = stats->starts > MEMORY_STARTS ? MEMORY_STARTS / stats->starts : 1;
+    factor = fmin (slow, to_last);
+  }
+  stats->starts *= factor;
+  stats->crashes *= factor;
   stats->counted_at = now_ms;
 }
 
@@ -73,7 +76,6 @@
     return;
   DagQueueStats *stats = task->step->job->stats;
   decay_to (stats, now_ms);
-  decay (stats, 1 - 1 / MEMORY_STARTS);
   stats->starts += 1;
   update_crash_prone (dag, stats);
 }
--- a/tests/test_dag_risk.c
+++ b/tests/test_dag_risk.c
@@ -1,4 +1,5 @@
 /* Where tasks start after targets have fallen silent or crashed under starts of their queue. */
+#include "dag/dag_priv.h"
 #include "dag_fixture.h"
 
 #define TARGETS 4
@@ -6,6 +7,8 @@
 #define STEP_MS 20
 /* Time after which a silent target has failed several holds; shorter than the leases. */
 #define SILENCE_MS 1500
+/* Targets whose answers show that there is no outage. */
+#define ANSWERING_TARGETS 40
 
 /* A run that its target lists until the target crashes. */
 typedef struct {
@@ -198,11 +201,66 @@
   }
 }
 
+/* Share of the time in which the queue counts as crash-prone, after the first two seconds. */
+static double
+crash_prone_share (DagState *dag, int starts_per_s, int starts_per_crash)
+{
+  GrName queue = gr_name_format ("q%d-%d", starts_per_s, starts_per_crash);
+  DagJob job = { .stats = dag_queue_stats (dag, &queue) };
+  DagStep step = { .job = &job };
+  int64_t begin = 100000;
+  int counted = 0, crash_prone = 0;
+  for (int n = 1; n <= 12 * starts_per_s; n++) {
+    int64_t now_ms = begin + (int64_t) n * 1000 / starts_per_s;
+    DagTask task = { .step = &step, .state = TASK_RUNNING, .confirmed_clock_ms = 1 };
+    DagTarget target = { .runs = &task, .run_count = 1, .clock_ms = 1 };
+    task.target = &target;
+    dag_risk_note_start (dag, &task, now_ms);
+    /* At irregular intervals. */
+    uint32_t random = (uint32_t) n * 2654435761U >> 12;
+    if (starts_per_crash > 0 && random % (uint32_t) starts_per_crash == 0)
+      dag_risk_note_silence (dag, &target, true, now_ms);
+    if (now_ms < begin + 2000)
+      continue;
+    counted++;
+    crash_prone += job.stats->crash_prone;
+  }
+  return (double) crash_prone / counted;
+}
+
+/* Guards against a queue with many starts that is forgotten between two of its crashes, and against
+   one that is blamed for rare crashes. */
+static void
+crashes_are_remembered_at_any_rate_of_starts (void **state)
+{
+  (void) state;
+  static const struct {
+    int starts_per_s, starts_per_crash; /* 0: no crash */
+    bool crash_prone;
+  } cases[] = { { 10, 0, false },   { 10, 20, true },     { 70, 30, true },    { 500, 20, true },
+                { 500, 50, true },  { 500, 100, true },   { 2000, 100, true }, { 500, 5000, false },
+                { 2000, 0, false }, { 2000, 8000, false } };
+  Fixture fixture = new_fixture (false, 0, 0);
+  for (int t = 0; t < ANSWERING_TARGETS; t++) {
+    DagTargetInfo info = target_info (t);
+    dag_target_seen (fixture.dag, &info, fixture.now_ms);
+  }
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+    double share
+        = crash_prone_share (fixture.dag, cases[i].starts_per_s, cases[i].starts_per_crash);
+    print_message ("%d starts a second, a crash each %d: crash-prone for %.2f of the time\n",
+                   cases[i].starts_per_s, cases[i].starts_per_crash, share);
+    assert_true (cases[i].crash_prone ? share >= 0.95 : share <= 0.05);
+  }
+  dag_free (fixture.dag);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (tasks_of_crash_prone_queues_start_where_little_is_lost),
+    cmocka_unit_test (crashes_are_remembered_at_any_rate_of_starts),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
