--- a/src/dag/dag_candidate.c
+++ b/src/dag/dag_candidate.c
@@ -141,20 +141,21 @@
 }
 
 /* Targets on which no run of the step failed come first, then those with the least harm between
-   neighbours, then those near the data, then the best fit, which has the least spare cpu; for
-   best-effort steps the most. */
+   neighbours, then those near the data, then, for crash-prone queues, those on which the least work
+   would be lost, then the best fit, which has the least spare cpu; for best-effort steps the most.
+ */
 static int
 compare_candidates (const void *a, const void *b)
 {
   const DagCandidate *x = a, *y = b;
   if (x->failed_before != y->failed_before)
     return x->failed_before - y->failed_before;
-  if (x->crash_prone && x->target->stake != y->target->stake)
-    return x->target->stake < y->target->stake ? -1 : 1;
   if (x->expected_harm != y->expected_harm)
     return x->expected_harm < y->expected_harm ? -1 : 1;
   if (x->near_data != y->near_data)
     return y->near_data - x->near_data;
+  if (x->crash_prone && x->target->stake != y->target->stake)
+    return x->target->stake < y->target->stake ? -1 : 1;
   if (x->spare_cpu_milli != y->spare_cpu_milli)
     return (x->spare_cpu_milli < y->spare_cpu_milli) != x->best_effort ? -1 : 1;
   return x->target->serial < y->target->serial ? -1 : 1;
--- a/src/dag/dag_risk.c
+++ b/src/dag/dag_risk.c
@@ -1,6 +1,6 @@
 /* How likely a start of each queue is to crash its target.
 
-   A target that stops answering is blamed on the runs that may be the cause (dag_crash.c), in
+   If a target stops answering, that is blamed on the runs that may be the cause (dag_crash.c), in
    proportion to what is known of their queues. This is done long before it is certain that the
    target has crashed, and undone if it answers again. Targets that fall silent without such a run
    tell how likely other causes are, so that an outage is not blamed on whatever has just started.
@@ -28,7 +28,7 @@
 #define NOT_CRASH_PRONE_PROBABILITY 0.0015
 /* Many targets may fall silent at the same moment: their share is then counted once. */
 #define SILENT_SHARE_VALID_MS 20
-/* Failed holds in a row after which a target is blamed on its runs: one connection may be reset by
+/* Failed holds in a row that are blamed on the runs of the target: one connection may be reset by
    itself. */
 #define BLAMED_HOLDS 2
 
--- a/tests/test_dag_risk.c
+++ b/tests/test_dag_risk.c
@@ -37,6 +37,7 @@
 {
   DagTargetInfo info = target_info (number);
   info.incarnation = cell->incarnation[number];
+  info.rack = gr_name_format ("r%d", number);
   dag_target_seen (cell->fixture.dag, &info, cell->fixture.now_ms);
 }
 
@@ -91,11 +92,14 @@
   }
 }
 
-/* Submits a job with one task and returns the target on which it starts. */
+/* Submits a job with one task and returns the target on which it starts. data_at is the target near
+   its data; -1: none. */
 static int
-start_job (Cell *cell, const char *id, int32_t cpu)
+start_job (Cell *cell, const char *id, int32_t cpu, int data_at)
 {
   DagStepSpec step = step_of (1, cpu, false);
+  if (data_at >= 0)
+    step.near_rack = gr_name_format ("r%d", data_at);
   cell->last_started = -1;
   assert_int_equal (submit_as (&cell->fixture, id, &step, 1, NULL), DAG_SUBMIT_PENDING);
   pass_time (cell, 2 * STEP_MS);
@@ -129,7 +133,7 @@
 cause_trouble (Cell *cell, Trouble trouble, int number)
 {
   GrName id = gr_name_format ("c%d", number);
-  int target = start_job (cell, id.data, 1000);
+  int target = start_job (cell, id.data, 1000, -1);
   bool all = trouble == ALL_SILENT_AFTER_A_START || trouble == ALL_CRASH_AFTER_A_START;
   bool crashes = trouble == STARTS_CRASH || trouble == CRASHES_ELSEWHERE
                  || trouble == ALL_CRASH_AFTER_A_START;
@@ -172,7 +176,8 @@
 }
 
 /* Guards against neighbours that are lost with each task of a queue that crashes its targets, and
-   against a queue that is blamed for an outage or for crashes of other targets. */
+   against a queue that is blamed for an outage or for crashes of other targets, or whose tasks run
+   far from their data. */
 static void
 tasks_of_crash_prone_queues_start_where_little_is_lost (void **state)
 {
@@ -180,21 +185,23 @@
   static const struct {
     const char *name;
     Trouble trouble;
-    bool beside_others; /* the next task starts on the target in use, which is the best fit */
+    bool data_there;    /* the next task has its data near the target in use */
+    bool beside_others; /* it starts on the target in use, which is the best fit */
   } cases[] = {
-    { "nothing happened", NOTHING, true },
-    { "starts crash their targets", STARTS_CRASH, false },
-    { "starts silence their targets for a time", STARTS_SILENCE, true },
-    { "other targets crash", CRASHES_ELSEWHERE, true },
-    { "an outage begins with each start", ALL_SILENT_AFTER_A_START, true },
-    { "all targets crash after each start", ALL_CRASH_AFTER_A_START, true },
+    { "nothing happened", NOTHING, false, true },
+    { "starts crash their targets", STARTS_CRASH, false, false },
+    { "starts crash their targets, data near one", STARTS_CRASH, true, true },
+    { "starts silence their targets for a time", STARTS_SILENCE, false, true },
+    { "other targets crash", CRASHES_ELSEWHERE, false, true },
+    { "an outage begins with each start", ALL_SILENT_AFTER_A_START, false, true },
+    { "all targets crash after each start", ALL_CRASH_AFTER_A_START, false, true },
   };
   for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
     Cell cell = new_cell ();
     for (int n = 0; n < 2; n++)
       cause_trouble (&cell, cases[i].trouble, n);
-    int in_use = start_job (&cell, "long", 8000);
-    int chosen = start_job (&cell, "short", 1000);
+    int in_use = start_job (&cell, "long", 8000, -1);
+    int chosen = start_job (&cell, "short", 1000, cases[i].data_there ? in_use : -1);
     print_message ("%s: target in use %d, chosen %d\n", cases[i].name, in_use, chosen);
     assert_int_equal (chosen == in_use, cases[i].beside_others);
     dag_free (cell.fixture.dag);
