--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,2 +1,4 @@
 #!/usr/bin/env bash
-exec bash "$(dirname "$0")/../run-case.sh" "$(dirname "$0")" gang
+# TROUBLE=0 does the same without the disruption.
+export TROUBLE=${TROUBLE:-1}
+exec bash "$(dirname "$0")/../run-case.sh" "$(dirname "$0")" gang "$TROUBLE"
--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -1,9 +1,10 @@
 #!/usr/bin/env bash
-# run-case.sh FOLDER CASE: starts the stand-in and three edge processes with the command of the deploy
-# file, on loopback, and exits with the verdict of the stand-in. Called by N/run.sh.
+# run-case.sh FOLDER CASE TROUBLE: starts the stand-in and three edge processes with the command of
+# the deploy file, on loopback, and exits with the verdict of the stand-in. Called by N/run.sh.
 set -u
 case_dir=$(cd "$1" && pwd)
 case=$2
+trouble=$3
 cd "$(dirname "$0")/.."
 edges=3
 work=$(mktemp -d)
@@ -18,7 +19,7 @@
 trap finish EXIT
 trap 'exit 2' INT TERM
 
-target/review/world "$case" "$work/ports" "$case_dir/record.txt" "$edges" "${TROUBLE:-1}" &
+target/review/world "$case" "$work/ports" "$case_dir/record.txt" "$edges" "$trouble" &
 world=$!
 pids=$world
 for _ in $(seq 100); do
