dag: the first inventory after a restart tells which runs are over

Cause: a run was tied to the id of its target, while each proof about it concerns one incarnation. Orders name the id only, so the new incarnation carries out a start that was meant for the one before. When the restart became known, all runs of the id were released as over. The record of the case shows it: the run is listed by the same answer that told of the restart.

Ruled out: a start that is carried out late (the case answers all orders), answers of starts that are mixed up (the run numbers in the record are right).

Change: a run notes the earliest incarnation that may have taken it and whether an inventory of that incarnation has listed it. Runs that none has listed wait for the first inventory of the new incarnation; those with an unanswered copy of their start are stopped there first. On the same ground: runs are loaded whatever incarnations the records of their target name, confirmations of stops and clocks in answers of starts count for their incarnation only, and leases that were meant for an earlier clock are taken to last as long as targets permit.

--- a/src/dag/dag.h
+++ b/src/dag/dag.h
@@ -12,8 +12,9 @@
 
    A task runs on one target at a time. If its record assigns a run to a target, the task starts
    elsewhere only after one of these proofs that the run is over: the target reports its end, a
-   later inventory taken with the fencing token of this term lacks it, the target has restarted,
-   left or been replaced, or every lease that it can hold has lapsed.
+   later inventory taken with the fencing token of this term lacks it, the target has left or been
+   replaced, or has restarted after its inventory listed the run, or every lease that it can hold
+   has lapsed.
 
    A hold is a request to a target. It renews the leases of the target's runs, acknowledges their
    reported ends and returns the target's inventory. It may wait at the target until a run ends
--- a/src/dag/dag_codec.c
+++ b/src/dag/dag_codec.c
@@ -140,7 +140,7 @@
   msgpack_pack_int64 (packer, task->run);
   msgpack_pack_int (packer, task->failures);
   gr_pack_str (packer, task->target ? gr_name_str (&task->target->info.id) : (GrStr){ "", 0 });
-  msgpack_pack_int64 (packer, task->target ? task->target->info.incarnation : 0);
+  msgpack_pack_int64 (packer, task->target ? task->incarnation : 0);
   gr_pack_name (packer, dag_checkpoint (task));
   if (!crashed)
     return;
@@ -376,13 +376,9 @@
   if (target_id.len == 0)
     return true;
   DagTarget *target = dag_target_create (dag, &target_id);
-  if (target->info.incarnation == 0)
-    target->info.incarnation = incarnation;
-  /* The target has restarted since, so the run is over. */
-  if (target->info.incarnation > incarnation) {
-    dag_crash_note_loaded (task);
-    return true;
-  }
+  if (target->incarnation < incarnation)
+    target->incarnation = incarnation;
+  task->incarnation = incarnation;
   task->step->waiting--;
   dag_target_attach (task, target);
   task->state = TASK_ADOPTED;
--- a/src/dag/dag_crash.c
+++ b/src/dag/dag_crash.c
@@ -173,14 +173,14 @@
   return task->suspected || task->confirmed_clock_ms > 0;
 }
 
-/* The only job with runs on the target that may be the cause if it crashes; NULL if there is none
-   or if there are several. */
+/* The only job whose runs may be the cause, among those that have ended with the target; NULL if
+   there is none or if there are several. */
 static DagJob *
 find_only_cause (const DagTarget *target)
 {
   DagJob *found = NULL;
   for (const DagTask *task = target->runs; task; task = task->target_next) {
-    if (!dag_crash_may_be_cause (task))
+    if (!task->over || !dag_crash_may_be_cause (task))
       continue;
     if (found && found != task->step->job)
       return NULL;
@@ -242,33 +242,78 @@
   gr_list_reset (&target->lapsed);
 }
 
-void
-dag_crash_handle (DagState *dag, DagTarget *target, const char *proof, int64_t now_ms)
+static void
+mark_all_over (DagTarget *target)
+{
+  for (DagTask *task = target->runs; task; task = task->target_next)
+    task->over = true;
+}
+
+/* Handles the end of the target and of the runs that are marked as over; returns a task that is to
+   be given up, or NULL. */
+static DagTask *
+note_end (DagState *dag, DagTarget *target, const char *proof, int64_t now_ms)
 {
   bool crashed = !target->crashed && !may_have_left (target, now_ms);
+  if (!crashed)
+    return NULL;
   DagTask *culprit = NULL;
-  if (crashed) {
-    target->crashed = true;
-    dag_count (dag, GR_METRIC_TARGET_CRASHES, 1);
-    count_lapsed_runs (dag, target);
-    dag_risk_note_silence (dag, target, true, now_ms);
-    const DagJob *only_cause = find_only_cause (target);
-    for (DagTask *task = target->runs; task; task = task->target_next) {
-      if (note_run (task, only_cause, true, now_ms))
-        culprit = task;
-      if (may_have_run (task))
-        log_lost_run (dag, task, proof);
-    }
+  target->crashed = true;
+  dag_count (dag, GR_METRIC_TARGET_CRASHES, 1);
+  count_lapsed_runs (dag, target);
+  dag_risk_note_silence (dag, target, true, now_ms);
+  const DagJob *only_cause = find_only_cause (target);
+  for (DagTask *task = target->runs; task; task = task->target_next) {
+    if (!task->over)
+      continue;
+    if (note_run (task, only_cause, true, now_ms))
+      culprit = task;
+    if (may_have_run (task))
+      log_lost_run (dag, task, proof);
   }
+  return culprit;
+}
+
+void
+dag_crash_handle (DagState *dag, DagTarget *target, const char *proof, int64_t now_ms)
+{
+  mark_all_over (target);
+  DagTask *culprit = note_end (dag, target, proof, now_ms);
   dag_target_release_all (dag, target, proof, now_ms);
   if (culprit)
     give_up (dag, culprit, now_ms);
 }
 
+static DagTask *
+find_over (const DagTarget *target)
+{
+  DagTask *task = target->runs;
+  while (task && !task->over)
+    task = task->target_next;
+  return task;
+}
+
+void
+dag_crash_handle_restart (DagState *dag, DagTarget *target, int64_t now_ms)
+{
+  DagTask *culprit = note_end (dag, target, "restart", now_ms);
+  DagTask *task;
+  while ((task = find_over (target)) != NULL) {
+    task->over = false;
+    if (task->starts_unanswered > 0)
+      dag_run_stop_again (dag, task);
+    else
+      dag_run_release (dag, task, now_ms);
+  }
+  if (culprit)
+    give_up (dag, culprit, now_ms);
+}
+
 void
 dag_crash_handle_lapse (DagState *dag, DagTarget *target, int64_t now_ms)
 {
   DagTask *culprit = NULL;
+  mark_all_over (target);
   const DagJob *only_cause = find_only_cause (target);
   int released = 0;
   DagTask *next;
--- a/src/dag/dag_inventory.c
+++ b/src/dag/dag_inventory.c
@@ -69,6 +69,8 @@
     return;
   }
   dag_keep_checkpoint (task, report->checkpoint);
+  task->incarnation = target->incarnation;
+  task->listed = true;
   dag_run_note_alive (dag, task, clock_ms);
   if (task->state == TASK_STARTING || task->state == TASK_ADOPTED)
     dag_run_confirm (dag, task, now_ms);
@@ -80,18 +82,43 @@
 }
 
 static bool
-is_reported (const DagInventory *inventory, const DagTask *task)
+is_newest_run (const DagTask *task, const DagTaskRef *ref, const DagTaskRef *other, int64_t run)
+{
+  return run == task->run && other->step == ref->step && other->index == ref->index
+         && gr_name_equal (&other->job, &ref->job);
+}
+
+bool
+dag_inventory_has_run (const DagInventory *inventory, const DagTask *task)
 {
   DagTaskRef ref = dag_task_ref (task);
   for (size_t i = 0; i < inventory->running_count; i++) {
-    const DagRunReport *report = &inventory->running[i];
-    if (report->run == task->run && report->task.step == ref.step && report->task.index == ref.index
-        && gr_name_equal (&report->task.job, &ref.job))
+    if (is_newest_run (task, &ref, &inventory->running[i].task, inventory->running[i].run))
       return true;
   }
   return false;
 }
 
+bool
+dag_inventory_has_end (const DagInventory *inventory, const DagTask *task)
+{
+  DagTaskRef ref = dag_task_ref (task);
+  for (size_t i = 0; i < inventory->end_count; i++) {
+    if (is_newest_run (task, &ref, &inventory->ends[i].task, inventory->ends[i].run))
+      return true;
+  }
+  return false;
+}
+
+/* True if a copy of the start may still reach the present incarnation of the target, after an
+   earlier one has taken the run. */
+static bool
+may_start_again (const DagTask *task)
+{
+  return task->state == TASK_RUNNING && task->starts_unanswered > 0
+         && task->incarnation < task->target->incarnation;
+}
+
 /* Releases runs that the inventory does not list although they were known when the hold was sent.
    Such runs are over. */
 static void
@@ -123,10 +150,12 @@
     case TASK_DONE:
       break;
     }
-    if ((!proven_over && !not_started) || is_reported (inventory, task))
+    if ((!proven_over && !not_started) || dag_inventory_has_run (inventory, task))
       continue;
+    if (task->state == TASK_ADOPTED && task->incarnation < target->incarnation)
+      dag_crash_note_loaded (task);
     /* A start without an answer may still arrive, unless the target has seen a stop of its run. */
-    if (not_started)
+    if (not_started || may_start_again (task))
       dag_run_stop_with_gang (dag, task, now_ms);
     else
       dag_run_release (dag, task, now_ms);
@@ -175,13 +204,16 @@
   }
   if (hold.sent_at > target->hold_answered_at)
     target->hold_answered_at = hold.sent_at;
-  if (inventory->incarnation > 0 && inventory->incarnation != target->info.incarnation) {
-    if (inventory->incarnation < target->info.incarnation)
+  if (inventory->incarnation > 0) {
+    int64_t known_incarnation = dag_target_incarnation (target);
+    if (inventory->incarnation < known_incarnation)
       return;
-    if (target->info.incarnation > 0)
-      dag_target_restarted (dag, target, inventory->incarnation, now_ms);
-    target->info.incarnation = inventory->incarnation;
+    if (known_incarnation > 0 && inventory->incarnation > known_incarnation)
+      dag_restart_notice (dag, target, now_ms);
+    target->incarnation = inventory->incarnation;
   }
+  if (target->restarting)
+    dag_restart_settle (dag, target, inventory, hold.sent_at, now_ms);
   if (target->hold_failures > 0) {
     DAG_LOG (dag, GR_EV_TARGET_STATE, "target=%.*s state=answers", GR_NAME_ARG (*id));
     dag->place_wanted = true;
--- a/src/dag/dag_priv.h
+++ b/src/dag/dag_priv.h
@@ -38,6 +38,9 @@
   int64_t restart_at;                 /* waiting: earliest time of the next start, after failures */
   int64_t restart_pause_ms;           /* long-running: 0 unless the last run ended soon */
   DagTarget *target;                  /* NULL: no run that may be alive */
+  int64_t incarnation;                /* earliest one of the target that may have taken the run */
+  bool listed;                        /* an inventory of that incarnation listed the run */
+  bool over;                          /* scratch: its target has ended, and the run with it */
   DagTask *target_prev, *target_next; /* list of the runs of the target */
   int64_t batch;                      /* batch that stores the assignment; 0: not taken yet */
   int64_t confirmed_at;               /* when the target confirmed the run */
@@ -52,6 +55,7 @@
   int64_t stop_acked_at;              /* when the target confirmed the stop; 0: not yet */
   int64_t stop_retry_at;              /* earliest time to repeat a failed stop */
   bool stop_in_flight;
+  bool stop_outdated; /* the stop in flight may have reached an earlier incarnation */
   int32_t pace;       /* best effort: percent of its speed that the target has confirmed */
   bool pace_open;     /* an order that sets it is in flight */
   int64_t usage;      /* as last reported, see DagRunReport.usage */
@@ -194,8 +198,15 @@
   bool blamed;           /* its runs were blamed for its silence or crash */
   int64_t stake;         /* sum of dag_step_stake() of its runs */
   GR_LIST (DagLapsedRun) lapsed;
-  int64_t seen_at;  /* when its newest entry was read */
+  int64_t seen_at; /* when its newest entry was read */
+  /* Latest incarnation that has answered a hold or that records of runs name; 0: none. That of the
+     newest entry may differ, see dag_target_incarnation(). */
+  int64_t incarnation;
   bool inventoried; /* it has answered a hold in this term and incarnation */
+  /* It has restarted, and the first inventory of the new incarnation has yet to tell which runs are
+     over. */
+  bool restarting;
+  int64_t leases_lapse_by; /* if not inventoried: when the leases of its runs have lapsed */
   /* The target read clock_ms from its monotonic clock between the sending of an order and the local
      time clock_at. */
   int64_t clock_ms, clock_at;
@@ -369,6 +380,11 @@
    lost as a whole. */
 int64_t dag_step_stake (const DagStep *step);
 DagTargetRef dag_target_ref (const DagTarget *target);
+/* Latest incarnation that is known; 0: none. */
+int64_t dag_target_incarnation (const DagTarget *target);
+/* Longest time for which a target holds a run after an order that carried any lease, as local time.
+ */
+int64_t dag_target_lease_max_ms (const DagState *dag);
 /* Add and remove a run of the target, with its reservation. */
 void dag_target_attach (DagTask *task, DagTarget *target);
 void dag_target_detach (DagTask *task);
@@ -388,11 +404,24 @@
 void dag_target_avoid (DagState *dag, DagTarget *target, const char *reason, int64_t now_ms);
 /* Releases all runs of the target, which are proven to be over. proof is for the log. */
 void dag_target_release_all (DagState *dag, DagTarget *target, const char *proof, int64_t now_ms);
-/* The target has restarted under the same id: releases its runs and resets its state. */
-void dag_target_restarted (DagState *dag, DagTarget *target, int64_t incarnation, int64_t now_ms);
 /* Releases lapsed runs, removes targets that are gone, and sends the holds that are due. */
 void dag_targets_tick (DagState *dag, int64_t now_ms);
 
+/* dag_restart.c */
+/* The target has started again under its id, as an entry or an inventory shows: resets its state.
+   Its runs are settled now if all of them are known to be over, else by the next function. */
+void dag_restart_notice (DagState *dag, DagTarget *target, int64_t now_ms);
+/* Decides about the runs of a restarting target by the first inventory of the new incarnation, the
+   answer to a hold of sent_at. The inventory is not processed otherwise. */
+void dag_restart_settle (DagState *dag, DagTarget *target, const DagInventory *inventory,
+                         int64_t sent_at, int64_t now_ms);
+
+/* dag_inventory.c */
+/* True if the inventory lists the newest run of the task as running. */
+bool dag_inventory_has_run (const DagInventory *inventory, const DagTask *task);
+/* True if it lists the end of that run. */
+bool dag_inventory_has_end (const DagInventory *inventory, const DagTask *task);
+
 /* dag_hold.c */
 /* Sends the next hold to the target if one is due. */
 void dag_hold_if_due (DagState *dag, DagTarget *target, int64_t now_ms);
@@ -412,6 +441,8 @@
 /* Sends a stop; the task stays on its target until the run is proven to be over. A run that was
    never sent is released at once. No effect on waiting, done and stopping tasks. */
 void dag_run_stop (DagState *dag, DagTask *task, int64_t now_ms);
+/* Stops the run at the present incarnation of its target, whatever was sent to an earlier one. */
+void dag_run_stop_again (DagState *dag, DagTask *task);
 /* Sends a stop to the run and, if it is a member of a gang, to the other members. */
 void dag_run_stop_with_gang (DagState *dag, DagTask *task, int64_t now_ms);
 /* The run is proven to be over: the task leaves its target and waits again. Members of its gang
@@ -435,6 +466,9 @@
    runs that may be the cause are suspected, and a task that proves to be is given up. proof is for
    the log. */
 void dag_crash_handle (DagState *dag, DagTarget *target, const char *proof, int64_t now_ms);
+/* The same for a target that has restarted: only the runs that are marked as over have ended with
+   it. Those of which a copy of the start may still arrive are stopped instead of released. */
+void dag_crash_handle_restart (DagState *dag, DagTarget *target, int64_t now_ms);
 /* All leases of the target have lapsed: releases the runs that were sent. Whether the target has
    crashed is not known yet. */
 void dag_crash_handle_lapse (DagState *dag, DagTarget *target, int64_t now_ms);
--- a/src/dag/dag_run.c
+++ b/src/dag/dag_run.c
@@ -56,6 +56,9 @@
   task->stop_acked_at = 0;
   task->stop_retry_at = 0;
   task->stop_in_flight = false;
+  task->stop_outdated = false;
+  task->incarnation = dag_target_incarnation (target);
+  task->listed = false;
   task->confirmed_at = 0;
   task->confirmed_clock_ms = 0;
   task->survived_ms = 0;
@@ -105,6 +108,17 @@
   send_stop (dag, task);
 }
 
+void
+dag_run_stop_again (DagState *dag, DagTask *task)
+{
+  task->state = TASK_STOPPING;
+  task->stop_acked_at = 0;
+  if (task->stop_in_flight)
+    task->stop_outdated = true;
+  else
+    send_stop (dag, task);
+}
+
 /* Stops the members of a gang, at once or after a delay in which their targets can end them on
    their own. No effect on other steps. */
 static void
@@ -143,6 +157,8 @@
   const DagTarget *target = task->target;
   if (!target->inventoried || !target->listed || target->info.draining)
     return "target-left";
+  if (task->incarnation != dag_target_incarnation (target))
+    return "target-restarted";
   if (task->ticket_until > 0 && now_ms > task->ticket_until - START_LATENCY_MS)
     return "ticket-expired";
   if (!still_fits (task))
@@ -434,16 +450,19 @@
     dag_depose (dag);
     return;
   }
-  if (!task || task->run != run || !task->target || task->state == TASK_RUNNING)
+  if (!task || task->run != run || !task->target)
     return;
   DagTarget *target = task->target;
-  if (result == DAG_ORDER_OK && clock_ms > target->clock_ms) {
+  bool same_incarnation = task->incarnation == dag_target_incarnation (target);
+  task->start_open = false;
+  if (result == DAG_ORDER_LOST)
+    task->starts_unanswered++;
+  if (result == DAG_ORDER_OK && same_incarnation && clock_ms > target->clock_ms) {
     target->clock_ms = clock_ms;
     target->clock_at = now_ms;
   }
   if (task->state != TASK_STARTING)
     return;
-  task->start_open = false;
   if (result != DAG_ORDER_OK)
     DAG_LOG (dag, GR_EV_REFUSED, "id=%.*s step=%u index=%u run=%lld target=%.*s result=%s",
              GR_NAME_ARG (ref->job), ref->step, ref->index, (long long) run,
@@ -453,7 +472,7 @@
     dag_run_note_alive (dag, task, clock_ms);
     return;
   }
-  if (result == DAG_ORDER_LOST && ++task->starts_unanswered < START_ATTEMPTS_MAX
+  if (result == DAG_ORDER_LOST && task->starts_unanswered < START_ATTEMPTS_MAX
       && !reason_not_to_start (task, now_ms)) {
     /* A target starts a run only once, however many of these orders arrive. */
     send_start (dag, task, now_ms);
@@ -482,7 +501,8 @@
     dag_advice_clear (task->step);
     break;
   case DAG_ORDER_GONE:
-    target->listed = false;
+    if (same_incarnation)
+      target->listed = false;
     break;
   case DAG_ORDER_OK:
   case DAG_ORDER_LOST:
@@ -510,6 +530,11 @@
   if (!task || task->run != run || task->state != TASK_STOPPING)
     return;
   task->stop_in_flight = false;
+  if (task->stop_outdated) {
+    task->stop_outdated = false;
+    send_stop (dag, task);
+    return;
+  }
   if (result == DAG_ORDER_GONE) {
     task->target->listed = false;
     dag_crash_handle (dag, task->target, "another target answered", now_ms);
--- a/src/dag/dag_target.c
+++ b/src/dag/dag_target.c
@@ -45,6 +45,7 @@
   target->info.id = *id;
   dag_pace_init (&target->pace);
   target->serial = ++dag->next_target_serial;
+  target->leases_lapse_by = dag->options.former_leases_lapse_at_ms;
   HASH_ADD_KEYPTR (hh, dag->targets, target->info.id.data, target->info.id.len, target);
   /* NOLINTNEXTLINE(bugprone-sizeof-expression): a list of pointers */
   gr_list_push (&dag->target_list, target);
@@ -62,7 +63,20 @@
 dag_target_ref (const DagTarget *target)
 {
   return (DagTargetRef){ target->info.id, target->info.address, target->info.zone,
-                         target->info.incarnation };
+                         dag_target_incarnation (target) };
+}
+
+int64_t
+dag_target_incarnation (const DagTarget *target)
+{
+  return target->incarnation > target->info.incarnation ? target->incarnation
+                                                        : target->info.incarnation;
+}
+
+int64_t
+dag_target_lease_max_ms (const DagState *dag)
+{
+  return (int64_t) ((double) dag->options.lease_max_ms / CLOCK_RATE_MIN) + LAPSE_MARGIN_MS;
 }
 
 int64_t
@@ -190,12 +204,12 @@
 }
 
 /* Local time at which every lease that the target can hold has lapsed. If it has not answered in
-   this term, only the leases of earlier terms count. */
+   this term and incarnation, only the leases of earlier ones count. */
 static int64_t
-leases_lapse_at (const DagState *dag, const DagTarget *target)
+leases_lapse_at (const DagTarget *target)
 {
   if (!target->inventoried)
-    return dag->options.former_leases_lapse_at_ms;
+    return target->leases_lapse_by;
   int64_t left = target->lease_sent - target->clock_ms;
   if (left < 0)
     left = 0;
@@ -212,45 +226,14 @@
     dag_run_release (dag, target->runs, now_ms);
 }
 
-void
-dag_target_restarted (DagState *dag, DagTarget *target, int64_t incarnation, int64_t now_ms)
-{
-  dag_crash_handle (dag, target, "restart", now_ms);
-  if (target->crashed)
-    target->vm_crashed_at = now_ms;
-  target->crashed = false;
-  target->blamed = false;
-  target->info.incarnation = incarnation;
-  target->inventoried = false;
-  target->clock_ms = 0;
-  target->clock_at = 0;
-  target->lease_sent = 0;
-  target->end_processed = 0;
-  target->end_batch = 0;
-  target->acknowledged = 0;
-  target->acknowledged_sent = 0;
-  target->hold_count = 0;
-  target->hold_answered_at = 0;
-  target->unknown_runs = 0;
-  target->hold_retry_at = 0;
-  target->hold_failures = 0;
-  target->consecutive_failures = 0;
-  target->avoid_until = 0;
-  target->avoid_ms = 0;
-  dag_pace_init (&target->pace);
-  /* Advice may differ for the new incarnation, so calls may name the target again. */
-  dag_drop_target_refs (dag, target);
-  target->serial = ++dag->next_target_serial;
-  dag->place_wanted = true;
-}
-
 /* True if the entry was written before the newest one of the target. */
 static bool
 is_outdated (const DagTarget *target, const DagTargetInfo *info)
 {
-  if (info->incarnation != target->info.incarnation)
-    return info->incarnation < target->info.incarnation;
-  return info->number > 0 && info->number < target->info.number;
+  if (info->incarnation < dag_target_incarnation (target))
+    return true;
+  return info->incarnation == target->info.incarnation && info->number > 0
+         && info->number < target->info.number;
 }
 
 static void
@@ -271,10 +254,11 @@
   DagTarget *target = dag_target_create (dag, &info->id);
   if (is_outdated (target, info))
     return;
-  if (target->info.incarnation > 0 && info->incarnation > target->info.incarnation)
-    dag_target_restarted (dag, target, info->incarnation, now_ms);
-  bool was_draining = target->info.draining;
-  bool state_changed = !target->listed || was_draining != info->draining;
+  int64_t known_incarnation = dag_target_incarnation (target);
+  if (known_incarnation > 0 && info->incarnation > known_incarnation)
+    dag_restart_notice (dag, target, now_ms);
+  bool state_changed = !target->listed || target->info.draining != info->draining
+                       || target->info.incarnation != info->incarnation;
   bool capacity_changed
       = target->listed
         && memcmp (&target->info.capacity, &info->capacity, sizeof info->capacity) != 0;
@@ -296,7 +280,7 @@
     for (size_t i = 0; i < dag->target_list.count; i++) {
       DagTarget *other = dag->target_list.items[i];
       if (other == target || !gr_name_equal (&other->info.vm, &info->vm)
-          || other->info.incarnation >= info->incarnation)
+          || dag_target_incarnation (other) >= info->incarnation)
         continue;
       other->listed = false;
       dag_crash_handle (dag, other, "vm restarted", now_ms);
@@ -340,7 +324,7 @@
 {
   for (size_t i = dag->target_list.count; i-- > 0;) {
     DagTarget *target = dag->target_list.items[i];
-    if (target->run_count > 0 && now_ms >= leases_lapse_at (dag, target)
+    if (target->run_count > 0 && now_ms >= leases_lapse_at (target)
         && !dag->options.broken_restart_before_lapse) {
       dag_crash_handle_lapse (dag, target, now_ms);
     } else if (dag->options.broken_restart_before_lapse && target->hold_failures > 1) {
--- /dev/null
+++ b/tests/test_dag_restart.c
@@ -0,0 +1,208 @@
+/* Targets that start again under the id that they had: which of their runs are over, and which
+   have been taken by the new incarnation. */
+#include "dag_fixture.h"
+
+/* Incarnations of target t0 in these tests. */
+#define BEFORE 1
+#define AFTER 2
+
+#define RUNS_MAX 4
+
+/* What the test's target t0 answers to holds. */
+typedef struct {
+  int64_t incarnation;
+  DagRunReport running[RUNS_MAX];
+  size_t running_count;
+  DagEnd ends[RUNS_MAX];
+  size_t end_count;
+} Inventory;
+
+static Inventory
+inventory_of (int64_t incarnation, size_t running_count, size_t done_count)
+{
+  Inventory inventory = { .incarnation = incarnation,
+                          .running_count = running_count,
+                          .end_count = done_count };
+  DagTaskRef task = { gr_name ("job"), 0, 0 };
+  inventory.running[0] = (DagRunReport){ .task = task, .run = 1, .usage = -1 };
+  inventory.ends[0] = (DagEnd){ .number = 1, .task = task, .run = 1, .kind = DAG_END_DONE };
+  return inventory;
+}
+
+/* The clock of the new incarnation starts anew. */
+static int64_t
+clock_of (const Fixture *fixture, int64_t incarnation)
+{
+  return incarnation == BEFORE ? fixture->now_ms : fixture->now_ms / 100;
+}
+
+/* Answers the pending holds, those of t0 with the inventory, those of other targets with an empty
+   one, and drops the other commands. */
+static void
+answer_with (Fixture *fixture, const Inventory *inventory)
+{
+  DagCmd cmds[64];
+  size_t count = take_cmds (fixture->dag, cmds, 64);
+  GrName t0 = gr_name ("t0");
+  for (size_t i = 0; i < count; i++) {
+    if (cmds[i].type != DAG_CMD_HOLD)
+      continue;
+    DagInventory answer = { .incarnation = BEFORE, .clock_ms = fixture->now_ms };
+    if (gr_name_equal (&cmds[i].target.target, &t0))
+      answer = (DagInventory){ .incarnation = inventory->incarnation,
+                               .clock_ms = clock_of (fixture, inventory->incarnation),
+                               .running = inventory->running,
+                               .running_count = inventory->running_count,
+                               .ends = inventory->ends,
+                               .end_count = inventory->end_count };
+    dag_handle_hold_result (fixture->dag, &cmds[i].target.target, cmds[i].u.hold.token,
+                            DAG_ORDER_OK, &answer, fixture->now_ms);
+  }
+}
+
+static void
+list_restarted (Fixture *fixture)
+{
+  DagTargetInfo info = target_info (0);
+  info.incarnation = AFTER;
+  dag_target_seen (fixture->dag, &info, fixture->now_ms);
+}
+
+/* Orders that concern the task: starts of later runs than its first, and stops. */
+typedef struct {
+  size_t starts, stops;
+} Orders;
+
+/* Time passes: changes are stored and holds answered, other orders are counted and go unanswered. */
+static void
+run_for (Fixture *fixture, int64_t duration_ms, const Inventory *inventory, Orders *orders)
+{
+  for (int64_t end = fixture->now_ms + duration_ms; fixture->now_ms < end;) {
+    fixture->now_ms += 20;
+    dag_tick (fixture->dag, fixture->now_ms);
+    store (fixture);
+    const DagCmds *cmds = dag_cmds (fixture->dag);
+    for (size_t i = 0; i < cmds->count; i++) {
+      orders->starts += cmds->items[i].type == DAG_CMD_START && cmds->items[i].u.start.run > 1;
+      orders->stops += cmds->items[i].type == DAG_CMD_STOP;
+    }
+    answer_with (fixture, inventory);
+  }
+}
+
+typedef enum {
+  START_ANSWERED,
+  START_OPEN,    /* its answer is on the way */
+  START_REPEATED /* the first copy went unanswered, the second was answered */
+} StartState;
+
+typedef enum {
+  TOLD_BY_ENTRY,
+  TOLD_BY_HOLD
+} ToldBy;
+
+typedef struct {
+  const char *name;
+  StartState start;
+  ToldBy told_by;
+  bool listed_before; /* an inventory of the earlier incarnation listed the run */
+  size_t running;     /* runs that the new incarnation lists */
+  size_t done;        /* ends as done that it lists */
+  Orders orders;
+  DagJobState state;
+} Case;
+
+/* clang-format off */
+static const Case cases[] = {
+  { "the new one runs it, told by the entry", START_ANSWERED, TOLD_BY_ENTRY, false, 1, 0, { 0, 0 },
+    DAG_JOB_IN_PROGRESS },
+  { "the new one runs it, told by a hold", START_ANSWERED, TOLD_BY_HOLD, false, 1, 0, { 0, 0 },
+    DAG_JOB_IN_PROGRESS },
+  { "the new one runs it, answer on the way, told by the entry", START_OPEN, TOLD_BY_ENTRY, false,
+    1, 0, { 0, 0 }, DAG_JOB_IN_PROGRESS },
+  { "the new one runs it, answer on the way, told by a hold", START_OPEN, TOLD_BY_HOLD, false,
+    1, 0, { 0, 0 }, DAG_JOB_IN_PROGRESS },
+  { "the new one runs it after a repeated start", START_REPEATED, TOLD_BY_ENTRY, false, 1, 0, { 0, 0 },
+    DAG_JOB_IN_PROGRESS },
+  { "the new one has done it, told by the entry", START_ANSWERED, TOLD_BY_ENTRY, false, 0, 1, { 0, 0 },
+    DAG_JOB_COMPLETED },
+  { "the new one has done it, told by a hold", START_ANSWERED, TOLD_BY_HOLD, false, 0, 1, { 0, 0 },
+    DAG_JOB_COMPLETED },
+  { "the new one has done it, answer on the way", START_OPEN, TOLD_BY_HOLD, false, 0, 1, { 0, 0 },
+    DAG_JOB_COMPLETED },
+  { "the earlier one ran it, told by the entry", START_ANSWERED, TOLD_BY_ENTRY, true, 0, 0, { 1, 0 },
+    DAG_JOB_IN_PROGRESS },
+  { "the earlier one ran it, told by a hold", START_ANSWERED, TOLD_BY_HOLD, true, 0, 0, { 1, 0 },
+    DAG_JOB_IN_PROGRESS },
+  { "the earlier one took it, or a copy of its start is on the way", START_REPEATED, TOLD_BY_ENTRY,
+    false, 0, 0, { 0, 1 }, DAG_JOB_IN_PROGRESS },
+  { "the earlier one took it and did not list it", START_ANSWERED, TOLD_BY_ENTRY, false, 0, 0, { 1, 0 },
+    DAG_JOB_IN_PROGRESS },
+};
+/* clang-format on */
+
+/* Sends the start of the only task to t0 and, unless it is open, answers it. There is room on t1
+   too. */
+static Fixture
+fixture_with_run (const Case *test)
+{
+  Fixture fixture = fixture_with_start ();
+  DagTargetInfo other = target_info (1);
+  dag_target_seen (fixture.dag, &other, fixture.now_ms);
+  if (test->start == START_REPEATED)
+    answer_start (&fixture, DAG_ORDER_LOST);
+  if (test->start != START_OPEN)
+    answer_start (&fixture, DAG_ORDER_OK);
+  Inventory listed = inventory_of (BEFORE, 1, 0);
+  Orders orders = { 0 };
+  if (test->listed_before)
+    run_for (&fixture, 200, &listed, &orders);
+  return fixture;
+}
+
+static bool
+check_case (const Case *test)
+{
+  Fixture fixture = fixture_with_run (test);
+  Inventory inventory = inventory_of (AFTER, test->running, test->done);
+  Orders orders = { 0 };
+  if (test->told_by == TOLD_BY_ENTRY)
+    list_restarted (&fixture);
+  run_for (&fixture, 60, &inventory, &orders);
+  if (test->start == START_OPEN) {
+    DagTaskRef task = { gr_name ("job"), 0, 0 };
+    dag_handle_start_result (fixture.dag, &task, 1, DAG_ORDER_OK, clock_of (&fixture, AFTER),
+                             fixture.now_ms);
+  }
+  list_restarted (&fixture);
+  run_for (&fixture, 2000, &inventory, &orders);
+  GrName id = gr_name ("job");
+  DagJobState state = dag_status (fixture.dag, &id);
+  dag_free (fixture.dag);
+  bool ok = orders.starts == test->orders.starts && orders.stops == test->orders.stops
+            && state == test->state;
+  print_message ("%-60s %s: %zu later starts, %zu stops, %s\n", test->name, ok ? "ok" : "FAILED",
+                 orders.starts, orders.stops, dag_job_state_name (state));
+  return ok;
+}
+
+/* Guards against a second run of a task whose first one was taken by the new incarnation of a
+   target before its restart was known, or has even ended there. */
+static void
+runs_taken_by_the_new_incarnation_go_on (void **state)
+{
+  (void) state;
+  bool ok = true;
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    ok &= check_case (&cases[i]);
+  assert_true (ok);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (runs_taken_by_the_new_incarnation_go_on),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
