dag: acknowledgements of ends are not repeated

Seen by prop_dag (seed 2476) with targets that restart under their id: a task started again after its run had ended as done, and the end had been acknowledged.

Cause: each hold carried the number of the newest stored end. Numbers start anew with an incarnation. A hold that was meant for the one before reached the new one, which dropped the ends up to that number although nobody had read them.

Ruled out: that the run was released too early (no hold of the new incarnation had listed it; the trace shows the acknowledgement first).

Change: an acknowledgement goes out until one hold with it is answered, and not to a target that is silent. What remains is one that is in flight while its target restarts and ends a run.

Tests: acknowledgements_are_sent_once (failed before: each hold carried one), seed 2476 of prop_dag.

--- a/src/dag/dag_hold.c
+++ b/src/dag/dag_hold.c
@@ -37,6 +37,24 @@
   return false;
 }
 
+/* True if the target has answered all that was due. */
+static bool
+answers_in_time (const DagTarget *target, int64_t now_ms)
+{
+  return target->hold_failures == 0 && !is_overdue (target, now_ms);
+}
+
+/* Ends to acknowledge with the next hold; 0: none. The numbers of ends start anew with an
+   incarnation, so an acknowledgement that reaches the next one would drop ends that nobody has
+   read. Therefore it is not repeated once it was answered, and not sent while the target may have
+   ended. */
+static int64_t
+due_acknowledgement (const DagTarget *target, int64_t now_ms)
+{
+  bool due = target->acknowledged > target->acknowledged_known && answers_in_time (target, now_ms);
+  return due ? target->acknowledged : 0;
+}
+
 static void
 send_hold (DagState *dag, DagTarget *target, int64_t wait_ms, int64_t now_ms)
 {
@@ -46,16 +64,20 @@
   cmd.target = dag_target_ref (target);
   cmd.u.hold.token = ++dag->next_token;
   cmd.u.hold.wait_ms = wait_ms;
-  cmd.u.hold.acknowledged = target->acknowledged;
+  cmd.u.hold.acknowledged = due_acknowledgement (target, now_ms);
   /* A target that does not answer gets no renewal, so that its runs lapse eventually. */
-  if (target->inventoried && target->run_count > 0 && target->hold_failures == 0
-      && !is_overdue (target, now_ms))
+  if (target->inventoried && target->run_count > 0 && answers_in_time (target, now_ms))
     cmd.u.hold.lease_until = dag_target_lease (dag, target, now_ms);
   gr_list_push (&dag->cmds, cmd);
-  target->acknowledged_sent = target->acknowledged;
+  if (cmd.u.hold.acknowledged > 0)
+    target->acknowledged_sent = cmd.u.hold.acknowledged;
   target->hold_sent_at = now_ms;
   target->holds[target->hold_count++]
-      = (DagOpenHold){ cmd.u.hold.token, now_ms, now_ms + wait_ms + HOLD_ANSWER_MS, wait_ms > 0 };
+      = (DagOpenHold){ .token = cmd.u.hold.token,
+                       .sent_at = now_ms,
+                       .expected_by = now_ms + wait_ms + HOLD_ANSWER_MS,
+                       .long_poll = wait_ms > 0,
+                       .acknowledged = cmd.u.hold.acknowledged };
 }
 
 /* True if the target has runs past their start. */
@@ -93,7 +115,8 @@
     return;
   }
   bool ends_unstored = target->end_processed > target->acknowledged;
-  if (!ends_unstored && target->acknowledged > target->acknowledged_sent) {
+  if (!ends_unstored && target->acknowledged > target->acknowledged_sent
+      && answers_in_time (target, now_ms)) {
     send_hold (dag, target, has_live_runs (target) ? long_poll_ms (target) : 0, now_ms);
     return;
   }
--- a/src/dag/dag_inventory.c
+++ b/src/dag/dag_inventory.c
@@ -198,6 +198,8 @@
     return;
   }
   if (result != DAG_ORDER_OK) {
+    if (hold.acknowledged > target->acknowledged_known)
+      target->acknowledged_sent = target->acknowledged_known;
     if (hold.sent_at >= target->hold_answered_at)
       handle_failed_hold (dag, target, result, now_ms);
     return;
@@ -214,6 +216,8 @@
   }
   if (target->restarting)
     dag_restart_settle (dag, target, inventory, hold.sent_at, now_ms);
+  if (target->acknowledged_known < hold.acknowledged)
+    target->acknowledged_known = hold.acknowledged;
   if (target->hold_failures > 0) {
     DAG_LOG (dag, GR_EV_TARGET_STATE, "target=%.*s state=answers", GR_NAME_ARG (*id));
     dag->place_wanted = true;
--- a/src/dag/dag_priv.h
+++ b/src/dag/dag_priv.h
@@ -147,8 +147,9 @@
 typedef struct {
   int64_t token;
   int64_t sent_at;
-  int64_t expected_by; /* later, its answer counts as lost and another hold is sent */
-  bool long_poll;      /* waits at the target for an end */
+  int64_t expected_by;  /* later, its answer counts as lost and another hold is sent */
+  bool long_poll;       /* waits at the target for an end */
+  int64_t acknowledged; /* as in the order */
 } DagOpenHold;
 
 /* Pace of the best-effort runs of one target, which disturb the tasks there that serve users. */
@@ -212,9 +213,10 @@
   int64_t clock_ms, clock_at;
   int64_t lease_sent; /* latest lease that an order of any term may have set; clock of the target */
   int64_t drain_until; /* while draining: when it may stop serving */
-  /* Ends, by number: the newest one processed, the batch that stores it, the newest one stored, and
-     the newest one that was acknowledged to the target. */
-  int64_t end_processed, end_batch, acknowledged, acknowledged_sent;
+  /* Ends, by number: the newest one processed, the batch that stores it, the newest one stored, the
+     newest one that was acknowledged to the target, and the newest one of which it has answered the
+     acknowledgement. */
+  int64_t end_processed, end_batch, acknowledged, acknowledged_sent, acknowledged_known;
   DagOpenHold holds[DAG_MAX_HOLDS];
   int hold_count;
   int64_t hold_sent_at;
--- a/src/dag/dag_restart.c
+++ b/src/dag/dag_restart.c
@@ -114,6 +114,7 @@
   target->end_batch = 0;
   target->acknowledged = 0;
   target->acknowledged_sent = 0;
+  target->acknowledged_known = 0;
   target->lease_sent = 0;
   /* Leases are times on the clock of the target, which has started anew: one that was meant for an
      earlier incarnation may last as long as targets permit. */
--- a/tests/prop_dag.cc
+++ b/tests/prop_dag.cc
@@ -33,12 +33,13 @@
 
 /* Seeds that failed once. 194: a step waited for advice about targets that a trial kept from it.
    458169: the crash of a target that had given notice was not counted. 262702935: a restarted
-   target had taken a run, and its end there was acknowledged unprocessed. */
+   target had taken a run, and its end there was acknowledged unprocessed. 2476: acknowledgements
+   for the incarnation before dropped the ends of the new one. */
 bool
 regressions_pass ()
 {
   bool ok = true;
-  for (uint32_t seed : { 194U, 458169U, 262702935U }) {
+  for (uint32_t seed : { 194U, 458169U, 262702935U, 2476U }) {
     Options options;
     options.seed = seed;
     Result result = Simulation (options).run ();
--- a/tests/test_dag_restart.c
+++ b/tests/test_dag_restart.c
@@ -198,10 +198,61 @@
   assert_true (ok);
 }
 
+/* Returns the number of holds in these ticks of 20 ms that carry an acknowledgement; answers holds
+   with the inventory, or not at all. */
+static size_t
+count_acknowledgements (Fixture *fixture, const Inventory *inventory, bool answer, int ticks)
+{
+  size_t carried = 0;
+  for (int i = 0; i < ticks; i++) {
+    fixture->now_ms += 20;
+    dag_tick (fixture->dag, fixture->now_ms);
+    store (fixture);
+    const DagCmds *cmds = dag_cmds (fixture->dag);
+    for (size_t c = 0; c < cmds->count; c++)
+      carried += cmds->items[c].type == DAG_CMD_HOLD && cmds->items[c].u.hold.acknowledged > 0;
+    if (answer)
+      answer_with (fixture, inventory);
+    else
+      answer_holds (fixture, false);
+  }
+  return carried;
+}
+
+/* Guards against ends of a new incarnation that its target drops because of an acknowledgement for
+   the incarnation before: one is not repeated once it was answered, nor to a silent target. */
+static void
+acknowledgements_are_sent_once (void **state)
+{
+  (void) state;
+  Fixture fixture = fixture_with_start ();
+  answer_start (&fixture, DAG_ORDER_OK);
+  Inventory done = inventory_of (BEFORE, 0, 1);
+  assert_int_equal (count_acknowledgements (&fixture, &done, true, 50), 1);
+  DagStepSpec step = step_of (1, 1000, false);
+  submit_as (&fixture, "next", &step, 1, NULL);
+  dag_tick (fixture.dag, fixture.now_ms);
+  store (&fixture);
+  answer_start (&fixture, DAG_ORDER_OK);
+  Inventory next = inventory_of (BEFORE, 1, 0);
+  next.running[0].task.job = gr_name ("next");
+  assert_int_equal (count_acknowledgements (&fixture, &next, true, 50), 0);
+  dag_free (fixture.dag);
+
+  fixture = fixture_with_start ();
+  answer_start (&fixture, DAG_ORDER_OK);
+  assert_int_equal (count_acknowledgements (&fixture, &done, true, 1), 0);
+  assert_int_equal (count_acknowledgements (&fixture, &done, false, 50), 1);
+  assert_int_equal (count_acknowledgements (&fixture, &done, false, 50), 0);
+  assert_int_equal (count_acknowledgements (&fixture, &done, true, 100), 1);
+  dag_free (fixture.dag);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (acknowledgements_are_sent_once),
     cmocka_unit_test (runs_taken_by_the_new_incarnation_go_on),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
