dag: a run of a gang is one attempt, however many members fail

Cause: each failed member added one to the failures of all members, so one run counted as many attempts as members failed.

Ruled out: that ends as broken count too (with one failed member the job goes on), and that the gang had started twice (its log has one run number).

Change: a step keeps the newest run that counted as a failed attempt. The records of its members carry that in a flag, since the next leader may learn of further members of the same run; earlier versions ignore the flag.

--- a/src/dag/dag_codec.c
+++ b/src/dag/dag_codec.c
@@ -8,7 +8,7 @@
      no lists if the job has ended and has no runs. A job with a timetable has the bit set of the
      occurrences that are done in place of the lists; the key of an occurrence is "p" + id + "." +
      number. A task is 1 if done, 0 if it waits and was never
-     assigned, else [state, run, failures, target, incarnation, checkpoint]; target is empty if the
+     assigned, else [flags, run, failures, target, incarnation, checkpoint]; target is empty if the
      task has no run that may be alive. A task under which a target has crashed or that is suspected
      has three more: crashes, crashes at once, suspected. */
 #include <stdlib.h>
@@ -31,6 +31,12 @@
    tail target. Earlier versions know only the others, so these keep their form. */
 #define STEP_FIELDS_MAX (STEP_FIELDS + 3)
 
+/* Flags of a task. The lower bits hold its state, for people who read the record; earlier versions
+   ignore all of them. */
+#define TASK_STATE_BITS 0x0f
+/* Of a member of a gang: its run has counted as a failed attempt. */
+#define TASK_FLAG_RUN_FAILED 0x10
+
 enum {
   FLAG_GANG = 1,
   FLAG_ONE_RACK = 2,
@@ -136,7 +142,9 @@
   /* Earlier versions know only the other fields, so a task without crashes keeps their form. */
   bool crashed = task->crashes > 0 || task->suspected;
   msgpack_pack_array (packer, TASK_FIELDS + (crashed ? TASK_CRASH_FIELDS : 0));
-  msgpack_pack_int (packer, (int) task->state);
+  bool run_failed = task->step->spec.gang && task->run > 0 && task->run == task->step->failed_run;
+  msgpack_pack_int (packer, ((int) task->state & TASK_STATE_BITS)
+                                | (run_failed ? TASK_FLAG_RUN_FAILED : 0));
   msgpack_pack_int64 (packer, task->run);
   msgpack_pack_int (packer, task->failures);
   gr_pack_str (packer, task->target ? gr_name_str (&task->target->info.id) : (GrStr){ "", 0 });
@@ -364,15 +372,17 @@
   const msgpack_object *f = object->via.array.ptr;
   if (crashed && !load_crashes (&f[TASK_FIELDS], task))
     return false;
-  int64_t state, failures, incarnation;
+  int64_t flags, failures, incarnation;
   GrName target_id;
-  if (!gr_unpack_int (&f[0], &state) || !read_int (&f[1], 0, NUMBER_MAX, &task->run)
+  if (!gr_unpack_int (&f[0], &flags) || !read_int (&f[1], 0, NUMBER_MAX, &task->run)
       || !read_int (&f[2], 0, INT32_MAX - 1, &failures) || !gr_unpack_name (&f[3], &target_id)
       || !gr_unpack_int (&f[4], &incarnation) || !gr_unpack_name (&f[5], dag_checkpoint (task)))
     return false;
   task->failures = (int32_t) failures;
   if (task->step->run < task->run)
     task->step->run = task->run;
+  if ((flags & TASK_FLAG_RUN_FAILED) && task->step->failed_run < task->run)
+    task->step->failed_run = task->run;
   if (target_id.len == 0)
     return true;
   DagTarget *target = dag_target_create (dag, &target_id);
--- a/src/dag/dag_priv.h
+++ b/src/dag/dag_priv.h
@@ -30,7 +30,7 @@
   DagStep *step;
   uint32_t index;
   TaskState state;
-  int32_t failures;                   /* failed runs; a gang counts them for every member */
+  int32_t failures;                   /* failed runs; of a gang: those of all members, each once */
   int64_t run;                        /* number of the newest run; 0: never assigned */
   int starts_unanswered;              /* starts of this run without an answer */
   bool start_open;                    /* a start of this run is in flight */
@@ -91,6 +91,7 @@
   bool queued;          /* in dag->ready */
   int64_t run;          /* newest run number of all tasks; a gang starts with the next one */
   GrName checkpoint;    /* of a gang: shared by all members */
+  int64_t failed_run;   /* of a gang: newest run that counted as a failed attempt */
   int64_t gang_stop_at; /* when the members of a broken gang that still run are stopped; 0: never */
   GR_LIST (DagPermit) permits;
   GR_LIST (DagTarget *) advised_targets; /* targets named in answered calls, allowed or not */
--- a/src/dag/dag_run.c
+++ b/src/dag/dag_run.c
@@ -390,6 +390,22 @@
   dag_run_release (dag, task, now_ms);
 }
 
+/* Several members of a gang may fail in one run, which is one attempt. */
+static void
+count_failure (DagTask *task)
+{
+  DagStep *step = task->step;
+  if (!step->spec.gang) {
+    task->failures++;
+    return;
+  }
+  if (step->failed_run >= task->run)
+    return;
+  step->failed_run = task->run;
+  for (int32_t i = 0; i < step->spec.count; i++)
+    step->tasks[i].failures++;
+}
+
 static void
 handle_failed_run (DagState *dag, DagTask *task, int64_t now_ms)
 {
@@ -397,12 +413,7 @@
   DagJob *job = step->job;
   DagTarget *target = task->target;
   add_failed_on (step, target);
-  if (step->spec.gang) {
-    for (int32_t i = 0; i < step->spec.count; i++)
-      step->tasks[i].failures++;
-  } else {
-    task->failures++;
-  }
+  count_failure (task);
   int32_t failures = task->failures;
   dag_target_failed (dag, target, &job->id, now_ms);
   dag_run_release (dag, task, now_ms);
