tests: the model lets a task be given up after four crashes under it

The trace shows that targets crashed under four runs of the task in a row, by chance, as each was on trial alone. The users' rules allow a task to be given up once two have crashed under it; a scheduler cannot tell such a task from one that causes crashes. The model now takes four crashes as a reason, and still objects below that.

--- a/tests/dag_world_state.hh
+++ b/tests/dag_world_state.hh
@@ -70,6 +70,8 @@
 constexpr int64_t kCancelLongAfterMs = 15000;
 /* A culprit crashes its target this long after its start. */
 constexpr int64_t kCulpritCrashMs = 10;
+/* Crashes under one task after which it may be given up although it did not cause them. */
+constexpr int kCoincidencesMax = 4;
 /* Most starts of a culprit after three targets have crashed under it. */
 constexpr int kStartsAfterThirdMax = 2;
 /* Shortest time that a draining target keeps serving after its notice. */
