dag: leases that a restarted target may hold bind the next leader

Cause: a start that was meant for the incarnation before carries a lease on its clock. The next leader assumed the shorter time for targets that it could not reach, and started their tasks elsewhere. The leader of the same term was right since its restart notice extends the time.

Ruled out: leases of the next leader itself (it had not reached the target) and clock rates.

Change: for a target that has started within the last 30 s, a leader that has not heard of it yet waits for the longest lease. Other targets are not waited for any longer than before.

Targets of the simulation now report the time of their start as incarnation, as the platform's do.

--- a/src/dag/dag_target.c
+++ b/src/dag/dag_target.c
@@ -15,6 +15,9 @@
 /* If the entry of a draining target disappears this soon after it was read, the target has
    withdrawn it. Entries of targets that stop reporting stay for three report intervals of 1.5 s. */
 #define WITHDRAWN_ENTRY_MS 3000
+/* A scheduler of an earlier term that did not know of a restart yet has learned of it within this
+   time. */
+#define RESTART_KNOWN_MS 30000
 /* Bounds of the run time that counts for the stake of a run, and that of long-running tasks. */
 #define STAKE_MIN_MS 100
 #define STAKE_MAX_MS 60000
@@ -248,6 +251,21 @@
            target->used.v[GR_RES_ACCELERATORS]);
 }
 
+/* A target that has started lately may have taken an order that was meant for its earlier
+   incarnation: a lease on the former clock lasts as long as targets permit. */
+static void
+extend_former_leases (const DagState *dag, DagTarget *target, int64_t now_ms)
+{
+  int64_t started_at = target->info.incarnation - dag->options.unix_offset_ms;
+  if (target->inventoried || now_ms - started_at >= RESTART_KNOWN_MS)
+    return;
+  int64_t lapse_by
+      = dag->options.former_leases_lapse_at_ms
+        + (int64_t) ((double) (dag->options.lease_max_ms - dag->options.lease_ms) / CLOCK_RATE_MIN);
+  if (target->leases_lapse_by < lapse_by)
+    target->leases_lapse_by = lapse_by;
+}
+
 void
 dag_target_seen (DagState *dag, const DagTargetInfo *info, int64_t now_ms)
 {
@@ -265,6 +283,7 @@
   if (capacity_changed)
     log_capacity (dag, target, &info->capacity);
   target->info = *info;
+  extend_former_leases (dag, target, now_ms);
   target->listed = true;
   target->seen_at = now_ms;
   if (info->draining)
--- a/tests/dag_world_targets.hh
+++ b/tests/dag_world_targets.hh
@@ -248,7 +248,7 @@
       fresh.clock_rate = crashed.clock_rate;
       fresh.vm = crashed.vm;
       fresh.id = same_id ? crashed.id : crashed.id + "x";
-      fresh.incarnation = crashed.incarnation + 1;
+      fresh.incarnation = now_;
       fresh.booted_at = now_;
       fresh.partitioned_until = crashed.partitioned_until;
       crashed = fresh;
