dag: a restart is settled once an inventory tells of all runs

Cause: a run whose start was answered after the hold of the deciding inventory was left out, and later released without the crash. And a run that was stopped at the new incarnation still named the earlier one, in its record too, so the next leader counted the same crash again.

Change: while an inventory proves nothing about one of the runs, none is decided and the next hold follows after 30 ms. A run that is stopped there belongs to the new incarnation, and the end of its target counts once.

--- a/src/dag/dag_crash.c
+++ b/src/dag/dag_crash.c
@@ -205,7 +205,7 @@
 static bool
 note_run (DagTask *task, const DagJob *only_cause, bool crashed, int64_t now_ms)
 {
-  if (!may_have_run (task) || !dag_job_is_open (task->step->job)
+  if (!may_have_run (task) || task->crash_noted || !dag_job_is_open (task->step->job)
       || task->survived_ms > COUNTED_MAX_MS)
     return false;
   bool alone = dag_crash_may_be_cause (task) && task->step->job == only_cause;
@@ -300,6 +300,7 @@
   DagTask *task;
   while ((task = find_over (target)) != NULL) {
     task->over = false;
+    task->crash_noted = true;
     if (task->starts_unanswered > 0)
       dag_run_stop_again (dag, task);
     else
--- a/src/dag/dag_inventory.c
+++ b/src/dag/dag_inventory.c
@@ -110,15 +110,6 @@
   return false;
 }
 
-/* True if a copy of the start may still reach the present incarnation of the target, after an
-   earlier one has taken the run. */
-static bool
-may_start_again (const DagTask *task)
-{
-  return task->state == TASK_RUNNING && task->starts_unanswered > 0
-         && task->incarnation < task->target->incarnation;
-}
-
 /* Releases runs that the inventory does not list although they were known when the hold was sent.
    Such runs are over. */
 static void
@@ -155,7 +146,7 @@
     if (task->state == TASK_ADOPTED && task->incarnation < target->incarnation)
       dag_crash_note_loaded (task);
     /* A start without an answer may still arrive, unless the target has seen a stop of its run. */
-    if (not_started || may_start_again (task))
+    if (not_started)
       dag_run_stop_with_gang (dag, task, now_ms);
     else
       dag_run_release (dag, task, now_ms);
@@ -214,8 +205,8 @@
       dag_restart_notice (dag, target, now_ms);
     target->incarnation = inventory->incarnation;
   }
-  if (target->restarting)
-    dag_restart_settle (dag, target, inventory, hold.sent_at, now_ms);
+  if (target->restarting && !dag_restart_settle (dag, target, inventory, hold.sent_at, now_ms))
+    return;
   if (target->acknowledged_known < hold.acknowledged)
     target->acknowledged_known = hold.acknowledged;
   if (target->hold_failures > 0) {
--- a/src/dag/dag_priv.h
+++ b/src/dag/dag_priv.h
@@ -41,6 +41,7 @@
   int64_t incarnation;                /* earliest one of the target that may have taken the run */
   bool listed;                        /* an inventory of that incarnation listed the run */
   bool over;                          /* scratch: its target has ended, and the run with it */
+  bool crash_noted;                   /* that end was counted, but the run may start again there */
   DagTask *target_prev, *target_next; /* list of the runs of the target */
   int64_t batch;                      /* batch that stores the assignment; 0: not taken yet */
   int64_t confirmed_at;               /* when the target confirmed the run */
@@ -414,9 +415,10 @@
 /* The target has started again under its id, as an entry or an inventory shows: resets its state.
    Its runs are settled now if all of them are known to be over, else by the next function. */
 void dag_restart_notice (DagState *dag, DagTarget *target, int64_t now_ms);
-/* Decides about the runs of a restarting target by the first inventory of the new incarnation, the
-   answer to a hold of sent_at. The inventory is not processed otherwise. */
-void dag_restart_settle (DagState *dag, DagTarget *target, const DagInventory *inventory,
+/* Decides about the runs of a restarting target by an inventory of the new incarnation, the answer
+   to a hold of sent_at. Returns false if it does not tell yet: then the next one decides. The
+   inventory is not processed otherwise. */
+bool dag_restart_settle (DagState *dag, DagTarget *target, const DagInventory *inventory,
                          int64_t sent_at, int64_t now_ms);
 
 /* dag_inventory.c */
--- a/src/dag/dag_restart.c
+++ b/src/dag/dag_restart.c
@@ -7,6 +7,9 @@
    arrive even later, so its run is stopped there before its task can start elsewhere. */
 #include "dag/dag_priv.h"
 
+/* Pause until the next hold if an inventory did not tell yet which runs are over. */
+#define SETTLE_RETRY_MS 30
+
 /* Releases the tasks whose start was not sent yet: the new incarnation may differ. */
 static void
 release_unsent (DagState *dag, DagTarget *target, int64_t now_ms)
@@ -42,21 +45,19 @@
   return false;
 }
 
-/* True if the run is not at the new incarnation either, which does not list it. A copy of its start
-   may still be on its way. */
+/* True if an inventory that does not list the run proves nothing yet: a start that was carried out
+   after it may be answered before. */
 static bool
-is_over (const DagTask *task, int64_t sent_at)
+is_uncertain (const DagTask *task, int64_t sent_at)
 {
   switch (task->state) {
   case TASK_STARTING:
-    return !task->start_open;
+    return task->start_open;
   case TASK_RUNNING:
-    return task->listed || sent_at > task->confirmed_at;
   case TASK_STOPPING:
-    return task->listed || (!task->start_open && sent_at > task->confirmed_at);
+    return !task->listed && (task->start_open || sent_at <= task->confirmed_at);
   case TASK_ADOPTED:
     /* The hold carried the fencing token of this term, so starts of earlier terms are refused. */
-    return true;
   case TASK_WAITING:
   case TASK_ASSIGNED:
   case TASK_DONE:
@@ -131,20 +132,27 @@
   settle_if_all_ended (dag, target, now_ms);
 }
 
-void
+bool
 dag_restart_settle (DagState *dag, DagTarget *target, const DagInventory *inventory,
                     int64_t sent_at, int64_t now_ms)
 {
   int over = 0;
+  bool uncertain = false;
   for (DagTask *task = target->runs; task; task = task->target_next) {
     bool is_there
         = dag_inventory_has_run (inventory, task) || dag_inventory_has_end (inventory, task);
     if (is_there)
       task->incarnation = target->incarnation;
-    task->over = !is_there && is_over (task, sent_at);
+    uncertain |= !is_there && is_uncertain (task, sent_at);
+    task->over = !is_there;
     over += task->over;
   }
+  if (uncertain) {
+    target->hold_retry_at = now_ms + SETTLE_RETRY_MS;
+    return false;
+  }
   DAG_LOG (dag, GR_EV_TARGET_STATE, "target=%.*s state=settled runs=%d over=%d",
            GR_NAME_ARG (target->info.id), target->run_count, over);
   finish (dag, target, now_ms);
+  return true;
 }
--- a/src/dag/dag_run.c
+++ b/src/dag/dag_run.c
@@ -59,6 +59,7 @@
   task->stop_outdated = false;
   task->incarnation = dag_target_incarnation (target);
   task->listed = false;
+  task->crash_noted = false;
   task->confirmed_at = 0;
   task->confirmed_clock_ms = 0;
   task->survived_ms = 0;
@@ -113,6 +114,8 @@
 {
   task->state = TASK_STOPPING;
   task->stop_acked_at = 0;
+  task->incarnation = dag_target_incarnation (task->target);
+  dag_job_mark_dirty (dag, task->step->job);
   if (task->stop_in_flight)
     task->stop_outdated = true;
   else
