tests: the fuzzing seed with a crash answers the starts of both tasks

A restart is decided once no start is open, so the record of the crash was not written while the second start of the test had no answer. The input that is mutated is the same as before.

--- a/tests/test_fuzz.c
+++ b/tests/test_fuzz.c
@@ -352,7 +352,8 @@
   dag_tick (dag, 30);
   take_progress (dag, 30, assigned);
   DagTaskRef task = { gr_name ("j1"), 0, 0 };
-  dag_handle_start_result (dag, &task, 1, DAG_ORDER_OK, 40, 40);
+  for (task.index = 0; task.index < (uint32_t) two_tasks.count; task.index++)
+    dag_handle_start_result (dag, &task, 1, DAG_ORDER_OK, 40, 40);
   add_target (dag, 2, 50);
   take_progress (dag, 50, crashed);
 }
