cell: a former leader does not deny jobs of the next one

Cause: a leader that had been paused, and was replaced meanwhile, answered from its memory that a job of the new leader did not exist. A cancellation that gets this answer counts as acknowledged, and the job went on at the new leader.

Change: that a job is unknown is answered after a read of the election that began after the call. A cancellation of an unknown job is stored, which the store refuses to a former leader.

--- a/src/cell/cell_leader.c
+++ b/src/cell/cell_leader.c
@@ -12,6 +12,7 @@
 /* Time after which callers should retry, sent while the store does not answer. */
 #define RETRY_AFTER_MS 1000
 #define LOAD_LOG_INTERVAL_MS 1000
+#define CONFIRM_TIMEOUT_MS 700
 /* Links that come and go update the lanes at once; this is for those that were missed. */
 #define LANES_INTERVAL_MS 500
 #define NS_PER_US 1000
@@ -73,14 +74,14 @@
 }
 
 static void
-answer_waiting (CellLeader *leader, int64_t token, CellAnswerKind kind)
+answer_waiting (CellLeader *leader, int64_t token)
 {
   for (size_t i = 0; i < leader->waiting.count; i++) {
     if (leader->waiting.items[i].token != token)
       continue;
     WaitingCall call = leader->waiting.items[i];
     gr_list_swap_remove (&leader->waiting, i);
-    answer_call (leader, &call.from, call.id, (CellAnswer){ kind, 0 });
+    answer_call (leader, &call.from, call.id, (CellAnswer){ call.answer, 0 });
     return;
   }
 }
@@ -104,10 +105,8 @@
 {
   switch (cmd->type) {
   case DAG_CMD_ACCEPTED:
-    answer_waiting (leader, cmd->u.call, CELL_ANSWER_ACCEPTED);
-    return;
   case DAG_CMD_CANCELLED:
-    answer_waiting (leader, cmd->u.call, CELL_ANSWER_CANCELLED);
+    answer_waiting (leader, cmd->u.call);
     return;
   case DAG_CMD_START:
   case DAG_CMD_STOP:
@@ -213,11 +212,12 @@
 
 /* --- Calls --- */
 
+/* job is that of a submission, else NULL. */
 static void
 wait_for_store (CellLeader *leader, const GrName *from, uint64_t id, int64_t token,
-                const GrName *job)
+                const GrName *job, CellAnswerKind answer)
 {
-  WaitingCall call = { token, *from, id, { 0 } };
+  WaitingCall call = { .token = token, .from = *from, .id = id, .answer = answer };
   if (job)
     call.job = *job;
   gr_list_push (&leader->waiting, call);
@@ -238,7 +238,7 @@
     switch (
         dag_submit (leader->dag, &spec, token, cell_leader_now (leader), &retry_after_ms, &err)) {
     case DAG_SUBMIT_PENDING:
-      wait_for_store (leader, from, id, token, &spec.id);
+      wait_for_store (leader, from, id, token, &spec.id, CELL_ANSWER_ACCEPTED);
       *waits = true;
       break;
     case DAG_SUBMIT_KNOWN:
@@ -260,6 +260,61 @@
   return answer;
 }
 
+static void confirm_leadership (CellLeader *leader);
+
+/* The record of this term's claim is the newest one of the election if nothing follows it. */
+static void
+on_election_checked (void *user, CellStoreResult result, const CellEntry *entries, size_t count,
+                     int64_t offset, int64_t end)
+{
+  (void) entries;
+  (void) offset;
+  (void) end;
+  CellLeader *leader = user;
+  if (cell_leader_unref_ended (leader))
+    return;
+  cell_leader_store_result (leader, result == CELL_STORE_OK);
+  /* Otherwise the VM that received the call sends it again until its deadline. */
+  bool confirmed = result == CELL_STORE_OK && count == 0;
+  CellAnswer answer = { confirmed ? CELL_ANSWER_NO_JOB : CELL_ANSWER_NOT_LEADER, 0 };
+  CellConfirmCalls calls = { 0 };
+  cell_confirm_end (&leader->confirm, &calls);
+  for (size_t i = 0; i < calls.count; i++)
+    answer_call (leader, &calls.items[i].from, calls.items[i].id, answer);
+  gr_list_clear (&calls);
+  confirm_leadership (leader);
+}
+
+static void
+confirm_leadership (CellLeader *leader)
+{
+  if (!cell_confirm_begin (&leader->confirm))
+    return;
+  const CellPlatform *platform = leader->cell->platform;
+  leader->refs++;
+  platform->read (platform->adapter, CELL_TOPIC_ELECTION, leader->term, 0,
+                  cell_leader_now (leader) + CONFIRM_TIMEOUT_MS, on_election_checked, leader);
+}
+
+/* Returns false if the job is certainly over and nothing has to be stored. */
+static bool
+cancel (CellLeader *leader, const GrName *from, uint64_t id, const GrName *job)
+{
+  int64_t token = ++leader->next_token;
+  switch (dag_cancel (leader->dag, job, token, cell_leader_now (leader))) {
+  case DAG_CANCEL_PENDING:
+    wait_for_store (leader, from, id, token, NULL, CELL_ANSWER_CANCELLED);
+    return true;
+  case DAG_CANCEL_UNKNOWN:
+    /* Another VM may have become the leader and accepted the job: the store tells. */
+    wait_for_store (leader, from, id, token, NULL, CELL_ANSWER_NO_JOB);
+    return true;
+  case DAG_CANCEL_DROPPED:
+    return false;
+  }
+  return false;
+}
+
 /* Refuses submissions that are in no batch yet. The scheduler drops them: they have no effect. */
 static void
 refuse_unsent (CellLeader *leader)
@@ -301,24 +356,23 @@
     break;
   case CELL_VERB_STATUS: {
     DagJobState state = dag_status (leader->dag, &call->job);
-    answer.kind = state == DAG_JOB_UNKNOWN ? CELL_ANSWER_NO_JOB : CELL_ANSWER_STATE;
-    answer.value = state;
+    answer = (CellAnswer){ CELL_ANSWER_STATE, state };
+    waits = state == DAG_JOB_UNKNOWN;
+    if (waits)
+      cell_confirm_add (&leader->confirm, from, id);
     break;
   }
-  case CELL_VERB_CANCEL: {
-    int64_t token = ++leader->next_token;
-    waits = dag_cancel (leader->dag, &call->job, token, cell_leader_now (leader));
-    if (waits)
-      wait_for_store (leader, from, id, token, NULL);
+  case CELL_VERB_CANCEL:
+    waits = cancel (leader, from, id, &call->job);
     answer.kind = CELL_ANSWER_NO_JOB;
     break;
-  }
   case CELL_VERB_PENDING:
     answer = (CellAnswer){ CELL_ANSWER_PENDING, dag_pending (leader->dag, &call->queue) };
     break;
   }
   if (!waits)
     answer_call (leader, from, id, answer);
+  confirm_leadership (leader);
   cell_leader_run_commands (leader);
 }
 
@@ -466,6 +520,7 @@
       answer_call (leader, &call->from, call->id, (CellAnswer){ CELL_ANSWER_NOT_LEADER, 1 });
   }
   gr_list_clear (&leader->waiting);
+  cell_confirm_clear (&leader->confirm);
   gr_list_clear (&leader->unlisted);
   cell_recovery_clear (leader);
   dag_records_clear (&leader->records);
--- a/src/cell/cell_leader_priv.h
+++ b/src/cell/cell_leader_priv.h
@@ -1,6 +1,7 @@
 /* Private state of the leader, shared by cell_leader.c, cell_recovery.c and cell_records.c only. */
 #pragma once
 
+#include "cell/cell_confirm.h"
 #include "cell/cell_orders.h"
 #include "cell/cell_priv.h"
 
@@ -16,7 +17,8 @@
   int64_t token; /* given to the scheduler, which returns it with its command */
   GrName from;   /* VM that forwarded the call; empty: this VM */
   uint64_t id;
-  GrName job; /* of a submission; empty: another call */
+  GrName job;            /* of a submission; empty: another call */
+  CellAnswerKind answer; /* once the record is stored */
 } WaitingCall;
 
 /* A target whose entry was deleted or is missing from the list. */
@@ -41,6 +43,7 @@
   int64_t lanes_set_at;
   CellOrders *orders;
   GR_LIST (WaitingCall) waiting;
+  CellConfirm confirm;
   int64_t next_token;
   GR_LIST (UnlistedTarget) unlisted;
   GR_LIST (LoadedRecord) loaded;
--- a/src/dag/dag.h
+++ b/src/dag/dag.h
@@ -288,6 +288,12 @@
   DAG_SUBMIT_INVALID
 } DagSubmitResult;
 
+typedef enum {
+  DAG_CANCEL_PENDING, /* answered by DAG_CMD_CANCELLED */
+  DAG_CANCEL_UNKNOWN, /* no such job was submitted; DAG_CMD_CANCELLED follows all the same */
+  DAG_CANCEL_DROPPED  /* the job ended long ago; no command follows */
+} DagCancelResult;
+
 /* Record for the durable store, which keeps the newest value of each key. An empty value deletes
    the key. */
 typedef struct {
@@ -354,10 +360,11 @@
 /* Removes a job of which no record has been taken for storing; its submit calls get no command.
    Returns false if there is no such job, a record has been taken or a cancellation is pending. */
 bool dag_withdraw (DagState *dag, const GrName *id);
-/* Cancels the job unless it has ended. Returns false if it is unknown; otherwise DAG_CMD_CANCELLED
-   follows. */
-bool dag_cancel (DagState *dag, const GrName *id, int64_t call, int64_t now_ms);
-/* State of the job for callers. Ended states are returned only once they are stored. */
+/* Cancels the job unless it has ended. A job that is not known never starts after it was cancelled,
+   even if its submission arrives later, as long as the state of an ended job stays available. */
+DagCancelResult dag_cancel (DagState *dag, const GrName *id, int64_t call, int64_t now_ms);
+/* State of the job for callers; DAG_JOB_UNKNOWN if it was never submitted. Ended states are
+   returned only once they are stored. */
 DagJobState dag_status (const DagState *dag, const GrName *id);
 /* Number of open jobs of the queue for which no task has started. Occurrences do not count. */
 int64_t dag_pending (const DagState *dag, const GrName *queue);
--- a/src/dag/dag_codec.c
+++ b/src/dag/dag_codec.c
@@ -4,8 +4,9 @@
      [format, id, queue policy, accepted at (Unix ms), payload, [step, ...]], with a timetable also
      count, start at (Unix ms), interval.
    Key "p" + id: the progress, written with each change:
-     [format, state, begun, ended at (Unix ms) or 0, [[task, ...], ...]] with one list per step, or
-     no lists if the job has ended and has no runs. A job with a timetable has the bit set of the
+     [format, state, begun, ended at (Unix ms) or 0, [[task, ...], ...]]; the state is 0 if the job
+     was cancelled and never submitted, which earlier versions ignore. There is one list per step,
+   or no lists if the job has ended and has no runs. A job with a timetable has the bit set of the
      occurrences that are done in place of the lists; the key of an occurrence is "p" + id + "." +
      number. A task is 1 if done, 0 if it waits and was never
      assigned, else [flags, run, failures, target, incarnation, checkpoint]; target is empty if the
@@ -164,7 +165,7 @@
   gr_pack_init (&packer, out);
   msgpack_pack_array (&packer, PROGRESS_FIELDS);
   msgpack_pack_int (&packer, FORMAT);
-  msgpack_pack_int (&packer, (int) job->state);
+  msgpack_pack_int (&packer, job->never_submitted ? DAG_JOB_UNKNOWN : (int) job->state);
   gr_pack_bool (&packer, job->begun);
   msgpack_pack_int64 (&packer, job->ended_at > 0 ? job->ended_at + dag->options.unix_offset_ms : 0);
   if (dag_has_timetable (job)) {
@@ -442,23 +443,31 @@
   bool begun;
   if (!gr_unpack_int (&f[0], &format) || format != FORMAT || !gr_unpack_int (&f[1], &state)
       || !gr_unpack_bool (&f[2], &begun) || !read_int (&f[3], 0, NUMBER_MAX, &ended)
-      || state < DAG_JOB_QUEUED || state > DAG_JOB_CANCELLED)
+      || state < DAG_JOB_UNKNOWN || state > DAG_JOB_CANCELLED)
     return false;
   DagJob *job = find_loaded_job (dag, id);
+  int64_t ended_at = ended > 0 ? ended - dag->options.unix_offset_ms : now_ms;
+  bool ended_job = state != DAG_JOB_QUEUED && state != DAG_JOB_IN_PROGRESS;
+  bool submitted = state != DAG_JOB_UNKNOWN;
   if (!job) {
     /* The submission record is deleted after the job has ended. */
-    DagJobSpec spec = { .id = *id };
-    job = dag_job_create (dag, &spec, &(DagQueue){ 0 }, now_ms);
+    if (!ended_job)
+      return false;
+    job = dag_job_create_ended (dag, id, submitted ? (DagJobState) state : DAG_JOB_CANCELLED,
+                                ended_at);
+    job->never_submitted = !submitted;
     job->stored = true;
-    job->spec_written = true;
-    job->spec_dropped = true;
+    job->stored_state = job->state;
+    job->begun = begun;
+    return true;
   }
+  if (!submitted)
+    return false;
   job->begun = begun;
   GrStr done_bits;
   if (dag_has_timetable (job)
       && (!gr_unpack_bytes (&f[4], &done_bits) || !dag_timetable_set_done (job, done_bits)))
     return false;
-  bool ended_job = state != DAG_JOB_QUEUED && state != DAG_JOB_IN_PROGRESS;
   bool has_steps = f[4].type == MSGPACK_OBJECT_ARRAY;
   /* Of an ended job with a timetable the submission record may be gone. */
   if (!has_steps && !dag_has_timetable (job) && !ended_job)
@@ -468,7 +477,7 @@
   if (ended_job) {
     job->state = (DagJobState) state;
     job->stored_state = job->state;
-    job->ended_at = ended > 0 ? ended - dag->options.unix_offset_ms : now_ms;
+    job->ended_at = ended_at;
     dag->open_jobs--;
   } else if (begun) {
     job->state = DAG_JOB_IN_PROGRESS;
--- a/src/dag/dag_job.c
+++ b/src/dag/dag_job.c
@@ -228,6 +228,19 @@
   return job;
 }
 
+DagJob *
+dag_job_create_ended (DagState *dag, const GrName *id, DagJobState state, int64_t ended_at)
+{
+  DagJobSpec spec = { .id = *id };
+  DagJob *job = dag_job_create (dag, &spec, &(DagQueue){ 0 }, ended_at);
+  job->state = state;
+  job->ended_at = ended_at;
+  job->spec_written = true;
+  job->spec_dropped = true;
+  dag->open_jobs--;
+  return job;
+}
+
 /* Removes the steps of the job from dag->ready. */
 static void
 unqueue_steps (DagState *dag, const DagJob *job)
@@ -355,6 +368,11 @@
   *retry_after_ms = 0;
   DagJob *job = dag_find_job (dag, &spec->id);
   if (job) {
+    if (job->never_submitted && !job->dropped) {
+      job->never_submitted = false;
+      job->stored = false;
+      dag_job_mark_dirty (dag, job);
+    }
     if (job->stored)
       return DAG_SUBMIT_KNOWN;
     gr_list_push (&job->submit_calls, call);
@@ -402,24 +420,28 @@
   return true;
 }
 
-bool
+DagCancelResult
 dag_cancel (DagState *dag, const GrName *id, int64_t call, int64_t now_ms)
 {
   DagJob *job = dag_find_job (dag, id);
   /* The records of a dropped job are being deleted, and nothing may be added to them. */
-  if (!job || job->dropped)
-    return false;
+  if (job && job->dropped)
+    return DAG_CANCEL_DROPPED;
+  if (!job) {
+    job = dag_job_create_ended (dag, id, DAG_JOB_CANCELLED, now_ms);
+    job->never_submitted = true;
+  }
   gr_list_push (&job->cancel_calls, call);
   dag_job_end (dag, job, DAG_JOB_CANCELLED, now_ms);
   dag_job_mark_dirty (dag, job);
-  return true;
+  return job->never_submitted ? DAG_CANCEL_UNKNOWN : DAG_CANCEL_PENDING;
 }
 
 DagJobState
 dag_status (const DagState *dag, const GrName *id)
 {
   const DagJob *job = dag_find_job (dag, id);
-  if (!job)
+  if (!job || job->never_submitted)
     return DAG_JOB_UNKNOWN;
   if (job->stored_state != DAG_JOB_UNKNOWN)
     return job->stored_state;
--- a/src/dag/dag_priv.h
+++ b/src/dag/dag_priv.h
@@ -119,6 +119,7 @@
   DagJobState state;        /* may be ahead of the store */
   DagJobState stored_state; /* ended state once it is stored; DAG_JOB_UNKNOWN before */
   bool begun;               /* a run was at work */
+  bool never_submitted;     /* it was cancelled before any submission arrived */
   bool stored;              /* the submission is in the store */
   bool spec_written;        /* the submission record was taken for storing */
   bool spec_dropped;        /* the deletion of that record was taken for storing */
@@ -316,6 +317,8 @@
 DagJob *dag_find_job (const DagState *dag, const GrName *id);
 DagJob *dag_job_create (DagState *dag, const DagJobSpec *spec, const DagQueue *queue,
                         int64_t accepted_at);
+/* Creates a job without steps that has ended. */
+DagJob *dag_job_create_ended (DagState *dag, const GrName *id, DagJobState state, int64_t ended_at);
 /* Removes the job from dag and frees it. */
 void dag_job_free (DagState *dag, DagJob *job);
 /* The next batch will hold a record of the job. */
--- a/tests/dag_world.hh
+++ b/tests/dag_world.hh
@@ -66,6 +66,7 @@
     trace ("term " + std::to_string (term_));
     batch_open_ = 0;
     calls_.clear ();
+    cancel_calls_.clear ();
     DagQueue queues[2] = {};
     for (int q = 0; q < 2; q++) {
       queues[q].name = gr_name (q ? "advised" : "plain");
@@ -201,8 +202,11 @@
   {
     Job &job = jobs_[(size_t) index];
     GrName id = gr_name (job.id.c_str ());
-    if (dag_cancel (dag_, &id, ++next_call_, now_))
-      job.cancelled = true;
+    int64_t call = ++next_call_;
+    if (dag_cancel (dag_, &id, call, now_) == DAG_CANCEL_DROPPED)
+      return;
+    job.cancelled = true;
+    cancel_calls_[call] = index;
   }
 
   void
@@ -247,6 +251,9 @@
       }
       break;
     case DAG_CMD_CANCELLED:
+      if (cancel_calls_.count (cmd.u.call))
+        jobs_[(size_t) cancel_calls_[cmd.u.call]].cancel_answered_at = now_;
+      break;
     case DAG_CMD_DEPOSED:
       break;
     case DAG_CMD_START:
--- a/tests/dag_world_orders.hh
+++ b/tests/dag_world_orders.hh
@@ -181,6 +181,8 @@
     trace ("start " + name + " run " + std::to_string (start.run) + " on " + target.id);
     result_.starts++;
     Job &job = job_of (start.task);
+    if (job.cancel_answered_at >= 0 && sent_at > job.cancel_answered_at)
+      report_violation ("start of " + name + " after its cancellation was answered");
     const DagStepSpec &step = job.steps[start.task.step];
     Run run;
     run.name = name;
--- a/tests/dag_world_state.hh
+++ b/tests/dag_world_state.hh
@@ -160,6 +160,7 @@
     int64_t submitted_at = 0;
     int64_t accepted_at = -1;
     bool cancelled = false;
+    int64_t cancel_answered_at = -1; /* -1: not yet */
     bool always_fails = false;
     bool culprit = false; /* its first task crashes each target that starts it */
     bool advised = false;
@@ -187,7 +188,8 @@
   int64_t tick_at_ = -1;
   int64_t crashed_at_ = 0; /* last crash of a target; culprits cause some after the other faults */
   Result result_;
-  std::map<int64_t, int> calls_; /* pending submit calls, and the indices of their jobs */
+  /* Pending submit and cancel calls, and the indices of their jobs. */
+  std::map<int64_t, int> calls_, cancel_calls_;
   int64_t next_call_ = 0;
   int64_t total_ms_ = 0;
 
--- a/tests/test_cell.c
+++ b/tests/test_cell.c
@@ -9,6 +9,7 @@
 #include <cmocka.h>
 
 #include "cell/cell_config.h"
+#include "cell/cell_confirm.h"
 #include "cell/cell_lanes.h"
 #include "cell/cell_links.h"
 #include "cell/cell_relays.h"
@@ -446,10 +447,41 @@
   }
 }
 
+/* Guards against answers of a VM that is not the leader any more: a call that arrives while a check
+   of the leadership is in flight is not answered by it. */
+static void
+checks_cover_the_calls_before_them (void **state)
+{
+  (void) state;
+  CellConfirm confirm = { 0 };
+  CellConfirmCalls calls;
+  GrName self = { 0 }, vm = gr_name ("e1");
+  assert_false (cell_confirm_begin (&confirm));
+  cell_confirm_add (&confirm, &self, 1);
+  assert_true (cell_confirm_begin (&confirm));
+  cell_confirm_add (&confirm, &vm, 2);
+  cell_confirm_add (&confirm, &self, 3);
+  assert_false (cell_confirm_begin (&confirm));
+  cell_confirm_end (&confirm, &calls);
+  assert_int_equal (calls.count, 1);
+  assert_int_equal (calls.items[0].id, 1);
+  gr_list_clear (&calls);
+  assert_true (cell_confirm_begin (&confirm));
+  cell_confirm_end (&confirm, &calls);
+  assert_int_equal (calls.count, 2);
+  assert_true (gr_name_equal (&calls.items[0].from, &vm));
+  assert_int_equal (calls.items[1].id, 3);
+  gr_list_clear (&calls);
+  assert_false (cell_confirm_begin (&confirm));
+  cell_confirm_add (&confirm, &self, 4);
+  cell_confirm_clear (&confirm);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (checks_cover_the_calls_before_them),
     cmocka_unit_test (finds_the_longest_prefix),
     cmocka_unit_test (short_requests_do_not_wait_behind_long_ones),
     cmocka_unit_test (large_cells_use_most_lanes_for_long_requests),
--- a/tests/test_dag.c
+++ b/tests/test_dag.c
@@ -552,7 +552,7 @@
   GrName id = gr_name ("job");
   submit (&fixture, &step, 1, NULL);
   store (&fixture);
-  assert_true (dag_cancel (fixture.dag, &id, 2, fixture.now_ms));
+  assert_int_equal (dag_cancel (fixture.dag, &id, 2, fixture.now_ms), DAG_CANCEL_PENDING);
   store (&fixture);
   fixture.now_ms += 70000;
   dag_tick (fixture.dag, fixture.now_ms);
@@ -560,7 +560,7 @@
   int64_t batch = dag_take_batch (fixture.dag, &records);
   assert_int_not_equal (batch, 0);
   dag_records_clear (&records);
-  assert_false (dag_cancel (fixture.dag, &id, 3, fixture.now_ms));
+  assert_int_equal (dag_cancel (fixture.dag, &id, 3, fixture.now_ms), DAG_CANCEL_DROPPED);
   dag_stored (fixture.dag, batch, fixture.now_ms);
   store (&fixture);
   assert_int_equal (dag_counts (fixture.dag, fixture.now_ms).jobs, 0);
--- a/tests/test_dag_capacity.c
+++ b/tests/test_dag_capacity.c
@@ -129,7 +129,7 @@
   }
   report_capacity (&fixture, 2 * CPU);
   GrName id = gr_name ("job");
-  assert_true (dag_cancel (fixture.dag, &id, 2, fixture.now_ms));
+  assert_int_equal (dag_cancel (fixture.dag, &id, 2, fixture.now_ms), DAG_CANCEL_PENDING);
   DagStepSpec step = step_of (1, CPU, false);
   submit_as (&fixture, "next", &step, 1, NULL);
   for (int i = 0; i < 10; i++) {
--- a/tests/test_dag_timetable.c
+++ b/tests/test_dag_timetable.c
@@ -302,7 +302,7 @@
     pass_time (&world, 550);
     if (cases[i].cancel) {
       GrName id = gr_name ("job");
-      assert_true (dag_cancel (world.dag, &id, 2, world.now_ms));
+      assert_int_equal (dag_cancel (world.dag, &id, 2, world.now_ms), DAG_CANCEL_PENDING);
     }
     pass_time (&world, 200);
     size_t starts = world.starts;
