dag: the crash of a target that never answered the start is weak evidence

Cause: for a suspected task a crash counted whether or not its start had ever been answered, and a start without an answer as a crash at once. Two targets that were cut off before the start arrived and restarted behind the cut were enough to give the job up.

Change: crashes of targets that answered the start, or of runs that an earlier leader had recorded, count as before. Of the others four are needed beside the first, which keeps a task that crashes its targets before they answer from a sixth start.

Tests: unanswered_starts_are_weak_evidence (three starts before the verdict, five now).

--- a/src/dag/dag_codec.c
+++ b/src/dag/dag_codec.c
@@ -37,6 +37,9 @@
 #define TASK_STATE_BITS 0x0f
 /* Of a member of a gang: its run has counted as a failed attempt. */
 #define TASK_FLAG_RUN_FAILED 0x10
+/* Number of crashes of targets that may never have received the start. */
+#define TASK_UNSURE_SHIFT 8
+#define TASK_UNSURE_MAX 0xff
 
 enum {
   FLAG_GANG = 1,
@@ -144,8 +147,10 @@
   bool crashed = task->crashes > 0 || task->suspected;
   msgpack_pack_array (packer, TASK_FIELDS + (crashed ? TASK_CRASH_FIELDS : 0));
   bool run_failed = task->step->spec.gang && task->run > 0 && task->run == task->step->failed_run;
+  int32_t unsure = task->crashes_unsure < TASK_UNSURE_MAX ? task->crashes_unsure : TASK_UNSURE_MAX;
   msgpack_pack_int (packer, ((int) task->state & TASK_STATE_BITS)
-                                | (run_failed ? TASK_FLAG_RUN_FAILED : 0));
+                                | (run_failed ? TASK_FLAG_RUN_FAILED : 0)
+                                | (unsure << TASK_UNSURE_SHIFT));
   msgpack_pack_int64 (packer, task->run);
   msgpack_pack_int (packer, task->failures);
   gr_pack_str (packer, task->target ? gr_name_str (&task->target->info.id) : (GrStr){ "", 0 });
@@ -380,6 +385,7 @@
       || !gr_unpack_int (&f[4], &incarnation) || !gr_unpack_name (&f[5], dag_checkpoint (task)))
     return false;
   task->failures = (int32_t) failures;
+  task->crashes_unsure = (int32_t) (flags >> TASK_UNSURE_SHIFT & TASK_UNSURE_MAX);
   if (task->step->run < task->run)
     task->step->run = task->run;
   if ((flags & TASK_FLAG_RUN_FAILED) && task->step->failed_run < task->run)
--- a/src/dag/dag_crash.c
+++ b/src/dag/dag_crash.c
@@ -14,6 +14,9 @@
    as soon as a run has started are rarely a coincidence, so fewer of them are enough. */
 #define GIVE_UP_CRASHES 3
 #define GIVE_UP_CRASHES_AT_ONCE 2
+/* The same if some of the targets may never have received the start. A task that crashes them
+   before they answer is not started a sixth time. */
+#define GIVE_UP_CRASHES_UNSURE 4
 /* A target that falls silent within this time of a start has crashed at once. */
 #define AT_ONCE_MS 300
 /* When a target is first asked about a run on trial, after the start. */
@@ -155,24 +158,39 @@
 }
 
 static void
-count_crash (DagTask *task, int64_t survived_ms)
+count_crash (DagTask *task, int64_t survived_ms, bool sure)
 {
   task->crashes++;
+  task->crashes_unsure += !sure;
   if (task->crash_survived_ms < survived_ms)
     task->crash_survived_ms = survived_ms;
   if (task->crashes >= SUSPECT_CRASHES)
     dag_crash_set_suspected (task, true);
 }
 
-/* True if the run was certainly on its target. A start without an answer may never have arrived,
-   and a run of an earlier term may have ended; for suspected tasks such a crash counts all the
-   same. */
+/* True if the target has probably started the run. A start that went unanswered may never have
+   arrived; whether one of an earlier term was answered is not known, but most are. */
+static bool
+was_on_target (const DagTask *task)
+{
+  return task->confirmed_at > 0 || task->state == TASK_ADOPTED;
+}
+
 static bool
 crash_counts (const DagTask *task)
 {
   return task->suspected || task->confirmed_clock_ms > 0;
 }
 
+/* True if the task has crashed enough targets to be given up. */
+static bool
+has_crashed_enough (const DagTask *task)
+{
+  return task->crashes - task->crashes_unsure >= GIVE_UP_CRASHES
+         || task->crashes_at_once >= GIVE_UP_CRASHES_AT_ONCE
+         || task->crashes >= GIVE_UP_CRASHES_UNSURE;
+}
+
 /* The only job whose runs may be the cause, among those that have ended with the target; NULL if
    there is none or if there are several. */
 static DagJob *
@@ -211,13 +229,12 @@
   bool alone = dag_crash_may_be_cause (task) && task->step->job == only_cause;
   bool was_suspected = task->suspected;
   if (crashed && crash_counts (task)) {
-    task->crashes_at_once += fell_silent_at_once (task, now_ms);
-    count_crash (task, task->survived_ms);
+    task->crashes_at_once += was_on_target (task) && fell_silent_at_once (task, now_ms);
+    count_crash (task, task->survived_ms, was_on_target (task));
   }
   if (dag_crash_may_be_cause (task))
     dag_crash_set_suspected (task, true);
-  return alone && was_suspected
-         && (task->crashes >= GIVE_UP_CRASHES || task->crashes_at_once >= GIVE_UP_CRASHES_AT_ONCE);
+  return alone && was_suspected && has_crashed_enough (task);
 }
 
 /* Runs that were released when their leases had lapsed: the target has crashed after all. Their
@@ -230,7 +247,7 @@
     DagTask *task = dag_find_task (dag, &run->task);
     if (!task || !run->counts || !dag_job_is_open (task->step->job))
       continue;
-    count_crash (task, run->survived_ms);
+    count_crash (task, run->survived_ms, run->sure);
     dag_job_mark_dirty (dag, task->step->job);
   }
   gr_list_reset (&target->lapsed);
@@ -326,7 +343,8 @@
     released++;
     DagLapsedRun lapsed = { .task = dag_task_ref (task),
                             .survived_ms = task->survived_ms,
-                            .counts = crash_counts (task) };
+                            .counts = crash_counts (task),
+                            .sure = was_on_target (task) };
     if (task->survived_ms <= COUNTED_MAX_MS)
       gr_list_push (&target->lapsed, lapsed);
     if (note_run (task, only_cause, false, now_ms))
@@ -345,6 +363,6 @@
 dag_crash_note_loaded (DagTask *task)
 {
   if (task->suspected)
-    task->crashes++;
+    count_crash (task, 0, false);
   dag_crash_set_suspected (task, true);
 }
--- a/src/dag/dag_priv.h
+++ b/src/dag/dag_priv.h
@@ -48,6 +48,7 @@
   int64_t confirmed_clock_ms;         /* clock of the target at that time; 0: not known */
   int64_t survived_ms;                /* how long the run is known to have worked */
   int32_t crashes;                    /* targets that have crashed under its runs */
+  int32_t crashes_unsure;             /* those that may never have received the start */
   int32_t crashes_at_once;            /* those that fell silent as soon as the run had started */
   bool suspected;                     /* it may have caused a crash: it starts in isolation */
   bool on_trial;                      /* suspected, and its run has not lasted long enough yet */
@@ -178,7 +179,8 @@
 typedef struct {
   DagTaskRef task;
   int64_t survived_ms;
-  bool counts; /* the run was certainly at work on the target */
+  bool counts; /* its crash counts */
+  bool sure;   /* the run was certainly at work on the target */
 } DagLapsedRun;
 
 /* Most holds in flight to one target. */
