dag: a target is used by the entry of its own incarnation only

Cause: the restart made the target usable again with the kind, capacity and state of the earlier incarnation.

Ruled out: starts that were on their way (the case leaves them out).

The notice to leave is that of the incarnation that gave it, also when its crash is judged.

--- a/src/dag/dag_crash.c
+++ b/src/dag/dag_crash.c
@@ -128,10 +128,11 @@
   return target->hold_failures > 0 ? target->silent_at : now_ms;
 }
 
-/* True if the target announced that it leaves and may have done so. */
-static bool
-may_have_left (const DagTarget *target, int64_t now_ms)
+bool
+dag_crash_may_have_left (const DagTarget *target, int64_t now_ms)
 {
+  if (target->restarting)
+    return target->left;
   return target->info.draining && silent_by (target, now_ms) >= target->drain_until - NOTICE_LAG_MS;
 }
 
@@ -271,7 +272,7 @@
 static DagTask *
 note_end (DagState *dag, DagTarget *target, const char *proof, int64_t now_ms)
 {
-  bool crashed = !target->crashed && !may_have_left (target, now_ms);
+  bool crashed = !target->crashed && !dag_crash_may_have_left (target, now_ms);
   if (!crashed)
     return NULL;
   DagTask *culprit = NULL;
--- a/src/dag/dag_priv.h
+++ b/src/dag/dag_priv.h
@@ -212,6 +212,7 @@
   /* It has restarted, and the first inventory of the new incarnation has yet to tell which runs are
      over. */
   bool restarting;
+  bool left; /* while restarting: the earlier incarnation may have left after a notice */
   int64_t leases_lapse_by; /* if not inventoried: when the leases of its runs have lapsed */
   /* The target read clock_ms from its monotonic clock between the sending of an order and the local
      time clock_at. */
@@ -482,6 +483,8 @@
 /* All leases of the target have lapsed: releases the runs that were sent. Whether the target has
    crashed is not known yet. */
 void dag_crash_handle_lapse (DagState *dag, DagTarget *target, int64_t now_ms);
+/* True if the target announced that it leaves and may have done so. */
+bool dag_crash_may_have_left (const DagTarget *target, int64_t now_ms);
 /* The target has answered again, so it has not crashed. */
 void dag_crash_forget_lapse (DagTarget *target);
 /* The target of the loaded task has restarted since the record was written. */
--- a/src/dag/dag_restart.c
+++ b/src/dag/dag_restart.c
@@ -104,8 +104,11 @@
 {
   DAG_LOG (dag, GR_EV_TARGET_STATE, "target=%.*s state=restarted runs=%d",
            GR_NAME_ARG (target->info.id), target->run_count);
+  target->left = dag_crash_may_have_left (target, now_ms);
   target->restarting = true;
   target->inventoried = false;
+  /* The notice was that of an earlier incarnation. */
+  target->info.draining = false;
   release_unsent (dag, target, now_ms);
   /* Holds in flight and acknowledgements are those of an earlier incarnation. */
   target->hold_count = 0;
--- a/src/dag/dag_target.c
+++ b/src/dag/dag_target.c
@@ -153,11 +153,19 @@
   return cpu > 0 ? cpu : 0;
 }
 
+/* True if the newest entry is not that of an earlier incarnation, which may differ in all it says.
+ */
+static bool
+is_entry_current (const DagTarget *target)
+{
+  return target->info.incarnation >= target->incarnation;
+}
+
 bool
 dag_target_usable (const DagTarget *target, int64_t now_ms)
 {
-  return target->listed && target->inventoried && !target->info.draining
-         && target->hold_failures == 0 && target->unknown_runs == 0
+  return target->listed && target->inventoried && is_entry_current (target)
+         && !target->info.draining && target->hold_failures == 0 && target->unknown_runs == 0
          && now_ms >= target->avoid_until;
 }
 
--- a/tests/test_dag_restart.c
+++ b/tests/test_dag_restart.c
@@ -113,7 +113,7 @@
 } Case;
 
 /* clang-format off */
-static const Case cases[] = {
+static const Case restarts[] = {
   { "the new one runs it, told by the entry", START_ANSWERED, TOLD_BY_ENTRY, false, 1, 0, { 0, 0 },
     DAG_JOB_IN_PROGRESS },
   { "the new one runs it, told by a hold", START_ANSWERED, TOLD_BY_HOLD, false, 1, 0, { 0, 0 },
@@ -193,11 +193,72 @@
 {
   (void) state;
   bool ok = true;
-  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
-    ok &= check_case (&cases[i]);
+  for (size_t i = 0; i < sizeof restarts / sizeof restarts[0]; i++)
+    ok &= check_case (&restarts[i]);
   assert_true (ok);
 }
 
+/* Guards against tasks that start by the kind, the capacity or the state of an earlier incarnation:
+   a hold has told of the restart, and the entry of the new one is not read yet or says otherwise.
+ */
+static void
+targets_are_used_by_their_own_entry_only (void **state)
+{
+  (void) state;
+  static const struct {
+    const char *name;
+    bool listed; /* the entry of the new incarnation was read */
+    const char *kind;
+    bool draining;
+    int32_t cpu;
+    size_t starts;
+  } cases[] = { { "entry not read yet", false, "a", false, 32000, 0 },
+                { "same kind", true, "a", false, 32000, 1 },
+                { "another kind", true, "b", false, 32000, 0 },
+                { "draining", true, "a", true, 32000, 0 },
+                { "smaller", true, "a", false, 500, 0 } };
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+    Fixture fixture = new_fixture (false, 0, 0);
+    DagTargetInfo info = target_info (0);
+    info.kind = gr_name ("a");
+    info.number = 500;
+    dag_target_seen (fixture.dag, &info, fixture.now_ms);
+    Inventory empty = inventory_of (BEFORE, 0, 0);
+    answer_with (&fixture, &empty);
+    /* A run makes the scheduler ask the target, which answers as the new incarnation. */
+    DagStepSpec step = step_of (1, 1000, false);
+    submit (&fixture, &step, 1, NULL);
+    dag_tick (fixture.dag, fixture.now_ms);
+    store (&fixture);
+    answer_start (&fixture, DAG_ORDER_OK);
+    Inventory inventory = inventory_of (AFTER, 1, 0);
+    Orders orders = { 0 };
+    run_for (&fixture, 60, &inventory, &orders);
+    if (cases[i].listed) {
+      info.incarnation = AFTER;
+      info.number = 1;
+      info.kind = gr_name (cases[i].kind);
+      info.draining = cases[i].draining;
+      info.remaining_ms = 2500;
+      info.capacity.v[GR_RES_CPU_MILLI] = cases[i].cpu;
+      dag_target_seen (fixture.dag, &info, fixture.now_ms);
+    }
+    step.label = gr_name ("a");
+    submit_as (&fixture, "next", &step, 1, NULL);
+    size_t starts = 0;
+    for (int t = 0; t < 20; t++) {
+      fixture.now_ms += 20;
+      dag_tick (fixture.dag, fixture.now_ms);
+      store (&fixture);
+      starts += count_cmds (&fixture, DAG_CMD_START);
+      answer_with (&fixture, &inventory);
+    }
+    if (starts != cases[i].starts)
+      fail_msg ("%s: %zu starts", cases[i].name, starts);
+    dag_free (fixture.dag);
+  }
+}
+
 /* Returns the number of holds in these ticks of 20 ms that carry an acknowledgement; answers holds
    with the inventory, or not at all. */
 static size_t
@@ -254,6 +315,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (acknowledgements_are_sent_once),
     cmocka_unit_test (runs_taken_by_the_new_incarnation_go_on),
+    cmocka_unit_test (targets_are_used_by_their_own_entry_only),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
