dag: a lapse under a trial counts as a crash until the target answers

Targets that stay dark longer than their leases were counted only once they were back, and no more at all after a change of leader.

Change: a run on trial whose leases lapse counts as weak evidence at once. It becomes a sure crash if the target proves to have crashed under a start that it had answered, and is taken back if the target answers again.

--- a/src/dag/dag_crash.c
+++ b/src/dag/dag_crash.c
@@ -248,15 +248,26 @@
     DagTask *task = dag_find_task (dag, &run->task);
     if (!task || !run->counts || !dag_job_is_open (task->step->job))
       continue;
-    count_crash (task, run->survived_ms, run->sure);
+    if (run->counted)
+      task->crashes_unsure -= run->sure;
+    else
+      count_crash (task, run->survived_ms, run->sure);
     dag_job_mark_dirty (dag, task->step->job);
   }
   gr_list_reset (&target->lapsed);
 }
 
 void
-dag_crash_forget_lapse (DagTarget *target)
+dag_crash_forget_lapse (DagState *dag, DagTarget *target)
 {
+  for (size_t i = 0; i < target->lapsed.count; i++) {
+    DagTask *task = dag_find_task (dag, &target->lapsed.items[i].task);
+    if (!task || !target->lapsed.items[i].counted || !dag_job_is_open (task->step->job))
+      continue;
+    task->crashes--;
+    task->crashes_unsure--;
+    dag_job_mark_dirty (dag, task->step->job);
+  }
   gr_list_reset (&target->lapsed);
 }
 
@@ -346,6 +357,10 @@
                             .survived_ms = task->survived_ms,
                             .counts = crash_counts (task),
                             .sure = was_on_target (task) };
+    /* Targets may stay dark for long. A suspected task must not go on crashing them meanwhile. */
+    lapsed.counted = task->on_trial;
+    if (lapsed.counted)
+      count_crash (task, task->survived_ms, false);
     if (task->survived_ms <= COUNTED_MAX_MS)
       gr_list_push (&target->lapsed, lapsed);
     if (note_run (task, only_cause, false, now_ms))
--- a/src/dag/dag_inventory.c
+++ b/src/dag/dag_inventory.c
@@ -215,7 +215,7 @@
   }
   target->hold_failures = 0;
   target->hold_retry_at = 0;
-  dag_crash_forget_lapse (target);
+  dag_crash_forget_lapse (dag, target);
   dag_risk_note_answer (dag, target);
   if (inventory->clock_ms >= target->clock_ms) {
     target->clock_ms = inventory->clock_ms;
--- a/src/dag/dag_priv.h
+++ b/src/dag/dag_priv.h
@@ -179,8 +179,9 @@
 typedef struct {
   DagTaskRef task;
   int64_t survived_ms;
-  bool counts; /* its crash counts */
-  bool sure;   /* the run was certainly at work on the target */
+  bool counts;  /* its crash counts */
+  bool sure;    /* the run was certainly at work on the target */
+  bool counted; /* a crash was counted already, as unsure */
 } DagLapsedRun;
 
 /* Most holds in flight to one target. */
@@ -486,7 +487,7 @@
 /* True if the target announced that it leaves and may have done so. */
 bool dag_crash_may_have_left (const DagTarget *target, int64_t now_ms);
 /* The target has answered again, so it has not crashed. */
-void dag_crash_forget_lapse (DagTarget *target);
+void dag_crash_forget_lapse (DagState *dag, DagTarget *target);
 /* The target of the loaded task has restarted since the record was written. */
 void dag_crash_note_loaded (DagTask *task);
 /* True if the run may be the cause if its target crashes now. */
