dag: accounts of submissions and a precomputed order of steps

Change: DagAccount and dag_set_accounts() hold the policies of client accounts, DagJobSpec.account names the sender; the sort key of a step is computed once for each placement pass instead of in each comparison. No decision changes. Measured: test_dag, test_dag_gang, test_dag_timetable and test_cell pass.

--- a/src/cell/cell_config.c
+++ b/src/cell/cell_config.c
@@ -31,6 +31,7 @@
     free ((char *) config->routes.items[i].prefix.data);
   gr_list_clear (&config->routes);
   gr_list_clear (&config->queues);
+  gr_list_clear (&config->accounts);
   config->version = 0;
 }
 
--- a/src/cell/cell_config.h
+++ b/src/cell/cell_config.h
@@ -13,6 +13,7 @@
   int64_t version;
   GR_LIST (CellRoute) routes;
   GR_LIST (DagQueue) queues;
+  GR_LIST (DagAccount) accounts;
 } CellConfig;
 
 /* Frees the lists and resets the version to 0. */
--- a/src/cell/cell_leader.c
+++ b/src/cell/cell_leader.c
@@ -403,6 +403,9 @@
 {
   DagQueues queues = { leader->cell->config.queues.items, leader->cell->config.queues.count };
   dag_set_queues (leader->dag, &queues, cell_leader_now (leader));
+  DagAccounts accounts
+      = { leader->cell->config.accounts.items, leader->cell->config.accounts.count };
+  dag_set_accounts (leader->dag, &accounts, cell_leader_now (leader));
 }
 
 void
--- a/src/dag/dag.c
+++ b/src/dag/dag.c
@@ -53,6 +53,7 @@
     dag_job_free (dag, dag->jobs);
   gr_hash_clear (dag->targets, dag_target_free);
   gr_hash_clear (dag->queue_stats, free);
+  gr_hash_clear (dag->clients, free);
   dag_pace_clear (dag);
   dag_cmds_reset (dag);
   gr_list_clear (&dag->cmds);
--- a/src/dag/dag.h
+++ b/src/dag/dag.h
@@ -90,6 +90,7 @@
 typedef struct {
   GrName id;
   GrName queue;
+  GrName account; /* client account that sent it; empty: none */
   GrStr payload;
   const DagStepSpec *steps;
   size_t step_count;
@@ -120,6 +121,19 @@
   size_t count;
 } DagQueues;
 
+/* Policy of a client account. */
+typedef struct {
+  GrName name;
+  double weight; /* its share of a full cell, relative to other accounts; also the submissions a
+                    second that count as within that share */
+  GrRes maximum; /* of all its runs together; 0: no limit in that dimension */
+} DagAccount;
+
+typedef struct {
+  const DagAccount *accounts;
+  size_t count;
+} DagAccounts;
+
 /* Entry of a target in the list of targets, as reported by the target. */
 typedef struct {
   GrName id;
@@ -355,6 +369,9 @@
 /* Replaces the queues. Jobs whose queue is still configured take over its new policy, the others
    keep their old one. */
 void dag_set_queues (DagState *dag, const DagQueues *queues, int64_t now_ms);
+/* Replaces the policies of the client accounts. An account that is no longer listed keeps its last
+   policy while it has jobs. */
+void dag_set_accounts (DagState *dag, const DagAccounts *accounts, int64_t now_ms);
 /* The entry of a target was read from the list of targets. Entries of earlier incarnations and
    earlier entries of the present one are ignored: a stale read must not bring back a capacity or a
    state that the target has left. */
--- a/src/dag/dag_job.c
+++ b/src/dag/dag_job.c
@@ -210,6 +210,7 @@
   job->id = spec->id;
   job->queue = *queue;
   job->stats = dag_queue_stats (dag, &queue->name);
+  job->client = dag_client_ref (dag, &spec->account);
   job->payload = gr_str_dup (spec->payload);
   job->payload_len = spec->payload.len;
   job->accepted_at = accepted_at;
@@ -279,6 +280,7 @@
   gr_list_clear (&job->submit_calls);
   gr_list_clear (&job->cancel_calls);
   HASH_DEL (dag->jobs, job);
+  dag_client_unref (dag, job->client);
   free (job);
 }
 
--- a/src/dag/dag_place.c
+++ b/src/dag/dag_place.c
@@ -308,14 +308,7 @@
     *budget -= (int64_t) step->waiting * step->spec.demand.v[GR_RES_CPU_MILLI];
 }
 
-/* Which deadline of its job a step that starts now can meet. */
-typedef enum {
-  DEADLINE_MET,         /* meets the objective */
-  DEADLINE_SOFT_MISSED, /* meets only the hard deadline; completion is worth less */
-  DEADLINE_HARD_MISSED  /* meets neither; completion is worth nothing */
-} DeadlineClass;
-
-static DeadlineClass
+static DagDeadlineClass
 deadline_class (const DagStep *step, int64_t now_ms)
 {
   int64_t done_at = now_ms + step->critical_path_ms;
@@ -324,25 +317,42 @@
   return done_at <= step->job->hard_deadline_at ? DEADLINE_SOFT_MISSED : DEADLINE_HARD_MISSED;
 }
 
-/* Order of placement. Under overload, steps that have missed their objective must not make others
-   miss theirs too. */
+static void
+set_order (DagStep *step, int64_t now_ms)
+{
+  const DagJob *job = step->job;
+  step->order = (DagStepOrder){
+    .long_running = step->spec.long_running,
+    .deadline_class = deadline_class (step, now_ms),
+    .priority = job->queue.priority,
+    .start_by = job->objective_at - step->critical_path_ms,
+    .serial = job->serial,
+  };
+}
+
+/* Under overload, steps that have missed their objective must not make others miss theirs too. */
 static int
-compare_steps (const void *a, const void *b, void *user)
+compare_steps (const void *a, const void *b)
 {
-  const DagStep *x = *(DagStep *const *) a, *y = *(DagStep *const *) b;
-  int64_t now_ms = *(const int64_t *) user;
-  if (x->spec.long_running != y->spec.long_running)
-    return x->spec.long_running ? -1 : 1;
-  DeadlineClass x_class = deadline_class (x, now_ms), y_class = deadline_class (y, now_ms);
-  if (x_class != y_class)
-    return x_class < y_class ? -1 : 1;
-  if (x->job->queue.priority != y->job->queue.priority)
-    return x->job->queue.priority < y->job->queue.priority ? -1 : 1;
-  int64_t x_start = x->job->objective_at - x->critical_path_ms;
-  int64_t y_start = y->job->objective_at - y->critical_path_ms;
-  if (x_start != y_start)
-    return x_start < y_start ? -1 : 1;
-  return x->job->serial < y->job->serial ? -1 : x->job->serial > y->job->serial;
+  const DagStepOrder *x = &(*(DagStep *const *) a)->order, *y = &(*(DagStep *const *) b)->order;
+  if (x->long_running != y->long_running)
+    return x->long_running ? -1 : 1;
+  if (x->deadline_class != y->deadline_class)
+    return x->deadline_class < y->deadline_class ? -1 : 1;
+  if (x->priority != y->priority)
+    return x->priority < y->priority ? -1 : 1;
+  if (x->start_by != y->start_by)
+    return x->start_by < y->start_by ? -1 : 1;
+  return x->serial < y->serial ? -1 : x->serial > y->serial;
+}
+
+static void
+sort_ready_steps (DagState *dag, int64_t now_ms)
+{
+  for (size_t i = 0; i < dag->ready.count; i++)
+    set_order (dag->ready.items[i], now_ms);
+  /* NOLINTNEXTLINE(bugprone-sizeof-expression): a list of pointers */
+  qsort (dag->ready.items, dag->ready.count, sizeof *dag->ready.items, compare_steps);
 }
 
 /* A gang can be placed only when none of its unfinished tasks has a run. */
@@ -380,8 +390,7 @@
   drop_placed_steps (dag);
   if (dag->ready.count == 0 || dag->target_list.count == 0)
     return;
-  /* NOLINTNEXTLINE(bugprone-sizeof-expression): a list of pointers */
-  qsort_r (dag->ready.items, dag->ready.count, sizeof *dag->ready.items, compare_steps, &now_ms);
+  sort_ready_steps (dag, now_ms);
   DagCandidate *candidates = gr_calloc (dag->target_list.count, sizeof *candidates);
   int64_t budget = advice_budget (dag, now_ms);
   size_t reserved = 0;
--- a/src/dag/dag_priv.h
+++ b/src/dag/dag_priv.h
@@ -15,6 +15,7 @@
 typedef struct DagTask DagTask;
 typedef struct DagTarget DagTarget;
 typedef struct DagQueueStats DagQueueStats;
+typedef struct DagClient DagClient;
 
 typedef enum {
   TASK_WAITING,  /* not on any target */
@@ -87,8 +88,25 @@
   GR_LIST (DagTarget *) targets;
 } DagAdviceCall;
 
+/* Which deadline of its job a step that starts now can meet. */
+typedef enum {
+  DEADLINE_MET,         /* meets the objective */
+  DEADLINE_SOFT_MISSED, /* meets only the hard deadline; completion is worth less */
+  DEADLINE_HARD_MISSED  /* meets neither; completion is worth nothing */
+} DagDeadlineClass;
+
+/* Order of the steps in a placement pass, by the fields from first to last. */
+typedef struct {
+  bool long_running; /* first */
+  DagDeadlineClass deadline_class;
+  int32_t priority;
+  int64_t start_by; /* latest start that meets the objective */
+  uint64_t serial;  /* of the job */
+} DagStepOrder;
+
 struct DagStep {
   DagJob *job;
+  DagStepOrder order; /* of the newest placement pass */
   uint32_t number;
   DagStepSpec spec;
   int64_t critical_path_ms; /* expected time from the start of this step to the end of its job */
@@ -117,6 +135,7 @@
   UT_hash_handle hh;
   DagQueue queue;       /* copy of the policy as last configured */
   DagQueueStats *stats; /* of the queue */
+  DagClient *client;    /* account that sent it; NULL: none */
   char *payload;
   size_t payload_len;
   DagStep *steps;
@@ -276,10 +295,19 @@
   bool crash_prone; /* its starts crash too many targets */
 };
 
+/* A client account. It is freed when it is no longer configured and its last job is freed. */
+struct DagClient {
+  DagAccount policy;
+  UT_hash_handle hh;
+  bool configured;
+  size_t jobs; /* that exist, ended ones included */
+};
+
 struct DagState {
   DagOptions options;
   DagJob *jobs;
   DagTarget *targets;
+  DagClient *clients;
   DagQueueStats *queue_stats;
   DagPair *pairs;
   GR_LIST (DagQueue) queues;
@@ -364,6 +392,13 @@
 /* Removes the advice about the target from all steps, before it is freed or after its restart. */
 void dag_drop_target_refs (DagState *dag, const DagTarget *target);
 
+/* dag_account.c */
+/* Returns the account of that name for a new job of it; creates it if it is not configured. NULL if
+   the name is empty. */
+DagClient *dag_client_ref (DagState *dag, const GrName *name);
+/* A job of the account is freed; client may be NULL. */
+void dag_client_unref (DagState *dag, DagClient *client);
+
 /* dag_timetable.c */
 /* True if the job has a timetable, and so no runs of its own. */
 bool dag_has_timetable (const DagJob *job);
--- a/src/dag/dag_timetable.c
+++ b/src/dag/dag_timetable.c
@@ -117,6 +117,7 @@
     steps[s] = job->steps[s].spec;
   DagJobSpec spec = { .id = id,
                       .queue = job->queue.name,
+                      .account = job->client ? job->client->policy.name : (GrName){ 0 },
                       .payload = { job->payload, job->payload_len },
                       .steps = steps,
                       .step_count = job->step_count };
