cell: keys of client accounts are checked, and jobs belong to accounts

Change: the decoder reads accounts, keys and public routes; a call without a valid key gets 401 after the route is known. Calls, messages between VMs and records of jobs carry the account; status and cancel of a foreign job are answered like those of an unknown one, a submission gets 409.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -88,8 +88,10 @@
   cell->config = config;
   gr_buf_clear (&cell->config_doc);
   gr_buf_append_str (&cell->config_doc, doc);
-  gr_log (&cell->log, GR_EV_CONFIG_IN_FORCE, "version=%lld routes=%zu source=%s",
-          (long long) config.version, config.routes.count, source);
+  gr_log (&cell->log, GR_EV_CONFIG_IN_FORCE,
+          "version=%lld routes=%zu source=%s accounts=%zu keys=%zu", (long long) config.version,
+          config.routes.count, source, config.accounts.count,
+          config.keys ? acct_keys_count (config.keys) : 0);
   if (cell->leader)
     cell_leader_apply_config (cell->leader);
 }
--- a/src/cell/cell.h
+++ b/src/cell/cell.h
@@ -42,9 +42,10 @@
   CELL_ANSWER_NO_JOB,
   CELL_ANSWER_NO_QUEUE,
   CELL_ANSWER_INVALID,
-  CELL_ANSWER_REFUSED,   /* had no effect; value: retry after this many ms */
-  CELL_ANSWER_UNKNOWN,   /* may have taken effect: the caller repeats the call; value as above */
-  CELL_ANSWER_NOT_LEADER /* between VMs only; value: not 0 if the call may have taken effect */
+  CELL_ANSWER_REFUSED,    /* had no effect; value: retry after this many ms */
+  CELL_ANSWER_UNKNOWN,    /* may have taken effect: the caller repeats the call; value as above */
+  CELL_ANSWER_NOT_LEADER, /* between VMs only; value: not 0 if the call may have taken effect */
+  CELL_ANSWER_FOREIGN     /* the id of a submission belongs to a job of another account */
 } CellAnswerKind;
 
 typedef struct {
@@ -57,6 +58,7 @@
 typedef struct {
   CellVerb verb;
   GrName queue;
+  GrName account;         /* whose key the call has; empty: none */
   GrName job;             /* unused by CELL_VERB_PENDING */
   const DagJobSpec *spec; /* CELL_VERB_SUBMIT only; copied */
   int64_t deadline_at_ms; /* uv_now() at which the caller stops waiting */
--- a/src/cell/cell_calls.c
+++ b/src/cell/cell_calls.c
@@ -34,6 +34,7 @@
     [CELL_ANSWER_NO_JOB] = "no-job",     [CELL_ANSWER_NO_QUEUE] = "no-queue",
     [CELL_ANSWER_INVALID] = "invalid",   [CELL_ANSWER_REFUSED] = "refused",
     [CELL_ANSWER_UNKNOWN] = "unknown",   [CELL_ANSWER_NOT_LEADER] = "not-leader",
+    [CELL_ANSWER_FOREIGN] = "foreign",
   };
   return names[kind];
 }
@@ -101,6 +102,7 @@
     .queue = call->queue,
     .job = call->job,
     .spec = gr_buf_str (&call->spec),
+    .account = call->account,
   };
   call->term = leader->term;
   if (gr_vm_ref_equal (&leader->member.vm, &cell->options.self.vm)) {
@@ -125,6 +127,7 @@
   call->verb = request->verb;
   call->queue = request->queue;
   call->job = request->job;
+  call->account = request->account;
   if (request->spec)
     dag_pack_job_spec (request->spec, &call->spec);
   call->config_version = cell->config.version;
--- a/src/cell/cell_config.c
+++ b/src/cell/cell_config.c
@@ -32,6 +32,8 @@
   gr_list_clear (&config->routes);
   gr_list_clear (&config->queues);
   gr_list_clear (&config->accounts);
+  acct_keys_free (config->keys);
+  config->keys = NULL;
   config->version = 0;
 }
 
@@ -62,6 +64,32 @@
   return best;
 }
 
+bool
+cell_config_check_key (const CellConfig *config, const CellRoute *route, GrStr key, GrName *account)
+{
+  uint32_t index;
+  *account = (GrName){ 0 };
+  if (!config->keys || route->is_public)
+    return true;
+  if (!acct_keys_find (config->keys, key, &index) || index >= config->accounts.count)
+    return false;
+  *account = config->accounts.items[index].name;
+  return true;
+}
+
+bool
+cell_config_tells_account (const CellConfig *config, const GrName *queue, const GrName *account)
+{
+  if (account->len > 0 || !config->keys)
+    return account->len > 0;
+  for (size_t i = 0; i < config->routes.count; i++) {
+    const CellRoute *route = &config->routes.items[i];
+    if (route->is_public && gr_name_equal (&config->queues.items[route->queue].name, queue))
+      return true;
+  }
+  return false;
+}
+
 const DagQueue *
 cell_config_queue (const CellConfig *config, const GrName *name)
 {
--- a/src/cell/cell_leader.c
+++ b/src/cell/cell_leader.c
@@ -227,6 +227,7 @@
   CellAnswer answer = { CELL_ANSWER_INVALID, 0 };
   GrErr err = { 0 };
   if (dag_unpack_job_spec (call->spec, &unpacked, steps, &spec)) {
+    spec.account = call->account;
     int64_t token = ++leader->next_token;
     int64_t retry_after_ms = 0;
     switch (
@@ -244,6 +245,9 @@
     case DAG_SUBMIT_OVERLOAD:
       answer = (CellAnswer){ CELL_ANSWER_REFUSED, retry_after_ms };
       break;
+    case DAG_SUBMIT_FOREIGN:
+      answer.kind = CELL_ANSWER_FOREIGN;
+      break;
     case DAG_SUBMIT_INVALID:
       gr_log (&leader->cell->log, GR_EV_BAD_INPUT, "id=%.*s field=%.*s %s", GR_NAME_ARG (call->job),
               GR_NAME_ARG (err.field), err.detail);
@@ -254,12 +258,29 @@
   return answer;
 }
 
+static bool
+tells_account (const CellLeader *leader, const CellWireCall *call)
+{
+  return cell_config_tells_account (&leader->cell->config, &call->queue, &call->account);
+}
+
+/* True if the call is about a job of another account. */
+static bool
+is_foreign (const CellLeader *leader, const CellWireCall *call)
+{
+  return tells_account (leader, call) && dag_is_foreign (leader->dag, &call->job, &call->account);
+}
+
 /* Returns false if the job is certainly over and nothing has to be stored. */
 static bool
-cancel (CellLeader *leader, const GrName *from, uint64_t id, const GrName *job)
+cancel (CellLeader *leader, const GrName *from, uint64_t id, const CellWireCall *call)
 {
   int64_t token = ++leader->next_token;
-  switch (dag_cancel (cell_leader_limited_dag (leader), job, token, cell_leader_now (leader))) {
+  int64_t now_ms = cell_leader_now (leader);
+  DagState *dag = cell_leader_limited_dag (leader);
+  switch (tells_account (leader, call)
+              ? dag_cancel_for (dag, &call->job, &call->account, token, now_ms)
+              : dag_cancel (dag, &call->job, token, now_ms)) {
   case DAG_CANCEL_PENDING:
     wait_for_store (leader, from, id, token, NULL, CELL_ANSWER_CANCELLED);
     return true;
@@ -267,6 +288,7 @@
     /* Another VM may have become the leader and accepted the job: the store tells. */
     wait_for_store (leader, from, id, token, NULL, CELL_ANSWER_NO_JOB);
     return true;
+  case DAG_CANCEL_FOREIGN: /* answered like the status of an unknown job */
   case DAG_CANCEL_DROPPED:
     return false;
   }
@@ -305,15 +327,21 @@
     cell_leader_answer (leader, from, id, answer);
     return;
   }
+  /* It learns no more than about a job that nobody submitted. */
+  bool foreign = call->verb != CELL_VERB_PENDING && is_foreign (leader, call);
+  gr_metric_add (leader->cell->options.metrics, GR_METRIC_CALLS_FOREIGN, foreign);
   switch (call->verb) {
   case CELL_VERB_SUBMIT:
-    if (cell_records_stalled (leader) && dag_status (leader->dag, &call->job) == DAG_JOB_UNKNOWN)
+    if (foreign)
+      answer.kind = CELL_ANSWER_FOREIGN;
+    else if (cell_records_stalled (leader)
+             && dag_status (leader->dag, &call->job) == DAG_JOB_UNKNOWN)
       answer = (CellAnswer){ CELL_ANSWER_REFUSED, RETRY_AFTER_MS };
     else
       answer = submit (leader, from, id, call, &waits);
     break;
   case CELL_VERB_STATUS: {
-    DagJobState state = dag_status (leader->dag, &call->job);
+    DagJobState state = foreign ? DAG_JOB_UNKNOWN : dag_status (leader->dag, &call->job);
     answer = (CellAnswer){ CELL_ANSWER_STATE, state };
     waits = state == DAG_JOB_UNKNOWN;
     if (waits)
@@ -321,8 +349,10 @@
     break;
   }
   case CELL_VERB_CANCEL:
-    waits = cancel (leader, from, id, &call->job);
     answer.kind = CELL_ANSWER_NO_JOB;
+    waits = foreign || cancel (leader, from, id, call);
+    if (foreign)
+      cell_confirm_add (&leader->confirm, from, id);
     break;
   case CELL_VERB_PENDING:
     answer = (CellAnswer){ CELL_ANSWER_PENDING, dag_pending (leader->dag, &call->queue) };
--- a/src/cell/cell_priv.h
+++ b/src/cell/cell_priv.h
@@ -18,6 +18,7 @@
   uint64_t id;
   CellVerb verb;
   GrName queue;
+  GrName account;
   GrName job;
   GrBuf spec;             /* encoded by dag_pack_job_spec() */
   int64_t config_version; /* in force when the call was received */
--- a/src/cell/cell_recovery.c
+++ b/src/cell/cell_recovery.c
@@ -94,12 +94,12 @@
 static void
 load_records (CellLeader *leader)
 {
-  /* Submissions first: records of progress refer to them. */
-  for (int pass = 0; pass < 2; pass++) {
+  /* In the order that dag_load() needs: accounts, submissions, then the progress of jobs. */
+  for (int pass = 0; pass < 3; pass++) {
     for (size_t i = 0; i < leader->loaded.count; i++) {
       LoadedRecord *record = &leader->loaded.items[i];
-      bool submission = record->key.len > 0 && record->key.data[0] == 'j';
-      if (submission != (pass == 0))
+      char kind = record->key.len > 0 ? record->key.data[0] : '\0';
+      if (pass != (kind == 'a' ? 0 : kind == 'j' ? 1 : 2))
         continue;
       GrErr err = { 0 };
       if (!dag_load (leader->dag, gr_buf_str (&record->key), gr_buf_str (&record->value),
--- a/src/cell/cell_wire.c
+++ b/src/cell/cell_wire.c
@@ -5,6 +5,8 @@
 /* Most targets in one advice request or in the answer to it. */
 #define MAX_TARGETS 4096
 #define MEMBER_FIELDS 5
+/* Of a call without an account. */
+#define CALL_FIELDS 6
 
 static void
 pack_ref (msgpack_packer *packer, const GrVmRef *ref)
@@ -37,13 +39,15 @@
 static void
 pack_call (msgpack_packer *packer, const CellWireCall *call)
 {
-  cell_wire_pack_head (packer, CELL_WIRE_CALL, 6);
+  cell_wire_pack_head (packer, CELL_WIRE_CALL, CALL_FIELDS + (call->account.len > 0));
   msgpack_pack_int64 (packer, call->id);
   msgpack_pack_int (packer, (int) call->verb);
   msgpack_pack_int64 (packer, call->config_version);
   gr_pack_name (packer, &call->queue);
   gr_pack_name (packer, &call->job);
   gr_pack_bin (packer, call->spec);
+  if (call->account.len > 0)
+    gr_pack_name (packer, &call->account);
 }
 
 static void
@@ -142,8 +146,11 @@
 read_call (const msgpack_object *f, uint32_t size, CellWireCall *call)
 {
   int64_t verb;
-  if (size != 6 || !gr_unpack_int (&f[0], &call->id) || !gr_unpack_int (&f[1], &verb)
-      || verb < CELL_VERB_SUBMIT || verb > CELL_VERB_PENDING)
+  if (size < CALL_FIELDS || size > CALL_FIELDS + 1 || !gr_unpack_int (&f[0], &call->id)
+      || !gr_unpack_int (&f[1], &verb) || verb < CELL_VERB_SUBMIT || verb > CELL_VERB_PENDING)
+    return false;
+  if (size > CALL_FIELDS
+      && (!gr_unpack_name (&f[CALL_FIELDS], &call->account) || call->account.len == 0))
     return false;
   call->verb = (CellVerb) verb;
   return gr_unpack_int (&f[2], &call->config_version) && gr_unpack_name (&f[3], &call->queue)
@@ -155,7 +162,7 @@
 {
   int64_t kind;
   if (size != 3 || !gr_unpack_int (&f[0], &answer->id) || !gr_unpack_int (&f[1], &kind)
-      || kind < CELL_ANSWER_ACCEPTED || kind > CELL_ANSWER_NOT_LEADER)
+      || kind < CELL_ANSWER_ACCEPTED || kind > CELL_ANSWER_FOREIGN)
     return false;
   answer->answer.kind = (CellAnswerKind) kind;
   return gr_unpack_int (&f[2], &answer->answer.value);
--- a/src/cell/cell_wire.h
+++ b/src/cell/cell_wire.h
@@ -28,6 +28,9 @@
   GrName queue;
   GrName job;
   GrStr spec; /* dag_pack_job_spec() */
+  /* Empty: none; then the message has the form of the versions before accounts. They refuse the
+     other form, and the call is answered as unknown at its deadline. */
+  GrName account;
 } CellWireCall;
 
 typedef struct {
--- a/src/dag/dag.c
+++ b/src/dag/dag.c
@@ -62,6 +62,8 @@
   gr_list_clear (&dag->ready);
   gr_list_clear (&dag->target_list);
   gr_list_clear (&dag->timetables);
+  gr_hash_clear (dag->loaded_accounts, free);
+  gr_list_clear (&dag->orphans);
   free (dag);
 }
 
@@ -69,6 +71,7 @@
 dag_loaded (DagState *dag, int64_t now_ms)
 {
   dag->loaded = true;
+  dag_accounts_loaded (dag);
   dag_timetable_loaded (dag, now_ms);
   for (DagJob *job = dag->jobs; job; job = job->hh.next) {
     if (dag_job_is_open (job)) {
@@ -121,6 +124,7 @@
     mark_assignments (job, dag->batch);
     bytes += dag_pack_job (dag, job, out);
   }
+  dag_pack_orphans (dag, out);
   /* The job of a processed end may be among those that did not fit. All ends that are not stored
      yet are therefore acknowledged after the next batch at the earliest. */
   if (dag->dirty) {
--- a/src/dag/dag.h
+++ b/src/dag/dag.h
@@ -306,13 +306,15 @@
   DAG_SUBMIT_KNOWN,    /* already stored */
   DAG_SUBMIT_NO_QUEUE, /* no such queue is configured */
   DAG_SUBMIT_OVERLOAD, /* refused: the job would end long after its objective; never returned yet */
-  DAG_SUBMIT_INVALID
+  DAG_SUBMIT_INVALID,
+  DAG_SUBMIT_FOREIGN /* the id belongs to a job of another account; nothing was changed */
 } DagSubmitResult;
 
 typedef enum {
   DAG_CANCEL_PENDING, /* answered by DAG_CMD_CANCELLED */
   DAG_CANCEL_UNKNOWN, /* no such job was submitted; DAG_CMD_CANCELLED follows all the same */
-  DAG_CANCEL_DROPPED  /* the job ended long ago; no command follows */
+  DAG_CANCEL_DROPPED, /* the job ended long ago; no command follows */
+  DAG_CANCEL_FOREIGN  /* the job belongs to another account; nothing was changed */
 } DagCancelResult;
 
 /* Record for the durable store, which keeps the newest value of each key. An empty value deletes
@@ -347,15 +349,16 @@
 DagState *dag_new (const DagOptions *options, GrErr *err);
 void dag_free (DagState *dag);
 
-/* Encodes a submission for forwarding to another VM. */
+/* Encodes a submission for forwarding to another VM, without its account. */
 void dag_pack_job_spec (const DagJobSpec *spec, GrBuf *out);
 /* Decodes a submission; returns false if it is malformed. *spec points into unpacked, which the
    caller has initialised and destroys, and to steps, which has room for DAG_MAX_STEPS. */
 bool dag_unpack_job_spec (GrStr bytes, msgpack_unpacked *unpacked, DagStepSpec *steps,
                           DagJobSpec *spec);
 
-/* Recovery: the caller loads every record of the store once, submissions (keys that start with 'j')
-   first, then calls dag_loaded(). Nothing is placed before. A record that cannot be decoded is
+/* Recovery: the caller loads every record of the store once, accounts (keys that start with 'a')
+   first, then submissions (keys that start with 'j'), then the others, and calls dag_loaded().
+   Nothing is placed before. A record that cannot be decoded is
    skipped with GR_ERR_PROTOCOL. */
 bool dag_load (DagState *dag, GrStr key, GrStr value, int64_t now_ms, GrErr *err);
 void dag_loaded (DagState *dag, int64_t now_ms);
@@ -384,8 +387,9 @@
    name of the field. */
 bool dag_check_job_spec (const DagJobSpec *spec, GrErr *err);
 /* call identifies the caller in DAG_CMD_ACCEPTED. *retry_after_ms is 0 except with
-   DAG_SUBMIT_OVERLOAD; err is set with DAG_SUBMIT_INVALID only. If the id is known, spec is not
-   compared with the known job. */
+   DAG_SUBMIT_OVERLOAD; err is set with DAG_SUBMIT_INVALID only. If the id is known, only the
+   account of spec is compared with the known job. A submission without an account is not refused as
+   foreign: see dag_is_foreign(). */
 DagSubmitResult dag_submit (DagState *dag, const DagJobSpec *spec, int64_t call, int64_t now_ms,
                             int64_t *retry_after_ms, GrErr *err);
 /* Removes a job of which no record has been taken for storing; its submit calls get no command.
@@ -394,6 +398,13 @@
 /* Cancels the job unless it has ended. A job that is not known never starts after it was cancelled,
    even if its submission arrives later, as long as the state of an ended job stays available. */
 DagCancelResult dag_cancel (DagState *dag, const GrName *id, int64_t call, int64_t now_ms);
+/* Like dag_cancel() for a caller whose account is known; an empty one is that of callers without a
+   key. If no such job was submitted, submissions of this account only never start. */
+DagCancelResult dag_cancel_for (DagState *dag, const GrName *id, const GrName *account,
+                                int64_t call, int64_t now_ms);
+/* True if the id belongs to a job of another account than this. A job without an account is foreign
+   to nobody: it was accepted on a route that is open to all, or before accounts were configured. */
+bool dag_is_foreign (const DagState *dag, const GrName *id, const GrName *account);
 /* State of the job for callers; DAG_JOB_UNKNOWN if it was never submitted. Ended states are
    returned only once they are stored. */
 DagJobState dag_status (const DagState *dag, const GrName *id);
--- a/src/dag/dag_codec.c
+++ b/src/dag/dag_codec.c
@@ -1,5 +1,9 @@
 /* Encoding of the records of the durable store, in MessagePack.
 
+   Key "a" + id: the account of a job, written with its first record and deleted with its last one:
+     [format, account]; jobs without an account have none. Earlier versions skip these records,
+   while they refuse a submission record with anything added.
+
    Key "j" + id: the submission, written once and deleted after the job has ended:
      [format, id, queue policy, accepted at (Unix ms), payload, [step, ...]], with a timetable also
      count, start at (Unix ms), interval.
@@ -18,8 +22,10 @@
 #include "dag/dag_priv.h"
 
 #define FORMAT 1
+#define ACCOUNT_KEY 'a'
 #define SPEC_KEY 'j'
 #define PROGRESS_KEY 'p'
+#define ACCOUNT_FIELDS 2
 #define SPEC_FIELDS 6
 #define TIMETABLE_FIELDS 3
 #define PROGRESS_FIELDS 5
@@ -121,6 +127,16 @@
     pack_timetable (&packer, &job->timetable);
 }
 
+static void
+pack_account (const GrName *account, GrBuf *out)
+{
+  msgpack_packer packer;
+  gr_pack_init (&packer, out);
+  msgpack_pack_array (&packer, ACCOUNT_FIELDS);
+  msgpack_pack_int (&packer, FORMAT);
+  gr_pack_name (&packer, account);
+}
+
 void
 dag_pack_job_spec (const DagJobSpec *spec, GrBuf *out)
 {
@@ -324,6 +340,15 @@
          && gr_unpack_bytes (&f[2], &spec->payload) && read_steps (&f[3], steps, &spec->step_count);
 }
 
+bool
+dag_read_account (const msgpack_object *object, GrName *account)
+{
+  int64_t format;
+  return gr_unpack_is_array (object, ACCOUNT_FIELDS)
+         && gr_unpack_int (&object->via.array.ptr[0], &format) && format == FORMAT
+         && gr_unpack_name (&object->via.array.ptr[1], account) && account->len > 0;
+}
+
 static bool
 load_spec (DagState *dag, const msgpack_object *object)
 {
@@ -347,9 +372,11 @@
     return false;
   if (dag_find_job (dag, &spec.id))
     return true;
+  spec.account = dag_loaded_account (dag, &spec.id);
   DagJob *job = dag_job_create (dag, &spec, &queue, accepted - dag->options.unix_offset_ms);
   job->stored = true;
   job->spec_written = true;
+  job->account_written = spec.account.len > 0;
   return true;
 }
 
@@ -470,8 +497,10 @@
     /* The submission record is deleted after the job has ended. */
     if (!ended_job)
       return false;
-    job = dag_job_create_ended (dag, id, submitted ? (DagJobState) state : DAG_JOB_CANCELLED,
-                                ended_at);
+    GrName account = dag_loaded_account (dag, id);
+    job = dag_job_create_ended (dag, id, &account,
+                                submitted ? (DagJobState) state : DAG_JOB_CANCELLED, ended_at);
+    job->account_written = account.len > 0;
     job->never_submitted = !submitted;
     job->stored = true;
     job->stored_state = job->state;
@@ -511,7 +540,9 @@
   msgpack_unpacked unpacked;
   msgpack_unpacked_init (&unpacked);
   bool ok = gr_unpack_array (&unpacked, value);
-  if (ok && key.data[0] == SPEC_KEY)
+  if (ok && key.data[0] == ACCOUNT_KEY)
+    ok = dag_load_account (dag, &id, &unpacked.data);
+  else if (ok && key.data[0] == SPEC_KEY)
     ok = load_spec (dag, &unpacked.data);
   else if (ok && key.data[0] == PROGRESS_KEY)
     ok = load_progress (dag, &id, &unpacked.data, now_ms);
@@ -538,6 +569,14 @@
 dag_pack_job (const DagState *dag, DagJob *job, DagRecords *out)
 {
   size_t bytes = 0;
+  /* First, as the account is needed to load the others. An occurrence has that of its job. */
+  if (!job->account_written && job->client && !job->timetable_job) {
+    GrBuf value = { 0 };
+    pack_account (&job->client->policy.name, &value);
+    bytes += value.len;
+    push_record (out, ACCOUNT_KEY, &job->id, value);
+    job->account_written = true;
+  }
   if (!job->spec_written) {
     GrBuf value = { 0 };
     dag_pack_spec (dag, job, &value);
@@ -563,6 +602,14 @@
   if (!job->spec_dropped)
     push_record (out, SPEC_KEY, &job->id, (GrBuf){ 0 });
   push_record (out, PROGRESS_KEY, &job->id, (GrBuf){ 0 });
+  if (job->account_written)
+    dag_pack_account_drop (&job->id, out);
+}
+
+void
+dag_pack_account_drop (const GrName *id, DagRecords *out)
+{
+  push_record (out, ACCOUNT_KEY, id, (GrBuf){ 0 });
 }
 
 void
--- a/src/dag/dag_job.c
+++ b/src/dag/dag_job.c
@@ -240,9 +240,10 @@
 }
 
 DagJob *
-dag_job_create_ended (DagState *dag, const GrName *id, DagJobState state, int64_t ended_at)
+dag_job_create_ended (DagState *dag, const GrName *id, const GrName *account, DagJobState state,
+                      int64_t ended_at)
 {
-  DagJobSpec spec = { .id = *id };
+  DagJobSpec spec = { .id = *id, .account = *account };
   DagJob *job = dag_job_create (dag, &spec, &(DagQueue){ 0 }, ended_at);
   job->state = state;
   job->ended_at = ended_at;
@@ -373,6 +374,21 @@
   return true;
 }
 
+/* Stores the submission as cancelled if its account had cancelled the id before. */
+static bool
+submit_cancelled (DagState *dag, const DagJobSpec *spec, int64_t call)
+{
+  GrName id = dag_cancelled_id (&spec->id, &spec->account);
+  const DagJob *cancelled = dag_find_job (dag, &id);
+  if (!cancelled || cancelled->dropped)
+    return false;
+  DagJob *job = dag_job_create_ended (dag, &spec->id, &spec->account, DAG_JOB_CANCELLED,
+                                      cancelled->ended_at);
+  gr_list_push (&job->submit_calls, call);
+  dag_job_mark_dirty (dag, job);
+  return true;
+}
+
 DagSubmitResult
 dag_submit (DagState *dag, const DagJobSpec *spec, int64_t call, int64_t now_ms,
             int64_t *retry_after_ms, GrErr *err)
@@ -380,6 +396,8 @@
   *retry_after_ms = 0;
   DagJob *job = dag_find_job (dag, &spec->id);
   if (job) {
+    if (spec->account.len > 0 && dag_is_foreign (dag, &spec->id, &spec->account))
+      return DAG_SUBMIT_FOREIGN;
     if (job->never_submitted && !job->dropped) {
       job->never_submitted = false;
       job->stored = false;
@@ -390,6 +408,8 @@
     gr_list_push (&job->submit_calls, call);
     return DAG_SUBMIT_PENDING;
   }
+  if (submit_cancelled (dag, spec, call))
+    return DAG_SUBMIT_PENDING;
   const DagQueue *queue = find_queue (dag, &spec->queue);
   if (!queue)
     return DAG_SUBMIT_NO_QUEUE;
@@ -440,7 +460,7 @@
   if (job && job->dropped)
     return DAG_CANCEL_DROPPED;
   if (!job) {
-    job = dag_job_create_ended (dag, id, DAG_JOB_CANCELLED, now_ms);
+    job = dag_job_create_ended (dag, id, &(GrName){ 0 }, DAG_JOB_CANCELLED, now_ms);
     job->never_submitted = true;
   }
   gr_list_push (&job->cancel_calls, call);
--- a/src/dag/dag_priv.h
+++ b/src/dag/dag_priv.h
@@ -149,6 +149,7 @@
   bool stored;              /* the submission is in the store */
   bool spec_written;        /* the submission record was taken for storing */
   bool spec_dropped;        /* the deletion of that record was taken for storing */
+  bool account_written;     /* the account record was taken for storing */
   bool dirty;               /* in the list dag->dirty */
   int64_t batch;            /* batch in flight that holds a record of the job; 0: none */
   DagJobState batch_state;  /* state in that record */
@@ -172,6 +173,13 @@
   int32_t next_occurrence; /* all earlier ones are done or exist as jobs */
 };
 
+/* Account of a job whose other records are yet to be loaded. */
+typedef struct {
+  GrName job;
+  GrName account;
+  UT_hash_handle hh;
+} DagLoadedAccount;
+
 /* A hold in flight. */
 typedef struct {
   int64_t token;
@@ -322,14 +330,16 @@
   int64_t next_token;
   uint64_t next_job_serial;
   uint32_t next_target_serial;
-  int64_t pass;                  /* number of the newest placement pass */
-  int64_t mark;                  /* newest DagTarget.mark */
-  bool place_wanted;             /* a placement pass is requested */
-  int64_t placed_at;             /* time of the last placement pass */
-  int64_t lease_limit_ms;        /* see dag_limit_leases() */
-  bool loaded;                   /* recovery is complete */
-  bool deposed;                  /* a target has seen a later term; ticks do nothing */
-  GR_LIST (DagJob *) timetables; /* jobs with a timetable */
+  int64_t pass;                      /* number of the newest placement pass */
+  int64_t mark;                      /* newest DagTarget.mark */
+  bool place_wanted;                 /* a placement pass is requested */
+  int64_t placed_at;                 /* time of the last placement pass */
+  int64_t lease_limit_ms;            /* see dag_limit_leases() */
+  bool loaded;                       /* recovery is complete */
+  bool deposed;                      /* a target has seen a later term; ticks do nothing */
+  GR_LIST (DagJob *) timetables;     /* jobs with a timetable */
+  DagLoadedAccount *loaded_accounts; /* accounts of jobs, during recovery */
+  GR_LIST (GrName) orphans;          /* ids whose account records are to be deleted */
   size_t open_jobs;
   int64_t expire_scan_at; /* time of the next scan for expired jobs */
   /* Share of silent targets among those that nothing else explains (dag_risk.c). */
@@ -365,7 +375,8 @@
 DagJob *dag_job_create (DagState *dag, const DagJobSpec *spec, const DagQueue *queue,
                         int64_t accepted_at);
 /* Creates a job without steps that has ended. */
-DagJob *dag_job_create_ended (DagState *dag, const GrName *id, DagJobState state, int64_t ended_at);
+DagJob *dag_job_create_ended (DagState *dag, const GrName *id, const GrName *account,
+                              DagJobState state, int64_t ended_at);
 /* Removes the job from dag and frees it. */
 void dag_job_free (DagState *dag, DagJob *job);
 /* The next batch will hold a record of the job. */
@@ -399,6 +410,19 @@
 /* A job of the account is freed; client may be NULL. */
 void dag_client_unref (DagState *dag, DagClient *client);
 
+/* dag_owner.c */
+/* Id under which the cancellation of a job that this account did not submit is remembered. */
+GrName dag_cancelled_id (const GrName *id, const GrName *account);
+/* Account of a job that is being loaded; empty if it has none. */
+GrName dag_loaded_account (const DagState *dag, const GrName *id);
+/* Loads an account record; false if it is malformed or its job is loaded already. */
+bool dag_load_account (DagState *dag, const GrName *id, const msgpack_object *object);
+/* After recovery: account records without a job, which a leader of an earlier version has left
+   behind, will be deleted. */
+void dag_accounts_loaded (DagState *dag);
+/* Ids whose account records are to be deleted with the next batch. */
+void dag_pack_orphans (DagState *dag, DagRecords *out);
+
 /* dag_timetable.c */
 /* True if the job has a timetable, and so no runs of its own. */
 bool dag_has_timetable (const DagJob *job);
@@ -429,6 +453,10 @@
 size_t dag_pack_job (const DagState *dag, DagJob *job, DagRecords *out);
 /* Appends empty records, which delete the job from the store. */
 void dag_pack_drop (const DagJob *job, DagRecords *out);
+/* Appends the empty record that deletes the account of a job. */
+void dag_pack_account_drop (const GrName *id, DagRecords *out);
+/* Reads the value of an account record. */
+bool dag_read_account (const msgpack_object *object, GrName *account);
 
 /* dag_target.c */
 /* Stops all further ticks and emits DAG_CMD_DEPOSED: a target has seen a later term. */
--- a/tests/dag_world.hh
+++ b/tests/dag_world.hh
@@ -82,7 +82,7 @@
     }
     DagQueues list = { queues, 2 };
     dag_set_queues (dag_, &list, now_);
-    for (char kind : { 'j', 'p' }) {
+    for (char kind : { 'a', 'j', 'p' }) {
       for (auto &record : store_) {
         GrErr err = {};
         if (record.first[0] == kind && !record.second.empty ()
