--- a/src/dag/dag_job.c
+++ b/src/dag/dag_job.c
@@ -400,6 +400,7 @@
       return DAG_SUBMIT_FOREIGN;
     if (job->never_submitted && !job->dropped) {
       job->never_submitted = false;
+      job->client = dag_client_ref (dag, &spec->account);
       job->stored = false;
       dag_job_mark_dirty (dag, job);
     }
--- a/tests/test_cell.c
+++ b/tests/test_cell.c
@@ -368,7 +368,11 @@
       .u.status = { { { gr_name ("a"), 7 }, 3, true, true, false, true, 12 }, 9 } },
     { .type = CELL_WIRE_CALL,
       .u.call = { 4, CELL_VERB_CANCEL, 9, gr_name ("q"), gr_name ("j"), { "x", 1 } } },
+    { .type = CELL_WIRE_CALL,
+      .u.call
+      = { 4, CELL_VERB_CANCEL, 9, gr_name ("q"), gr_name ("j"), { "x", 1 }, gr_name ("A") } },
     { .type = CELL_WIRE_ANSWER, .u.answer = { 4, { CELL_ANSWER_REFUSED, 1000 } } },
+    { .type = CELL_WIRE_ANSWER, .u.answer = { 4, { CELL_ANSWER_FOREIGN, 0 } } },
     { .type = CELL_WIRE_ADVICE_REQUEST,
       .u.advice_request = { 5, gr_name ("j"), 2, 30, targets, 2 } },
     { .type = CELL_WIRE_ADVICE, .u.advice = { 5, true, allowed, 1 } },
@@ -449,6 +453,63 @@
   }
 }
 
+/* Guards against calls without an account that VMs of the version before accounts do not
+   understand, and against a call whose account is lost on its way to them: they refuse it. */
+static void
+calls_without_an_account_keep_their_form (void **state)
+{
+  (void) state;
+  CellWireMsg msg = {
+    .type = CELL_WIRE_CALL,
+    .u.call = { 4, CELL_VERB_STATUS, 9, gr_name ("q"), gr_name ("j"), { "x", 1 }, { 0 } },
+  };
+  /* As that version writes it. */
+  static const char before[] = "\x97\x02\x04\x01\x09\xa1q\xa1j\xc4\x01x";
+  static const char with_account[] = "\x98\x02\x04\x01\x09\xa1q\xa1j\xc4\x01x\xa1"
+                                     "A";
+  static const char with_empty_account[] = "\x98\x02\x04\x01\x09\xa1q\xa1j\xc4\x01x\xa0";
+  GrBuf bytes = { 0 };
+  cell_wire_encode (&msg, &bytes);
+  assert_true (gr_str_equal (gr_buf_str (&bytes), GR_STR (before)));
+  gr_buf_clear (&bytes);
+  msg.u.call.account = gr_name ("A");
+  cell_wire_encode (&msg, &bytes);
+  assert_true (gr_str_equal (gr_buf_str (&bytes), GR_STR (with_account)));
+  gr_buf_clear (&bytes);
+  msgpack_unpacked unpacked;
+  msgpack_unpacked_init (&unpacked);
+  assert_false (cell_wire_decode (GR_STR (with_empty_account), &unpacked, &msg, NULL));
+  msgpack_unpacked_destroy (&unpacked);
+}
+
+/* Guards against callers who see jobs of an account for which they have no key, and against calls
+   that lose sight of their jobs while a version with the first accounts spreads: the VM that has
+   received them may not check keys yet. */
+static void
+calls_without_an_account_are_told_apart (void **state)
+{
+  (void) state;
+  static const struct {
+    bool has_keys;
+    const char *queue, *account;
+    bool told;
+  } cases[] = { { true, "open", "", true },    { true, "closed", "", false },
+                { true, "closed", "A", true }, { true, "gone", "", false },
+                { false, "open", "", false },  { false, "closed", "", false },
+                { false, "closed", "A", true } };
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+    CellConfig config = { .keys = cases[i].has_keys ? acct_keys_new () : NULL };
+    GrName host = gr_name ("h");
+    cell_config_add (&config, &host, GR_STR ("/c/"), &(DagQueue){ .name = gr_name ("closed") });
+    cell_config_add (&config, &host, GR_STR ("/o/"), &(DagQueue){ .name = gr_name ("open") });
+    config.routes.items[1].is_public = true;
+    GrName queue = gr_name (cases[i].queue), account = gr_name (cases[i].account);
+    if (cell_config_tells_account (&config, &queue, &account) != cases[i].told)
+      fail_msg ("case %zu", i);
+    cell_config_clear (&config);
+  }
+}
+
 /* Guards against answers of a VM that is not the leader any more: a call that arrives while a check
    of the leadership is in flight is not answered by it. */
 static void
@@ -489,6 +550,8 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (checks_cover_the_calls_before_them),
     cmocka_unit_test (finds_the_longest_prefix),
+    cmocka_unit_test (calls_without_an_account_keep_their_form),
+    cmocka_unit_test (calls_without_an_account_are_told_apart),
     cmocka_unit_test (short_requests_do_not_wait_behind_long_ones),
     cmocka_unit_test (large_cells_use_most_lanes_for_long_requests),
     cmocka_unit_test (requests_of_a_removed_lane_are_sent_again),
--- a/tests/test_fuzz.c
+++ b/tests/test_fuzz.c
@@ -20,6 +20,7 @@
 #include "node/node_stream.h"
 #include "node/node_wire.h"
 #include "own/own.h"
+#include "platform/plat.h"
 
 #define DEFAULT_INPUTS 20000
 #define DEFAULT_SEED 20261204
@@ -229,6 +230,9 @@
     { .type = CELL_WIRE_STATUS, .u.status = { { { gr_name ("a"), 7 }, .term = 3 }, 9 } },
     { .type = CELL_WIRE_CALL,
       .u.call = { 4, CELL_VERB_CANCEL, 9, gr_name ("q"), gr_name ("j"), { "x", 1 } } },
+    { .type = CELL_WIRE_CALL,
+      .u.call
+      = { 4, CELL_VERB_CANCEL, 9, gr_name ("q"), gr_name ("j"), { "x", 1 }, gr_name ("A") } },
     { .type = CELL_WIRE_ANSWER, .u.answer = { 4, { CELL_ANSWER_REFUSED, 1000 } } },
     { .type = CELL_WIRE_ADVICE_REQUEST,
       .u.advice_request = { 5, gr_name ("j"), 1, 40, targets, 2 } },
@@ -301,7 +305,7 @@
   if (dag_unpack_job_spec (input, &unpacked, steps, &spec))
     dag_submit (dag, &spec, 1, 10, &retry_after_ms, &err);
   dag_submit (dag, &known, 2, 10, &retry_after_ms, &err);
-  static const char *const keys[] = { "jj1", "pj1", "pj2", "x", "" };
+  static const char *const keys[] = { "aj1", "aj2", "jj1", "pj1", "pj2", "x", "" };
   for (size_t i = 0; i < sizeof keys / sizeof keys[0]; i++) {
     GrErr load_err = { 0 };
     if (!dag_load (dag, gr_str_from_c (keys[i]), input, 20, &load_err))
@@ -364,7 +368,7 @@
 {
   (void) state;
   enum {
-    SEEDS = 5
+    SEEDS = 6
   };
   GrBuf seeds[SEEDS] = { 0 };
   DagState *dag = new_dag ();
@@ -385,6 +389,8 @@
   dag_stored (dag, batch, 10);
   pack_progress_of_runs (dag, &seeds[3], &seeds[4]);
   assert_true (seeds[4].len > seeds[3].len);
+  gr_buf_append_str (&seeds[5], GR_STR ("\x92\x01\xa1"
+                                        "A"));
   dag_free (dag);
   fuzz (seeds, SEEDS, decode_job_progress);
   clear_seeds (seeds, SEEDS);
@@ -530,6 +536,41 @@
   gr_buf_clear (&seed);
 }
 
+static void
+decode_cell_config (GrStr input)
+{
+  CellConfig config = { 0 };
+  GrErr err = { 0 };
+  GrName account;
+  if (!plat_decode_config (NULL, input, &config, &err))
+    assert_int_not_equal (err.code, GR_ERR_NONE);
+  for (size_t i = 0; i < config.routes.count; i++)
+    cell_config_check_key (&config, &config.routes.items[i], input, &account);
+  for (size_t i = 0; i < config.accounts.count; i++) {
+    assert_true (config.accounts.items[i].weight > 0);
+    assert_true (config.accounts.items[i].maximum.v[GR_RES_CPU_MILLI] >= 0);
+  }
+  cell_config_clear (&config);
+  GrStr key;
+  if (plat_bearer_key (input, &key))
+    assert_true (key.len > 0 && key.len < input.len);
+}
+
+static void
+cell_configurations_and_keys (void **state)
+{
+  (void) state;
+  GrBuf seeds[2] = { 0 };
+  gr_buf_printf (&seeds[0], "{\"version\":3,\"routes\":[{\"name\":\"q\",\"host\":\"h\","
+                            "\"pathPrefix\":\"/\",\"service\":\"s\",\"public\":true}],"
+                            "\"tenants\":[{\"name\":\"A\",\"apiKeys\":[\"k1\",\"k2\"],"
+                            "\"weight\":2.5,\"maximum\":{\"cpu\":1500,\"memMb\":7,\"gpu\":1}},"
+                            "{\"name\":\"B\",\"apiKeys\":[\"k2\"],\"priority\":1}]}");
+  gr_buf_printf (&seeds[1], "Bearer k1");
+  fuzz (seeds, 2, decode_cell_config);
+  clear_seeds (seeds, 2);
+}
+
 int
 main (void)
 {
@@ -543,6 +584,7 @@
     cmocka_unit_test (log_answers),
     cmocka_unit_test (configuration_files_and_publications),
     cmocka_unit_test (http_bodies),
+    cmocka_unit_test (cell_configurations_and_keys),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/tests/test_plat.c
+++ b/tests/test_plat.c
@@ -248,6 +248,141 @@
   }
 }
 
+/* Decodes a configuration with two routes, of which the second is public. */
+static bool
+decode_config (const char *tenants, CellConfig *config, GrErr *err)
+{
+  GrBuf text = { 0 };
+  gr_buf_printf (&text,
+                 "{\"version\":3,\"routes\":["
+                 "{\"name\":\"q\",\"host\":\"h\",\"pathPrefix\":\"/q/\",\"service\":\"s\"},"
+                 "{\"name\":\"p\",\"host\":\"h\",\"pathPrefix\":\"/p/\",\"service\":\"s\","
+                 "\"public\":true},"
+                 "{\"name\":\"o\",\"host\":\"h\",\"pathPrefix\":\"/o/\",\"service\":\"s\","
+                 "\"public\":\"no\"}]%s}",
+                 tenants);
+  bool ok = plat_decode_config (NULL, gr_buf_str (&text), config, err);
+  gr_buf_clear (&text);
+  return ok;
+}
+
+/* Guards against a document with odd fields that stops a VM, opens the cell to callers without a
+   key, or turns a limit into none. */
+static void
+accounts_with_odd_fields_are_left_out_or_limited (void **state)
+{
+  (void) state;
+  static const struct {
+    const char *tenants;
+    const char *accounts;   /* "name weight cpu memory accelerators;" of each */
+    const char *key, *name; /* account of the key; NULL: refused */
+  } cases[] = {
+    { "", "", "k1", "" },
+    { ",\"tenants\":null", "", "k1", "" },
+    { ",\"tenants\":[]", "", "k1", "" },
+    { ",\"tenants\":[{\"name\":\"A\",\"apiKeys\":[\"k1\"]}]", "A 1 0 0 0;", "k1", "A" },
+    { ",\"tenants\":[{\"name\":\"A\",\"apiKeys\":[\"k1\",7,\"\",null,\"k2\"],\"priority\":{}}]",
+      "A 1 0 0 0;", "k2", "A" },
+    { ",\"tenants\":[{\"name\":\"A\",\"weight\":2.5,\"maximum\":{\"cpu\":1500,\"memMb\":7,\"gpu\":"
+      "1}}]",
+      "A 2.5 1500 7 1;", "k1", NULL },
+    { ",\"tenants\":[{\"name\":\"A\",\"maximum\":{\"cpu\":0.2,\"memMb\":1e300,\"gpu\":null}}]",
+      "A 1 1 0 0;", "k1", NULL },
+    { ",\"tenants\":[{\"name\":\"A\",\"maximum\":{\"cpu\":1073741824,\"memMb\":1073741825}}]",
+      "A 1 1073741824 0 0;", "k1", NULL },
+    { ",\"tenants\":[{\"name\":\"A\",\"weight\":-3},{\"name\":\"B\",\"weight\":1e300},"
+      "{\"name\":\"C\",\"weight\":\"x\"}]",
+      "A 0.001 0 0 0;B 1e+06 0 0 0;C 1 0 0 0;", "k1", NULL },
+    { ",\"tenants\":[{\"apiKeys\":[\"k1\"]},{\"name\":\"\",\"apiKeys\":[\"k1\"]},{\"name\":[],"
+      "\"apiKeys\":[\"k1\"]},7,null,\"x\",[\"k1\"]]",
+      "", "k1", NULL },
+    { ",\"tenants\":[{\"name\":\"A\",\"apiKeys\":\"k1\"},{\"name\":\"B\",\"apiKeys\":[\"k1\"]}]",
+      "B 1 0 0 0;", "k1", "B" },
+    { ",\"tenants\":[{\"name\":\"A\",\"apiKeys\":[\"k1\"],\"maximum\":{\"cpu\":-1}},"
+      "{\"name\":\"B\",\"maximum\":[1]},{\"name\":\"C\",\"maximum\":{\"gpu\":\"1\"}}]",
+      "", "k1", NULL },
+    { ",\"tenants\":[{\"name\":\"A\",\"apiKeys\":[\"k0\",\"k1\"]},"
+      "{\"name\":\"B\",\"apiKeys\":[\"k1\"]}]",
+      "A 1 0 0 0;B 1 0 0 0;", "k1", NULL },
+    { ",\"tenants\":[{\"name\":\"A\",\"apiKeys\":[\"k1\",\"k1\"]},"
+      "{\"name\":\"A\",\"apiKeys\":[\"k2\"]}]",
+      "A 1 0 0 0;", "k1", "A" },
+    { ",\"tenants\":[{\"name\":\"a name of more than sixty-three bytes, which no account may "
+      "have\","
+      "\"apiKeys\":[\"k1\"]}]",
+      "", "k1", NULL },
+  };
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+    CellConfig config = { 0 };
+    GrErr err = { 0 };
+    GrName account;
+    GrBuf seen = { 0 };
+    if (!decode_config (cases[i].tenants, &config, &err))
+      fail_msg ("%s: %s", cases[i].tenants, err.detail);
+    gr_buf_append (&seen, "", 0);
+    for (size_t a = 0; a < config.accounts.count; a++) {
+      const DagAccount *found = &config.accounts.items[a];
+      gr_buf_printf (&seen, "%.*s %g %d %d %d;", GR_NAME_ARG (found->name), found->weight,
+                     found->maximum.v[GR_RES_CPU_MILLI], found->maximum.v[GR_RES_MEMORY_MB],
+                     found->maximum.v[GR_RES_ACCELERATORS]);
+    }
+    assert_string_equal (seen.data, cases[i].accounts);
+    GrStr key = gr_str_from_c (cases[i].key);
+    const CellRoute *routes = config.routes.items;
+    bool accepted = cell_config_check_key (&config, &routes[0], key, &account);
+    if (accepted != (cases[i].name != NULL))
+      fail_msg ("%s: accepted=%d", cases[i].tenants, accepted);
+    if (accepted)
+      assert_true (gr_str_equal (gr_name_str (&account), gr_str_from_c (cases[i].name)));
+    /* On a public route the key does not matter, and names no account. */
+    assert_true (cell_config_check_key (&config, &routes[1], key, &account));
+    assert_int_equal (account.len, 0);
+    assert_int_equal (cell_config_check_key (&config, &routes[2], key, &account), accepted);
+    gr_buf_clear (&seen);
+    cell_config_clear (&config);
+    assert_null (config.keys);
+  }
+}
+
+/* Guards against a document that removes the accounts by mistake: then any caller would be let in.
+ */
+static void
+a_list_of_accounts_of_another_type_is_refused (void **state)
+{
+  (void) state;
+  static const char *const cases[] = { "{}", "\"A\"", "7", "true", "false" };
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+    CellConfig config = { 0 };
+    GrErr err = { 0 };
+    GrBuf text = { 0 };
+    gr_buf_printf (&text, ",\"tenants\":%s", cases[i]);
+    assert_false (decode_config (text.data, &config, &err));
+    assert_int_equal (err.code, GR_ERR_PROTOCOL);
+    gr_buf_clear (&text);
+    cell_config_clear (&config);
+  }
+}
+
+static void
+keys_are_taken_from_their_header (void **state)
+{
+  (void) state;
+  static const struct {
+    const char *header, *key; /* NULL: none */
+  } cases[] = { { "Bearer abc", "abc" },   { "bearer abc", "abc" },
+                { "BEARER  a b ", "a b" }, { "Bearer", NULL },
+                { "Bearer ", NULL },       { "Bearer   ", NULL },
+                { "Basic abc", NULL },     { "", NULL },
+                { "abc", NULL },           { "Bearerabc def", NULL } };
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+    GrStr key = { 0 };
+    bool ok = plat_bearer_key (gr_str_from_c (cases[i].header), &key);
+    assert_int_equal (ok, cases[i].key != NULL);
+    if (ok)
+      assert_true (gr_str_equal (key, gr_str_from_c (cases[i].key)));
+  }
+}
+
 int
 main (void)
 {
@@ -259,6 +394,9 @@
     cmocka_unit_test (entries_with_odd_values_are_refused_by_field),
     cmocka_unit_test (entries_that_cannot_be_parsed_are_refused),
     cmocka_unit_test (listings_with_odd_keys_are_read),
+    cmocka_unit_test (accounts_with_odd_fields_are_left_out_or_limited),
+    cmocka_unit_test (a_list_of_accounts_of_another_type_is_refused),
+    cmocka_unit_test (keys_are_taken_from_their_header),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
