--- a/soak/main.c
+++ b/soak/main.c
@@ -24,6 +24,8 @@
   OPT ("edge", GR_OPT_TEXT, edge, "PATH", NULL, 0, 0, "program of the edges"),
   OPT ("vms", GR_OPT_INT, edges, "N", "9", 1, SOAK_EDGES_MAX, "number of edges"),
   OPT ("targets", GR_OPT_INT, targets, "N", "24", 1, SOAK_TARGETS_MAX, "number of targets"),
+  OPT ("accounts", GR_OPT_INT, accounts, "N", "0", 0, 20,
+       "number of client accounts; 0: calls need no key"),
   OPT ("faults", GR_OPT_TEXT, faults, "LIST", "all", 0, 0,
        "kinds of faults, separated by commas; all or none"),
   OPT ("logs", GR_OPT_TEXT, logs, "DIR", ".", 0, 0, "folder for the logs"),
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -32,7 +32,7 @@
 
 typedef struct {
   const char *edge, *logs, *faults;
-  int64_t seed, seconds, edges, targets;
+  int64_t seed, seconds, edges, targets, accounts;
 } SoakSettings;
 
 typedef struct {
@@ -130,6 +130,8 @@
 SoakClients *soak_clients_new (Soak *soak);
 void soak_clients_tick (SoakClients *clients);
 int soak_clients_count (const SoakClients *clients);
+/* Key of an account, numbered from 0 on. */
+GrName soak_key (int64_t account);
 
 /* What the clients know of a job. */
 typedef struct {
@@ -137,6 +139,7 @@
   char spec[64];
   int64_t sent_at, accepted_at, cancel_sent_at, cancelled_at, completed_at, shown_at;
   int unanswered, refused, unknown_answers;
+  int leaks;      /* answers to callers with another key that tell of the job or change it */
   char state[16]; /* newest that was shown */
   int steps, counts[4];
 } SoakJob;
--- a/soak/soak_check.c
+++ b/soak/soak_check.c
@@ -292,6 +292,8 @@
   int before = check->violations;
   bool final = strcmp (job->state, "completed") == 0 || strcmp (job->state, "failed") == 0
                || strcmp (job->state, "cancelled") == 0;
+  if (job->leaks > 0)
+    report (check, "LEAK", "shown to or changed by a caller with another key", job->id, NULL, NULL);
   if (strcmp (job->state, "failed") == 0 && !may_fail (check, job))
     report (check, "LOST", "shown as failed without cause", job->id, NULL, NULL);
   if (strcmp (job->state, "cancelled") == 0 && job->cancel_sent_at == 0)
--- a/soak/soak_clients.c
+++ b/soak/soak_clients.c
@@ -17,6 +17,9 @@
 #define TRIES_MAX 12
 #define CANCEL_PERCENT 4
 #define PROBE_MS 500
+/* With accounts: share of calls for accepted jobs that are made with the key of another account, or
+   with one that is not valid. */
+#define STRANGER_PERCENT 20
 
 typedef struct {
   SoakJob seen;
@@ -42,9 +45,16 @@
   CALL_CANCEL
 } CallKind;
 
+typedef enum {
+  CALLER_OWNER,
+  CALLER_OTHER_ACCOUNT,
+  CALLER_UNKNOWN_KEY
+} Caller;
+
 typedef struct {
   SoakClients *clients;
   CallKind kind;
+  Caller caller;
   Job *job; /* NULL: readiness probe */
   int edge;
 } Call;
@@ -94,6 +104,27 @@
   soak_note (clients->soak, "job %s submitted at e%d: %d", job->seen.id, edge + 1, status);
 }
 
+GrName
+soak_key (int64_t account)
+{
+  return gr_name_format ("soak-key-%lld", (long long) account);
+}
+
+/* A stranger may learn that the job exists only if it submits the same id. */
+static void
+handle_stranger (const Call *call, int status)
+{
+  bool truthful = call->caller == CALLER_UNKNOWN_KEY
+                      ? status == 401
+                      : status == (call->kind == CALL_SUBMIT ? 409 : 410);
+  bool no_answer = status == 0 || status == 429 || status >= 500;
+  if (truthful || no_answer)
+    return;
+  soak_note (call->clients->soak, "job %s: a stranger got %d at e%d", call->job->seen.id, status,
+             call->edge + 1);
+  call->job->seen.leaks++;
+}
+
 static void
 on_answer (void *user, const NetHttpAnswer *answer)
 {
@@ -102,6 +133,12 @@
   Job *job = call->job;
   int64_t now = soak_now ();
   job->busy = false;
+  if (call->caller != CALLER_OWNER) {
+    handle_stranger (call, answer->status);
+    job->next_at = now + RETRY_MS;
+    free (call);
+    return;
+  }
   job->next_at = now + (answer->status >= 200 && answer->status < 300 ? POLL_MS : RETRY_MS);
   switch (call->kind) {
   case CALL_SUBMIT:
@@ -158,7 +195,7 @@
 new_call (SoakClients *clients, CallKind kind, Job *job, int edge)
 {
   Call *call = gr_calloc (1, sizeof *call);
-  *call = (Call){ clients, kind, job, edge };
+  *call = (Call){ .clients = clients, .kind = kind, .job = job, .edge = edge };
   return call;
 }
 
@@ -175,9 +212,30 @@
   gr_buf_clear (&url);
 }
 
+static GrName
+key_of (const SoakClients *clients, const Job *job, Caller caller)
+{
+  int64_t accounts = clients->soak->settings.accounts;
+  int64_t owner = job - clients->jobs;
+  switch (caller) {
+  case CALLER_OWNER:
+    return soak_key (owner % accounts);
+  case CALLER_OTHER_ACCOUNT:
+    return soak_key ((owner + 1) % accounts);
+  case CALLER_UNKNOWN_KEY:
+    break;
+  }
+  return soak_key (accounts);
+}
+
 static void
-send_call (SoakClients *clients, CallKind kind, Job *job, int edge)
+send_call (SoakClients *clients, CallKind kind, Caller caller, Job *job, int edge)
 {
+  GrBuf authorization = { 0 };
+  if (clients->soak->settings.accounts > 0) {
+    GrName key = key_of (clients, job, caller);
+    gr_buf_printf (&authorization, "Bearer %.*s", GR_NAME_ARG (key));
+  }
   static const char *const methods[]
       = { [CALL_SUBMIT] = "POST", [CALL_STATUS] = "GET", [CALL_CANCEL] = "DELETE" };
   GrBuf url = { 0 };
@@ -185,14 +243,18 @@
                  soak_procs_front_port (clients->soak->procs, edge), job->seen.id);
   NetHttpCall request = { .method = methods[kind],
                           .url = gr_buf_str (&url),
+                          .authorization = gr_buf_str (&authorization),
                           .headers = GR_STR ("Host: " SOAK_HOST "\n"
                                              "X-Gentianrelay-Deadline-Ms: 3000"),
                           .timeout_at_ms = timeout_at (clients) };
   if (kind == CALL_SUBMIT)
     request.body = gr_str_from_c (job->body);
   job->busy = true;
-  net_http_client_send (clients->http, &request, on_answer, new_call (clients, kind, job, edge));
+  Call *call = new_call (clients, kind, job, edge);
+  call->caller = caller;
+  net_http_client_send (clients->http, &request, on_answer, call);
   gr_buf_clear (&url);
+  gr_buf_clear (&authorization);
 }
 
 /* Duration of a task: mostly short, some that outlive all leases, so that a run that is taken for
@@ -240,17 +302,24 @@
   if (job->over || job->busy || now < job->next_at)
     return;
   int edge = choose_edge (clients);
-  if (!job->accepted) {
+  bool stranger = job->accepted && clients->soak->settings.accounts > 1
+                  && soak_below (&clients->random, 100) < STRANGER_PERCENT;
+  if (stranger) {
+    CallKind kind = (CallKind) soak_below (&clients->random, CALL_CANCEL + 1);
+    Caller caller
+        = soak_below (&clients->random, 3) == 0 ? CALLER_UNKNOWN_KEY : CALLER_OTHER_ACCOUNT;
+    send_call (clients, kind, caller, job, edge);
+  } else if (!job->accepted) {
     job->tries++;
     if (job->seen.sent_at == 0)
       job->seen.sent_at = now;
-    send_call (clients, CALL_SUBMIT, job, edge);
+    send_call (clients, CALL_SUBMIT, CALLER_OWNER, job, edge);
   } else if (job->cancel_after > 0 && now >= job->cancel_after) {
     if (job->seen.cancel_sent_at == 0)
       job->seen.cancel_sent_at = now;
-    send_call (clients, CALL_CANCEL, job, edge);
+    send_call (clients, CALL_CANCEL, CALLER_OWNER, job, edge);
   } else {
-    send_call (clients, CALL_STATUS, job, edge);
+    send_call (clients, CALL_STATUS, CALLER_OWNER, job, edge);
   }
 }
 
--- a/soak/soak_store.c
+++ b/soak/soak_store.c
@@ -454,14 +454,21 @@
 static void
 publish_config (SoakStore *store)
 {
-  char text[1000];
-  snprintf (text, sizeof text,
-            "{\"version\":7,\"routes\":[{\"name\":\"r1\",\"host\":\"" SOAK_HOST
-            "\",\"pathPrefix\":\"" SOAK_PREFIX "\",\"service\":\"svc\",\"priority\":0,"
-            "\"maxAttempts\":%d,\"slackFactor\":2,\"targetLatencyMs\":2000}],"
-            "\"services\":[{\"name\":\"svc\",\"rejectsOverload\":false}],\"limits\":{}}",
-            SOAK_MAX_ATTEMPTS);
-  soak_store_write (store, "keyed.op", "config", text);
+  GrBuf text = { 0 };
+  gr_buf_printf (&text,
+                 "{\"version\":7,\"routes\":[{\"name\":\"r1\",\"host\":\"" SOAK_HOST
+                 "\",\"pathPrefix\":\"" SOAK_PREFIX "\",\"service\":\"svc\",\"priority\":0,"
+                 "\"maxAttempts\":%d,\"slackFactor\":2,\"targetLatencyMs\":2000}],"
+                 "\"services\":[{\"name\":\"svc\",\"rejectsOverload\":false}],\"limits\":{}",
+                 SOAK_MAX_ATTEMPTS);
+  for (int64_t i = 0; i < store->soak->settings.accounts; i++) {
+    GrName key = soak_key (i);
+    gr_buf_printf (&text, "%s{\"name\":\"account%lld\",\"weight\":1,\"apiKeys\":[\"%.*s\"]}",
+                   i ? "," : ",\"tenants\":[", (long long) i, GR_NAME_ARG (key));
+  }
+  gr_buf_printf (&text, "%s}", store->soak->settings.accounts > 0 ? "]" : "");
+  soak_store_write (store, "keyed.op", "config", text.data);
+  gr_buf_clear (&text);
 }
 
 SoakStore *
--- a/tests/dag_world.hh
+++ b/tests/dag_world.hh
@@ -194,6 +194,7 @@
     case DAG_SUBMIT_NO_QUEUE:
     case DAG_SUBMIT_OVERLOAD:
     case DAG_SUBMIT_INVALID:
+    case DAG_SUBMIT_FOREIGN:
       report_violation ("a valid job was refused: " + std::string (err.detail));
       break;
     }
