cell: calls with an account pass leaders of the earlier version

Change: a VM tells on each new link which forms of messages it reads. Without that, a leader gets the call without its account; until the first heartbeat the call waits.

--- a/src/cell/cell_calls.c
+++ b/src/cell/cell_calls.c
@@ -86,6 +86,19 @@
     done (user, &answer);
 }
 
+/* A leader of the version before accounts gets the call without one: its jobs belong to nobody
+   then. Returns false while it is not known which version the leader has. */
+static bool
+fit_to_leader (Cell *cell, const GrName *leader, CellWireCall *call)
+{
+  if (call->account.len == 0)
+    return true;
+  const CellPeerState *state = cell_peer_state (cell, leader);
+  if (!(state->forms & CELL_WIRE_FORM_ACCOUNTS))
+    call->account = (GrName){ 0 };
+  return state->forms_known;
+}
+
 static void
 dispatch (Cell *cell, CellOpenCall *call)
 {
@@ -112,7 +125,8 @@
     cell_leader_handle_call (cell->leader, &(GrName){ 0 }, call->id, &msg.u.call);
     return;
   }
-  call->sent = cell_send (cell, &leader->member.vm.vm, &msg);
+  call->sent = fit_to_leader (cell, &leader->member.vm.vm, &msg.u.call)
+               && cell_send (cell, &leader->member.vm.vm, &msg);
   gr_metric_add (cell->options.metrics, GR_METRIC_CALLS_FORWARDED, call->sent);
 }
 
--- a/src/cell/cell_peer.c
+++ b/src/cell/cell_peer.c
@@ -151,6 +151,21 @@
   cell_send (cell, vm, &msg);
 }
 
+static void
+handle_forms (Cell *cell, const GrName *vm, int64_t forms)
+{
+  CellPeerState *state = cell_peer_state (cell, vm);
+  state->forms = forms;
+  state->forms_known = true;
+}
+
+static void
+send_forms (Cell *cell, const GrName *vm)
+{
+  CellWireMsg msg = { .type = CELL_WIRE_FORMS, .u.forms = CELL_WIRE_FORM_ACCOUNTS };
+  cell_send (cell, vm, &msg);
+}
+
 static void
 handle_status (Cell *cell, const CellWireStatus *status)
 {
@@ -180,7 +195,11 @@
     return;
   }
   switch (msg.type) {
+  case CELL_WIRE_FORMS:
+    handle_forms (cell, &peer->vm.vm, msg.u.forms);
+    break;
   case CELL_WIRE_STATUS:
+    cell_peer_state (cell, &peer->vm.vm)->forms_known = true;
     handle_status (cell, &msg.u.status);
     break;
   case CELL_WIRE_CALL:
@@ -222,7 +241,11 @@
 cell_peer_up (void *user, const NetPeerInfo *peer)
 {
   Cell *cell = user;
-  cell_peer_state (cell, &peer->vm.vm)->last_frame_at = cell_now (cell);
+  CellPeerState *state = cell_peer_state (cell, &peer->vm.vm);
+  state->last_frame_at = cell_now (cell);
+  state->forms_known = false;
+  state->forms = 0;
+  send_forms (cell, &peer->vm.vm);
   send_status (cell, &peer->vm.vm);
   if (cell->leader)
     cell_leader_update_lanes (cell->leader);
--- a/src/cell/cell_priv.h
+++ b/src/cell/cell_priv.h
@@ -38,6 +38,9 @@
   int64_t last_frame_at; /* 0: none was received */
   int64_t missed_since;  /* since when this leader has had no link to it; 0: it has one */
   CellConfigPush push;
+  /* Of this link: a VM of the version before accounts sends heartbeats only. */
+  bool forms_known;
+  int64_t forms; /* see CELL_WIRE_FORMS */
 } CellPeerState;
 
 /* Added to the expected duration of an advice request. */
--- a/src/cell/cell_wire.h
+++ b/src/cell/cell_wire.h
@@ -13,7 +13,8 @@
   CELL_WIRE_ORDER,          /* the leader's request to send an order to a target */
   CELL_WIRE_ORDER_RESULT,   /* outcome of it */
   CELL_WIRE_TERM_CHECK,     /* the leader's question for the newest term that a VM has seen */
-  CELL_WIRE_TERM            /* answer to it */
+  CELL_WIRE_TERM,           /* answer to it */
+  CELL_WIRE_FORMS           /* which forms of messages a VM reads, before its first heartbeat */
 } CellWireType;
 
 typedef struct {
@@ -28,8 +29,8 @@
   GrName queue;
   GrName job;
   GrStr spec; /* dag_pack_job_spec() */
-  /* Empty: none; then the message has the form of the versions before accounts. They refuse the
-     other form, and the call is answered as unknown at its deadline. */
+  /* Empty: none; then the message has the form of the versions before accounts, which refuse the
+     other one. */
   GrName account;
 } CellWireCall;
 
@@ -76,6 +77,9 @@
   int64_t boot_ms;     /* time of the check on the leader's clock that counts while suspended */
 } CellWireTerm;
 
+/* Bit of CELL_WIRE_FORMS: calls with an account. */
+#define CELL_WIRE_FORM_ACCOUNTS 1
+
 typedef struct {
   CellWireType type;
   union {
@@ -88,6 +92,7 @@
     CellWireOrder order;
     CellWireOrderResult order_result;
     CellWireTerm term; /* CELL_WIRE_TERM_CHECK and CELL_WIRE_TERM */
+    int64_t forms;     /* bit set */
   } u;
   /* Memory of the lists in a decoded message; see cell_wire_clear(). */
   void *decoded_list;
--- a/tests/test_cell.c
+++ b/tests/test_cell.c
@@ -379,6 +379,7 @@
     { .type = CELL_WIRE_CONFIG, .u.config = { "doc", 3 } },
     { .type = CELL_WIRE_TERM_CHECK, .u.term = { 3, 7, 5000 } },
     { .type = CELL_WIRE_TERM, .u.term = { 4, 7, 5000 } },
+    { .type = CELL_WIRE_FORMS, .u.forms = CELL_WIRE_FORM_ACCOUNTS },
     { .type = CELL_WIRE_ORDER,
       .u.order = { 6,
                    3,
