dag: hard maxima of client accounts

A client account could run without bound: one that sends several times its usual load filled the cell.

The demand of all runs of an account that may be alive is summed when a task is attached to a target and subtracted when it is detached, so it covers adopted and stopping runs and those on silent targets. A task is assigned only while the sum stays within the maximum in force, and the sum is checked again when its start is sent, since the maximum may have been lowered in between. A gang starts as a whole or not at all, wide steps go on as runs end. A step that the maximum holds back reserves no target and asks for no advice; a long-running task is not moved while the maximum is exceeded.

--- a/src/dag/dag_avail.c
+++ b/src/dag/dag_avail.c
@@ -80,7 +80,8 @@
   for (DagTask *task = target->runs; task; task = next) {
     next = task->target_next;
     DagStep *step = task->step;
-    if (!is_leaving (task))
+    /* While its account exceeds the maximum, the task could not start elsewhere. */
+    if (!is_leaving (task) || dag_client_exceeds_maximum (step->job->client))
       continue;
     if (step->job->queue.advised)
       dag_advice_request (dag, step, 1, now_ms);
--- a/src/dag/dag_place.c
+++ b/src/dag/dag_place.c
@@ -27,10 +27,12 @@
 }
 
 /* Next waiting task from index *at on that may start now, either suspected or not; NULL if there is
-   none. Advances *at. */
+   none, or no room for one under the maximum of the account. Advances *at. */
 static DagTask *
 next_waiting (DagStep *step, bool suspected, int32_t *at, int64_t now_ms)
 {
+  if (dag_client_room (step) == 0)
+    return NULL;
   while (*at < step->spec.count) {
     DagTask *task = &step->tasks[(*at)++];
     if (task->state == TASK_WAITING && task->suspected == suspected && now_ms >= task->restart_at)
@@ -298,14 +300,16 @@
   return (int64_t) (ADVICE_BUDGET_FACTOR * (double) budget);
 }
 
-/* Requests advice for the step while the budget lasts, and charges calls in flight to it. */
+/* Requests advice for tasks of the step while the budget lasts, and charges calls in flight to it.
+ */
 static void
-request_advice_within_budget (DagState *dag, DagStep *step, int64_t *budget, int64_t now_ms)
+request_advice_within_budget (DagState *dag, DagStep *step, int32_t tasks, int64_t *budget,
+                              int64_t now_ms)
 {
   if (step->advice_calls.count == 0 && *budget > 0)
-    dag_advice_request (dag, step, step->waiting, now_ms);
+    dag_advice_request (dag, step, tasks, now_ms);
   if (step->advice_calls.count > 0)
-    *budget -= (int64_t) step->waiting * step->spec.demand.v[GR_RES_CPU_MILLI];
+    *budget -= (int64_t) tasks * step->spec.demand.v[GR_RES_CPU_MILLI];
 }
 
 static DagDeadlineClass
@@ -363,6 +367,17 @@
          && (!step->spec.gang || step->waiting == step->spec.count - step->done);
 }
 
+/* Number of waiting tasks of the step that may start under the maximum of its account. A gang
+   starts as a whole or not at all. */
+static int32_t
+allowed_tasks (const DagStep *step)
+{
+  int32_t room = dag_client_room (step);
+  if (room >= step->waiting)
+    return step->waiting;
+  return step->spec.gang ? 0 : room;
+}
+
 /* Removes the steps from dag->ready that have no waiting tasks or are not ready any more. */
 static void
 drop_placed_steps (DagState *dag)
@@ -399,6 +414,10 @@
     DagStep *step = dag->ready.items[i];
     if (!is_placeable (step))
       continue;
+    if (allowed_tasks (step) == 0) {
+      dag_client_note_held (dag, step, now_ms);
+      continue;
+    }
     bool reserves = false;
     size_t count = dag_list_candidates (dag, step, candidates, now_ms);
     if (step->suspects > 0 && !step->spec.gang)
@@ -413,8 +432,11 @@
       reserve_for_gang (dag, step, &reserved, now_ms);
       reserves = true;
     }
-    if (step->waiting > 0 && step->job->queue.advised) {
-      request_advice_within_budget (dag, step, &budget, now_ms);
+    int32_t tasks = allowed_tasks (step);
+    if (tasks < step->waiting)
+      dag_client_note_held (dag, step, now_ms);
+    if (tasks > 0 && step->job->queue.advised) {
+      request_advice_within_budget (dag, step, tasks, &budget, now_ms);
       /* Only if no other call is useful: the reserved targets alone may never have enough room. */
       if (reserves)
         dag_advice_renew (dag, step, now_ms);
--- a/src/dag/dag_priv.h
+++ b/src/dag/dag_priv.h
@@ -301,6 +301,9 @@
   UT_hash_handle hh;
   bool configured;
   size_t jobs; /* that exist, ended ones included */
+  int64_t used[GR_RES_COUNT]; /* full demand of its runs on all targets */
+  bool at_maximum;            /* its maximum holds back work, or did so lately */
+  int64_t held_at;            /* when its maximum last held back a step that could be placed */
 };
 
 struct DagState {
@@ -398,6 +401,21 @@
 DagClient *dag_client_ref (DagState *dag, const GrName *name);
 /* A job of the account is freed; client may be NULL. */
 void dag_client_unref (DagState *dag, DagClient *client);
+/* The account's usage grows by the run of the task, or shrinks. No effect without an account. */
+void dag_client_attach (const DagTask *task);
+void dag_client_detach (const DagTask *task);
+/* Number of tasks of the step that may start under the maximum of its account; DAG_MAX_TASKS
+   without one. */
+int32_t dag_client_room (const DagStep *step);
+/* True if the runs of the account take more than its maximum; client may be NULL. */
+bool dag_client_exceeds_maximum (const DagClient *client);
+/* The maximum of the step's account keeps some of its tasks from starting. */
+void dag_client_note_held (DagState *dag, const DagStep *step, int64_t now_ms);
+/* First dimension in which the account lacks room for a task of the step, or for the gang; NULL if
+   there is none. */
+const char *dag_client_lack (const DagStep *step);
+/* Notes which accounts are no longer held back. */
+void dag_clients_tick (DagState *dag, int64_t now_ms);
 
 /* dag_timetable.c */
 /* True if the job has a timetable, and so no runs of its own. */
--- a/src/dag/dag_run.c
+++ b/src/dag/dag_run.c
@@ -160,7 +160,8 @@
 }
 
 /* Reason why the start must not be sent, or NULL. Since the task was assigned, the target may have
-   left or lost capacity, the ticket may have expired, and another VM may have taken over. */
+   left or lost capacity, the ticket may have expired, the maximum of the account may have been
+   lowered, and another VM may have taken over. */
 static const char *
 reason_not_to_start (const DagState *dag, const DagTask *task, int64_t now_ms)
 {
@@ -175,6 +176,8 @@
     return "ticket-expired";
   if (!still_fits (task))
     return "no-room";
+  if (dag_client_exceeds_maximum (task->step->job->client))
+    return "account-maximum";
   return NULL;
 }
 
--- a/src/dag/dag_target.c
+++ b/src/dag/dag_target.c
@@ -109,6 +109,7 @@
   target->run_count++;
   target->stake += dag_step_stake (task->step);
   gr_res_add (&target->used, &need);
+  dag_client_attach (task);
   task->on_trial = task->suspected;
   if (!task->on_trial)
     return;
@@ -137,6 +138,7 @@
   target->run_count--;
   target->stake -= dag_step_stake (task->step);
   gr_res_sub (&target->used, &need);
+  dag_client_detach (task);
 }
 
 GrRes
