dag: shares of client accounts, turns within a pass, and bounded waiting work

Work of all accounts had one order, so an account that sent several times its usual load delayed all others, and its backlog at the leader had no bound.

dag_share.c: each account has a token bucket of weight jobs a second; a job without a token is beyond the share and waits behind jobs within one (DagStepOrder.beyond_share). Buckets are replayed from acceptance times by dag_loaded(). Submissions beyond a share are refused above a bound of waiting tasks, for the account by weight and for the cell; those within a share only while no work beyond one waits. The Retry-After times of an account lie apart as far as tokens and its backlog allow.

dag_fair.c: among steps that are equal up to the priority, the account with the lowest weighted dominant share is served next, in turns of a few tasks, since usage changes while a pass places steps. A pass takes at most 250 such turns, the next one goes on 4 ms later. Steps of one account, or of none, keep their order.

tests/test_dag_share.c passes, as do the unit tests of dag and cell.

--- a/src/dag/dag.c
+++ b/src/dag/dag.c
@@ -62,6 +62,7 @@
   gr_list_clear (&dag->ready);
   gr_list_clear (&dag->target_list);
   gr_list_clear (&dag->timetables);
+  gr_list_clear (&dag->fair.clients);
   free (dag);
 }
 
@@ -69,6 +70,7 @@
 dag_loaded (DagState *dag, int64_t now_ms)
 {
   dag->loaded = true;
+  dag_share_loaded (dag, now_ms);
   dag_timetable_loaded (dag, now_ms);
   for (DagJob *job = dag->jobs; job; job = job->hh.next) {
     if (dag_job_is_open (job)) {
--- a/src/dag/dag.h
+++ b/src/dag/dag.h
@@ -121,7 +121,7 @@
   size_t count;
 } DagQueues;
 
-/* Policy of a client account. */
+/* Policy of a client account. A weight that is not a positive number counts as 1. */
 typedef struct {
   GrName name;
   double weight; /* its share of a full cell, relative to other accounts; also the submissions a
@@ -305,7 +305,7 @@
   DAG_SUBMIT_PENDING,  /* answered by DAG_CMD_ACCEPTED */
   DAG_SUBMIT_KNOWN,    /* already stored */
   DAG_SUBMIT_NO_QUEUE, /* no such queue is configured */
-  DAG_SUBMIT_OVERLOAD, /* refused: the job would end long after its objective; never returned yet */
+  DAG_SUBMIT_OVERLOAD, /* refused, never runs: too much work of its account, or of all, waits */
   DAG_SUBMIT_INVALID
 } DagSubmitResult;
 
--- a/src/dag/dag_account.c
+++ b/src/dag/dag_account.c
@@ -11,8 +11,8 @@
    of a step there is room for a moment. */
 #define HELD_MS 1000
 
-static DagClient *
-find_client (const DagState *dag, const GrName *name)
+DagClient *
+dag_find_client (const DagState *dag, const GrName *name)
 {
   DagClient *client = NULL;
   HASH_FIND (hh, dag->clients, name->data, name->len, client);
@@ -22,7 +22,7 @@
 static DagClient *
 get_client (DagState *dag, const GrName *name)
 {
-  DagClient *client = find_client (dag, name);
+  DagClient *client = dag_find_client (dag, name);
   if (client)
     return client;
   client = gr_calloc (1, sizeof *client);
@@ -62,14 +62,15 @@
 void
 dag_set_accounts (DagState *dag, const DagAccounts *accounts, int64_t now_ms)
 {
-  (void) now_ms;
   DagClient *client, *next;
   for (client = dag->clients; client; client = client->hh.next)
     client->configured = false;
   for (size_t i = 0; i < accounts->count; i++) {
     client = get_client (dag, &accounts->accounts[i].name);
+    dag_share_refill (client, now_ms);
     client->policy = accounts->accounts[i];
     client->configured = true;
+    client->known = true;
   }
   HASH_ITER (hh, dag->clients, client, next)
   free_if_unused (dag, client);
--- a/src/dag/dag_job.c
+++ b/src/dag/dag_job.c
@@ -236,6 +236,7 @@
   set_objective (job);
   HASH_ADD_KEYPTR (hh, dag->jobs, job->id.data, job->id.len, job);
   dag->open_jobs++;
+  dag_share_add_job (job);
   return job;
 }
 
@@ -268,6 +269,7 @@
 dag_job_free (DagState *dag, DagJob *job)
 {
   unqueue_steps (dag, job);
+  dag_share_remove_job (job);
   dag_timetable_release (dag, job);
   for (size_t s = 0; s < job->step_count; s++) {
     DagStep *step = &job->steps[s];
@@ -298,6 +300,7 @@
 {
   if (!dag_job_is_open (job))
     return;
+  dag_share_remove_job (job);
   job->state = state;
   job->ended_at = now_ms;
   dag->open_jobs--;
@@ -395,7 +398,10 @@
     return DAG_SUBMIT_NO_QUEUE;
   if (!dag_check_job_spec (spec, err))
     return DAG_SUBMIT_INVALID;
+  if (!dag_share_admits (dag, spec, now_ms, retry_after_ms))
+    return DAG_SUBMIT_OVERLOAD;
   job = dag_job_create (dag, spec, queue, now_ms);
+  dag_share_decide (dag, job, now_ms);
   gr_list_push (&job->submit_calls, call);
   dag_job_mark_dirty (dag, job);
   dag_queue_ready_steps (dag, job);
@@ -426,6 +432,7 @@
     }
   }
   remove_from_dirty (dag, job);
+  dag_share_give_back (job);
   dag->open_jobs--;
   dag_job_free (dag, job);
   dag->place_wanted = true;
--- a/src/dag/dag_place.c
+++ b/src/dag/dag_place.c
@@ -1,10 +1,12 @@
 /* Placement: assigns waiting tasks to targets.
 
    Long-running steps come first: they hold their room for long, and work that ends frees some again
-   soon. Steps whose job can still meet its objective are placed first, then those whose job can
-   meet its hard deadline, then the rest. Within each group the order is by priority, then by the
-   latest start time that meets the objective, earliest first. Gang scheduling is all or nothing.
-   The first gangs that do not fit reserve targets, so that later, smaller steps do not starve them.
+   soon. Jobs within the share of their account come before those beyond it. Steps whose job can
+   still meet its objective are placed first, then those whose job can meet its hard deadline, then
+   the rest. Within each group the order is by priority, then between accounts by dominant resource
+   fairness, then by the latest start time that meets the objective, earliest first. Gang scheduling
+   is all or nothing. The first gangs that do not fit reserve targets, so that later, smaller steps
+   do not starve them.
  */
 #include <stdlib.h>
 
@@ -19,6 +21,9 @@
 #define ADVICE_BUDGET_FACTOR 3.0
 /* Shortest interval between two passes, since inputs come in bursts. */
 #define PASS_INTERVAL_MS 4
+/* Steps that are served once more in one pass, since accounts take turns. The next pass goes on. A
+   pass serves each step once anyway, some hundred under load. */
+#define TURNS_MAX 250
 
 static int64_t
 next_run (const DagTask *task)
@@ -47,14 +52,14 @@
   dag_run_assign (dag, task, candidate->target, run, candidate->ticket, candidate->ticket_until);
 }
 
-/* Starts suspected tasks in isolation. */
+/* Starts suspected tasks in isolation, up to limit. */
 static void
-place_suspects (DagState *dag, DagStep *step, DagCandidate *candidates, size_t count,
+place_suspects (DagState *dag, DagStep *step, DagCandidate *candidates, size_t count, int32_t limit,
                 int64_t now_ms)
 {
   int32_t at = 0;
   DagTask *task;
-  while ((task = next_waiting (step, true, &at, now_ms)) != NULL) {
+  while (limit-- > 0 && (task = next_waiting (step, true, &at, now_ms)) != NULL) {
     DagCandidate *chosen = dag_trial_choose (step, candidates, count, now_ms);
     if (!chosen) {
       dag_trial_prepare (dag, step->job, candidates, count, now_ms);
@@ -67,12 +72,12 @@
 
 static void
 place_single_tasks (DagState *dag, DagStep *step, const DagCandidate *candidates, size_t count,
-                    int64_t now_ms)
+                    int32_t limit, int64_t now_ms)
 {
   int32_t at = 0;
   for (size_t i = 0; i < count; i++) {
     for (int32_t n = 0; n < candidates[i].fits && !candidates[i].closed; n++) {
-      DagTask *task = next_waiting (step, false, &at, now_ms);
+      DagTask *task = limit-- > 0 ? next_waiting (step, false, &at, now_ms) : NULL;
       if (!task)
         return;
       assign (dag, task, &candidates[i], next_run (task));
@@ -128,7 +133,8 @@
 /* Spreads the tasks of a long-running step over targets, racks and zones, so that a loss takes few
    of them. */
 static void
-place_spread (DagState *dag, DagStep *step, DagCandidate *candidates, size_t count, int64_t now_ms)
+place_spread (DagState *dag, DagStep *step, DagCandidate *candidates, size_t count, int32_t limit,
+              int64_t now_ms)
 {
   for (int32_t i = 0; i < step->spec.count; i++) {
     if (step->tasks[i].target)
@@ -136,7 +142,7 @@
   }
   int32_t at = 0;
   DagTask *task;
-  while ((task = next_waiting (step, false, &at, now_ms)) != NULL) {
+  while (limit-- > 0 && (task = next_waiting (step, false, &at, now_ms)) != NULL) {
     DagCandidate *chosen = choose_spread (candidates, count);
     if (!chosen)
       return;
@@ -327,6 +333,7 @@
   const DagJob *job = step->job;
   step->order = (DagStepOrder){
     .long_running = step->spec.long_running,
+    .beyond_share = job->beyond_share,
     .deadline_class = deadline_class (step, now_ms),
     .priority = job->queue.priority,
     .start_by = job->objective_at - step->critical_path_ms,
@@ -334,17 +341,27 @@
   };
 }
 
-/* Under overload, steps that have missed their objective must not make others miss theirs too. */
+/* Compares the keys before the fairness between accounts. Under overload, steps that have missed
+   their objective must not make others miss theirs too. */
 static int
-compare_steps (const void *a, const void *b)
+compare_classes (const DagStepOrder *x, const DagStepOrder *y)
 {
-  const DagStepOrder *x = &(*(DagStep *const *) a)->order, *y = &(*(DagStep *const *) b)->order;
   if (x->long_running != y->long_running)
     return x->long_running ? -1 : 1;
+  if (x->beyond_share != y->beyond_share)
+    return x->beyond_share ? 1 : -1;
   if (x->deadline_class != y->deadline_class)
     return x->deadline_class < y->deadline_class ? -1 : 1;
-  if (x->priority != y->priority)
-    return x->priority < y->priority ? -1 : 1;
+  return x->priority < y->priority ? -1 : x->priority > y->priority;
+}
+
+static int
+compare_steps (const void *a, const void *b)
+{
+  const DagStepOrder *x = &(*(DagStep *const *) a)->order, *y = &(*(DagStep *const *) b)->order;
+  int classes = compare_classes (x, y);
+  if (classes != 0)
+    return classes;
   if (x->start_by != y->start_by)
     return x->start_by < y->start_by ? -1 : 1;
   return x->serial < y->serial ? -1 : x->serial > y->serial;
@@ -393,6 +410,83 @@
   dag->ready.count = kept;
 }
 
+/* What one pass shares between its steps. */
+typedef struct {
+  DagCandidate *candidates; /* scratch, with room for all targets */
+  int64_t budget;           /* see advice_budget() */
+  size_t reserved;          /* targets */
+  int reserving;            /* gangs that reserve targets */
+  int turns;                /* steps that are served once more */
+} Pass;
+
+/* Places a gang, or up to limit other tasks of the step. Returns true if the limit keeps more of
+   them from being placed; else it reserves targets or requests advice for those that remain. */
+static bool
+place_step (DagState *dag, Pass *pass, DagStep *step, int32_t limit, int64_t now_ms)
+{
+  DagCandidate *candidates = pass->candidates;
+  int32_t waiting = step->waiting;
+  bool reserves = false;
+  if (!is_placeable (step))
+    return false;
+  if (allowed_tasks (step) == 0) {
+    dag_client_note_held (dag, step, now_ms);
+    return false;
+  }
+  size_t count = dag_list_candidates (dag, step, candidates, now_ms);
+  if (step->suspects > 0 && !step->spec.gang)
+    place_suspects (dag, step, candidates, count, limit, now_ms);
+  int32_t left = limit - (waiting - step->waiting);
+  if (step->spec.long_running && !step->spec.gang) {
+    place_spread (dag, step, candidates, count, left, now_ms);
+  } else if (!step->spec.gang) {
+    place_single_tasks (dag, step, candidates, count, left, now_ms);
+  } else if (!place_gang (dag, step, candidates, count, now_ms)
+             && pass->reserving < RESERVING_GANGS_MAX && now_ms <= step->job->hard_deadline_at) {
+    pass->reserving++;
+    reserve_for_gang (dag, step, &pass->reserved, now_ms);
+    reserves = true;
+  }
+  if (step->waiting > 0 && waiting - step->waiting >= limit)
+    return true;
+  int32_t tasks = allowed_tasks (step);
+  if (tasks < step->waiting)
+    dag_client_note_held (dag, step, now_ms);
+  if (tasks > 0 && step->job->queue.advised) {
+    request_advice_within_budget (dag, step, tasks, &pass->budget, now_ms);
+    /* Only if no other call is useful: the reserved targets alone may never have enough room. */
+    if (reserves)
+      dag_advice_renew (dag, step, now_ms);
+  }
+  return false;
+}
+
+/* Places the steps of several accounts in turns. */
+static void
+place_fairly (DagState *dag, Pass *pass, int64_t now_ms)
+{
+  DagStep *step;
+  int32_t tasks;
+  while (pass->turns < TURNS_MAX && (step = dag_fair_next (dag, &tasks)) != NULL) {
+    int32_t waiting = step->waiting;
+    bool again = place_step (dag, pass, step, tasks, now_ms);
+    pass->turns += again;
+    dag_fair_done (dag, step, waiting - step->waiting, again);
+  }
+  dag_fair_end (dag);
+}
+
+/* Index after the steps from start on that are equal up to the fairness between accounts. */
+static size_t
+end_of_class (const DagState *dag, size_t start)
+{
+  size_t end = start + 1;
+  while (end < dag->ready.count
+         && compare_classes (&dag->ready.items[start]->order, &dag->ready.items[end]->order) == 0)
+    end++;
+  return end;
+}
+
 void
 dag_place (DagState *dag, int64_t now_ms)
 {
@@ -406,43 +500,21 @@
   if (dag->ready.count == 0 || dag->target_list.count == 0)
     return;
   sort_ready_steps (dag, now_ms);
-  DagCandidate *candidates = gr_calloc (dag->target_list.count, sizeof *candidates);
-  int64_t budget = advice_budget (dag, now_ms);
-  size_t reserved = 0;
-  int reserving = 0;
-  for (size_t i = 0; i < dag->ready.count; i++) {
-    DagStep *step = dag->ready.items[i];
-    if (!is_placeable (step))
+  Pass pass = { .candidates = gr_calloc (dag->target_list.count, sizeof *pass.candidates),
+                .budget = advice_budget (dag, now_ms) };
+  size_t end;
+  for (size_t i = 0; i < dag->ready.count && pass.turns < TURNS_MAX; i = end) {
+    end = end_of_class (dag, i);
+    if (dag->clients && dag_fair_begin (dag, &dag->ready.items[i], end - i)) {
+      place_fairly (dag, &pass, now_ms);
       continue;
-    if (allowed_tasks (step) == 0) {
-      dag_client_note_held (dag, step, now_ms);
-      continue;
-    }
-    bool reserves = false;
-    size_t count = dag_list_candidates (dag, step, candidates, now_ms);
-    if (step->suspects > 0 && !step->spec.gang)
-      place_suspects (dag, step, candidates, count, now_ms);
-    if (step->spec.long_running && !step->spec.gang) {
-      place_spread (dag, step, candidates, count, now_ms);
-    } else if (!step->spec.gang) {
-      place_single_tasks (dag, step, candidates, count, now_ms);
-    } else if (!place_gang (dag, step, candidates, count, now_ms) && reserving < RESERVING_GANGS_MAX
-               && now_ms <= step->job->hard_deadline_at) {
-      reserving++;
-      reserve_for_gang (dag, step, &reserved, now_ms);
-      reserves = true;
-    }
-    int32_t tasks = allowed_tasks (step);
-    if (tasks < step->waiting)
-      dag_client_note_held (dag, step, now_ms);
-    if (tasks > 0 && step->job->queue.advised) {
-      request_advice_within_budget (dag, step, tasks, &budget, now_ms);
-      /* Only if no other call is useful: the reserved targets alone may never have enough room. */
-      if (reserves)
-        dag_advice_renew (dag, step, now_ms);
     }
+    for (size_t k = i; k < end; k++)
+      place_step (dag, &pass, dag->ready.items[k], DAG_MAX_TASKS, now_ms);
   }
-  free (candidates);
+  if (pass.turns >= TURNS_MAX)
+    dag->place_wanted = true;
+  free (pass.candidates);
   drop_placed_steps (dag);
   if (dag->options.broken_start_before_store)
     dag_runs_start_unstored (dag, now_ms);
--- a/src/dag/dag_priv.h
+++ b/src/dag/dag_priv.h
@@ -98,8 +98,10 @@
 /* Order of the steps in a placement pass, by the fields from first to last. */
 typedef struct {
   bool long_running; /* first */
+  bool beyond_share; /* the job is beyond the share of its account */
   DagDeadlineClass deadline_class;
   int32_t priority;
+  /* Between accounts whose steps are equal up to here dag_fair.c chooses, task by task. */
   int64_t start_by; /* latest start that meets the objective */
   uint64_t serial;  /* of the job */
 } DagStepOrder;
@@ -107,6 +109,7 @@
 struct DagStep {
   DagJob *job;
   DagStepOrder order; /* of the newest placement pass */
+  DagStep *fair_next; /* scratch of that pass: next step of the same account */
   uint32_t number;
   DagStepSpec spec;
   int64_t critical_path_ms; /* expected time from the start of this step to the end of its job */
@@ -136,6 +139,8 @@
   DagQueue queue;       /* copy of the policy as last configured */
   DagQueueStats *stats; /* of the queue */
   DagClient *client;    /* account that sent it; NULL: none */
+  bool share_decided;   /* a token was taken for it, or there was none */
+  bool beyond_share;    /* there was none: it waits behind jobs within the share of their account */
   char *payload;
   size_t payload_len;
   DagStep *steps;
@@ -300,17 +305,40 @@
   DagAccount policy;
   UT_hash_handle hh;
   bool configured;
-  size_t jobs; /* that exist, ended ones included */
+  bool known; /* it was configured once, so that policy is its last one */
+  size_t jobs;                /* that exist, ended ones included */
   int64_t used[GR_RES_COUNT]; /* full demand of its runs on all targets */
   bool at_maximum;            /* its maximum holds back work, or did so lately */
   int64_t held_at;            /* when its maximum last held back a step that could be placed */
+  /* Token bucket (dag_share.c). */
+  bool bucket_started;
+  double tokens;
+  int64_t refilled_at;
+  int64_t waiting[2]; /* waiting tasks of its open jobs, by DagJob.beyond_share */
+  double drain_rate;  /* tasks that are assigned per second, as it was at drained_at */
+  int64_t drained_at;
+  int64_t retry_at;   /* when the next caller that is refused may try again */
+  int64_t beyond_at;  /* when a job was last marked as beyond the share; 0: never */
+  int64_t refused_at; /* when a submission was last refused; 0: never */
+  /* Scratch of a placement pass (dag_fair.c). */
+  double share;                    /* weighted dominant share */
+  DagStep *fair_steps, *fair_last; /* steps still to be placed, linked by DagStep.fair_next */
 };
 
+/* Steps of a placement pass that no earlier key tells apart, by account. */
+typedef struct {
+  int64_t pass;                   /* of capacity and of the usage of no_account */
+  int64_t capacity[GR_RES_COUNT]; /* of all targets */
+  DagClient no_account;           /* stands for all jobs without an account */
+  GR_LIST (DagClient *) clients;  /* that have steps left */
+} DagFair;
+
 struct DagState {
   DagOptions options;
   DagJob *jobs;
   DagTarget *targets;
   DagClient *clients;
+  DagFair fair;
   DagQueueStats *queue_stats;
   DagPair *pairs;
   GR_LIST (DagQueue) queues;
@@ -396,6 +424,8 @@
 void dag_drop_target_refs (DagState *dag, const DagTarget *target);
 
 /* dag_account.c */
+/* NULL if it is not configured and has no jobs. */
+DagClient *dag_find_client (const DagState *dag, const GrName *name);
 /* Returns the account of that name for a new job of it; creates it if it is not configured. NULL if
    the name is empty. */
 DagClient *dag_client_ref (DagState *dag, const GrName *name);
@@ -417,6 +447,38 @@
 /* Notes which accounts are no longer held back. */
 void dag_clients_tick (DagState *dag, int64_t now_ms);
 
+/* dag_share.c */
+/* Weight of the account; 1 if its policy has none that is usable or is not known. */
+double dag_client_weight (const DagClient *client);
+/* Refills the bucket at the present weight, before that changes. */
+void dag_share_refill (DagClient *client, int64_t now_ms);
+/* Changes the number of waiting tasks of the step, and that of its account. */
+void dag_step_add_waiting (DagStep *step, int32_t tasks);
+/* A waiting task of the step was assigned. */
+void dag_share_note_assigned (DagStep *step, int64_t now_ms);
+/* The waiting tasks of a new job count for its account, or no longer as the job ends. */
+void dag_share_add_job (DagJob *job);
+void dag_share_remove_job (DagJob *job);
+/* False if the submission of an unknown id must be refused; then sets *retry_after_ms. */
+bool dag_share_admits (DagState *dag, const DagJobSpec *spec, int64_t now_ms,
+                       int64_t *retry_after_ms);
+/* Decides once whether the job is within the share of its account. */
+void dag_share_decide (DagState *dag, DagJob *job, int64_t now_ms);
+/* The job is withdrawn. */
+void dag_share_give_back (DagJob *job);
+/* All records are loaded: decides about the jobs in the order in which they were accepted. */
+void dag_share_loaded (DagState *dag, int64_t now_ms);
+
+/* dag_fair.c */
+/* Takes steps that are equal up to DagStepOrder.priority, in their order. Returns false, with no
+   effect, if all are of one account: then that order decides. */
+bool dag_fair_begin (DagState *dag, DagStep *const *steps, size_t count);
+/* Step that is served next and the number of its tasks to place now; NULL if none is left. */
+DagStep *dag_fair_next (DagState *dag, int32_t *tasks);
+/* This number of its tasks was placed; again: the step is served again in this pass. */
+void dag_fair_done (DagState *dag, DagStep *step, int32_t placed, bool again);
+void dag_fair_end (DagState *dag);
+
 /* dag_timetable.c */
 /* True if the job has a timetable, and so no runs of its own. */
 bool dag_has_timetable (const DagJob *job);
--- a/src/dag/dag_run.c
+++ b/src/dag/dag_run.c
@@ -73,7 +73,7 @@
   task->ticket_until = ticket_until;
   if (step->run < run)
     step->run = run;
-  step->waiting--;
+  dag_share_note_assigned (step, dag->placed_at);
   dag_target_attach (task, target);
   dag_job_mark_dirty (dag, step->job);
 }
@@ -304,7 +304,7 @@
   DagJob *job = step->job;
   dag_target_detach (task);
   task->state = TASK_WAITING;
-  step->waiting++;
+  dag_step_add_waiting (step, 1);
   dag->place_wanted = true;
   dag_job_mark_dirty (dag, job);
   if (!dag_job_is_open (job))
@@ -338,7 +338,7 @@
   if (task->target)
     dag_target_detach (task);
   else
-    step->waiting--;
+    dag_step_add_waiting (step, -1);
   task->state = TASK_DONE;
   step->done++;
   dag->place_wanted = true;
--- a/src/dag/dag_timetable.c
+++ b/src/dag/dag_timetable.c
@@ -176,7 +176,9 @@
     int32_t number = job->next_occurrence++;
     if (is_done (job, number))
       continue;
-    dag_queue_ready_steps (dag, dag_timetable_occurrence (dag, job, number));
+    DagJob *occurrence = dag_timetable_occurrence (dag, job, number);
+    dag_share_decide (dag, occurrence, now_ms);
+    dag_queue_ready_steps (dag, occurrence);
     dag_count (dag, GR_METRIC_OCCURRENCES, 1);
   }
 }
