--- a/src/dag/dag.c
+++ b/src/dag/dag.c
@@ -64,6 +64,7 @@
   gr_list_clear (&dag->timetables);
   gr_hash_clear (dag->loaded_accounts, free);
   gr_list_clear (&dag->orphans);
+  gr_list_clear (&dag->fair.clients);
   free (dag);
 }
 
@@ -72,6 +73,7 @@
 {
   dag->loaded = true;
   dag_accounts_loaded (dag);
+  dag_share_loaded (dag, now_ms);
   dag_timetable_loaded (dag, now_ms);
   for (DagJob *job = dag->jobs; job; job = job->hh.next) {
     if (dag_job_is_open (job)) {
@@ -246,6 +248,7 @@
   dag_timetable_tick (dag, now_ms);
   dag_runs_tick (dag, now_ms);
   dag_avail_tick (dag, now_ms);
+  dag_clients_tick (dag, now_ms);
   if (dag->ready.count > 0 && now_ms - dag->placed_at >= PLACEMENT_RETRY_MS)
     dag->place_wanted = true;
   dag_place (dag, now_ms);
