--- a/src/acct/acct_keys.c
+++ b/src/acct/acct_keys.c
@@ -73,42 +73,42 @@
 }
 
 AcctKeyResult
-acct_keys_add (AcctKeys *keys, GrStr text, uint32_t account)
+acct_keys_add (AcctKeys *keys, GrStr key, uint32_t account)
 {
   unsigned char digest[DIGEST_BYTES];
   uint64_t index;
-  if (!digest_of (text, digest))
+  if (!digest_of (key, digest))
     return ACCT_KEY_UNUSABLE;
-  Key *key = find (keys, digest, &index);
-  if (key) {
-    key->shared |= key->account != account;
-    return key->shared ? ACCT_KEY_SHARED : ACCT_KEY_ADDED;
+  Key *entry = find (keys, digest, &index);
+  if (entry) {
+    entry->shared |= entry->account != account;
+    return entry->shared ? ACCT_KEY_SHARED : ACCT_KEY_ADDED;
   }
-  key = gr_calloc (1, sizeof *key);
-  key->index = index;
-  memcpy (key->digest, digest, DIGEST_BYTES);
-  key->account = account;
+  entry = gr_calloc (1, sizeof *entry);
+  entry->index = index;
+  memcpy (entry->digest, digest, DIGEST_BYTES);
+  entry->account = account;
   keys->count++;
   Key *first = NULL;
   HASH_FIND (hh, keys->table, &index, sizeof index, first);
   if (first) {
-    key->next = first->next;
-    first->next = key;
+    entry->next = first->next;
+    first->next = entry;
   } else {
-    HASH_ADD (hh, keys->table, index, sizeof index, key);
+    HASH_ADD (hh, keys->table, index, sizeof index, entry);
   }
   return ACCT_KEY_ADDED;
 }
 
 bool
-acct_keys_find (const AcctKeys *keys, GrStr text, uint32_t *account)
+acct_keys_find (const AcctKeys *keys, GrStr key, uint32_t *account)
 {
   unsigned char digest[DIGEST_BYTES];
   uint64_t index;
-  const Key *key = digest_of (text, digest) ? find (keys, digest, &index) : NULL;
-  if (!key || key->shared)
+  const Key *entry = digest_of (key, digest) ? find (keys, digest, &index) : NULL;
+  if (!entry || entry->shared)
     return false;
-  *account = key->account;
+  *account = entry->account;
   return true;
 }
 
