tests: accounts in the simulated cell of step jobs

The simulation draws accounts for jobs and changes their maxima twice, also across takeovers by a scheduler that has the version before. At each start it sums what all targets run of the account, independently of the scheduler's sums, and compares it with the highest maximum in force since the order was sent. A second property compares all commands with those of a run in which other accounts are configured.

Schedules without accounts are drawn as before.

--- a/src/dag/dag_share.c
+++ b/src/dag/dag_share.c
@@ -189,7 +189,8 @@
   }
   GR_LIST (DagJob *) jobs = { 0 };
   for (DagJob *job = dag->jobs; job; job = job->hh.next) {
-    if (!job->client)
+    /* Of a job that ended long ago only the end is known, not the acceptance. */
+    if (!job->client || job->step_count == 0)
       continue;
     job->beyond_share = false;
     dag_share_add_job (job);
--- a/tests/dag_world.hh
+++ b/tests/dag_world.hh
@@ -82,7 +82,8 @@
     }
     DagQueues list = { queues, 2 };
     dag_set_queues (dag_, &list, now_);
-    for (char kind : { 'j', 'p' }) {
+    configure_accounts ();
+    for (char kind : { 'a', 'j', 'p' }) {
       for (auto &record : store_) {
         GrErr err = {};
         if (record.first[0] == kind && !record.second.empty ()
@@ -105,6 +106,48 @@
     }
   }
 
+  /* A scheduler that has just begun may still have the version before. */
+  void
+  configure_accounts ()
+  {
+    if (options_.other_accounts)
+      set_accounts ("other", kLowMaximum);
+    if (!options_.accounts)
+      return;
+    int64_t newest_by = maximum_published_at_ + kConfigApplyMs;
+    set_accounts ("a", now_ < newest_by && chance (0.5) ? maximum_before_ : maximum_);
+    int64_t term = term_;
+    if (now_ < newest_by)
+      schedule (newest_by, [this, term] {
+        if (term == term_)
+          set_accounts ("a", maximum_);
+      });
+  }
+
+  void
+  set_accounts (const std::string &prefix, int32_t maximum)
+  {
+    DagAccount accounts[3] = {};
+    for (int i = 0; i < 3; i++) {
+      accounts[i].name = gr_name ((prefix + std::to_string (i)).c_str ());
+      accounts[i].weight = i + 1;
+      accounts[i].maximum.v[GR_RES_CPU_MILLI] = maximum;
+      accounts[i].maximum.v[GR_RES_MEMORY_MB] = maximum;
+    }
+    DagAccounts list = { accounts, 3 };
+    dag_set_accounts (dag_, &list, now_);
+    maxima_in_force_.push_back ({ now_, maximum });
+  }
+
+  void
+  publish_maximum (int32_t maximum)
+  {
+    maximum_before_ = maximum_;
+    maximum_ = maximum;
+    maximum_published_at_ = now_;
+    set_accounts ("a", maximum);
+  }
+
   void
   submit (int number)
   {
@@ -117,6 +160,10 @@
       job.silences_left = kUnluckySilences;
     job.advised = chance (0.4);
     job.long_running = chance (0.06);
+    /* Most work is that of one account; some has none. */
+    static const char *const accounts[] = { "a0", "a0", "a0", "a1", "" };
+    if (options_.accounts)
+      job.account = accounts[number % 5];
     int steps = job.long_running ? 1 : 1 + (int) random_below (3);
     for (int s = 0; s < steps; s++) {
       DagStepSpec step = {};
@@ -177,6 +224,7 @@
     DagJobSpec spec = {};
     spec.id = gr_name (job.id.c_str ());
     spec.queue = gr_name (job.advised ? "advised" : "plain");
+    spec.account = gr_name (job.account.c_str ());
     spec.payload = { "work", 4 };
     spec.steps = job.steps.data ();
     spec.step_count = job.steps.size ();
@@ -240,10 +288,28 @@
     });
   }
 
+  /* Covers what a command orders, and when. */
+  void
+  note_command (const DagCmd &cmd)
+  {
+    std::string text = std::to_string (now_) + " " + std::to_string (cmd.type) + " ";
+    text += text_of (cmd.target.target);
+    if (cmd.type == DAG_CMD_START)
+      text += name_of (cmd.u.start.task) + " " + std::to_string (cmd.u.start.run);
+    if (cmd.type == DAG_CMD_STOP)
+      text += name_of (cmd.u.stop.task) + " " + std::to_string (cmd.u.stop.run);
+    if (cmd.type == DAG_CMD_HOLD)
+      text += std::to_string (cmd.u.hold.lease_until) + " " + std::to_string (cmd.u.hold.wait_ms);
+    for (size_t i = 0; cmd.type == DAG_CMD_ADVISE && i < cmd.u.advise.count; i++)
+      text += text_of (cmd.u.advise.targets[i]) + " ";
+    result_.commands = result_.commands * 31 + std::hash<std::string>{}(text);
+  }
+
   void
   run_command (const DagCmd &cmd)
   {
     int64_t term = term_;
+    note_command (cmd);
     switch (cmd.type) {
     case DAG_CMD_ACCEPTED:
       if (calls_.count (cmd.u.call)) {
@@ -417,6 +483,10 @@
     }
     for (int i = 0; faults.resizes && i < options_.targets; i++)
       schedule (options_.faults_ms, [this, i] { resize (i, kCapacity); });
+    if (options_.accounts) {
+      schedule (span / 4 + random_below (span / 4), [this] { publish_maximum (kLowMaximum); });
+      schedule (span / 2 + random_below (span / 2), [this] { publish_maximum (kUsualMaximum); });
+    }
     /* A target that leaves in calm times. */
     if (faults.drains)
       schedule (options_.faults_ms + kLateDrainAfterMs, [this] { drain (0); });
--- a/tests/dag_world_orders.hh
+++ b/tests/dag_world_orders.hh
@@ -135,7 +135,7 @@
 
   /* Checks the invariants of a start that is about to be carried out. */
   void
-  check_start (Target &target, const DagTaskRef &task, int64_t term, bool late)
+  check_start (Target &target, const DagTaskRef &task, int64_t term, int64_t sent_at)
   {
     Job &job = job_of (task);
     const DagStepSpec &step = job.steps[task.step];
@@ -176,9 +176,23 @@
     }
     GrRes used = target.used;
     gr_res_add (&used, &step.demand);
-    int32_t limit = late ? kCapacity : target.limit;
+    int32_t limit = now_ - sent_at > kLateOrderMs ? kCapacity : target.limit;
     if (used.v[GR_RES_CPU_MILLI] > limit || used.v[GR_RES_MEMORY_MB] > limit)
       report_violation ("start of " + name + ": target " + target.id + " is over its capacity");
+    if (!job.account.empty ())
+      check_maximum (job, name, step.demand, sent_at);
+  }
+
+  void
+  check_maximum (const Job &job, const std::string &name, const GrRes &demand, int64_t sent_at)
+  {
+    GrRes used = usage_of (job.account);
+    gr_res_add (&used, &demand);
+    result_.most_used = std::max (result_.most_used, used.v[GR_RES_CPU_MILLI]);
+    int32_t maximum = maximum_since (sent_at);
+    if (used.v[GR_RES_CPU_MILLI] > maximum || used.v[GR_RES_MEMORY_MB] > maximum)
+      report_violation ("start of " + name + ": account " + job.account + " is over its maximum of "
+                        + std::to_string (maximum));
   }
 
   OrderOutcome
@@ -197,7 +211,7 @@
       return { it->second.run == start.run ? DAG_ORDER_OK : DAG_ORDER_OLD, clock_of (target) };
     if (target.ended.count (name) && start.run <= target.ended[name])
       return { DAG_ORDER_OLD, clock_of (target) };
-    check_start (target, start.task, term, now_ - sent_at > kLateOrderMs);
+    check_start (target, start.task, term, sent_at);
     trace ("start " + name + " run " + std::to_string (start.run) + " on " + target.id);
     result_.starts++;
     Job &job = job_of (start.task);
--- a/tests/dag_world_state.hh
+++ b/tests/dag_world_state.hh
@@ -40,6 +40,10 @@
   int64_t faults_ms = 25000;   /* faults occur within this time */
   int64_t settle_ms = 60000;   /* time without faults after it, in which all jobs must end */
   Faults faults;
+  /* Client accounts with a maximum, which changes twice. */
+  bool accounts = false;
+  /* The configuration lists accounts of which no job is submitted. */
+  bool other_accounts = false;
   bool broken_start_before_store = false;
   bool broken_restart_before_lapse = false;
   bool broken_interrupt_unchecked = false;
@@ -49,7 +53,9 @@
 struct Result {
   std::string violation; /* first violated invariant; empty: none */
   int completed = 0, failed = 0, cancelled = 0, unfinished = 0, starts = 0;
-  int64_t mean_ms = 0; /* acceptance to completion */
+  int64_t mean_ms = 0;   /* acceptance to completion */
+  uint64_t commands = 0; /* hash of all commands */
+  int32_t most_used = 0; /* highest cpu usage of an account that the targets have seen */
 };
 
 constexpr int64_t kLeaseMs = 4000;
@@ -83,6 +89,11 @@
 /* An unlucky task meets this many targets that fall silent, each this soon after its start. */
 constexpr int kUnluckySilences = 7;
 constexpr int64_t kUnluckyWithinMs = 250;
+/* Maxima of accounts, in cpu and memory: every gang fits under the usual one. */
+constexpr int32_t kUsualMaximum = 21500;
+constexpr int32_t kLowMaximum = 4000;
+/* A new configuration is in force everywhere after this time. */
+constexpr int64_t kConfigApplyMs = 4000;
 /* Shortest time that a draining target keeps serving after its notice. */
 constexpr int64_t kDrainMs = 3000;
 
@@ -168,6 +179,7 @@
 
   struct Job {
     std::string id;
+    std::string account; /* empty: none */
     std::vector<DagStepSpec> steps;
     int64_t submitted_at = 0;
     int64_t accepted_at = -1;
@@ -204,6 +216,11 @@
   /* Pending submit and cancel calls, and the indices of their jobs. */
   std::map<int64_t, int> calls_, cancel_calls_;
   int64_t next_call_ = 0;
+  /* Maximum of each account: as published, before that, and as in force at the schedulers since a
+     time. */
+  int32_t maximum_ = kUsualMaximum, maximum_before_ = kUsualMaximum;
+  int64_t maximum_published_at_ = -kConfigApplyMs;
+  std::vector<std::pair<int64_t, int32_t>> maxima_in_force_;
   int64_t total_ms_ = 0;
 
   int64_t
--- a/tests/dag_world_targets.hh
+++ b/tests/dag_world_targets.hh
@@ -187,6 +187,36 @@
       job.tasks[key_of (run.task)].failed_runs++;
   }
 
+  /* What the targets run of the account, except runs whose leases have lapsed. */
+  GrRes
+  usage_of (const std::string &account)
+  {
+    GrRes used{};
+    for (const Target &target : targets_) {
+      if (!target.up || clock_of (target) > target.lease)
+        continue;
+      for (auto &entry : target.running) {
+        GrRes need = demand_of (entry.second.task);
+        if (job_of (entry.second.task).account == account)
+          gr_res_add (&used, &need);
+      }
+    }
+    return used;
+  }
+
+  /* Highest maximum that was in force at a scheduler from this time on. */
+  int32_t
+  maximum_since (int64_t time) const
+  {
+    int32_t highest = 0;
+    for (size_t i = 0; i < maxima_in_force_.size (); i++) {
+      bool over = i + 1 < maxima_in_force_.size () && maxima_in_force_[i + 1].first < time;
+      if (!over)
+        highest = std::max (highest, maxima_in_force_[i].second);
+    }
+    return highest;
+  }
+
   /* name is a copy, since callers pass the key of the entry that is erased. */
   void
   end_run (Target &target, std::string name, DagEndKind kind)
