dag: order targets by learned speed

Short work was late on slow targets while work with slack held the fast ones. Candidates that are fast enough for the time left of a step come first, the slowest of them first, then the others, fastest first. Gangs take members of one class of speed where one has room. With one class the order is as before.

--- a/src/dag/dag.c
+++ b/src/dag/dag.c
@@ -29,6 +29,7 @@
   DagState *dag = gr_calloc (1, sizeof *dag);
   dag->options = *options;
   dag->lease_limit_ms = INT64_MAX;
+  dag_speed_init (dag);
   return dag;
 }
 
@@ -242,6 +243,7 @@
   dag_timetable_tick (dag, now_ms);
   dag_runs_tick (dag, now_ms);
   dag_avail_tick (dag, now_ms);
+  dag_speed_tick (dag, now_ms);
   if (dag->ready.count > 0 && now_ms - dag->placed_at >= PLACEMENT_RETRY_MS)
     dag->place_wanted = true;
   dag_place (dag, now_ms);
--- a/src/dag/dag_candidate.c
+++ b/src/dag/dag_candidate.c
@@ -116,7 +116,7 @@
    no advice. */
 static void
 add_candidate (DagState *dag, DagStep *step, DagTarget *target, const DagPermit *permit,
-               DagCandidate *out, size_t *count, int64_t now_ms)
+               const DagSpeedRank *rank, DagCandidate *out, size_t *count, int64_t now_ms)
 {
   int32_t fits = startable_count (dag, step, target, now_ms);
   if (fits == 0)
@@ -137,13 +137,14 @@
     .best_effort = step->spec.best_effort_cpu,
     .crash_prone = step->job->stats->crash_prone,
     .expected_harm = dag_pace_expected_harm (dag, step, target),
+    .speed_rank = dag_speed_rank_of (rank, target),
   };
 }
 
 /* Targets on which no run of the step failed come first, then those with the least harm between
    neighbours, then those near the data, then, for crash-prone queues, those on which the least work
-   would be lost, then the best fit, which has the least spare cpu; for best-effort steps the most.
- */
+   would be lost, then those whose speed suits the step, then the best fit, which has the least
+   spare cpu; for best-effort steps the most. */
 static int
 compare_candidates (const void *a, const void *b)
 {
@@ -156,6 +157,8 @@
     return y->near_data - x->near_data;
   if (x->crash_prone && x->target->stake != y->target->stake)
     return x->target->stake < y->target->stake ? -1 : 1;
+  if (x->speed_rank != y->speed_rank)
+    return x->speed_rank < y->speed_rank ? -1 : 1;
   if (x->spare_cpu_milli != y->spare_cpu_milli)
     return (x->spare_cpu_milli < y->spare_cpu_milli) != x->best_effort ? -1 : 1;
   return x->target->serial < y->target->serial ? -1 : 1;
@@ -165,16 +168,40 @@
 dag_list_candidates (DagState *dag, DagStep *step, DagCandidate *out, int64_t now_ms)
 {
   size_t count = 0;
+  DagSpeedRank rank;
+  dag_speed_rank (dag, step, now_ms, &rank);
   if (step->job->queue.advised) {
     for (size_t i = 0; i < step->permits.count; i++) {
       const DagPermit *permit = &step->permits.items[i];
       if (is_valid_permit (permit, now_ms))
-        add_candidate (dag, step, permit->target, permit, out, &count, now_ms);
+        add_candidate (dag, step, permit->target, permit, &rank, out, &count, now_ms);
     }
   } else {
     for (size_t i = 0; i < dag->target_list.count; i++)
-      add_candidate (dag, step, dag->target_list.items[i], NULL, out, &count, now_ms);
+      add_candidate (dag, step, dag->target_list.items[i], NULL, &rank, out, &count, now_ms);
   }
   qsort (out, count, sizeof *out, compare_candidates);
   return count;
 }
+
+void
+dag_prefer_one_speed (DagCandidate *candidates, size_t count, const GrName *rack, int32_t tasks)
+{
+  int32_t room[LEARN_SPEED_CLASSES_MAX] = { 0 };
+  for (size_t i = 0; i < count; i++) {
+    const DagCandidate *candidate = &candidates[i];
+    if (!candidate->closed && !candidate->failed_before
+        && (!rack || gr_name_equal (&candidate->target->info.rack, rack)))
+      room[candidate->speed_rank] += candidate->fits;
+  }
+  int32_t chosen = 0;
+  while (chosen < LEARN_SPEED_CLASSES_MAX && room[chosen] < tasks)
+    chosen++;
+  if (chosen == 0 || chosen == LEARN_SPEED_CLASSES_MAX)
+    return;
+  for (size_t i = 0; i < count; i++) {
+    if (candidates[i].speed_rank == chosen)
+      candidates[i].speed_rank = -1;
+  }
+  qsort (candidates, count, sizeof *candidates, compare_candidates);
+}
--- a/src/dag/dag_job.c
+++ b/src/dag/dag_job.c
@@ -186,6 +186,7 @@
       if ((job->steps[d].spec.depends_on >> s & 1) && job->steps[d].critical_path_ms > after)
         after = job->steps[d].critical_path_ms;
     }
+    step->after_ms = after;
     step->critical_path_ms = after + (int64_t) expected_step_ms (job, &step->spec, ratio);
     if (step->critical_path_ms > longest)
       longest = step->critical_path_ms;
--- a/src/dag/dag_place.c
+++ b/src/dag/dag_place.c
@@ -228,6 +228,8 @@
     int32_t at = 0;
     for (int32_t i = 0; i < trials; i++)
       assign (dag, next_waiting (step, true, &at, now_ms), chosen[i], run);
+    /* The slowest member decides when the gang ends. */
+    dag_prefer_one_speed (candidates, count, rack, step->waiting);
     place_members (dag, step, candidates, count, rack, run, now_ms);
   }
   free (chosen);
@@ -240,25 +242,30 @@
   return step->job->serial * DAG_MAX_STEPS + step->number;
 }
 
-/* Next target to reserve for a gang: one that the gang reserved before, else the one with the least
-   cpu in use. Returns NULL if there is none. */
+/* Next target to reserve for a gang: one that the gang reserved before, else of those whose speed
+   suits it best the one with the least cpu in use. Returns NULL if there is none. */
 static DagTarget *
-choose_target_to_reserve (DagState *dag, const DagStep *step, int64_t now_ms)
+choose_target_to_reserve (DagState *dag, const DagStep *step, const DagSpeedRank *speeds,
+                          int64_t now_ms)
 {
   DagTarget *best = NULL;
   bool best_was_reserved = false;
+  int32_t best_rank = 0;
   for (size_t i = 0; i < step->permits.count; i++) {
     DagTarget *target = step->permits.items[i].target;
     if (target->reserved_pass == dag->pass || !dag_target_usable (target, now_ms)
         || !dag_may_run (step, target) || dag_fit_count_idle (step, target) == 0)
       continue;
     bool was_reserved = target->reserved_for == dag_step_key (step);
+    int32_t rank = dag_speed_rank_of (speeds, target);
+    bool equal = best && best_was_reserved == was_reserved;
     if (best
-        && (best_was_reserved > was_reserved
-            || (best_was_reserved == was_reserved
+        && (best_was_reserved > was_reserved || (equal && best_rank < rank)
+            || (equal && best_rank == rank
                 && target->used.v[GR_RES_CPU_MILLI] >= best->used.v[GR_RES_CPU_MILLI])))
       continue;
     best = target;
+    best_rank = rank;
     best_was_reserved = was_reserved;
   }
   return best;
@@ -272,8 +279,10 @@
 {
   size_t max_reserved = (size_t) (RESERVED_SHARE_MAX * (double) dag->target_list.count);
   int32_t missing = step->waiting;
+  DagSpeedRank speeds;
+  dag_speed_rank (dag, step, now_ms, &speeds);
   while (missing > 0 && *reserved < max_reserved) {
-    DagTarget *target = choose_target_to_reserve (dag, step, now_ms);
+    DagTarget *target = choose_target_to_reserve (dag, step, &speeds, now_ms);
     if (!target)
       return;
     target->reserved_pass = dag->pass;
--- a/src/dag/dag_priv.h
+++ b/src/dag/dag_priv.h
@@ -6,6 +6,7 @@
 #include "base/gr_backoff.h"
 #include "base/gr_hash_priv.h"
 #include "dag/dag.h"
+#include "learn/learn_speed.h"
 
 /* Longest checkpoint name that is kept; longer ones are ignored. */
 #define DAG_CHECKPOINT_MAX GR_NAME_MAX
@@ -47,6 +48,9 @@
   DagTask *target_prev, *target_next; /* list of the runs of the target */
   int64_t batch;                      /* batch that stores the assignment; 0: not taken yet */
   int64_t confirmed_at;               /* when the target confirmed the run */
+  int64_t assigned_at;                /* when the run was assigned */
+  bool timed;                         /* the start of its work is known, and it is a usual run */
+  int64_t work_at, work_clock_ms;     /* that time, here and on the clock of the target */
   int64_t confirmed_clock_ms;         /* clock of the target at that time; 0: not known */
   bool confirmed;                     /* the target has certainly started the run, in any term */
   int64_t survived_ms;                /* how long the run is known to have worked */
@@ -109,7 +113,11 @@
   DagStepOrder order; /* of the newest placement pass */
   uint32_t number;
   DagStepSpec spec;
-  int64_t critical_path_ms; /* expected time from the start of this step to the end of its job */
+  int64_t critical_path_ms;  /* expected time from the start of this step to the end of its job */
+  int64_t after_ms;          /* the part of it after this step */
+  LearnWork work;            /* of its ended runs */
+  uint32_t first_end_serial; /* DagTarget.serial of the first of them */
+  int64_t first_end_ms;      /* and its run time */
   DagTask *tasks;
   int32_t waiting;      /* tasks in TASK_WAITING */
   int32_t done;         /* tasks in TASK_DONE */
@@ -277,6 +285,7 @@
   uint64_t reserved_for;    /* dag_step_key() of that gang */
   int32_t advice_calls;     /* calls for advice in flight that name it */
   DagPace pace;
+  LearnSpeed speed;
   /* Scratch of a scan for one step. If mark equals DagState.mark, the step has advice about this
      target, and marked_permit is its permit, or NULL if the advice does not allow the target. */
   int64_t mark;
@@ -335,6 +344,10 @@
   /* Share of silent targets among those that nothing else explains (dag_risk.c). */
   double silent_share;
   int64_t silent_share_until; /* when it is outdated */
+  LearnNoise noise;
+  LearnClasses classes;  /* of the speeds of targets */
+  int64_t classify_at;   /* when they are formed anew */
+  double start_delay_ms; /* from an assignment to its confirmation, as a moving average */
 };
 
 /* Runs of one step that would be lost together with a target, its rack or its zone. */
@@ -342,6 +355,11 @@
   int32_t on_target, on_rack, in_zone;
 } DagExposure;
 
+/* Order of preference of the classes of speed for a step; 0 goes first. */
+typedef struct {
+  int32_t of_class[LEARN_SPEED_CLASSES_MAX];
+} DagSpeedRank;
+
 /* A target on which tasks of the step can start now. */
 typedef struct {
   DagTarget *target;
@@ -356,6 +374,7 @@
   bool best_effort;        /* the step takes cpu that others leave idle */
   bool crash_prone;        /* the queue of the step is */
   double expected_harm;    /* between tasks of the step and the runs of the target */
+  int32_t speed_rank;      /* by the class of its speed, see DagSpeedRank */
   DagExposure exposure;    /* of a long-running step */
 } DagCandidate;
 
@@ -615,6 +634,23 @@
 double dag_pace_expected_harm (DagState *dag, const DagStep *step, const DagTarget *target);
 void dag_pace_clear (DagState *dag);
 
+/* dag_speed.c */
+void dag_speed_init (DagState *dag);
+/* A start was confirmed at clock_ms of the target. */
+void dag_speed_note_start (DagState *dag, DagTask *task, int64_t clock_ms, int64_t now_ms);
+/* The run has ended as done; the task is still on its target. */
+void dag_speed_note_end (DagState *dag, DagTask *task, int64_t now_ms);
+void dag_speed_tick (DagState *dag, int64_t now_ms);
+/* Expected run time of a task of the step on a target of mean speed. */
+int64_t dag_expected_run_ms (const DagStep *step);
+/* Variance of the logarithm of its error. */
+double dag_expected_run_variance (const DagStep *step);
+/* Run time that few tasks of the step exceed on a target of mean speed. */
+int64_t dag_long_run_ms (const DagStep *step);
+/* Order of the classes of speed for the step if it starts now. */
+void dag_speed_rank (const DagState *dag, const DagStep *step, int64_t now_ms, DagSpeedRank *out);
+int32_t dag_speed_rank_of (const DagSpeedRank *rank, const DagTarget *target);
+
 /* dag_candidate.c */
 
 /* True if a task of the step could start on some target now. */
@@ -627,6 +663,10 @@
 int32_t dag_fit_count_idle (const DagStep *step, const DagTarget *target);
 /* Stores the candidates in out, in order of preference, and returns their number. */
 size_t dag_list_candidates (DagState *dag, DagStep *step, DagCandidate *out, int64_t now_ms);
+/* Orders the candidates anew so that those of one class of speed come first, if these alone have
+   room for this number of tasks, in the rack if one is given. What goes before speed still does. */
+void dag_prefer_one_speed (DagCandidate *candidates, size_t count, const GrName *rack,
+                           int32_t tasks);
 
 /* dag_place.c */
 /* Key of the step, unique within a DagState. */
--- a/src/dag/dag_restart.c
+++ b/src/dag/dag_restart.c
@@ -129,6 +129,7 @@
   target->consecutive_failures = 0;
   target->avoid_until = 0;
   target->avoid_ms = 0;
+  learn_speed_restart (&target->speed, now_ms);
   /* Advice may differ for the new incarnation, so calls may name the target again. */
   dag_drop_target_refs (dag, target);
   target->serial = ++dag->next_target_serial;
--- a/src/dag/dag_run.c
+++ b/src/dag/dag_run.c
@@ -63,6 +63,8 @@
   task->confirmed_at = 0;
   task->confirmed_clock_ms = 0;
   task->confirmed = false;
+  task->assigned_at = dag->placed_at;
+  task->timed = false;
   task->news_by = 0;
   task->survived_ms = 0;
   task->percent = 0;
@@ -364,6 +366,7 @@
 handle_done_run (DagState *dag, DagTask *task, int64_t now_ms)
 {
   DagStep *step = task->step;
+  dag_speed_note_end (dag, task, now_ms);
   update_runtime_ratio (task, now_ms);
   dag_target_succeeded (task->target);
   if (!step->spec.gang) {
@@ -504,6 +507,8 @@
     target->clock_ms = clock_ms;
     target->clock_at = now_ms;
   }
+  if (result == DAG_ORDER_OK && (task->state == TASK_STARTING || task->state == TASK_RUNNING))
+    dag_speed_note_start (dag, task, same_clock ? clock_ms : 0, now_ms);
   if (task->state != TASK_STARTING)
     return;
   if (result != DAG_ORDER_OK)
--- a/src/dag/dag_target.c
+++ b/src/dag/dag_target.c
@@ -48,6 +48,7 @@
   target = gr_calloc (1, sizeof *target);
   target->info.id = *id;
   dag_pace_init (&target->pace);
+  learn_speed_init (&target->speed, 0);
   target->serial = ++dag->next_target_serial;
   target->leases_lapse_by = dag->options.former_leases_lapse_at_ms;
   HASH_ADD_KEYPTR (hh, dag->targets, target->info.id.data, target->info.id.len, target);
