dag: calls for advice name targets of suitable speed first

Placement can only choose among the targets that advice allows, so the calls follow its order. Room, probability and calls in flight decide within a class of speed; with one class the order is as before.

--- a/src/dag/dag_advice.c
+++ b/src/dag/dag_advice.c
@@ -90,6 +90,7 @@
   int32_t fits;               /* tasks of the step that fit now */
   int32_t capacity;           /* tasks of the step that fit when idle; 0 if counted in fits_idle */
   double allowed_probability; /* expected from earlier answers; 1 if it is known to be allowed */
+  int32_t speed_rank;         /* see DagSpeedRank */
 } Candidate;
 
 typedef GR_LIST (Candidate) Candidates;
@@ -110,6 +111,10 @@
      the same time do not all wait for the same room. */
   double left = x->fits * x->allowed_probability / (1 + x->target->advice_calls);
   double right = y->fits * y->allowed_probability / (1 + y->target->advice_calls);
+  if ((left > 0) != (right > 0))
+    return left > 0 ? -1 : 1;
+  if (x->speed_rank != y->speed_rank)
+    return x->speed_rank < y->speed_rank ? -1 : 1;
   return left < right ? 1 : left > right ? -1 : x->target->serial < y->target->serial ? -1 : 1;
 }
 
@@ -165,13 +170,16 @@
   int64_t needed_at_answer = answer_expected_at (queue, now_ms);
   double allowed_share = step->job->stats->allowed_share;
   int64_t mark = mark_advised_targets (dag, step);
+  DagSpeedRank speeds;
+  dag_speed_rank (dag, step, needed_at_answer, &speeds);
   for (size_t i = 0; i < dag->target_list.count; i++) {
     DagTarget *target = dag->target_list.items[i];
     if (!dag_target_usable (target, now_ms) || !dag_may_run (step, target))
       continue;
     bool closed = dag_trial_closes (target, step->job, now_ms);
-    Candidate candidate = { target, closed ? 0 : dag_fit_count (step, target),
-                            dag_fit_count_idle (step, target), allowed_share };
+    Candidate candidate
+        = { target, closed ? 0 : dag_fit_count (step, target), dag_fit_count_idle (step, target),
+            allowed_share, dag_speed_rank_of (&speeds, target) };
     if (target->mark == mark) {
       if (!target->marked_permit)
         continue;
