learn: run times by regression on estimates

Estimates that are off by up to 90% set objectives, latest starts and the limit for stalled runs. A fading regression for each queue and image predicts run times at the mean speed once it is better than the queue's moving average; until then that average is used as before. Objectives of jobs that have not begun are renewed after a clear change, every 2 s at most.

--- a/src/dag/dag_job.c
+++ b/src/dag/dag_job.c
@@ -74,6 +74,9 @@
   stats->queue = *queue;
   stats->runtime_ratio = INITIAL_RUNTIME_RATIO;
   stats->allowed_share = INITIAL_ALLOWED_SHARE;
+  stats->work_kind = dag_work_kind (queue, &(GrName){ 0 });
+  stats->runtimes = &dag->runtimes;
+  stats->classes = &dag->classes;
   HASH_ADD_KEYPTR (hh, dag->queue_stats, stats->queue.data, stats->queue.len, stats);
   return stats;
 }
@@ -165,19 +168,19 @@
 
 /* Expected duration of a step, with the call for advice if its queue needs one. */
 static double
-expected_step_ms (const DagJob *job, const DagStepSpec *spec, double ratio)
+expected_step_ms (const DagStep *step)
 {
+  const DagJob *job = step->job;
   double advice = 0;
   if (job->queue.advised)
     advice = job->queue.advice_ms + TYPICAL_ADVICE_TARGETS * job->queue.advice_ms_per_target;
-  return advice + ratio * (double) spec->estimate_ms;
+  return advice + dag_expected_run (step);
 }
 
 /* Sets the critical path of each step; returns the longest, which is that of the job. */
 static int64_t
 set_critical_paths (DagJob *job)
 {
-  double ratio = job->stats->runtime_ratio;
   int64_t longest = 0;
   for (size_t s = job->step_count; s-- > 0;) {
     DagStep *step = &job->steps[s];
@@ -187,15 +190,15 @@
         after = job->steps[d].critical_path_ms;
     }
     step->after_ms = after;
-    step->critical_path_ms = after + (int64_t) expected_step_ms (job, &step->spec, ratio);
+    step->critical_path_ms = after + (int64_t) expected_step_ms (step);
     if (step->critical_path_ms > longest)
       longest = step->critical_path_ms;
   }
   return longest;
 }
 
-static void
-set_objective (DagJob *job)
+void
+dag_job_set_objective (DagJob *job)
 {
   double chain = (double) set_critical_paths (job);
   double slack = job->queue.slack_factor > 0 ? job->queue.slack_factor : 1;
@@ -224,6 +227,7 @@
     step->job = job;
     step->number = (uint32_t) s;
     step->spec = spec->steps[s];
+    step->work_kind = dag_work_kind (&queue->name, &step->spec.image);
     step->waiting = step->spec.count;
     step->tasks = gr_calloc ((size_t) step->spec.count, sizeof *step->tasks);
     for (int32_t i = 0; i < step->spec.count; i++) {
@@ -234,7 +238,7 @@
   job->timetable = spec->timetable;
   if (dag_has_timetable (job))
     dag_timetable_init (dag, job);
-  set_objective (job);
+  dag_job_set_objective (job);
   HASH_ADD_KEYPTR (hh, dag->jobs, job->id.data, job->id.len, job);
   dag->open_jobs++;
   return job;
--- a/src/dag/dag_priv.h
+++ b/src/dag/dag_priv.h
@@ -6,6 +6,7 @@
 #include "base/gr_backoff.h"
 #include "base/gr_hash_priv.h"
 #include "dag/dag.h"
+#include "learn/learn_runtime.h"
 #include "learn/learn_speed.h"
 
 /* Longest checkpoint name that is kept; longer ones are ignored. */
@@ -115,6 +116,7 @@
   DagStepSpec spec;
   int64_t critical_path_ms;  /* expected time from the start of this step to the end of its job */
   int64_t after_ms;          /* the part of it after this step */
+  uint64_t work_kind;        /* dag_work_kind() of its queue and image */
   LearnWork work;            /* of its ended runs */
   uint32_t first_end_serial; /* DagTarget.serial of the first of them */
   int64_t first_end_ms;      /* and its run time */
@@ -292,6 +294,13 @@
   const DagPermit *marked_permit;
 };
 
+/* Ended runs of one queue since the last report. */
+typedef struct {
+  int64_t runs;
+  double expected_ms, real_ms;
+  double error; /* sum of the absolute logarithms of real to expected run times */
+} DagRunSums;
+
 /* Observations of one queue, as exponential moving averages. */
 struct DagQueueStats {
   GrName queue;
@@ -302,6 +311,10 @@
   double starts, crashes;
   int64_t counted_at;
   bool crash_prone; /* its starts crash too many targets */
+  uint64_t work_kind;
+  const LearnRuntimes *runtimes; /* of the DagState, with its classes of speed */
+  const LearnClasses *classes;
+  DagRunSums sums;
 };
 
 /* A client account. It is freed when it is no longer configured and its last job is freed. */
@@ -344,6 +357,10 @@
   /* Share of silent targets among those that nothing else explains (dag_risk.c). */
   double silent_share;
   int64_t silent_share_until; /* when it is outdated */
+  LearnRuntimes runtimes;
+  int64_t runtimes_used; /* runtimes.changes that the objectives of jobs reflect */
+  int64_t objectives_at; /* when these may be computed anew */
+  int64_t report_at;     /* when run times are reported again */
   LearnNoise noise;
   LearnClasses classes;  /* of the speeds of targets */
   int64_t classify_at;   /* when they are formed anew */
@@ -387,6 +404,8 @@
 DagJob *dag_job_create_ended (DagState *dag, const GrName *id, DagJobState state, int64_t ended_at);
 /* Removes the job from dag and frees it. */
 void dag_job_free (DagState *dag, DagJob *job);
+/* Sets the critical paths of the steps, and the objective and hard deadline of the job. */
+void dag_job_set_objective (DagJob *job);
 /* The next batch will hold a record of the job. */
 void dag_job_mark_dirty (DagState *dag, DagJob *job);
 /* Ends the job with the given state and stops its runs; no effect if it has ended. */
@@ -634,6 +653,27 @@
 double dag_pace_expected_harm (DagState *dag, const DagStep *step, const DagTarget *target);
 void dag_pace_clear (DagState *dag);
 
+/* dag_runtime.c */
+/* Key of a kind of work in LearnRuntimes. */
+uint64_t dag_work_kind (const GrName *queue, const GrName *image);
+/* Expected run time of a task of the step on a target of mean speed. */
+double dag_expected_run (const DagStep *step);
+int64_t dag_expected_run_ms (const DagStep *step);
+/* Variance of the logarithm of its error. */
+double dag_expected_run_variance (const DagStep *step);
+/* Run time that few tasks of the step exceed on a target of mean speed. */
+double dag_long_run (const DagStep *step);
+/* Run time by which the progress of a run on its target is judged. */
+double dag_stall_run (const DagTask *task);
+/* A usual run has ended as done after run_ms; the task is still on its target. */
+void dag_runtime_note_end (DagState *dag, const DagTask *task, int64_t run_ms);
+/* A run was stopped or its lease has lapsed; the task is still on its target. */
+void dag_runtime_note_cut (DagState *dag, const DagTask *task);
+/* Computes the objectives of open jobs anew, also of those that have begun if begun is true. */
+void dag_runtime_renew_objectives (DagState *dag, bool begun);
+/* Renews objectives of jobs that have not begun after a clear change, and writes the report. */
+void dag_runtime_tick (DagState *dag, int64_t now_ms);
+
 /* dag_speed.c */
 void dag_speed_init (DagState *dag);
 /* A start was confirmed at clock_ms of the target. */
@@ -641,12 +681,6 @@
 /* The run has ended as done; the task is still on its target. */
 void dag_speed_note_end (DagState *dag, DagTask *task, int64_t now_ms);
 void dag_speed_tick (DagState *dag, int64_t now_ms);
-/* Expected run time of a task of the step on a target of mean speed. */
-int64_t dag_expected_run_ms (const DagStep *step);
-/* Variance of the logarithm of its error. */
-double dag_expected_run_variance (const DagStep *step);
-/* Run time that few tasks of the step exceed on a target of mean speed. */
-int64_t dag_long_run_ms (const DagStep *step);
 /* Order of the classes of speed for the step if it starts now. */
 void dag_speed_rank (const DagState *dag, const DagStep *step, int64_t now_ms, DagSpeedRank *out);
 int32_t dag_speed_rank_of (const DagSpeedRank *rank, const DagTarget *target);
--- a/src/dag/dag_run.c
+++ b/src/dag/dag_run.c
@@ -466,6 +466,9 @@
     return;
   case DAG_END_STOPPED:
   case DAG_END_LAPSED:
+    dag_runtime_note_cut (dag, task);
+    dag_run_release (dag, task, now_ms);
+    return;
   case DAG_END_BROKEN:
   case DAG_END_ALONE:
     dag_run_release (dag, task, now_ms);
@@ -605,8 +608,7 @@
   /* A best-effort run may get no cpu time at all. */
   if (task->state != TASK_RUNNING || task->percent >= 100 || task->step->spec.best_effort_cpu)
     return false;
-  double expected = (double) task->step->spec.estimate_ms * task->step->job->stats->runtime_ratio;
-  double limit = expected * STALL_SHARE;
+  double limit = dag_stall_run (task) * STALL_SHARE;
   if (limit < STALL_MIN_MS)
     limit = STALL_MIN_MS;
   return (double) (now_ms - task->percent_at) > limit
--- a/src/dag/dag_speed.c
+++ b/src/dag/dag_speed.c
@@ -77,7 +77,7 @@
 {
   LearnWork *work = &step->work;
   if (work->ends == 0) {
-    learn_work_init (work, (double) dag_expected_run_ms (step), dag_expected_run_variance (step));
+    learn_work_init (work, dag_expected_run (step), dag_expected_run_variance (step));
     step->first_end_serial = target->serial;
     step->first_end_ms = run_ms;
   } else if (step->first_end_serial == target->serial) {
@@ -98,6 +98,7 @@
   int64_t run_ms = measured_run_ms (task, now_ms);
   if (run_ms == 0)
     return;
+  dag_runtime_note_end (dag, task, run_ms);
   /* The members of a gang end together, at the speed of the slowest. */
   if (!task->step->spec.gang)
     compare_with_siblings (dag, task->step, task->target, run_ms, now_ms);
@@ -120,30 +121,11 @@
   free (speeds);
 }
 
-int64_t
-dag_expected_run_ms (const DagStep *step)
-{
-  return (int64_t) (step->job->stats->runtime_ratio * (double) step->spec.estimate_ms);
-}
-
-double
-dag_expected_run_variance (const DagStep *step)
-{
-  (void) step;
-  return 1;
-}
-
-int64_t
-dag_long_run_ms (const DagStep *step)
-{
-  return dag_expected_run_ms (step);
-}
-
 /* Speed at which a run of run_ms at the mean speed ends within left_ms. */
 static double
-speed_for (int64_t run_ms, int64_t left_ms)
+speed_for (double run_ms, int64_t left_ms)
 {
-  return left_ms > 0 ? (double) run_ms / (double) left_ms : INFINITY;
+  return left_ms > 0 ? run_ms / (double) left_ms : INFINITY;
 }
 
 /* Speed that the step needs if it starts now. An objective that is out of reach even on the fastest
@@ -155,9 +137,9 @@
   int64_t ready_at = now_ms + (int64_t) dag->start_delay_ms + step->after_ms;
   double fastest = dag->classes.factor[dag->classes.count - 1];
   int64_t deadline = job->objective_at;
-  if (speed_for (dag_expected_run_ms (step), deadline - ready_at) > fastest)
+  if (speed_for (dag_expected_run (step), deadline - ready_at) > fastest)
     deadline = job->hard_deadline_at;
-  double needed = speed_for (dag_long_run_ms (step), deadline - ready_at);
+  double needed = speed_for (dag_long_run (step), deadline - ready_at);
   return deadline == job->hard_deadline_at && needed > fastest ? 0 : needed;
 }
 
