learn: compare the runs of a step once all have ended

The speed that a step needs is judged without the allowance for advice in the objective, and with the time that the end of a run takes.

--- a/src/dag/dag_job.c
+++ b/src/dag/dag_job.c
@@ -166,20 +166,18 @@
   return (DagTaskRef){ dag_task_job_name (task->step->job), task->step->number, task->index };
 }
 
-/* Expected duration of a step, with the call for advice if its queue needs one. */
+/* Expected duration of a call for advice; 0 if the queue needs none. */
 static double
-expected_step_ms (const DagStep *step)
+expected_advice_ms (const DagQueue *queue)
 {
-  const DagJob *job = step->job;
-  double advice = 0;
-  if (job->queue.advised)
-    advice = job->queue.advice_ms + TYPICAL_ADVICE_TARGETS * job->queue.advice_ms_per_target;
-  return advice + dag_expected_run (step);
+  return queue->advised ? queue->advice_ms + TYPICAL_ADVICE_TARGETS * queue->advice_ms_per_target
+                        : 0;
 }
 
-/* Sets the critical path of each step; returns the longest, which is that of the job. */
+/* Sets the critical path of each step, with this time for advice before each; returns the longest,
+   which is that of the job. */
 static int64_t
-set_critical_paths (DagJob *job)
+set_critical_paths (DagJob *job, double advice_ms)
 {
   int64_t longest = 0;
   for (size_t s = job->step_count; s-- > 0;) {
@@ -190,7 +188,7 @@
         after = job->steps[d].critical_path_ms;
     }
     step->after_ms = after;
-    step->critical_path_ms = after + (int64_t) expected_step_ms (step);
+    step->critical_path_ms = after + (int64_t) (advice_ms + dag_expected_run (step));
     if (step->critical_path_ms > longest)
       longest = step->critical_path_ms;
   }
@@ -200,8 +198,10 @@
 void
 dag_job_set_objective (DagJob *job)
 {
-  double chain = (double) set_critical_paths (job);
   double slack = job->queue.slack_factor > 0 ? job->queue.slack_factor : 1;
+  double work = (double) set_critical_paths (job, 0);
+  double chain = (double) set_critical_paths (job, expected_advice_ms (&job->queue));
+  job->aim_at = job->accepted_at + (int64_t) (work * slack) + job->queue.target_latency_ms;
   int64_t objective = (int64_t) (chain * slack) + job->queue.target_latency_ms;
   job->objective_at = job->accepted_at + objective;
   job->hard_deadline_at = job->accepted_at + HARD_DEADLINE_FACTOR * objective;
--- a/src/dag/dag_priv.h
+++ b/src/dag/dag_priv.h
@@ -52,6 +52,8 @@
   int64_t assigned_at;                /* when the run was assigned */
   bool timed;                         /* the start of its work is known, and it is a usual run */
   int64_t work_at, work_clock_ms;     /* that time, here and on the clock of the target */
+  uint32_t ran_on;                    /* DagTarget.serial of a usual run that is done; 0: none */
+  float log_run_ms;                   /* logarithm of its run time */
   int64_t confirmed_clock_ms;         /* clock of the target at that time; 0: not known */
   bool confirmed;                     /* the target has certainly started the run, in any term */
   int64_t survived_ms;                /* how long the run is known to have worked */
@@ -114,12 +116,9 @@
   DagStepOrder order; /* of the newest placement pass */
   uint32_t number;
   DagStepSpec spec;
-  int64_t critical_path_ms;  /* expected time from the start of this step to the end of its job */
-  int64_t after_ms;          /* the part of it after this step */
-  uint64_t work_kind;        /* dag_work_kind() of its queue and image */
-  LearnWork work;            /* of its ended runs */
-  uint32_t first_end_serial; /* DagTarget.serial of the first of them */
-  int64_t first_end_ms;      /* and its run time */
+  int64_t critical_path_ms; /* expected time from the start of this step to the end of its job */
+  int64_t after_ms;         /* the part of it after this step */
+  uint64_t work_kind;       /* dag_work_kind() of its queue and image */
   DagTask *tasks;
   int32_t waiting;      /* tasks in TASK_WAITING */
   int32_t done;         /* tasks in TASK_DONE */
@@ -166,6 +165,7 @@
   bool dropped;             /* retention is over: the records are deleted, then the job is freed */
   int64_t accepted_at;
   int64_t objective_at;
+  int64_t aim_at;           /* the objective without the allowance for advice */
   int64_t hard_deadline_at; /* completion is worth less after objective_at, nothing after this */
   int64_t ended_at;
   uint64_t serial;                /* unique within a DagState, in order of creation */
@@ -680,6 +680,8 @@
 void dag_speed_note_start (DagState *dag, DagTask *task, int64_t clock_ms, int64_t now_ms);
 /* The run has ended as done; the task is still on its target. */
 void dag_speed_note_end (DagState *dag, DagTask *task, int64_t now_ms);
+/* All tasks of the step are done. */
+void dag_speed_note_step (DagState *dag, DagStep *step, int64_t now_ms);
 void dag_speed_tick (DagState *dag, int64_t now_ms);
 /* Order of the classes of speed for the step if it starts now. */
 void dag_speed_rank (const DagState *dag, const DagStep *step, int64_t now_ms, DagSpeedRank *out);
--- a/src/dag/dag_run.c
+++ b/src/dag/dag_run.c
@@ -352,6 +352,7 @@
     return;
   job->steps_done |= (uint64_t) 1 << step->number;
   step->gang_stop_at = 0;
+  dag_speed_note_step (dag, step, now_ms);
   dag_advice_clear (step);
   for (size_t s = 0; s < job->step_count; s++) {
     if (job->steps[s].done < job->steps[s].spec.count) {
--- a/src/dag/dag_runtime.c
+++ b/src/dag/dag_runtime.c
@@ -6,7 +6,7 @@
 
 /* Run times are judged by the time that this share of the runs does not exceed. It leaves out the
    few that take many times as long, which no target makes fast enough. */
-#define LONG_RUN_SHARE 0.9
+#define LONG_RUN_SHARE 0.95
 /* Variance of the logarithm of run times against an estimate that nothing is known about. */
 #define UNKNOWN_VARIANCE 1.0
 /* Objectives of waiting jobs are computed anew at this interval at most. */
--- a/src/dag/dag_speed.c
+++ b/src/dag/dag_speed.c
@@ -70,26 +70,37 @@
   return NULL;
 }
 
-/* Compares the target with those on which other tasks of the step have ended. */
-static void
-compare_with_siblings (DagState *dag, DagStep *step, DagTarget *target, int64_t run_ms,
-                       int64_t now_ms)
+static int
+compare_runs (const void *a, const void *b)
 {
-  LearnWork *work = &step->work;
-  if (work->ends == 0) {
-    learn_work_init (work, dag_expected_run (step), dag_expected_run_variance (step));
-    step->first_end_serial = target->serial;
-    step->first_end_ms = run_ms;
-  } else if (step->first_end_serial == target->serial) {
-    /* Two runs on one target say nothing about its speed. */
-    return;
+  const DagTask *x = *(DagTask *const *) a, *y = *(DagTask *const *) b;
+  return x->ran_on < y->ran_on ? -1 : x->ran_on > y->ran_on;
+}
+
+void
+dag_speed_note_step (DagState *dag, DagStep *step, int64_t now_ms)
+{
+  size_t count = 0, known = 0;
+  /* NOLINTNEXTLINE(bugprone-sizeof-expression): a list of pointers */
+  DagTask **tasks = gr_calloc ((size_t) step->spec.count, sizeof *tasks);
+  LearnRun *runs = gr_calloc ((size_t) step->spec.count, sizeof *runs);
+  for (int32_t i = 0; i < step->spec.count; i++) {
+    if (step->tasks[i].ran_on > 0)
+      tasks[count++] = &step->tasks[i];
   }
-  bool second = work->ends == 1;
-  learn_speed_observe (&target->speed, work, &dag->noise, (double) run_ms, now_ms);
-  DagTarget *first = second ? find_by_serial (dag, step->first_end_serial) : NULL;
-  if (first)
-    learn_speed_compare (&first->speed, (double) step->first_end_ms, &target->speed,
-                         (double) run_ms, &dag->noise, now_ms);
+  /* NOLINTNEXTLINE(bugprone-sizeof-expression): a list of pointers */
+  qsort (tasks, count, sizeof *tasks, compare_runs);
+  DagTarget *target = NULL;
+  for (size_t i = 0; i < count; i++) {
+    if (i == 0 || tasks[i]->ran_on != tasks[i - 1]->ran_on)
+      target = find_by_serial (dag, tasks[i]->ran_on);
+    if (target)
+      runs[known++] = (LearnRun){ &target->speed, tasks[i]->log_run_ms };
+  }
+  learn_speed_observe (runs, known, dag_expected_run (step), dag_expected_run_variance (step),
+                       &dag->noise, now_ms);
+  free (tasks);
+  free (runs);
 }
 
 void
@@ -100,8 +111,10 @@
     return;
   dag_runtime_note_end (dag, task, run_ms);
   /* The members of a gang end together, at the speed of the slowest. */
-  if (!task->step->spec.gang)
-    compare_with_siblings (dag, task->step, task->target, run_ms, now_ms);
+  if (task->step->spec.gang)
+    return;
+  task->ran_on = task->target->serial;
+  task->log_run_ms = (float) log ((double) run_ms);
 }
 
 void
@@ -134,9 +147,10 @@
 needed_speed (const DagState *dag, const DagStep *step, int64_t now_ms)
 {
   const DagJob *job = step->job;
-  int64_t ready_at = now_ms + (int64_t) dag->start_delay_ms + step->after_ms;
+  /* The end of a run takes the way of its start: a message and a record. */
+  int64_t ready_at = now_ms + 2 * (int64_t) dag->start_delay_ms + step->after_ms;
   double fastest = dag->classes.factor[dag->classes.count - 1];
-  int64_t deadline = job->objective_at;
+  int64_t deadline = job->aim_at;
   if (speed_for (dag_expected_run (step), deadline - ready_at) > fastest)
     deadline = job->hard_deadline_at;
   double needed = speed_for (dag_long_run (step), deadline - ready_at);
--- a/src/learn/learn_speed.c
+++ b/src/learn/learn_speed.c
@@ -2,6 +2,7 @@
 #include "learn/learn_speed.h"
 
 #include <math.h>
+#include <stdbool.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -17,7 +18,7 @@
 /* Weight of one comparison in the moving average of the noise. */
 #define NOISE_WEIGHT 0.005
 /* The variance of a speed is at least that of the noise divided by this, so that about the newest
-   20 ends decide and a change of the speed is followed. */
+   20 runs decide and a change of the speed is followed. */
 #define MEMORY_ENDS 20
 /* Deviations count up to this multiple of their standard deviation: few runs take many times as
    long as others. */
@@ -70,59 +71,128 @@
   return exp (speed->mean);
 }
 
-void
-learn_work_init (LearnWork *work, double expected_ms, double log_variance)
-{
-  *work = (LearnWork){ .mean = log (expected_ms < 1 ? 1 : expected_ms), .variance = log_variance };
-}
-
 static double
 clip (double value, double limit)
 {
   return value < -limit ? -limit : value > limit ? limit : value;
 }
 
-/* Moves the speed by its part of the deviation, whose variance is given. */
+static int
+compare_runs (const void *a, const void *b)
+{
+  uintptr_t x = (uintptr_t) ((const LearnRun *) a)->speed;
+  uintptr_t y = (uintptr_t) ((const LearnRun *) b)->speed;
+  return x < y ? -1 : x > y;
+}
+
+/* An estimate with its variance. */
+typedef struct {
+  double mean, variance;
+} Estimate;
+
+/* Combines two independent estimates of the same value. */
+static Estimate
+combine (Estimate a, Estimate b)
+{
+  double sum = a.variance + b.variance;
+  return (Estimate){ (a.mean * b.variance + b.mean * a.variance) / sum,
+                     a.variance * b.variance / sum };
+}
+
+static int
+compare_doubles (const void *a, const void *b)
+{
+  double x = *(const double *) a, y = *(const double *) b;
+  return x < y ? -1 : x > y;
+}
+
+/* Fills work with the work of each run by the present speed of its target. Deviations from the
+   median are limited. */
 static void
-update_speed (LearnSpeed *speed, double deviation, double variance, const LearnNoise *noise)
+fill_work (const LearnRun *runs, size_t count, const LearnNoise *noise, double *work)
 {
+  double variance = noise->variance;
+  for (size_t i = 0; i < count; i++) {
+    work[i] = runs[i].log_ms + runs[i].speed->mean;
+    variance += runs[i].speed->variance / (double) count;
+  }
+  double *sorted = malloc (count * sizeof *sorted);
+  if (!sorted)
+    abort ();
+  memcpy (sorted, work, count * sizeof *sorted);
+  qsort (sorted, count, sizeof *sorted, compare_doubles);
+  double median = (sorted[(count - 1) / 2] + sorted[count / 2]) / 2;
+  free (sorted);
+  for (size_t i = 0; i < count; i++)
+    work[i] = median + clip (work[i] - median, CLIP * sqrt (variance));
+}
+
+/* Adapts the noise to deviations of runs on one target from their mean. */
+static void
+update_noise (LearnNoise *noise, const double *work, size_t count, double mean)
+{
+  if (count < 2)
+    return;
+  double scale = (double) count / (double) (count - 1);
+  for (size_t i = 0; i < count; i++) {
+    double squared = (work[i] - mean) * (work[i] - mean) * scale;
+    noise->variance
+        += NOISE_WEIGHT * (fmin (squared, CLIP * CLIP * noise->variance) - noise->variance);
+  }
+  noise->variance = fmin (fmax (noise->variance, NOISE_MIN), NOISE_MAX);
+}
+
+/* Updates the speed of a target by the work that its runs seem to have done and by a reference. */
+static void
+update_speed (LearnSpeed *speed, Estimate work, Estimate reference, double floor)
+{
+  double variance = speed->variance + work.variance + reference.variance;
+  double deviation = clip (work.mean - reference.mean, CLIP * sqrt (variance));
   double gain = speed->variance / variance;
   speed->mean -= gain * deviation;
   speed->variance *= 1 - gain;
-  double floor = noise->variance / MEMORY_ENDS;
   if (speed->variance < floor)
     speed->variance = floor;
 }
 
 void
-learn_speed_observe (LearnSpeed *speed, LearnWork *work, LearnNoise *noise, double run_ms,
-                     int64_t now_ms)
+learn_speed_observe (LearnRun *runs, size_t count, double expected_ms, double log_variance,
+                     LearnNoise *noise, int64_t now_ms)
 {
-  learn_speed_fade (speed, now_ms);
-  double variance = work->variance + speed->variance + noise->variance;
-  double limit = CLIP * sqrt (variance);
-  double deviation = clip (log (run_ms < 1 ? 1 : run_ms) - (work->mean - speed->mean), limit);
-  double work_gain = work->variance / variance;
-  if (work->ends > 0) {
-    double excess = deviation * deviation - variance;
-    noise->variance += NOISE_WEIGHT * clip (excess, variance);
-    noise->variance = fmin (fmax (noise->variance, NOISE_MIN), NOISE_MAX);
+  if (count == 0)
+    return;
+  qsort (runs, count, sizeof *runs, compare_runs);
+  double *work = malloc (count * sizeof *work);
+  if (!work)
+    abort ();
+  double sum = 0, uncertainty = 0;
+  for (size_t i = 0; i < count; i++) {
+    learn_speed_fade (runs[i].speed, now_ms);
+    uncertainty += runs[i].speed->variance;
   }
-  update_speed (speed, deviation, variance, noise);
-  work->mean += work_gain * deviation;
-  work->variance *= 1 - work_gain;
-  work->ends++;
-}
-
-void
-learn_speed_compare (LearnSpeed *speed, double run_ms, const LearnSpeed *other, double other_ms,
-                     const LearnNoise *noise, int64_t now_ms)
-{
-  learn_speed_fade (speed, now_ms);
-  double variance = speed->variance + other->variance + 2 * noise->variance;
-  double ratio = log ((run_ms < 1 ? 1 : run_ms) / (other_ms < 1 ? 1 : other_ms));
-  double deviation = clip (ratio - (other->mean - speed->mean), CLIP * sqrt (variance));
-  update_speed (speed, deviation, variance, noise);
+  double run_variance = noise->variance;
+  fill_work (runs, count, noise, work);
+  for (size_t i = 0; i < count; i++)
+    sum += work[i];
+  Estimate expected = { log (expected_ms < 1 ? 1 : expected_ms), log_variance };
+  for (size_t from = 0, to; from < count; from = to) {
+    LearnSpeed *speed = runs[from].speed;
+    double own = 0;
+    for (to = from; to < count && runs[to].speed == speed; to++)
+      own += work[to];
+    double n = (double) (to - from), others = (double) count - n;
+    /* Runs on one target share the error of its speed. */
+    uncertainty -= n * speed->variance;
+    Estimate reference = expected;
+    if (others > 0)
+      reference = combine (expected, (Estimate){ (sum - own) / others,
+                                                 (run_variance + uncertainty / others) / others });
+    uncertainty += n * speed->variance;
+    update_noise (noise, &work[from], to - from, own / n);
+    update_speed (speed, (Estimate){ own / n, run_variance / n }, reference,
+                  run_variance / MEMORY_ENDS);
+  }
+  free (work);
 }
 
 static int
--- a/src/learn/learn_speed.h
+++ b/src/learn/learn_speed.h
@@ -4,14 +4,13 @@
    speed, with estimates that are off by up to 90%.
 
    The run time of a task is the work of its step divided by the speed of its target, apart from
-   noise. All quantities are natural logarithms. Both the work and the speed are unknown and are
-   updated together (a Kalman filter that neglects the covariance of the two): tasks of one step
-   that end on different targets compare these, whatever the estimate says.
+   noise. All quantities are natural logarithms. Tasks of one step do the same work, so those on
+   different targets compare these, whatever the estimate says. They are compared once all have
+   ended: those that end first would make the others look slow.
 
    Values belong to the caller. Pure: no I/O, no clock. */
 #pragma once
 
-#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -30,12 +29,11 @@
   int32_t speed_class; /* set by learn_speed_classify(); 0 is the slowest */
 } LearnSpeed;
 
-/* Logarithm of the run time in ms of the tasks of one step at the mean speed. */
+/* A run of a step that has ended. */
 typedef struct {
-  double mean;
-  double variance;
-  int32_t ends; /* that were observed */
-} LearnWork;
+  LearnSpeed *speed; /* of its target */
+  double log_ms;     /* of its run time */
+} LearnRun;
 
 /* Variance of the run times of tasks of one step on one target, shared by all targets. */
 typedef struct {
@@ -58,14 +56,11 @@
 /* Factor, 1 for the mean speed. */
 double learn_speed_factor (const LearnSpeed *speed);
 
-/* Starts with the expected run time; log_variance is that of the logarithm of its error. */
-void learn_work_init (LearnWork *work, double expected_ms, double log_variance);
-/* A task of the step has ended on the target after run_ms. Updates all three. */
-void learn_speed_observe (LearnSpeed *speed, LearnWork *work, LearnNoise *noise, double run_ms,
-                          int64_t now_ms);
-/* Updates the speed by a run time of other_ms of the same step on a target of other speed. */
-void learn_speed_compare (LearnSpeed *speed, double run_ms, const LearnSpeed *other,
-                          double other_ms, const LearnNoise *noise, int64_t now_ms);
+/* All runs of a step have ended. expected_ms is the expected run time at the mean speed and
+   log_variance the variance of the logarithm of its error: a weaker reference than the other runs.
+   Updates the speeds and the noise. Reorders runs. */
+void learn_speed_observe (LearnRun *runs, size_t count, double expected_ms, double log_variance,
+                          LearnNoise *noise, int64_t now_ms);
 
 /* Shifts the values so that the mean is 0 and sets the class of each. Two speeds are in different
    classes only if they are clearly different by their uncertainty and by enough to matter; a target
