learn: estimates that are right and single slow runs change nothing

With right estimates the line was used because the queue's moving average is worse than either; it has to be better than the estimate too. A target whose first run took seven times as long was a class of its own after a few runs: an unusual run now makes the speed less certain. test_dag_speed passes.

--- a/src/learn/learn_runtime.c
+++ b/src/learn/learn_runtime.c
@@ -15,11 +15,11 @@
 #define CLIP 3.0
 #define ERROR_MAX 1.0
 #define SPREAD_MIN 0.05
-/* The line is used once its squared error is below this share of that of the expectation given, and
+/* The line is used once its squared error is below this share of that of the other predictions, and
    until it is above that error. */
 #define BETTER_SHARE 0.8
-/* A tenth off is as good as such expectations get. */
-#define GIVEN_ERROR_MIN 0.01
+/* A tenth off is as good as such predictions get. */
+#define OTHER_ERROR_MIN 0.01
 /* A change of predictions by this much (log 1.2) is reported. */
 #define CLEAR_CHANGE 0.18
 #define BINS_PER_UNIT 10.0
@@ -154,18 +154,20 @@
 
 /* Decides by their errors whether the line is used. */
 static void
-compare (LearnRuntime *model, double line_error, double given_error, double weight)
+compare (LearnRuntime *model, double line_error, double estimate_error, double given_error,
+         double weight)
 {
   double share = weight / (model->weight < MIN_WEIGHT ? MIN_WEIGHT : model->weight);
   model->line_error += share * (squared (line_error) - model->line_error);
+  model->estimate_error += share * (squared (estimate_error) - model->estimate_error);
   model->given_error += share * (squared (given_error) - model->given_error);
   if (model->weight < MIN_WEIGHT)
     return;
+  double other = fmin (model->estimate_error, model->given_error);
   if (model->in_use)
-    model->in_use = model->line_error <= model->given_error;
+    model->in_use = model->line_error <= other;
   else
-    model->in_use = model->given_error > GIVEN_ERROR_MIN
-                    && model->line_error < BETTER_SHARE * model->given_error;
+    model->in_use = other > OTHER_ERROR_MIN && model->line_error < BETTER_SHARE * other;
 }
 
 /* Counts a change of what the model predicts, if it is clear. */
@@ -191,7 +193,7 @@
   double error = y - predict (model, x);
   bool was_in_use = model->in_use;
   model->used = ++table->observations;
-  compare (model, error, y - log_ms (given_ms), weight);
+  compare (model, error, y - x, y - log_ms (given_ms), weight);
   learn (model, x, error, weight);
   note_change (table, model, was_in_use);
 }
--- a/src/learn/learn_runtime.h
+++ b/src/learn/learn_runtime.h
@@ -5,8 +5,9 @@
 
    The logarithm of the run time at the mean speed is a line over that of the estimate, fitted with
    fading weights: useless estimates lose their influence, good ones keep it. Quantiles come from a
-   fading histogram of the errors. Until the line has predicted better than the caller's own
-   expectation for some time, the latter is returned.
+   fading histogram of the errors. Until the line has predicted better than both the estimate
+   and the caller's own expectation for some time, the latter is returned: estimates that are right
+   change nothing.
 
    Pure: no I/O, no clock. */
 #pragma once
@@ -32,8 +33,9 @@
   double x, y;   /* means of the logarithms of estimate and run time */
   double xx, xy; /* sums of squared deviations of x and of products of deviations */
   double errors[LEARN_ERROR_BINS];
-  /* Moving averages of the squared errors of the caller's expectation and of the line. */
-  double given_error, line_error;
+  /* Moving averages of the squared errors of the estimate, of the caller's expectation and of the
+     line. */
+  double estimate_error, given_error, line_error;
   bool in_use;                 /* the line predicts better */
   double noted_y, noted_slope; /* as of the last change that was reported */
 } LearnRuntime;
--- a/src/learn/learn_speed.c
+++ b/src/learn/learn_speed.c
@@ -25,13 +25,13 @@
 #define CLIP 2.5
 /* A restart may bring other hardware. */
 #define RESTART_VARIANCE 0.06
-/* Classes differ by at least this multiple of the standard deviation of their members. Splitting
-   equal targets by their errors gives 1.6. */
+/* Classes differ by at least this multiple of the standard deviation of the difference between two
+   of their members. Splitting equal targets by their errors gives 1.1. */
 #define CLASS_SEPARATION 3.0
 /* Smaller differences (log 1.1) are below what the objective of a job allows for. */
 #define CLASS_MIN_DIFFERENCE 0.095
 /* Targets above this variance do not shape the classes. */
-#define CLASS_MAX_VARIANCE 0.04
+#define CLASS_MAX_VARIANCE 0.01
 
 void
 learn_noise_init (LearnNoise *noise)
@@ -106,25 +106,27 @@
   return x < y ? -1 : x > y;
 }
 
-/* Fills work with the work of each run by the present speed of its target. Deviations from the
-   median are limited. */
-static void
-fill_work (const LearnRun *runs, size_t count, const LearnNoise *noise, double *work)
+/* What the runs of a step have in common: the median of the work that they seem to have done by the
+   present speeds, and how far from it a usual run is. */
+typedef struct {
+  double median, limit;
+} Usual;
+
+static Usual
+find_usual (const LearnRun *runs, size_t count, const LearnNoise *noise)
 {
   double variance = noise->variance;
+  double *work = malloc (count * sizeof *work);
+  if (!work)
+    abort ();
   for (size_t i = 0; i < count; i++) {
     work[i] = runs[i].log_ms + runs[i].speed->mean;
     variance += runs[i].speed->variance / (double) count;
   }
-  double *sorted = malloc (count * sizeof *sorted);
-  if (!sorted)
-    abort ();
-  memcpy (sorted, work, count * sizeof *sorted);
-  qsort (sorted, count, sizeof *sorted, compare_doubles);
-  double median = (sorted[(count - 1) / 2] + sorted[count / 2]) / 2;
-  free (sorted);
-  for (size_t i = 0; i < count; i++)
-    work[i] = median + clip (work[i] - median, CLIP * sqrt (variance));
+  qsort (work, count, sizeof *work, compare_doubles);
+  double median = (work[(count - 1) / 2] + work[count / 2]) / 2;
+  free (work);
+  return (Usual){ median, CLIP * sqrt (variance) };
 }
 
 /* Adapts the noise to deviations of runs on one target from their mean. */
@@ -142,17 +144,20 @@
   noise->variance = fmin (fmax (noise->variance, NOISE_MIN), NOISE_MAX);
 }
 
-/* Updates the speed of a target by the work that its runs seem to have done and by a reference. */
+/* Updates the speed of a target by the work that its runs seem to have done and by a reference. An
+   unusual run, which is slow by itself or shows that the speed has changed, makes the speed less
+   certain: the next ones decide. */
 static void
-update_speed (LearnSpeed *speed, Estimate work, Estimate reference, double floor)
+update_speed (LearnSpeed *speed, Estimate work, Estimate reference, bool unusual, double floor)
 {
   double variance = speed->variance + work.variance + reference.variance;
-  double deviation = clip (work.mean - reference.mean, CLIP * sqrt (variance));
+  double limit = CLIP * sqrt (variance);
+  double deviation = work.mean - reference.mean;
+  unusual |= fabs (deviation) > limit;
   double gain = speed->variance / variance;
-  speed->mean -= gain * deviation;
-  speed->variance *= 1 - gain;
-  if (speed->variance < floor)
-    speed->variance = floor;
+  speed->mean -= gain * clip (deviation, limit);
+  speed->variance *= unusual ? 2 : 1 - gain;
+  speed->variance = fmin (fmax (speed->variance, floor), PRIOR_VARIANCE);
 }
 
 void
@@ -171,15 +176,21 @@
     uncertainty += runs[i].speed->variance;
   }
   double run_variance = noise->variance;
-  fill_work (runs, count, noise, work);
-  for (size_t i = 0; i < count; i++)
+  Usual usual = find_usual (runs, count, noise);
+  for (size_t i = 0; i < count; i++) {
+    work[i]
+        = usual.median + clip (runs[i].log_ms + runs[i].speed->mean - usual.median, usual.limit);
     sum += work[i];
+  }
   Estimate expected = { log (expected_ms < 1 ? 1 : expected_ms), log_variance };
   for (size_t from = 0, to; from < count; from = to) {
     LearnSpeed *speed = runs[from].speed;
     double own = 0;
-    for (to = from; to < count && runs[to].speed == speed; to++)
+    size_t unusual = 0;
+    for (to = from; to < count && runs[to].speed == speed; to++) {
       own += work[to];
+      unusual += fabs (work[to] - usual.median) >= usual.limit;
+    }
     double n = (double) (to - from), others = (double) count - n;
     /* Runs on one target share the error of its speed. */
     uncertainty -= n * speed->variance;
@@ -190,7 +201,7 @@
     uncertainty += n * speed->variance;
     update_noise (noise, &work[from], to - from, own / n);
     update_speed (speed, (Estimate){ own / n, run_variance / n }, reference,
-                  run_variance / MEMORY_ENDS);
+                  2 * unusual >= to - from, run_variance / MEMORY_ENDS);
   }
   free (work);
 }
@@ -241,19 +252,22 @@
 find_split (LearnSpeed **speeds, Range range, size_t *split)
 {
   double count = (double) (range.to - range.from);
-  double total = 0, variance = 0, sum = 0, best = 0, difference = 0;
+  double total = 0, total_variance = 0, sum = 0, sum_variance = 0;
+  double best = 0, difference = 0, variance = 0;
   for (size_t i = range.from; i < range.to; i++) {
     total += speeds[i]->mean;
-    variance += speeds[i]->variance / count;
+    total_variance += speeds[i]->variance;
   }
   for (size_t i = range.from; i + 1 < range.to; i++) {
     sum += speeds[i]->mean;
+    sum_variance += speeds[i]->variance;
     double below = (double) (i + 1 - range.from), above = count - below;
     double apart = (total - sum) / above - sum / below;
     if (apart * apart * below * above <= best)
       continue;
     best = apart * apart * below * above;
     difference = apart;
+    variance = sum_variance / below + (total_variance - sum_variance) / above;
     *split = i + 1;
   }
   return difference > CLASS_MIN_DIFFERENCE && difference > CLASS_SEPARATION * sqrt (variance);
