dag: run times count by the class of speed

The least of the single values of a gang's targets was too low by chance, by a tenth at equal speeds.

--- a/src/dag/dag_runtime.c
+++ b/src/dag/dag_runtime.c
@@ -68,25 +68,32 @@
   return dag_expected_run (step) * (quantile > 1 ? quantile : 1);
 }
 
+/* Speed of the target by its class: the least of many single values would be too low by chance. */
+static double
+speed_of (const DagStep *step, const DagTarget *target)
+{
+  return step->job->stats->classes->factor[target->speed.speed_class];
+}
+
 double
 dag_stall_run (const DagTask *task)
 {
-  const LearnRuntime *model = find_model (task->step);
-  double speed = task->step->job->stats->classes->factor[task->target->speed.speed_class];
-  return (model && model->in_use ? dag_long_run (task->step, 1) : given_run_ms (task->step))
-         / speed;
+  const DagStep *step = task->step;
+  const LearnRuntime *model = find_model (step);
+  double run_ms = model && model->in_use ? dag_long_run (step, 1) : given_run_ms (step);
+  return run_ms / speed_of (step, task->target);
 }
 
-/* Speed of the target, for a gang that of the slowest member. */
+/* Speed at which the run works; that of a gang is the one of the slowest member. */
 static double
 speed_of_run (const DagTask *task)
 {
   const DagStep *step = task->step;
-  double slowest = learn_speed_factor (&task->target->speed);
+  double slowest = speed_of (step, task->target);
   for (int32_t i = 0; step->spec.gang && i < step->spec.count; i++) {
     const DagTarget *target = step->tasks[i].target;
-    if (target && learn_speed_factor (&target->speed) < slowest)
-      slowest = learn_speed_factor (&target->speed);
+    if (target)
+      slowest = fmin (slowest, speed_of (step, target));
   }
   return slowest;
 }
