--- a/src/dag/dag_job.c
+++ b/src/dag/dag_job.c
@@ -74,6 +74,9 @@
   stats->queue = *queue;
   stats->runtime_ratio = INITIAL_RUNTIME_RATIO;
   stats->allowed_share = INITIAL_ALLOWED_SHARE;
+  stats->work_kind = dag_work_kind (queue, &(GrName){ 0 });
+  stats->runtimes = &dag->runtimes;
+  stats->classes = &dag->classes;
   HASH_ADD_KEYPTR (hh, dag->queue_stats, stats->queue.data, stats->queue.len, stats);
   return stats;
 }
@@ -163,21 +166,19 @@
   return (DagTaskRef){ dag_task_job_name (task->step->job), task->step->number, task->index };
 }
 
-/* Expected duration of a step, with the call for advice if its queue needs one. */
+/* Expected duration of a call for advice; 0 if the queue needs none. */
 static double
-expected_step_ms (const DagJob *job, const DagStepSpec *spec, double ratio)
+expected_advice_ms (const DagQueue *queue)
 {
-  double advice = 0;
-  if (job->queue.advised)
-    advice = job->queue.advice_ms + TYPICAL_ADVICE_TARGETS * job->queue.advice_ms_per_target;
-  return advice + ratio * (double) spec->estimate_ms;
+  return queue->advised ? queue->advice_ms + TYPICAL_ADVICE_TARGETS * queue->advice_ms_per_target
+                        : 0;
 }
 
-/* Sets the critical path of each step; returns the longest, which is that of the job. */
+/* Sets the critical path of each step, with this time for advice before each; returns the longest,
+   which is that of the job. */
 static int64_t
-set_critical_paths (DagJob *job)
+set_critical_paths (DagJob *job, double advice_ms)
 {
-  double ratio = job->stats->runtime_ratio;
   int64_t longest = 0;
   for (size_t s = job->step_count; s-- > 0;) {
     DagStep *step = &job->steps[s];
@@ -186,18 +187,21 @@
       if ((job->steps[d].spec.depends_on >> s & 1) && job->steps[d].critical_path_ms > after)
         after = job->steps[d].critical_path_ms;
     }
-    step->critical_path_ms = after + (int64_t) expected_step_ms (job, &step->spec, ratio);
+    step->after_ms = after;
+    step->critical_path_ms = after + (int64_t) (advice_ms + dag_expected_run (step));
     if (step->critical_path_ms > longest)
       longest = step->critical_path_ms;
   }
   return longest;
 }
 
-static void
-set_objective (DagJob *job)
+void
+dag_job_set_objective (DagJob *job)
 {
-  double chain = (double) set_critical_paths (job);
   double slack = job->queue.slack_factor > 0 ? job->queue.slack_factor : 1;
+  double work = (double) set_critical_paths (job, 0);
+  double chain = (double) set_critical_paths (job, expected_advice_ms (&job->queue));
+  job->aim_at = job->accepted_at + (int64_t) (work * slack) + job->queue.target_latency_ms;
   int64_t objective = (int64_t) (chain * slack) + job->queue.target_latency_ms;
   job->objective_at = job->accepted_at + objective;
   job->hard_deadline_at = job->accepted_at + HARD_DEADLINE_FACTOR * objective;
@@ -223,6 +227,7 @@
     step->job = job;
     step->number = (uint32_t) s;
     step->spec = spec->steps[s];
+    step->work_kind = dag_work_kind (&queue->name, &step->spec.image);
     step->waiting = step->spec.count;
     step->tasks = gr_calloc ((size_t) step->spec.count, sizeof *step->tasks);
     for (int32_t i = 0; i < step->spec.count; i++) {
@@ -233,7 +238,7 @@
   job->timetable = spec->timetable;
   if (dag_has_timetable (job))
     dag_timetable_init (dag, job);
-  set_objective (job);
+  dag_job_set_objective (job);
   HASH_ADD_KEYPTR (hh, dag->jobs, job->id.data, job->id.len, job);
   dag->open_jobs++;
   dag_share_add_job (job);
--- a/src/dag/dag_priv.h
+++ b/src/dag/dag_priv.h
@@ -6,6 +6,8 @@
 #include "base/gr_backoff.h"
 #include "base/gr_hash_priv.h"
 #include "dag/dag.h"
+#include "learn/learn_runtime.h"
+#include "learn/learn_speed.h"
 
 /* Longest checkpoint name that is kept; longer ones are ignored. */
 #define DAG_CHECKPOINT_MAX GR_NAME_MAX
@@ -47,6 +49,11 @@
   DagTask *target_prev, *target_next; /* list of the runs of the target */
   int64_t batch;                      /* batch that stores the assignment; 0: not taken yet */
   int64_t confirmed_at;               /* when the target confirmed the run */
+  int64_t assigned_at;                /* when the run was assigned */
+  bool timed;                         /* the start of its work is known, and it is a usual run */
+  int64_t work_at, work_clock_ms;     /* that time, here and on the clock of the target */
+  uint32_t ran_on;                    /* DagTarget.serial of a usual run that is done; 0: none */
+  float log_run_ms;                   /* logarithm of its run time */
   int64_t confirmed_clock_ms;         /* clock of the target at that time; 0: not known */
   bool confirmed;                     /* the target has certainly started the run, in any term */
   int64_t survived_ms;                /* how long the run is known to have worked */
@@ -113,6 +120,8 @@
   uint32_t number;
   DagStepSpec spec;
   int64_t critical_path_ms; /* expected time from the start of this step to the end of its job */
+  int64_t after_ms;         /* the part of it after this step */
+  uint64_t work_kind;       /* dag_work_kind() of its queue and image */
   DagTask *tasks;
   int32_t waiting;      /* tasks in TASK_WAITING */
   int32_t done;         /* tasks in TASK_DONE */
@@ -162,6 +171,7 @@
   bool dropped;             /* retention is over: the records are deleted, then the job is freed */
   int64_t accepted_at;
   int64_t objective_at;
+  int64_t aim_at;           /* the objective without the allowance for advice */
   int64_t hard_deadline_at; /* completion is worth less after objective_at, nothing after this */
   int64_t ended_at;
   uint64_t serial;                /* unique within a DagState, in order of creation */
@@ -290,12 +300,20 @@
   uint64_t reserved_for;    /* dag_step_key() of that gang */
   int32_t advice_calls;     /* calls for advice in flight that name it */
   DagPace pace;
+  LearnSpeed speed;
   /* Scratch of a scan for one step. If mark equals DagState.mark, the step has advice about this
      target, and marked_permit is its permit, or NULL if the advice does not allow the target. */
   int64_t mark;
   const DagPermit *marked_permit;
 };
 
+/* Ended runs of one queue since the last report. */
+typedef struct {
+  int64_t runs;
+  double expected_ms, real_ms;
+  double error; /* sum of the absolute logarithms of real to expected run times */
+} DagRunSums;
+
 /* Observations of one queue, as exponential moving averages. */
 struct DagQueueStats {
   GrName queue;
@@ -306,6 +324,10 @@
   double starts, crashes;
   int64_t counted_at;
   bool crash_prone; /* its starts crash too many targets */
+  uint64_t work_kind;
+  const LearnRuntimes *runtimes; /* of the DagState, with its classes of speed */
+  const LearnClasses *classes;
+  DagRunSums sums;
 };
 
 /* A client account. It is freed when it is no longer configured and its last job is freed. */
@@ -376,6 +398,15 @@
   /* Share of silent targets among those that nothing else explains (dag_risk.c). */
   double silent_share;
   int64_t silent_share_until; /* when it is outdated */
+  LearnRuntimes runtimes;
+  int64_t runtimes_used; /* runtimes.changes that the objectives of jobs reflect */
+  int64_t objectives_at; /* when these may be computed anew */
+  int64_t report_at;     /* when run times are reported again */
+  LearnNoise noise;
+  LearnClasses classes;                       /* of the speeds of targets */
+  double class_free[LEARN_SPEED_CLASSES_MAX]; /* share of the cpu that is free, by class */
+  int64_t classify_at;                        /* when they are formed anew */
+  double start_delay_ms; /* from an assignment to its confirmation, as a moving average */
 };
 
 /* Runs of one step that would be lost together with a target, its rack or its zone. */
@@ -383,6 +414,11 @@
   int32_t on_target, on_rack, in_zone;
 } DagExposure;
 
+/* Order of preference of the classes of speed for a step; 0 goes first. */
+typedef struct {
+  int32_t of_class[LEARN_SPEED_CLASSES_MAX];
+} DagSpeedRank;
+
 /* A target on which tasks of the step can start now. */
 typedef struct {
   DagTarget *target;
@@ -397,6 +433,7 @@
   bool best_effort;        /* the step takes cpu that others leave idle */
   bool crash_prone;        /* the queue of the step is */
   double expected_harm;    /* between tasks of the step and the runs of the target */
+  int32_t speed_rank;      /* by the class of its speed, see DagSpeedRank */
   DagExposure exposure;    /* of a long-running step */
 } DagCandidate;
 
@@ -410,6 +447,8 @@
                               DagJobState state, int64_t ended_at);
 /* Removes the job from dag and frees it. */
 void dag_job_free (DagState *dag, DagJob *job);
+/* Sets the critical paths of the steps, and the objective and hard deadline of the job. */
+void dag_job_set_objective (DagJob *job);
 /* The next batch will hold a record of the job. */
 void dag_job_mark_dirty (DagState *dag, DagJob *job);
 /* Ends the job with the given state and stops its runs; no effect if it has ended. */
@@ -723,6 +762,43 @@
 double dag_pace_expected_harm (DagState *dag, const DagStep *step, const DagTarget *target);
 void dag_pace_clear (DagState *dag);
 
+/* dag_runtime.c */
+/* Key of a kind of work in LearnRuntimes. */
+uint64_t dag_work_kind (const GrName *queue, const GrName *image);
+/* Expected run time of a task of the step on a target of mean speed. */
+double dag_expected_run (const DagStep *step);
+int64_t dag_expected_run_ms (const DagStep *step);
+/* Variance of the logarithm of its error. */
+double dag_expected_run_variance (const DagStep *step);
+/* Run time that this number of tasks of the step together rarely exceed on targets of mean speed.
+ */
+double dag_long_run (const DagStep *step, int32_t tasks);
+/* Run time by which the progress of a run on its target is judged. */
+double dag_stall_run (const DagTask *task);
+/* A usual run has ended as done after run_ms; the task is still on its target. */
+void dag_runtime_note_end (DagState *dag, const DagTask *task, int64_t run_ms);
+/* A run was stopped or its lease has lapsed; the task is still on its target. */
+void dag_runtime_note_cut (DagState *dag, const DagTask *task);
+/* Computes the objectives of open jobs anew, also of those that have begun if begun is true. */
+void dag_runtime_renew_objectives (DagState *dag, bool begun);
+/* Renews objectives of jobs that have not begun after a clear change, and writes the report. */
+void dag_runtime_tick (DagState *dag, int64_t now_ms);
+
+/* dag_speed.c */
+void dag_speed_init (DagState *dag);
+/* A start was confirmed at clock_ms of the target. */
+void dag_speed_note_start (DagState *dag, DagTask *task, int64_t clock_ms, int64_t now_ms);
+/* The run has ended as done; the task is still on its target. */
+void dag_speed_note_end (DagState *dag, DagTask *task, int64_t now_ms);
+/* All tasks of the step are done. */
+void dag_speed_note_step (DagState *dag, DagStep *step, int64_t now_ms);
+void dag_speed_tick (DagState *dag, int64_t now_ms);
+/* Measures the room in the classes of speed, for a placement pass. */
+void dag_speed_measure_room (DagState *dag, int64_t now_ms);
+/* Order of the classes of speed for the step if it starts now. */
+void dag_speed_rank (const DagState *dag, const DagStep *step, int64_t now_ms, DagSpeedRank *out);
+int32_t dag_speed_rank_of (const DagSpeedRank *rank, const DagTarget *target);
+
 /* dag_candidate.c */
 
 /* True if a task of the step could start on some target now. */
@@ -735,6 +811,10 @@
 int32_t dag_fit_count_idle (const DagStep *step, const DagTarget *target);
 /* Stores the candidates in out, in order of preference, and returns their number. */
 size_t dag_list_candidates (DagState *dag, DagStep *step, DagCandidate *out, int64_t now_ms);
+/* Orders the candidates anew so that those of one class of speed come first, if these alone have
+   room for this number of tasks, in the rack if one is given. What goes before speed still does. */
+void dag_prefer_one_speed (DagCandidate *candidates, size_t count, const GrName *rack,
+                           int32_t tasks);
 
 /* dag_place.c */
 /* Key of the step, unique within a DagState. */
--- a/src/dag/dag_run.c
+++ b/src/dag/dag_run.c
@@ -63,6 +63,8 @@
   task->confirmed_at = 0;
   task->confirmed_clock_ms = 0;
   task->confirmed = false;
+  task->assigned_at = dag->placed_at;
+  task->timed = false;
   task->news_by = 0;
   task->survived_ms = 0;
   task->percent = 0;
@@ -353,6 +355,7 @@
     return;
   job->steps_done |= (uint64_t) 1 << step->number;
   step->gang_stop_at = 0;
+  dag_speed_note_step (dag, step, now_ms);
   dag_advice_clear (step);
   for (size_t s = 0; s < job->step_count; s++) {
     if (job->steps[s].done < job->steps[s].spec.count) {
@@ -367,6 +370,7 @@
 handle_done_run (DagState *dag, DagTask *task, int64_t now_ms)
 {
   DagStep *step = task->step;
+  dag_speed_note_end (dag, task, now_ms);
   update_runtime_ratio (task, now_ms);
   dag_target_succeeded (task->target);
   if (!step->spec.gang) {
@@ -466,6 +470,9 @@
     return;
   case DAG_END_STOPPED:
   case DAG_END_LAPSED:
+    dag_runtime_note_cut (dag, task);
+    dag_run_release (dag, task, now_ms);
+    return;
   case DAG_END_BROKEN:
   case DAG_END_ALONE:
     dag_run_release (dag, task, now_ms);
@@ -507,6 +514,8 @@
     target->clock_ms = clock_ms;
     target->clock_at = now_ms;
   }
+  if (result == DAG_ORDER_OK && (task->state == TASK_STARTING || task->state == TASK_RUNNING))
+    dag_speed_note_start (dag, task, same_clock ? clock_ms : 0, now_ms);
   if (task->state != TASK_STARTING)
     return;
   if (result != DAG_ORDER_OK)
@@ -603,8 +612,7 @@
   /* A best-effort run may get no cpu time at all. */
   if (task->state != TASK_RUNNING || task->percent >= 100 || task->step->spec.best_effort_cpu)
     return false;
-  double expected = (double) task->step->spec.estimate_ms * task->step->job->stats->runtime_ratio;
-  double limit = expected * STALL_SHARE;
+  double limit = dag_stall_run (task) * STALL_SHARE;
   if (limit < STALL_MIN_MS)
     limit = STALL_MIN_MS;
   return (double) (now_ms - task->percent_at) > limit
