--- a/src/dag/dag_account.c
+++ b/src/dag/dag_account.c
@@ -36,6 +36,7 @@
 {
   if (client->configured || client->jobs > 0)
     return;
+  /* NOLINTNEXTLINE: the analyzer does not follow uthash's links */
   HASH_DEL (dag->clients, client);
   free (client);
 }
