dag: targets are kept for wide steps of accounts below their part

Tasks that are larger than those of other accounts never met a gap: with tasks of 2 cores of a large account that end one by one, wide steps of 6 cores of a small account took 16,010 ms and more, although it came first in the order, and 16,005 ms beside work beyond a share.

The first two steps of single tasks that lack room reserve targets, as gangs do: as many as the account has less than the next one that waits, or for all tasks while only work beyond a share could take the room. Nothing is reserved without accounts.

--- a/src/dag/dag_place.c
+++ b/src/dag/dag_place.c
@@ -6,15 +6,16 @@
    the rest. Within each group the order is by priority, then between accounts by dominant resource
    fairness, then by the latest start time that meets the objective, earliest first. Gang scheduling
    is all or nothing. The first gangs that do not fit reserve targets, so that later, smaller steps
-   do not starve them.
- */
+   do not starve them. So do the first steps of single tasks, while accounts that have more than
+   their part, or work beyond a share, would take each gap before it is large enough. */
 #include <stdlib.h>
 
 #include "dag/dag_priv.h"
 
-/* Most waiting gangs that reserve targets in one pass. */
+/* Most waiting gangs that reserve targets in one pass, and most other steps. */
 #define RESERVING_GANGS_MAX 2
-/* All waiting gangs together reserve at most this share of the targets. */
+#define RESERVING_STEPS_MAX 2
+/* All waiting steps together reserve at most this share of the targets. */
 #define RESERVED_SHARE_MAX 0.5
 /* Advice is requested for work of up to this multiple of the free cpu: some targets are not
    allowed, and gangs with advice may still not fit. */
@@ -248,15 +249,18 @@
   return step->job->serial * DAG_MAX_STEPS + step->number;
 }
 
-/* Next target to reserve for a gang: one that the gang reserved before, else the one with the least
-   cpu in use. Returns NULL if there is none. */
+/* Next target to reserve for a step: one that it reserved before, else the one with the least cpu
+   in use. Returns NULL if there is none. */
 static DagTarget *
 choose_target_to_reserve (DagState *dag, const DagStep *step, int64_t now_ms)
 {
   DagTarget *best = NULL;
   bool best_was_reserved = false;
-  for (size_t i = 0; i < step->permits.count; i++) {
-    DagTarget *target = step->permits.items[i].target;
+  /* Gangs of queues without advice reserve nothing. */
+  bool any = !step->job->queue.advised && !step->spec.gang;
+  size_t count = any ? dag->target_list.count : step->permits.count;
+  for (size_t i = 0; i < count; i++) {
+    DagTarget *target = any ? dag->target_list.items[i] : step->permits.items[i].target;
     if (target->reserved_pass == dag->pass || !dag_target_usable (target, now_ms)
         || !dag_may_run (step, target) || dag_fit_count_idle (step, target) == 0)
       continue;
@@ -272,14 +276,13 @@
   return best;
 }
 
-/* Reserves targets for a gang that does not fit now; they get no other work in this pass. Each
-   counts for the tasks that fit on it now, but at least for one: runs end one by one, so many
-   targets have room for one more task sooner than a few targets are idle. */
+/* Reserves targets for tasks that do not fit now; they get no other work in this pass. Each counts
+   for the tasks that fit on it now, but at least for one: runs end one by one, so many targets have
+   room for one more task sooner than a few targets are idle. */
 static void
-reserve_for_gang (DagState *dag, DagStep *step, size_t *reserved, int64_t now_ms)
+reserve_targets (DagState *dag, DagStep *step, int32_t missing, size_t *reserved, int64_t now_ms)
 {
   size_t max_reserved = (size_t) (RESERVED_SHARE_MAX * (double) dag->target_list.count);
-  int32_t missing = step->waiting;
   while (missing > 0 && *reserved < max_reserved) {
     DagTarget *target = choose_target_to_reserve (dag, step, now_ms);
     if (!target)
@@ -416,11 +419,28 @@
   int64_t budget;           /* see advice_budget() */
   size_t reserved;          /* targets */
   int reserving;            /* gangs that reserve targets */
+  int reserving_steps;      /* other steps that do */
+  bool beyond_share;        /* some step is beyond the share of its account */
   int turns;                /* steps that are served once more */
 } Pass;
 
-/* Places a gang, or up to limit other tasks of the step. Returns true if the limit keeps more of
-   them from being placed; else it reserves targets or requests advice for those that remain. */
+/* Number of single tasks of the step for which targets may be reserved: its account has this number
+   less than the next one with waiting work, or work beyond a share waits too. */
+static int32_t
+reservable_tasks (const Pass *pass, const DagStep *step, int32_t limit, int64_t now_ms)
+{
+  if (step->spec.gang || pass->reserving_steps == RESERVING_STEPS_MAX
+      || now_ms > step->job->hard_deadline_at)
+    return 0;
+  int32_t tasks = allowed_tasks (step);
+  if (limit < DAG_MAX_TASKS)
+    return tasks < limit ? tasks : limit;
+  return pass->beyond_share && !step->order.beyond_share ? tasks : 0;
+}
+
+/* Places a gang, or up to limit other tasks of the step; DAG_MAX_TASKS: all that fit. Returns true
+   if the limit keeps more of them from being placed; else it reserves targets or requests advice
+   for those that remain. */
 static bool
 place_step (DagState *dag, Pass *pass, DagStep *step, int32_t limit, int64_t now_ms)
 {
@@ -444,11 +464,17 @@
   } else if (!place_gang (dag, step, candidates, count, now_ms)
              && pass->reserving < RESERVING_GANGS_MAX && now_ms <= step->job->hard_deadline_at) {
     pass->reserving++;
-    reserve_for_gang (dag, step, &pass->reserved, now_ms);
+    reserve_targets (dag, step, step->waiting, &pass->reserved, now_ms);
     reserves = true;
   }
   if (step->waiting > 0 && waiting - step->waiting >= limit)
     return true;
+  int32_t reservable = reservable_tasks (pass, step, limit, now_ms);
+  if (reservable > 0) {
+    pass->reserving_steps++;
+    reserve_targets (dag, step, reservable, &pass->reserved, now_ms);
+    reserves = true;
+  }
   int32_t tasks = allowed_tasks (step);
   if (tasks < step->waiting)
     dag_client_note_held (dag, step, now_ms);
@@ -502,6 +528,8 @@
   sort_ready_steps (dag, now_ms);
   Pass pass = { .candidates = gr_calloc (dag->target_list.count, sizeof *pass.candidates),
                 .budget = advice_budget (dag, now_ms) };
+  for (size_t i = 0; i < dag->ready.count && dag->clients; i++)
+    pass.beyond_share |= dag->ready.items[i]->order.beyond_share;
   size_t end;
   for (size_t i = 0; i < dag->ready.count && pass.turns < TURNS_MAX; i = end) {
     end = end_of_class (dag, i);
