dag: a record keeps learned speeds and run times over a takeover

A new leader learned anew for some seconds. Fuzzed with the other records; tests for learned values.

--- a/src/dag/dag.c
+++ b/src/dag/dag.c
@@ -56,6 +56,7 @@
   gr_hash_clear (dag->queue_stats, free);
   gr_hash_clear (dag->clients, free);
   dag_pace_clear (dag);
+  dag_speed_clear (dag);
   dag_cmds_reset (dag);
   gr_list_clear (&dag->cmds);
   gr_list_clear (&dag->advise_names);
@@ -71,6 +72,9 @@
 {
   dag->loaded = true;
   dag_timetable_loaded (dag, now_ms);
+  /* Jobs were loaded before what was learned of their run times. */
+  if (dag->runtimes.count > 0)
+    dag_runtime_renew_objectives (dag, true);
   for (DagJob *job = dag->jobs; job; job = job->hh.next) {
     if (dag_job_is_open (job)) {
       dag_queue_ready_steps (dag, job);
@@ -122,6 +126,7 @@
     mark_assignments (job, dag->batch);
     bytes += dag_pack_job (dag, job, out);
   }
+  dag_learn_pack (dag, out);
   /* The job of a processed end may be among those that did not fit. All ends that are not stored
      yet are therefore acknowledged after the next batch at the earliest. */
   if (dag->dirty) {
--- a/src/dag/dag_codec.c
+++ b/src/dag/dag_codec.c
@@ -11,7 +11,9 @@
      number. A task is 1 if done, 0 if it waits and was never
      assigned, else [flags, run, failures, target, incarnation, checkpoint]; target is empty if the
      task has no run that may be alive. A task under which a target has crashed or that is suspected
-     has three more: crashes, crashes at once, suspected. */
+     has three more: crashes, crashes at once, suspected.
+
+   Key "l": see dag_learn_codec.c. */
 #include <stdlib.h>
 
 #include "base/gr_pack.h"
@@ -506,6 +508,9 @@
 dag_load (DagState *dag, GrStr key, GrStr value, int64_t now_ms, GrErr *err)
 {
   GrName id;
+  if (key.len == 1 && key.data[0] == DAG_LEARN_KEY)
+    return dag_learn_load (dag, value, now_ms)
+           || gr_err_set (err, GR_ERR_PROTOCOL, "record", "the learned values cannot be decoded");
   if (key.len < 2 || !gr_name_set (&id, (GrStr){ key.data + 1, key.len - 1 }))
     return gr_err_set (err, GR_ERR_PROTOCOL, "key", "invalid record key of %zu bytes", key.len);
   msgpack_unpacked unpacked;
--- a/src/dag/dag_priv.h
+++ b/src/dag/dag_priv.h
@@ -288,6 +288,7 @@
   int32_t advice_calls;     /* calls for advice in flight that name it */
   DagPace pace;
   LearnSpeed speed;
+  double stored_speed; /* speed.mean in the newest record */
   /* Scratch of a scan for one step. If mark equals DagState.mark, the step has advice about this
      target, and marked_permit is its permit, or NULL if the advice does not allow the target. */
   int64_t mark;
@@ -325,6 +326,13 @@
   size_t jobs; /* that exist, ended ones included */
 };
 
+/* Speed of a target that is not in the table of targets. */
+typedef struct {
+  GrName id;
+  UT_hash_handle hh;
+  LearnSpeed speed;
+} DagKnownSpeed;
+
 struct DagState {
   DagOptions options;
   DagJob *jobs;
@@ -358,9 +366,13 @@
   double silent_share;
   int64_t silent_share_until; /* when it is outdated */
   LearnRuntimes runtimes;
-  int64_t runtimes_used; /* runtimes.changes that the objectives of jobs reflect */
-  int64_t objectives_at; /* when these may be computed anew */
-  int64_t report_at;     /* when run times are reported again */
+  int64_t runtimes_used;   /* runtimes.changes that the objectives of jobs reflect */
+  int64_t objectives_at;   /* when these may be computed anew */
+  int64_t report_at;       /* when run times are reported again */
+  int64_t runtimes_stored; /* runtimes.changes in the newest record */
+  int64_t record_at;       /* when the record may be written again */
+  bool record_due;         /* the next batch holds it */
+  DagKnownSpeed *known_speeds;
   LearnNoise noise;
   LearnClasses classes;                       /* of the speeds of targets */
   double class_free[LEARN_SPEED_CLASSES_MAX]; /* share of the cpu that is free, by class */
@@ -685,12 +697,26 @@
 /* All tasks of the step are done. */
 void dag_speed_note_step (DagState *dag, DagStep *step, int64_t now_ms);
 void dag_speed_tick (DagState *dag, int64_t now_ms);
+/* Keeps the speed for a target that is not in the table, for when it appears. */
+void dag_speed_remember (DagState *dag, const GrName *id, const LearnSpeed *speed);
+/* Sets the speed of a target that was added to the table. */
+void dag_speed_recall (DagState *dag, DagTarget *target);
+void dag_speed_clear (DagState *dag);
 /* Measures the room in the classes of speed, for a placement pass. */
 void dag_speed_measure_room (DagState *dag, int64_t now_ms);
 /* Order of the classes of speed for the step if it starts now. */
 void dag_speed_rank (const DagState *dag, const DagStep *step, int64_t now_ms, DagSpeedRank *out);
 int32_t dag_speed_rank_of (const DagSpeedRank *rank, const DagTarget *target);
 
+/* dag_learn_codec.c */
+#define DAG_LEARN_KEY 'l'
+/* Plans a record of the learned values if they have clearly changed. */
+void dag_learn_check_record (DagState *dag, int64_t now_ms);
+/* Appends the record if one is planned. */
+void dag_learn_pack (DagState *dag, DagRecords *out);
+/* Returns false if the record is damaged; then part of it may have been taken. */
+bool dag_learn_load (DagState *dag, GrStr value, int64_t now_ms);
+
 /* dag_candidate.c */
 
 /* True if a task of the step could start on some target now. */
--- a/src/dag/dag_runtime.c
+++ b/src/dag/dag_runtime.c
@@ -18,7 +18,10 @@
 dag_work_kind (const GrName *queue, const GrName *image)
 {
   uint64_t kind = gr_name_hash (queue, 0);
-  return image->len > 0 ? gr_name_hash (image, kind) : kind;
+  if (image->len > 0)
+    kind = gr_name_hash (image, kind);
+  /* Records hold signed numbers. */
+  return kind >> 1;
 }
 
 /* Expected run time as the queue's moving average alone gives it. */
--- a/src/dag/dag_speed.c
+++ b/src/dag/dag_speed.c
@@ -11,6 +11,8 @@
    short work ended in time less often in a full cell, with a larger share wide steps did in one
    with room (tests/test_dag_speed.c at 1 to 1.4 times its load). */
 #define SPARE_SHARE 0.3
+/* Most targets that have left and whose speed is remembered. */
+#define KNOWN_SPEEDS_MAX 2000
 /* Weight of one start in the moving average DagState.start_delay_ms. */
 #define START_DELAY_WEIGHT 0.02
 
@@ -21,6 +23,44 @@
   dag->classes = (LearnClasses){ .count = 1, .factor = { 1 } };
 }
 
+void
+dag_speed_remember (DagState *dag, const GrName *id, const LearnSpeed *speed)
+{
+  DagKnownSpeed *known = NULL;
+  HASH_FIND (hh, dag->known_speeds, id->data, id->len, known);
+  if (!known) {
+    if (HASH_COUNT (dag->known_speeds) >= KNOWN_SPEEDS_MAX) {
+      DagKnownSpeed *oldest = dag->known_speeds;
+      HASH_DEL (dag->known_speeds, oldest);
+      free (oldest);
+    }
+    known = gr_calloc (1, sizeof *known);
+    known->id = *id;
+    HASH_ADD_KEYPTR (hh, dag->known_speeds, known->id.data, known->id.len, known);
+  }
+  known->speed = *speed;
+}
+
+void
+dag_speed_recall (DagState *dag, DagTarget *target)
+{
+  DagKnownSpeed *known = NULL;
+  learn_speed_init (&target->speed, 0);
+  HASH_FIND (hh, dag->known_speeds, target->info.id.data, target->info.id.len, known);
+  if (!known)
+    return;
+  target->speed = known->speed;
+  target->stored_speed = known->speed.mean;
+  HASH_DEL (dag->known_speeds, known);
+  free (known);
+}
+
+void
+dag_speed_clear (DagState *dag)
+{
+  gr_hash_clear (dag->known_speeds, free);
+}
+
 void
 dag_speed_note_start (DagState *dag, DagTask *task, int64_t clock_ms, int64_t now_ms)
 {
@@ -136,6 +176,7 @@
   }
   learn_speed_classify (speeds, count, &dag->classes);
   free (speeds);
+  dag_learn_check_record (dag, now_ms);
 }
 
 /* Speed at which a run of run_ms at the mean speed ends within left_ms. */
--- a/src/dag/dag_target.c
+++ b/src/dag/dag_target.c
@@ -48,7 +48,7 @@
   target = gr_calloc (1, sizeof *target);
   target->info.id = *id;
   dag_pace_init (&target->pace);
-  learn_speed_init (&target->speed, 0);
+  dag_speed_recall (dag, target);
   target->serial = ++dag->next_target_serial;
   target->leases_lapse_by = dag->options.former_leases_lapse_at_ms;
   HASH_ADD_KEYPTR (hh, dag->targets, target->info.id.data, target->info.id.len, target);
@@ -389,6 +389,7 @@
            GR_NAME_ARG (target->info.id), target->inventoried,
            (long long) (target->hold_failures > 0 ? now_ms - target->silent_at : 0));
   dag_drop_target_refs (dag, target);
+  dag_speed_remember (dag, &target->info.id, &target->speed);
   HASH_DEL (dag->targets, target);
   gr_list_swap_remove (&dag->target_list, at);
   dag_target_free (target);
--- a/src/learn/learn_runtime.c
+++ b/src/learn/learn_runtime.c
@@ -23,7 +23,7 @@
 /* A change of predictions by this much (log 1.2) is reported. */
 #define CLEAR_CHANGE 0.18
 #define BINS_PER_UNIT 10.0
-/* Largest logarithm of a stored value that is accepted: beyond a year in ms. */
+/* Largest logarithm that is predicted, or accepted in a stored value: beyond a year in ms. */
 #define LOG_MAX 25.0
 
 static double
@@ -74,7 +74,10 @@
 static double
 predict (const LearnRuntime *model, double x)
 {
-  return model->weight > 0 ? model->y + slope (model) * (x - model->x) : x;
+  if (model->weight <= 0)
+    return x;
+  double y = model->y + slope (model) * (x - model->x);
+  return y < 0 ? 0 : y > LOG_MAX ? LOG_MAX : y;
 }
 
 /* Error that the share of observations does not exceed. */
--- a/src/learn/learn_speed.c
+++ b/src/learn/learn_speed.c
@@ -39,6 +39,12 @@
   noise->variance = NOISE_INITIAL;
 }
 
+void
+learn_noise_check (LearnNoise *noise)
+{
+  noise->variance = fmin (fmax (noise->variance, NOISE_MIN), NOISE_MAX);
+}
+
 void
 learn_speed_init (LearnSpeed *speed, int64_t now_ms)
 {
@@ -141,7 +147,7 @@
     noise->variance
         += NOISE_WEIGHT * (fmin (squared, CLIP * CLIP * noise->variance) - noise->variance);
   }
-  noise->variance = fmin (fmax (noise->variance, NOISE_MIN), NOISE_MAX);
+  learn_noise_check (noise);
 }
 
 /* Updates the speed of a target by the work that its runs seem to have done and by a reference. An
--- a/src/learn/learn_speed.h
+++ b/src/learn/learn_speed.h
@@ -47,6 +47,8 @@
 } LearnClasses;
 
 void learn_noise_init (LearnNoise *noise);
+/* Moves a stored value into the range of possible ones. */
+void learn_noise_check (LearnNoise *noise);
 /* Nothing is known of the target. */
 void learn_speed_init (LearnSpeed *speed, int64_t now_ms);
 /* The value becomes less certain and returns to the mean over time. */
--- a/tests/test_dag_speed.c
+++ b/tests/test_dag_speed.c
@@ -424,10 +424,53 @@
   assert_true (run_sim (LEARNED, true).cmds == run_sim (WITHOUT_SPEEDS, true).cmds);
 }
 
+/* Guards against a new leader that learns anew, and against a record that outgrows its topic. */
+static void
+record_keeps_what_was_learned (void **state)
+{
+  (void) state;
+  Sim *sim = new_sim (LEARNED, false), *next = new_sim (LEARNED, false);
+  while (sim->now < WARM_UP_MS)
+    step_sim (sim);
+  dag_stored (sim->dag, sim->batch, sim->now);
+  arrive (sim, 0);
+  sim->dag->record_due = true;
+  DagRecords records = { 0 };
+  assert_true (dag_take_batch (sim->dag, &records) > 0);
+  const DagRecord *record = &records.items[records.count - 1];
+  assert_true (gr_str_equal (gr_buf_str (&record->key), GR_STR ("l")));
+  assert_true (record->value.len < 25 * TARGETS + 1000);
+  /* The record is read before the targets are known. */
+  dag_free (next->dag);
+  DagOptions options = { .lease_ms = LEASE_MS, .lease_max_ms = 2 * LEASE_MS, .quiet = true };
+  next->dag = dag_new (&options, NULL);
+  GrErr err = { 0 };
+  assert_false (dag_load (next->dag, GR_STR ("l"), GR_STR ("\x94\x01"), sim->now, &err));
+  assert_true (dag_load (next->dag, GR_STR ("l"), gr_buf_str (&record->value), sim->now, &err));
+  dag_loaded (next->dag, sim->now);
+  for (int t = 0; t < TARGETS; t++) {
+    DagTargetInfo info = target_info (t);
+    dag_target_seen (next->dag, &info, sim->now);
+  }
+  dag_tick (next->dag, sim->now);
+  assert_int_equal (next->dag->classes.count, 2);
+  for (int t = 0; t < TARGETS; t++)
+    assert_int_equal (next->dag->target_list.items[t]->speed.speed_class, t % FAST_EVERY == 0);
+  GrName queue = gr_name (kinds[0].queue);
+  const LearnRuntime *model
+      = learn_runtime_find (&next->dag->runtimes, dag_work_kind (&queue, &(GrName){ 0 }));
+  assert_non_null (model);
+  assert_true (model->in_use);
+  dag_records_clear (&records);
+  free_sim (sim);
+  free_sim (next);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = { cmocka_unit_test (short_work_gets_fast_targets),
-                                      cmocka_unit_test (equal_targets_change_nothing) };
+                                      cmocka_unit_test (equal_targets_change_nothing),
+                                      cmocka_unit_test (record_keeps_what_was_learned) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/tests/test_fuzz.c
+++ b/tests/test_fuzz.c
@@ -301,7 +301,7 @@
   if (dag_unpack_job_spec (input, &unpacked, steps, &spec))
     dag_submit (dag, &spec, 1, 10, &retry_after_ms, &err);
   dag_submit (dag, &known, 2, 10, &retry_after_ms, &err);
-  static const char *const keys[] = { "jj1", "pj1", "pj2", "x", "" };
+  static const char *const keys[] = { "jj1", "pj1", "pj2", "x", "", "l" };
   for (size_t i = 0; i < sizeof keys / sizeof keys[0]; i++) {
     GrErr load_err = { 0 };
     if (!dag_load (dag, gr_str_from_c (keys[i]), input, 20, &load_err))
@@ -359,12 +359,34 @@
   take_progress (dag, 50, crashed);
 }
 
+/* Record of learned values, as dag_learn_codec.c describes it. */
+static void
+pack_learned (GrBuf *out)
+{
+  static const char bins[81] = { [40] = 1, [41] = 3 };
+  msgpack_packer packer;
+  gr_pack_init (&packer, out);
+  msgpack_pack_array (&packer, 4);
+  msgpack_pack_int (&packer, 1);
+  msgpack_pack_array (&packer, 3);
+  gr_pack_str (&packer, GR_STR ("t"));
+  msgpack_pack_int (&packer, 500);
+  msgpack_pack_int (&packer, 50);
+  msgpack_pack_int (&packer, 40);
+  msgpack_pack_array (&packer, 1);
+  msgpack_pack_array (&packer, 11);
+  for (int field = 0; field < 9; field++)
+    msgpack_pack_int (&packer, 6000);
+  gr_pack_bool (&packer, true);
+  gr_pack_bin (&packer, (GrStr){ bins, sizeof bins });
+}
+
 static void
 step_job_records (void **state)
 {
   (void) state;
   enum {
-    SEEDS = 5
+    SEEDS = 6
   };
   GrBuf seeds[SEEDS] = { 0 };
   DagState *dag = new_dag ();
@@ -386,6 +408,10 @@
   pack_progress_of_runs (dag, &seeds[3], &seeds[4]);
   assert_true (seeds[4].len > seeds[3].len);
   dag_free (dag);
+  dag = new_dag ();
+  pack_learned (&seeds[5]);
+  assert_true (dag_load (dag, GR_STR ("l"), gr_buf_str (&seeds[5]), 10, &err));
+  dag_free (dag);
   fuzz (seeds, SEEDS, decode_job_progress);
   clear_seeds (seeds, SEEDS);
 }
