net: a memory budget for unfinished requests

h2o buffers whole requests without a limit over all connections, so a few hundred clients that send large bodies and stop short of their end exhausted the memory of the process.

NetBudget (pure) is charged with what arrives, over all connections and for each client address. When it is nearly spent, large requests wait, with the right to finish granted in order of arrival; those that do not move are closed, the most held and slowest first; a complete request never. NetGuard sits between libuv and h2o, carries this out and refuses heads and bodies over the limit before they are read (431, 413), with deadlines for heads, bodies, idle connections and replies.

Heads far above the limit get 431 now, not 400: they are judged before h2o gives up on them.

--- a/src/net/net_http.h
+++ b/src/net/net_http.h
@@ -14,15 +14,28 @@
 typedef struct {
   const char *listen_host; /* IP address */
   int64_t listen_port;     /* 0 picks a free port */
-  int64_t max_body_bytes;  /* larger bodies get 413; if a body is larger by more than 1 MiB, the
-                              connection may close without an answer; default 1048576 */
-  int64_t max_connections; /* further ones wait in the listen backlog; default 4096 */
-  int64_t io_timeout_ms;   /* slow senders of a request are closed after this; default 30000 */
+  int64_t max_body_bytes;  /* larger bodies get 413 before they are read; default 1048576 */
+  int64_t max_connections; /* for further ones, a connection that has been still for a second is
+                              closed; without one they wait in the listen backlog; default 4096 */
+  int64_t memory_bytes;    /* for requests that are read or processed, see net_budget.h; at least
+                              four of the largest fit; default 41943040 */
+  int64_t io_timeout_ms; /* slow senders of a request and readers of a reply are closed after this,
+                            see net_budget.h for the lower limits of its parts; default 30000 */
   const char *kept_header; /* lower-case name of a header passed to the handler; may be NULL */
 } NetHttpServerOptions;
 
 typedef struct NetHttpServer NetHttpServer;
 
+/* Counters since the start of what the limits did. */
+typedef struct {
+  int64_t heads_refused;  /* 431 before the header was read */
+  int64_t bodies_refused; /* 413 before the body was read */
+  int64_t waited;         /* requests whose reading was stopped because of the budget */
+  int64_t cut;            /* unfinished requests and idle connections closed for others */
+  int64_t late;           /* closed because a deadline or the minimum rate was missed */
+  int64_t busy;           /* complete requests refused with 503 because the budget was spent */
+} NetHttpServerStats;
+
 /* One request without a reply yet. Valid until net_http_reply(), net_http_abort() or its close
    callback. */
 typedef struct NetHttpExchange NetHttpExchange;
@@ -53,6 +66,8 @@
 void net_http_server_disable_keep_alive (NetHttpServer *server);
 /* Number of exchanges without a finished reply. */
 size_t net_http_server_open (const NetHttpServer *server);
+/* Valid until net_http_server_free(). */
+const NetHttpServerStats *net_http_server_stats (const NetHttpServer *server);
 /* Closes all connections and runs the close callbacks of open exchanges. Call it once no exchange
    is open or the shutdown deadline has passed. Memory is released from the loop later. */
 void net_http_server_free (NetHttpServer *server);
--- a/src/net/net_http_server.c
+++ b/src/net/net_http_server.c
@@ -6,17 +6,19 @@
 #include <h2o.h>
 #include <h2o/http1.h>
 
-#include "net/net_http.h"
+#include "net/net_guard.h"
 
 #define BACKLOG 1024
 #define DEFAULT_MAX_BODY_BYTES 1048576
-/* Bodies that exceed the limit by up to this are read before 413 is sent. h2o answers larger ones
-   before it has read them and closes, and the client may see the reset before the answer. */
+/* The guard refuses bodies above the limit; h2o has a limit of its own that is never met first. */
 #define BODY_READ_MARGIN_BYTES 1048576
 #define DEFAULT_MAX_CONNECTIONS 4096
 #define DEFAULT_IO_TIMEOUT_MS 30000
 /* Sum of header names and values; larger requests get 431. */
 #define MAX_HEADER_BYTES 16384
+/* Of the whole head as received: the sum above, the framing of 100 header lines, which is what h2o
+   takes, and the request line. */
+#define MAX_HEAD_BYTES 20480
 
 typedef struct HttpConn HttpConn;
 
@@ -27,6 +29,7 @@
   h2o_globalconf_t config;
   h2o_context_t ctx;
   h2o_accept_ctx_t accept_ctx;
+  NetGuard *guard;
   NetHttpHandler handler;
   void *user;
   int port;
@@ -51,6 +54,7 @@
 } Stream;
 
 struct HttpConn {
+  NetGuardConn *guarded; /* must be the first member, see net_guard.h */
   NetHttpServer *server;
   h2o_socket_t *sock;
   NetHttpExchange *exchange; /* without a reply yet, or NULL */
@@ -124,6 +128,7 @@
   exchange->ended = true;
   exchange->conn->exchange = NULL;
   stop_watching (exchange);
+  net_guard_reply (exchange->conn->guarded);
   if (!exchange->server->accepting || exchange->server->keep_alive_disabled)
     req->http1_is_persistent = 0;
   req->res.status = status;
@@ -191,6 +196,7 @@
   }
   if (exchange->conn->exchange == exchange)
     exchange->conn->exchange = NULL;
+  net_guard_request_end (exchange->conn->guarded);
   exchange->server->open--;
 }
 
@@ -258,10 +264,17 @@
   *exchange = (NetHttpExchange){ .server = server, .conn = conn, .req = req };
   server->open++;
   conn->exchange = exchange;
+  bool admitted = net_guard_request (conn->guarded);
   bool long_header = header_bytes (req) > MAX_HEADER_BYTES;
-  if (long_header || req->entity.len > server->max_body_bytes) {
+  if (!admitted || long_header || req->entity.len > server->max_body_bytes) {
     req->http1_is_persistent = 0;
-    send_reply (exchange, long_header ? 431 : 413, (GrStr){ 0 }, (GrStr){ 0 });
+    if (!admitted)
+      net_http_set_retry_after (exchange, 1);
+    send_reply (exchange,
+                long_header                                ? 431
+                : req->entity.len > server->max_body_bytes ? 413
+                                                           : 503,
+                (GrStr){ 0 }, (GrStr){ 0 });
     return 0;
   }
   NetHttpRequest request = { 0 };
@@ -298,6 +311,7 @@
     return;
   server->disposed = true;
   h2o_context_dispose (&server->ctx);
+  net_guard_free (server->guard);
   /* The close callbacks of h2o's handles run at the end of this loop iteration; the timer fires in
      the next one. */
   uv_timer_start (&server->dispose_timer, on_dispose_timer, 0, 0);
@@ -323,6 +337,7 @@
 on_socket_close (void *data)
 {
   HttpConn *conn = data;
+  net_guard_detach (conn->guarded);
   if (conn->prev)
     conn->prev->next = conn->next;
   else
@@ -355,6 +370,7 @@
   sock->on_close.cb = on_socket_close;
   sock->on_close.data = conn;
   h2o_accept (&server->accept_ctx, sock);
+  conn->guarded = net_guard_attach (server->guard, sock, (uv_stream_t *) &stream->tcp);
 }
 
 static void
@@ -366,6 +382,7 @@
   /* Until uv_accept() is called, libuv holds this connection and accepts no others. */
   if (server->conn_count >= server->max_connections) {
     server->accept_pending = true;
+    net_guard_make_room (server->guard);
     return;
   }
   accept_one (server);
@@ -399,6 +416,33 @@
   server->accept_ctx.hosts = server->config.hosts;
 }
 
+/* Most that one request can hold: h2o doubles its buffer, and the body is copied. */
+static int64_t
+largest_request (size_t max_body_bytes)
+{
+  size_t input = max_body_bytes + MAX_HEAD_BYTES;
+  size_t capacity = 4096;
+  while (capacity < input + NET_GUARD_FRAMING_BYTES)
+    capacity *= 2;
+  return (int64_t) (capacity + input);
+}
+
+static NetGuard *
+new_guard (const NetHttpServer *server, const NetHttpServerOptions *options)
+{
+  int64_t io_ms = options->io_timeout_ms > 0 ? options->io_timeout_ms : DEFAULT_IO_TIMEOUT_MS;
+  NetGuardOptions guard
+      = { .budget = { .total_bytes = options->memory_bytes,
+                      .request_bytes = largest_request (server->max_body_bytes),
+                      .head_ms = io_ms < NET_BUDGET_HEAD_MS ? io_ms : NET_BUDGET_HEAD_MS,
+                      .idle_ms = io_ms < NET_BUDGET_IDLE_MS ? io_ms : NET_BUDGET_IDLE_MS,
+                      .body_ms = io_ms,
+                      .reply_ms = io_ms },
+          .max_head_bytes = MAX_HEAD_BYTES,
+          .max_body_bytes = server->max_body_bytes };
+  return net_guard_new (server->loop, &guard);
+}
+
 static int
 bound_port (const uv_tcp_t *tcp)
 {
@@ -444,6 +488,7 @@
   server->listener_open = true;
   server->accepting = true;
   setup_h2o (server, options);
+  server->guard = new_guard (server, options);
   int rc = uv_tcp_bind (&server->listener, (struct sockaddr *) &addr, 0);
   if (rc == 0)
     rc = uv_listen ((uv_stream_t *) &server->listener, BACKLOG, on_connection);
@@ -484,6 +529,12 @@
   return server->open;
 }
 
+const NetHttpServerStats *
+net_http_server_stats (const NetHttpServer *server)
+{
+  return net_guard_stats (server->guard);
+}
+
 void
 net_http_server_free (NetHttpServer *server)
 {
