--- a/src/net/net_guard.c
+++ b/src/net/net_guard.c
@@ -241,11 +241,13 @@
       refuse (conn, 503);
     break;
   case NET_BUDGET_DEADLINE:
-    stats->late++;
-    if (idle)
+    if (idle) {
+      stats->idle_closed++;
       close_conn (conn);
-    else
+    } else {
+      stats->late++;
       refuse (conn, 408);
+    }
     break;
   }
 }
@@ -457,8 +459,10 @@
   guard->deciding = false;
 }
 
-const NetHttpServerStats *
+NetHttpServerStats
 net_guard_stats (const NetGuard *guard)
 {
-  return &guard->stats;
+  NetHttpServerStats stats = guard->stats;
+  stats.held_bytes = net_budget_held (guard->budget);
+  return stats;
 }
--- a/src/net/net_guard.h
+++ b/src/net/net_guard.h
@@ -38,4 +38,4 @@
 void net_guard_request_end (NetGuardConn *conn);
 /* Closes a connection in favour of a new one, if there is one that may be closed. */
 void net_guard_make_room (NetGuard *guard);
-const NetHttpServerStats *net_guard_stats (const NetGuard *guard);
+NetHttpServerStats net_guard_stats (const NetGuard *guard);
--- a/src/net/net_http.h
+++ b/src/net/net_http.h
@@ -26,14 +26,17 @@
 
 typedef struct NetHttpServer NetHttpServer;
 
-/* Counters since the start of what the limits did. */
+/* What the limits did since the start, and what is in use. */
 typedef struct {
   int64_t heads_refused;  /* 431 before the header was read */
   int64_t bodies_refused; /* 413 before the body was read */
   int64_t waited;         /* requests whose reading was stopped because of the budget */
   int64_t cut;            /* unfinished requests and idle connections closed for others */
-  int64_t late;           /* closed because a deadline or the minimum rate was missed */
+  int64_t late;           /* requests and replies that missed a deadline or the minimum rate */
+  int64_t idle_closed;    /* connections without a request for too long */
   int64_t busy;           /* complete requests refused with 503 because the budget was spent */
+  int64_t held_bytes;     /* charged now */
+  int64_t connections;    /* open now */
 } NetHttpServerStats;
 
 /* One request without a reply yet. Valid until net_http_reply(), net_http_abort() or its close
@@ -66,8 +69,7 @@
 void net_http_server_disable_keep_alive (NetHttpServer *server);
 /* Number of exchanges without a finished reply. */
 size_t net_http_server_open (const NetHttpServer *server);
-/* Valid until net_http_server_free(). */
-const NetHttpServerStats *net_http_server_stats (const NetHttpServer *server);
+NetHttpServerStats net_http_server_stats (const NetHttpServer *server);
 /* Closes all connections and runs the close callbacks of open exchanges. Call it once no exchange
    is open or the shutdown deadline has passed. Memory is released from the loop later. */
 void net_http_server_free (NetHttpServer *server);
--- a/src/net/net_http_server.c
+++ b/src/net/net_http_server.c
@@ -529,10 +529,12 @@
   return server->open;
 }
 
-const NetHttpServerStats *
+NetHttpServerStats
 net_http_server_stats (const NetHttpServer *server)
 {
-  return net_guard_stats (server->guard);
+  NetHttpServerStats stats = net_guard_stats (server->guard);
+  stats.connections = server->conn_count;
+  return stats;
 }
 
 void
