net: grants leave room for small requests and are never all withheld

Grants took all of the budget, so that small requests that arrived meanwhile pushed it over its total and requests in progress were closed; with many waiting there was room for none. Grants now end at three quarters of the total, at least one is always given, requests wait before the read that would double their buffer, and over the total those that began to wait last go first.

--- a/src/net/net_budget.c
+++ b/src/net/net_budget.c
@@ -5,7 +5,7 @@
 #include <uthash.h>
 
 #define DEFAULT_TOTAL_BYTES 41943040
-#define DEFAULT_SMALL_BYTES 24576
+#define DEFAULT_SMALL_BYTES 16384
 #define DEFAULT_REQUEST_BYTES 1048576
 #define DEFAULT_STALL_MS 1000
 #define DEFAULT_WAIT_MAX_MS 3000
@@ -37,6 +37,7 @@
   void *user;
   NetBudgetPhase phase;
   int64_t held;
+  int64_t ahead;   /* will hold so much after the next read */
   int64_t granted; /* may hold so much; 0: no grant */
   int64_t phase_at, due_at, moved_at;
   int64_t received;                /* in this phase */
@@ -55,7 +56,8 @@
   NetBudgetItem *first_waiting, *last_waiting;
   size_t waiting;
   int64_t total;
-  bool pressed; /* requests above small_bytes need a grant */
+  size_t granted; /* items with a grant */
+  bool pressed;   /* requests above small_bytes need a grant */
   bool due;
   Address *addresses;
 };
@@ -88,6 +90,7 @@
 set_cost (NetBudgetItem *item, int64_t held, int64_t granted)
 {
   int64_t before = cost (item);
+  item->budget->granted += (granted > 0) - (item->granted > 0);
   item->held = held;
   item->granted = granted;
   int64_t change = cost (item) - before;
@@ -146,7 +149,8 @@
   o->request_bytes = or_default (o->request_bytes, DEFAULT_REQUEST_BYTES);
   o->total_bytes
       = larger (or_default (o->total_bytes, DEFAULT_TOTAL_BYTES), REQUESTS_MIN * o->request_bytes);
-  o->wait_bytes = or_default (o->wait_bytes, o->total_bytes / 4 * 3);
+  o->wait_bytes = or_default (o->wait_bytes, o->total_bytes / 2);
+  o->grant_bytes = or_default (o->grant_bytes, o->total_bytes / 4 * 3);
   o->small_bytes = or_default (o->small_bytes, DEFAULT_SMALL_BYTES);
   o->stall_ms = or_default (o->stall_ms, DEFAULT_STALL_MS);
   o->wait_max_ms = or_default (o->wait_max_ms, DEFAULT_WAIT_MAX_MS);
@@ -267,7 +271,9 @@
 {
   NetBudget *budget = item->budget;
   int64_t request_bytes = larger (budget->options.request_bytes, item->held);
-  if (budget->total - cost (item) + request_bytes > budget->options.total_bytes)
+  /* Without any grant nothing would become free. */
+  if (budget->granted > 0
+      && budget->total - cost (item) + request_bytes > budget->options.grant_bytes)
     return false;
   set_cost (item, item->held, request_bytes);
   return true;
@@ -277,7 +283,7 @@
 needs_grant (const NetBudgetItem *item)
 {
   return is_unfinished (item) && !item->closed && !item->waiting && item->granted == 0
-         && item->held > item->budget->options.small_bytes;
+         && item->ahead > item->budget->options.small_bytes;
 }
 
 static void
@@ -295,7 +301,7 @@
 }
 
 bool
-net_budget_charge (NetBudgetItem *item, int64_t held, int64_t arrived, int64_t now_ms)
+net_budget_charge (NetBudgetItem *item, int64_t held, int64_t next, int64_t arrived, int64_t now_ms)
 {
   NetBudget *budget = item->budget;
   if (item->closed)
@@ -310,6 +316,7 @@
   if (arrived > 0)
     item->moved_at = now_ms;
   item->due_at = deadline (item);
+  item->ahead = next;
   set_cost (item, held, item->granted);
   update_pressure (budget);
   if (!budget->pressed || !needs_grant (item) || (!budget->first_waiting && try_grant (item)))
@@ -340,22 +347,18 @@
   gr_list_push (cmds, (NetBudgetCmd){ verb, item->user });
 }
 
-/* Requests that wait were stopped by this side, so whatever they hold, they come last. */
 static int64_t
 score (const NetBudgetItem *item, int64_t now_ms)
 {
   int64_t rate = larger (item->rate, item->window_bytes);
   if (now_ms - item->moved_at >= item->budget->options.stall_ms)
     rate = 0;
-  int64_t value
-      = item->held / (1 + rate / RATE_UNIT_BYTES) * (1 + item->address->held / RATE_UNIT_BYTES);
-  return item->waiting ? value / RATE_UNIT_BYTES : value;
+  return item->held / (1 + rate / RATE_UNIT_BYTES) * (1 + item->address->held / RATE_UNIT_BYTES);
 }
 
 typedef struct {
-  int64_t min_held; /* only requests that hold more */
+  int64_t min_held; /* only requests that hold so much */
   int64_t still_ms; /* and have not moved for so long */
-  bool also_waiting;
 } Filter;
 
 static NetBudgetItem *
@@ -364,8 +367,8 @@
   NetBudgetItem *worst = NULL;
   int64_t worst_score = -1;
   for (NetBudgetItem *item = budget->items; item; item = item->next) {
-    if (!is_unfinished (item) || item->closed || (item->waiting && !filter.also_waiting)
-        || item->held <= filter.min_held || now_ms - item->moved_at < filter.still_ms)
+    if (!is_unfinished (item) || item->closed || item->waiting || item->held < filter.min_held
+        || now_ms - item->moved_at < filter.still_ms)
       continue;
     int64_t value = score (item, now_ms);
     if (value > worst_score) {
@@ -376,6 +379,16 @@
   return worst;
 }
 
+/* To be closed because the total is spent. */
+static NetBudgetItem *
+find_dispensable (const NetBudget *budget, int64_t now_ms)
+{
+  NetBudgetItem *item = find_worst (budget, (Filter){ 1, budget->options.stall_ms }, now_ms);
+  if (!item)
+    item = budget->last_waiting;
+  return item ? item : find_worst (budget, (Filter){ 1, 0 }, now_ms);
+}
+
 static void
 grant_waiting (NetBudget *budget, int64_t now_ms, NetBudgetCmds *cmds)
 {
@@ -408,18 +421,18 @@
   grant_waiting (budget, now_ms, cmds);
   NetBudgetItem *worst;
   while (budget->first_waiting
-         && (worst = find_worst (budget, (Filter){ o->small_bytes, o->stall_ms, false }, now_ms))) {
+         && (worst = find_worst (budget, (Filter){ o->small_bytes, o->stall_ms }, now_ms))) {
     close_item (worst, NET_BUDGET_CUT, cmds);
     grant_waiting (budget, now_ms, cmds);
   }
   if (budget->first_waiting && now_ms - budget->first_waiting->wait_since >= o->wait_max_ms
-      && (worst = find_worst (budget, (Filter){ o->small_bytes, 0, false }, now_ms))) {
+      && (worst = find_worst (budget, (Filter){ o->small_bytes, 0 }, now_ms))) {
     close_item (worst, NET_BUDGET_CUT, cmds);
     grant_waiting (budget, now_ms, cmds);
   }
   if (budget->total > o->total_bytes) {
-    while (budget->total > o->total_bytes / AFTER_CUT_DEN * AFTER_CUT_NUM
-           && (worst = find_worst (budget, (Filter){ 0, 0, true }, now_ms)))
+    int64_t goal = o->total_bytes / AFTER_CUT_DEN * AFTER_CUT_NUM;
+    while (budget->total > goal && (worst = find_dispensable (budget, now_ms)))
       close_item (worst, NET_BUDGET_CUT, cmds);
   }
   update_pressure (budget);
--- a/src/net/net_budget.h
+++ b/src/net/net_budget.h
@@ -4,12 +4,13 @@
    Load answered: many clients that send large bodies at once, whole or piece by piece, and stop
    short of their end; many connections that are idle; senders and readers that are too slow.
 
-   Bytes are charged when they have arrived. Above wait_bytes, a request that holds more than
-   small_bytes stops being read until it is granted the largest amount that a request can hold, in
-   order of arrival: whoever has a grant can finish, and what it holds becomes free. While requests
-   wait, those that do not move are closed, the ones that hold most and are slowest first, where
-   clients that hold much on other connections come before others. A complete request is never
-   closed. */
+   Bytes are charged when they have arrived. Above wait_bytes, a request that would hold
+   more than small_bytes stops being read until it is granted the largest amount that a request can
+   hold, in order of arrival: whoever has a grant can finish, and what it holds becomes free. While
+   requests wait, those that do not move are closed, the ones that hold most and are slowest first,
+   where clients that hold much on other connections come before others. Above total_bytes, the
+   requests that do not move are closed, then those that began to wait last, then the others. A
+   complete request is never closed. */
 #pragma once
 
 #include "base/gr_str.h"
@@ -26,8 +27,10 @@
 /* Times in ms. A field that is 0 gets its default. */
 typedef struct {
   int64_t total_bytes;   /* all connections; default 41943040 */
-  int64_t wait_bytes;    /* default three quarters of total_bytes */
-  int64_t small_bytes;   /* default 24576 */
+  int64_t wait_bytes;    /* default half of total_bytes */
+  int64_t grant_bytes;   /* grants leave the rest of total_bytes for small requests; default
+                            three quarters of total_bytes */
+  int64_t small_bytes;   /* default 16384 */
   int64_t request_bytes; /* most that one request can hold; default 1048576 */
   int64_t stall_ms;      /* closed if still for so long while others wait; default 1000 */
   int64_t wait_max_ms;   /* after this, requests that move are closed too; default 3000 */
@@ -76,9 +79,11 @@
    NET_PHASE_HEAD to NET_PHASE_BODY. */
 void net_budget_enter (NetBudgetItem *item, NetBudgetPhase phase, int64_t now_ms);
 NetBudgetPhase net_budget_phase (const NetBudgetItem *item);
-/* Sets what the connection holds after arrived bytes were read. Returns true if it has to wait:
-   nothing more is to be read before NET_BUDGET_RESUME. */
-bool net_budget_charge (NetBudgetItem *item, int64_t held, int64_t arrived, int64_t now_ms);
+/* Sets what the connection holds after arrived bytes were read, and what it will hold after the
+   next read. Returns true if it has to wait: nothing more is to be read before NET_BUDGET_RESUME.
+ */
+bool net_budget_charge (NetBudgetItem *item, int64_t held, int64_t next, int64_t arrived,
+                        int64_t now_ms);
 /* Returns true if a complete request of this item may be processed; else it is to be refused. */
 bool net_budget_admits (const NetBudgetItem *item);
 /* Returns true if net_budget_decide() should run before the next periodic call. */
--- a/src/net/net_guard.c
+++ b/src/net/net_guard.c
@@ -50,12 +50,25 @@
   return (int64_t) uv_now (guard->loop);
 }
 
-/* Memory of the input buffer, and a copy of its contents, which processing the request takes. */
+/* h2o doubles its buffer before a read if there is less room left. */
+#define READ_ROOM_BYTES 4096
+
 static int64_t
 held_bytes (const NetGuardConn *conn)
 {
   const h2o_buffer_t *input = conn->sock->input;
-  return input->bytes ? (int64_t) (input->capacity + input->size) : 0;
+  return input->bytes ? (int64_t) input->capacity : 0;
+}
+
+static int64_t
+next_bytes (const NetGuardConn *conn)
+{
+  const h2o_buffer_t *input = conn->sock->input;
+  if (!input->bytes)
+    return READ_ROOM_BYTES;
+  size_t used = (size_t) (input->bytes - input->_buf) + input->size;
+  return (int64_t) (input->capacity - used < READ_ROOM_BYTES ? 2 * input->capacity
+                                                             : input->capacity);
 }
 
 static void
@@ -115,7 +128,7 @@
   }
   shutdown (h2o_socket_get_fd (conn->sock), SHUT_WR);
   drop_input (conn);
-  net_budget_charge (conn->item, 0, 0, now_ms (conn->guard));
+  net_budget_charge (conn->item, 0, 0, 0, now_ms (conn->guard));
   conn->linger_until_ms = now_ms (conn->guard) + LINGER_MS;
   if (conn->paused) {
     conn->paused = false;
@@ -168,7 +181,8 @@
 charge (NetGuardConn *conn, size_t arrived)
 {
   NetGuard *guard = conn->guard;
-  if (net_budget_charge (conn->item, held_bytes (conn), (int64_t) arrived, now_ms (guard))
+  if (net_budget_charge (conn->item, held_bytes (conn), next_bytes (conn), (int64_t) arrived,
+                         now_ms (guard))
       && !conn->paused && conn->sock->_cb.read == on_conn_read) {
     conn->paused = true;
     h2o_socket_read_stop (conn->sock);
@@ -420,7 +434,9 @@
 {
   NetGuard *guard = conn->guard;
   net_budget_enter (conn->item, NET_PHASE_WORK, now_ms (guard));
-  net_budget_charge (conn->item, held_bytes (conn), 0, now_ms (guard));
+  /* Processing copies it. */
+  int64_t held = held_bytes (conn) + (int64_t) conn->sock->input->size;
+  net_budget_charge (conn->item, held, held, 0, now_ms (guard));
   if (net_budget_admits (conn->item))
     return true;
   guard->stats.busy++;
