tests: answers of a service that exhaust the daemon's memory

Measured on the code as it stands, peak memory in KB (allowed are 122880): answers of 300 MB 187792, 12 MB of empty JSON objects 963688, 12 MB of nested lists 57728.

--- a/tests/hostile/lib.bash
+++ b/tests/hostile/lib.bash
@@ -29,7 +29,7 @@
     (ulimit -n "$DESCRIPTORS_MAX"; exec "$build/gentianrelay-edge" --vm-id=e1 --zone=z --region=r \
       --listen="127.0.0.1:$base" --ready-listen="127.0.0.1:$((base + 1))" \
       --metrics-listen="127.0.0.1:$((base + 2))" --peer-host=127.0.0.1 --peer-port="$((base + 3))" \
-      --store=127.0.0.1:9 "$@") >"$work/log" 2>"$work/err" &
+      --store="127.0.0.1:${store_port:-9}" "$@") >"$work/log" 2>"$work/err" 9>&- &
     edge=$!
     for _ in $(seq 100); do
       kill -0 "$edge" 2>/dev/null || break
@@ -88,3 +88,32 @@
   check_edge "$1, gone"
   stop_edge
 }
+
+# run_service CASE: like run_case, but gr-hostile is the store of the daemon
+run_service () {
+  mkfifo "$work/hold"
+  for attempt in $(seq 20); do
+    store_port=$((30000 + (BASHPID + attempt * 977 + RANDOM) % 2000))
+    "$build/gr-hostile" "$store_port" "$1" 0 <"$work/hold" >"$work/report" 2>&1 &
+    clients=$!
+    exec 9>"$work/hold"
+    while kill -0 "$clients" 2>/dev/null && ! grep -q serving "$work/report"; do
+      sleep 0.1
+    done
+    grep -q serving "$work/report" && break
+    exec 9>&-
+  done
+  start_edge
+  while kill -0 "$clients" 2>/dev/null && ! grep -q settled "$work/report"; do
+    sleep 0.1
+  done
+  cat "$work/report"
+  grep -q settled "$work/report" || fail "$1: the service ended early"
+  check_edge "$1, connected"
+  exec 9>&-
+  wait "$clients"
+  clients=
+  rm "$work/hold"
+  check_edge "$1, gone"
+  stop_edge
+}
--- a/tests/hostile/main.c
+++ b/tests/hostile/main.c
@@ -1,6 +1,7 @@
 /* gr-hostile: clients outside our control, for tests/e2e_hostile_*.sh. Opens COUNT connections to
    127.0.0.1:PORT, sends what CASE says on each and reports once nothing has moved for a while. The
-   connections stay open until standard input ends. */
+   connections stay open until standard input ends. With serve-*, it is a service on PORT instead.
+ */
 #include <arpa/inet.h>
 #include <errno.h>
 #include <poll.h>
@@ -17,6 +18,8 @@
 /* The report comes after this at the latest, also if a peer reads without end. */
 #define GIVE_UP_MS 20000
 #define WRITE_MAX 65536
+#define SERVE_CLIENTS 64
+#define SERVE_MS 6000
 
 /* What is sent is the head, then the unit as often as told, then the last bytes of it. */
 typedef struct {
@@ -134,6 +137,76 @@
   return true;
 }
 
+/* --- Answers of a service --- */
+
+typedef struct {
+  const char *name;
+  const char *head;
+  const char *unit;
+  size_t units;
+} Answer;
+
+#define OK_HEAD "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n"
+
+static const Answer answers[] = {
+  { "serve-large", OK_HEAD "content-length: 314572810\r\n\r\n{\"items\":[", "1,", 157286400 },
+  { "serve-wide", OK_HEAD "content-length: 12000010\r\n\r\n{\"items\":[", "{},", 4000000 },
+  { "serve-deep", OK_HEAD "content-length: 12000010\r\n\r\n{\"items\":[", "[[[", 4000000 },
+};
+
+/* Answers every call to the port in this way. Reports after SERVE_MS. */
+static void
+serve (const Answer *answer, int port)
+{
+  Case play = { .head = answer->head, .units = answer->units, .piece = WRITE_MAX };
+  Client clients[SERVE_CLIENTS];
+  struct pollfd polls[SERVE_CLIENTS + 1];
+  int on = 1;
+  int64_t report_at = now_ms () + SERVE_MS;
+  bool reported = false;
+  struct sockaddr_in address = { .sin_family = AF_INET, .sin_port = htons ((uint16_t) port) };
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  int listener = socket (AF_INET, SOCK_STREAM, 0);
+  setsockopt (listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (bind (listener, (struct sockaddr *) &address, sizeof address) != 0
+      || listen (listener, SERVE_CLIENTS) != 0) {
+    fprintf (stderr, "gr-hostile: port %d: %s\n", port, strerror (errno));
+    exit (1);
+  }
+  printf ("serving\n");
+  fflush (stdout);
+  for (size_t i = 0; i < SERVE_CLIENTS; i++)
+    clients[i].fd = -1;
+  struct pollfd input = { .fd = STDIN_FILENO, .events = POLLIN };
+  while (poll (&input, 1, 0) == 0) {
+    size_t spare = SERVE_CLIENTS;
+    for (size_t i = 0; i < SERVE_CLIENTS; i++) {
+      polls[i] = (struct pollfd){ .fd = clients[i].fd, .events = POLLIN };
+      if (clients[i].fd < 0)
+        spare = i;
+      else if (clients[i].answered && has_more (&play, answer->unit, &clients[i]))
+        polls[i].events = POLLOUT;
+    }
+    polls[SERVE_CLIENTS]
+        = (struct pollfd){ .fd = spare < SERVE_CLIENTS ? listener : -1, .events = POLLIN };
+    poll (polls, SERVE_CLIENTS + 1, 100);
+    for (size_t i = 0; i < SERVE_CLIENTS; i++) {
+      if (polls[i].fd >= 0 && (polls[i].revents & POLLOUT))
+        send_some (&play, answer->unit, &clients[i]);
+      else if (polls[i].fd >= 0 && polls[i].revents)
+        read_some (&clients[i]);
+    }
+    if (polls[SERVE_CLIENTS].revents & POLLIN)
+      clients[spare] = (Client){ .fd = accept4 (listener, NULL, NULL, SOCK_NONBLOCK) };
+    if (!reported && now_ms () >= report_at)
+      printf ("settled case=%s\n", answer->name);
+    reported = reported || now_ms () >= report_at;
+    fflush (stdout);
+  }
+}
+
+/* --- Clients --- */
+
 static void
 play_until_settled (const Case *play, const char *unit, Client *clients, size_t count)
 {
@@ -171,6 +244,12 @@
     if (strcmp (cases[i].name, argv[2]) == 0)
       play = &cases[i];
   }
+  for (size_t i = 0; argc == 4 && i < sizeof answers / sizeof answers[0]; i++) {
+    if (strcmp (answers[i].name, argv[2]) == 0) {
+      serve (&answers[i], atoi (argv[1]));
+      return 0;
+    }
+  }
   if (!play) {
     fprintf (stderr, "usage: gr-hostile PORT CASE COUNT\n");
     return 2;
