--- a/src/net/net_http.h
+++ b/src/net/net_http.h
@@ -90,6 +90,8 @@
 typedef struct {
   int64_t max_connections_per_host; /* default 64 */
   int64_t max_connections;          /* default 1024 */
+  int64_t max_answer_bytes;         /* of all calls under way; above it, the call with the largest
+                                       answer fails; default: no limit */
 } NetHttpClientOptions;
 
 typedef struct NetHttpClient NetHttpClient;
@@ -97,11 +99,12 @@
 typedef struct {
   const char *method;
   GrStr url;
-  GrStr content_type;    /* empty: application/json */
-  GrStr authorization;   /* value of the header; empty: none */
-  GrStr headers;         /* further header lines "Name: value", separated by LF; may be empty */
-  GrStr body;            /* copied */
-  int64_t timeout_at_ms; /* uv_now() time at which the call fails; it is not sent later */
+  GrStr content_type;       /* empty: application/json */
+  GrStr authorization;      /* value of the header; empty: none */
+  GrStr headers;            /* further header lines "Name: value", separated by LF; may be empty */
+  GrStr body;               /* copied */
+  int64_t timeout_at_ms;    /* uv_now() time at which the call fails; it is not sent later */
+  int64_t max_answer_bytes; /* the call fails if its answer is larger; default 67108864 */
 } NetHttpCall;
 
 typedef struct {
@@ -121,6 +124,8 @@
    function. */
 void net_http_client_send (NetHttpClient *client, const NetHttpCall *call, NetHttpDone done,
                            void *user);
+/* Number of calls that failed because their answer was too large. */
+int64_t net_http_client_too_large (const NetHttpClient *client);
 /* Bytes sent and received so far, headers included. */
 int64_t net_http_client_bytes (const NetHttpClient *client);
 /* Cancels open calls; their done functions run with GR_ERR_UNKNOWN. */
--- a/src/net/net_http_client.c
+++ b/src/net/net_http_client.c
@@ -11,8 +11,7 @@
 /* Connections that were idle for longer are not reused. Servers close them after 30 s by default,
    and whether a request sent on a closing connection was executed is unknown. */
 #define IDLE_MAX_S 15
-/* A call fails if its answer is larger. */
-#define ANSWER_MAX_BYTES (64 * 1024 * 1024)
+#define DEFAULT_ANSWER_MAX_BYTES (64 * 1024 * 1024)
 /* libcurl sends smaller bodies with the header and includes them in CURLINFO_REQUEST_SIZE. */
 #define BODY_WITH_HEADER_BYTES (64 * 1024)
 #define SPARE_HANDLES_MAX 64
@@ -25,6 +24,9 @@
   uv_timer_t timer;
   Call *calls;
   int64_t bytes;
+  int64_t max_answer_bytes; /* 0: no limit */
+  int64_t answer_bytes;     /* of all calls */
+  int64_t too_large;
   GR_LIST (CURL *) spare; /* handles for reuse */
   int handles;            /* libuv handles not yet closed */
   bool freeing;
@@ -39,6 +41,8 @@
   char *body;
   size_t body_len;
   GrBuf answer;
+  int64_t max_answer_bytes;
+  bool dropped; /* its answer was given up; it fails at its deadline, which is now */
   NetHttpDone done;
   void *user;
   bool sent; /* connected and about to write the request; it may have been received */
@@ -117,6 +121,7 @@
   if (call->next)
     call->next->prev = call->prev;
   uv_close ((uv_handle_t *) &call->deadline, on_call_closed);
+  client->answer_bytes -= (int64_t) call->answer.len;
   NetHttpAnswer answer = { .status = status, .failure = failure };
   if (status != 0)
     answer.body = gr_buf_str (&call->answer);
@@ -149,7 +154,9 @@
     /* The time of the loop must not be older than the answer: the process may have been paused
        since the iteration began, and what the answer tells would be dated too early. */
     uv_update_time (client->loop);
-    if (result == CURLE_OK && status > 0)
+    if (result == CURLE_FILESIZE_EXCEEDED)
+      client->too_large++;
+    if (result == CURLE_OK && status > 0 && !call->dropped)
       finish_call (call, (int) status, GR_ERR_NONE);
     else
       finish_call (call, 0, call->sent ? GR_ERR_UNKNOWN : GR_ERR_UNAVAILABLE);
@@ -231,14 +238,44 @@
   return 0;
 }
 
+static void
+drop_answer (Call *call)
+{
+  call->dropped = true;
+  call->client->too_large++;
+  call->client->answer_bytes -= (int64_t) call->answer.len;
+  gr_buf_clear (&call->answer);
+  /* libcurl must not lose a call from within its own callback. */
+  uv_timer_start (&call->deadline, on_deadline, 0, 0);
+}
+
+static Call *
+largest_answer (const NetHttpClient *client)
+{
+  Call *largest = client->calls;
+  for (Call *call = client->calls; call; call = call->next) {
+    if (call->answer.len > largest->answer.len)
+      largest = call;
+  }
+  return largest;
+}
+
 static size_t
 on_body (char *data, size_t size, size_t count, void *user)
 {
   Call *call = user;
-  if (call->answer.len + size * count > ANSWER_MAX_BYTES)
+  NetHttpClient *client = call->client;
+  if (call->dropped)
     return 0;
+  if ((int64_t) (call->answer.len + size * count) > call->max_answer_bytes) {
+    drop_answer (call);
+    return 0;
+  }
   gr_buf_append (&call->answer, data, size * count);
-  return size * count;
+  client->answer_bytes += (int64_t) (size * count);
+  while (client->max_answer_bytes > 0 && client->answer_bytes > client->max_answer_bytes)
+    drop_answer (largest_answer (client));
+  return call->dropped ? 0 : size * count;
 }
 
 /* libcurl retries a request on a new connection if a reused one breaks before the first byte of the
@@ -297,6 +334,7 @@
   curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, 0x7fffffffL);
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_body);
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, call);
+  curl_easy_setopt (easy, CURLOPT_MAXFILESIZE_LARGE, (curl_off_t) call->max_answer_bytes);
   curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_before_request);
   curl_easy_setopt (easy, CURLOPT_PREREQDATA, call);
   const char *method = request->method ? request->method : "GET";
@@ -346,6 +384,7 @@
   uv_timer_init (loop, &client->timer);
   client->timer.data = client;
   client->handles = 1;
+  client->max_answer_bytes = options ? options->max_answer_bytes : 0;
   long per_host = options && options->max_connections_per_host > 0
                       ? (long) options->max_connections_per_host
                       : DEFAULT_PER_HOST;
@@ -372,6 +411,8 @@
   open->body = gr_str_dup (call->body);
   open->body_len = call->body.len;
   open->timeout_at_ms = call->timeout_at_ms;
+  open->max_answer_bytes
+      = call->max_answer_bytes > 0 ? call->max_answer_bytes : DEFAULT_ANSWER_MAX_BYTES;
   open->next = client->calls;
   if (open->next)
     open->next->prev = open;
@@ -388,6 +429,12 @@
   uv_timer_start (&open->deadline, on_deadline, remaining > 0 ? (uint64_t) remaining : 0, 0);
 }
 
+int64_t
+net_http_client_too_large (const NetHttpClient *client)
+{
+  return client->too_large;
+}
+
 int64_t
 net_http_client_bytes (const NetHttpClient *client)
 {
