net: bounds for peers that have proved nothing

A connection in the handshake could send a frame of 4 MiB, and 1,024 of them could be open. The handshake takes frames of 4 KiB and 96 connections at once, so that it holds 400 KB at most.

--- a/src/net/net_frame.c
+++ b/src/net/net_frame.c
@@ -11,9 +11,10 @@
   while (reader->pending.len - at >= HEADER_BYTES) {
     const unsigned char *head = (const unsigned char *) reader->pending.data + at;
     size_t len = (size_t) head[0] << 24 | (size_t) head[1] << 16 | (size_t) head[2] << 8 | head[3];
-    if (len > NET_FRAME_MAX) {
-      ok = gr_err_set (err, GR_ERR_TOO_LARGE, "frame", "frame of %zu bytes; allowed are %d", len,
-                       NET_FRAME_MAX);
+    size_t max_bytes = reader->max_bytes > 0 ? reader->max_bytes : NET_FRAME_MAX;
+    if (len > max_bytes) {
+      ok = gr_err_set (err, GR_ERR_TOO_LARGE, "frame", "frame of %zu bytes; allowed are %zu", len,
+                       max_bytes);
       break;
     }
     if (reader->pending.len - at - HEADER_BYTES < len)
--- a/src/net/net_peer.c
+++ b/src/net/net_peer.c
@@ -20,8 +20,9 @@
 #define KEEPALIVE_S 5
 #define REDIAL_MIN_MS 100
 #define REDIAL_MAX_MS 1000
-/* Limit of accepted connections in the handshake; further ones are closed at once. */
-#define MAX_UNAUTHENTICATED 1024
+/* Limit of accepted connections in the handshake; further ones are closed at once. All VMs of a
+   cell may connect at the same moment, and descriptors are few. */
+#define MAX_UNAUTHENTICATED 96
 
 typedef struct Link Link;
 typedef struct Peer Peer;
@@ -348,6 +349,7 @@
     peers->unauthenticated--;
   link->peer = peer;
   link->state = LINK_UP;
+  link->reader.max_bytes = NET_FRAME_MAX;
   link->info = (NetPeerInfo){ .vm = link->other.vm, .region = link->other.region };
   peer->link = link;
   peer->backoff_ms = REDIAL_MIN_MS;
@@ -412,6 +414,7 @@
   link->peers = peers;
   link->dialled = dialled;
   link->state = dialled ? LINK_CONNECTING : LINK_HELLO;
+  link->reader.max_bytes = NET_FRAME_HANDSHAKE_MAX;
   uv_tcp_init (peers->loop, &link->tcp);
   uv_timer_init (peers->loop, &link->timer);
   link->tcp.data = link;
--- a/src/net/net_peer.h
+++ b/src/net/net_peer.h
@@ -15,18 +15,21 @@
 extern "C" {
 #endif
 
-/* Longest frame body in bytes; a longer one closes the link. */
+/* Longest frame body in bytes; a longer one closes the link. During the handshake it is
+   NET_FRAME_HANDSHAKE_MAX: whoever connects has proved nothing. */
+#define NET_FRAME_HANDSHAKE_MAX 4096
 #define NET_FRAME_MAX (4 * 1024 * 1024)
 
 /* Splits a byte stream into frames. Does no I/O, so that it can be fuzzed. */
 typedef struct {
-  GrBuf pending; /* bytes of an incomplete frame */
+  GrBuf pending;    /* bytes of an incomplete frame */
+  size_t max_bytes; /* of a frame body; 0: NET_FRAME_MAX. It may change between frames */
 } NetFrameReader;
 
 typedef void (*NetFrameFunc) (void *user, GrStr body);
 
 /* Calls func for each complete frame; body is valid during the call. Error: GR_ERR_TOO_LARGE for a
-   frame above NET_FRAME_MAX. */
+   frame above the limit of the reader. */
 bool net_frame_feed (NetFrameReader *reader, GrStr bytes, NetFrameFunc func, void *user,
                      GrErr *err);
 /* Appends the length and the body. */
