--- a/src/net/net_budget.c
+++ b/src/net/net_budget.c
@@ -56,8 +56,9 @@
   NetBudgetItem *first_waiting, *last_waiting;
   size_t waiting;
   int64_t total;
-  size_t granted; /* items with a grant */
-  bool pressed;   /* requests above small_bytes need a grant */
+  size_t granted;     /* items with a grant */
+  int64_t resumed_at; /* last time that a request stopped waiting */
+  bool pressed;       /* requests above small_bytes need a grant */
   bool due;
   Address *addresses;
 };
@@ -398,6 +399,7 @@
     /* The deadline does not run while this side does not read. */
     item->phase_at += now_ms - item->wait_since;
     item->due_at = deadline (item);
+    budget->resumed_at = now_ms;
     item->moved_at = now_ms;
     gr_list_push (cmds, (NetBudgetCmd){ NET_BUDGET_RESUME, item->user });
   }
@@ -413,7 +415,9 @@
   }
   update_pressure (budget);
   for (NetBudgetItem *item = budget->items; budget->pressed && item; item = item->next) {
-    if (!needs_grant (item))
+    /* Those that do not move need not be stopped, and have no claim to finish before others. */
+    if (!needs_grant (item) || now_ms - item->moved_at >= o->stall_ms
+        || (!budget->first_waiting && try_grant (item)))
       continue;
     enqueue (item, now_ms);
     gr_list_push (cmds, (NetBudgetCmd){ NET_BUDGET_WAIT, item->user });
@@ -425,7 +429,8 @@
     close_item (worst, NET_BUDGET_CUT, cmds);
     grant_waiting (budget, now_ms, cmds);
   }
-  if (budget->first_waiting && now_ms - budget->first_waiting->wait_since >= o->wait_max_ms
+  if (budget->first_waiting
+      && now_ms - larger (budget->first_waiting->wait_since, budget->resumed_at) >= o->wait_max_ms
       && (worst = find_worst (budget, (Filter){ o->small_bytes, 0 }, now_ms))) {
     close_item (worst, NET_BUDGET_CUT, cmds);
     grant_waiting (budget, now_ms, cmds);
--- a/src/net/net_budget.h
+++ b/src/net/net_budget.h
@@ -33,7 +33,8 @@
   int64_t small_bytes;   /* default 16384 */
   int64_t request_bytes; /* most that one request can hold; default 1048576 */
   int64_t stall_ms;      /* closed if still for so long while others wait; default 1000 */
-  int64_t wait_max_ms;   /* after this, requests that move are closed too; default 3000 */
+  int64_t wait_max_ms;   /* after this without a grant, requests that move are closed
+                                   too; default 3000 */
   int64_t idle_ms;       /* between requests; default 20000 */
   int64_t head_ms;       /* from the first byte to the end of the header; default 6000 */
   int64_t body_ms;       /* from the end of the header to the end of the body; default 30000 */
