--- a/tests/test_net.c
+++ b/tests/test_net.c
@@ -463,6 +463,128 @@
   }
 }
 
+/* Guards against bodies over the limit that are read in, and against refusals that the client does
+   not see. */
+static void
+requests_over_the_limits_are_refused_before_they_are_read (void **state)
+{
+  (void) state;
+  static const struct {
+    const char *head;
+    int chunk_bytes;          /* sent after it */
+    const char *first, *last; /* the only statuses, or the first and the last one */
+    int handled;
+  } cases[] = {
+    { "POST /echo HTTP/1.1\r\nhost: x\r\ncontent-length: 2000000\r\n\r\n", 0, "413", "413", 0 },
+    { "POST /echo HTTP/1.1\r\nhost: x\r\ncontent-length: 2000000\r\n"
+      "expect: 100-continue\r\n\r\n",
+      0, "413", "413", 0 },
+    { "POST /echo HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n100000\r\n", 100000,
+      "413", "413", 0 },
+    { "POST /echo HTTP/1.1\r\nhost: x\r\ncontent-length: 1\r\n\r\nx"
+      "POST /echo HTTP/1.1\r\nhost: x\r\ncontent-length: 2000\r\n\r\n",
+      0, "200", "413", 1 },
+    { "POST /later?ms=20 HTTP/1.1\r\nhost: x\r\ncontent-length: 1\r\n\r\nx"
+      "POST /echo HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n100000\r\n",
+      100000, "200", "413", 1 },
+  };
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+    Fixture fixture;
+    fixture_open (&fixture,
+                  &(NetHttpServerOptions){ .listen_host = "127.0.0.1", .max_body_bytes = 1000 });
+    GrBuf request = { 0 };
+    gr_buf_printf (&request, "%s", cases[i].head);
+    for (int b = 0; b < cases[i].chunk_bytes; b++)
+      gr_buf_append (&request, "x", 1);
+    RawConnection raw;
+    raw_open (&raw, &fixture, gr_buf_str (&request));
+    while (!raw.ended)
+      uv_run (&fixture.loop, UV_RUN_ONCE);
+    char first[32], last[32];
+    snprintf (first, sizeof first, "HTTP/1.1 %s ", cases[i].first);
+    snprintf (last, sizeof last, "HTTP/1.1 %s ", cases[i].last);
+    if (raw.received.len == 0 || strncmp (raw.received.data, first, strlen (first)) != 0
+        || !strstr (raw.received.data, last) || strstr (raw.received.data, " 100 ")
+        || fixture.handled != cases[i].handled)
+      fail_msg ("case %zu: %d handled, %s", i, fixture.handled, raw.received.data);
+    gr_buf_clear (&request);
+    gr_buf_clear (&raw.received);
+    fixture_close (&fixture);
+  }
+}
+
+/* Guards against requests that never end and hold memory for which others wait. */
+static void
+unfinished_requests_make_room_for_others (void **state)
+{
+  (void) state;
+  enum {
+    COUNT = 24,
+    BODY = 200000
+  };
+  Fixture fixture;
+  fixture_open (&fixture, &(NetHttpServerOptions){ .listen_host = "127.0.0.1",
+                                                   .max_body_bytes = BODY,
+                                                   .memory_bytes = 4000000 });
+  GrBuf request = { 0 };
+  gr_buf_printf (&request, "POST /echo HTTP/1.1\r\nhost: x\r\ncontent-length: %d\r\n\r\n", BODY);
+  char *body = gr_calloc (BODY, 1);
+  gr_buf_append (&request, body, BODY - 1);
+  RawConnection *raws = gr_calloc (COUNT, sizeof *raws);
+  for (int i = 0; i < COUNT; i++)
+    raw_open (&raws[i], &fixture, gr_buf_str (&request));
+  send_call (&fixture, "POST", "/echo", (GrStr){ body, BODY }, 15000);
+  while (fixture.answers < 1) {
+    uv_run (&fixture.loop, UV_RUN_ONCE);
+    assert_true (net_http_server_stats (fixture.server).held_bytes <= 4000000);
+  }
+  assert_int_equal (fixture.status, 200);
+  assert_int_equal (fixture.handled, 1);
+  for (int i = 0; i < COUNT; i++) {
+    if (!raws[i].ended)
+      uv_close ((uv_handle_t *) &raws[i].tcp, NULL);
+    uv_run (&fixture.loop, UV_RUN_NOWAIT);
+    gr_buf_clear (&raws[i].received);
+  }
+  free (body);
+  gr_buf_clear (&request);
+  fixture_close (&fixture);
+  free (raws);
+}
+
+/* Guards against answers that fill the memory of the caller. */
+static void
+answers_over_the_limit_fail (void **state)
+{
+  (void) state;
+  static const struct {
+    int64_t one, all; /* limits; 0: default */
+    int status;
+  } cases[] = { { 0, 0, 200 }, { 300000, 300000, 200 }, { 299999, 0, 0 }, { 0, 299999, 0 } };
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+    Fixture fixture;
+    fixture_open (&fixture, &loopback);
+    char url[128];
+    snprintf (url, sizeof url, "%s/large", fixture.base);
+    GrErr err = { 0 };
+    NetHttpClient *client = net_http_client_new (
+        &fixture.loop, &(NetHttpClientOptions){ .max_answer_bytes = cases[i].all }, &err);
+    net_http_client_send (
+        client,
+        &(NetHttpCall){ .url = gr_str_from_c (url),
+                        .max_answer_bytes = cases[i].one,
+                        .timeout_at_ms = (int64_t) uv_now (&fixture.loop) + 10000 },
+        on_answer, &fixture);
+    run_until_answers (&fixture, 1);
+    assert_int_equal (fixture.status, cases[i].status);
+    assert_int_equal (net_http_client_too_large (client), cases[i].status == 0);
+    if (cases[i].status == 0)
+      assert_int_equal (fixture.failure, GR_ERR_UNKNOWN);
+    net_http_client_free (client);
+    fixture_close (&fixture);
+  }
+}
+
 static void
 slow_senders_are_closed (void **state)
 {
@@ -702,6 +824,9 @@
     cmocka_unit_test (broken_reused_connection_is_not_retried),
     cmocka_unit_test (bodies_above_the_limit_get_413),
     cmocka_unit_test (headers_above_the_limit_are_rejected),
+    cmocka_unit_test (requests_over_the_limits_are_refused_before_they_are_read),
+    cmocka_unit_test (unfinished_requests_make_room_for_others),
+    cmocka_unit_test (answers_over_the_limit_fail),
     cmocka_unit_test (slow_senders_are_closed),
     cmocka_unit_test (pipelined_requests_are_answered_in_order),
     cmocka_unit_test (connections_above_the_limit_wait),
--- a/tests/test_plat.c
+++ b/tests/test_plat.c
@@ -248,10 +248,56 @@
   }
 }
 
+/* Guards against a few bytes of text that take a hundred times as much once they are parsed, and
+   against bounds that refuse valid documents. */
+static void
+documents_are_bounded_before_they_are_parsed (void **state)
+{
+  (void) state;
+  static const struct {
+    PlatJsonKind kind;
+    const char *head, *unit;
+    int units;
+    const char *tail;
+    bool ok;
+  } cases[] = {
+    { PLAT_JSON_JOB, "{\"spec\":\"", "[{,", 87000, "\"}", true },
+    { PLAT_JSON_JOB, "{\"spec\":\"", "\\\"[", 80000, "\"}", true },
+    { PLAT_JSON_JOB, "{\"steps\":[0", ",0", 30000, "]}", true },
+    { PLAT_JSON_JOB, "{\"steps\":[0", ",0", 40000, "]}", false },
+    { PLAT_JSON_JOB, "{\"steps\":[{}", ",{}", 40000, "]}", false },
+    { PLAT_JSON_JOB, "", "[", 33, "]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]", false },
+    { PLAT_JSON_JOB, "", "[", 32, "]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]", true },
+    { PLAT_JSON_JOB, "", "[", 200000, "", false },
+    { PLAT_JSON_CONFIG, "{\"routes\":[0", ",0", 131000, "]}", true },
+    { PLAT_JSON_CONFIG, "{\"routes\":[0", ",0", 300000, "]}", false },
+    { PLAT_JSON_LISTING, "{\"items\":[{}", ",{\"key\":\"a\",\"value\":\"e30=\"}", 20000, "]}",
+      true },
+    { PLAT_JSON_ANSWER, "{\"allowed\":[0", ",{}", 5000, "]}", false },
+    { PLAT_JSON_TARGET, "{\"labels\":[0", ",0", 5000, "]}", false },
+    { PLAT_JSON_INVENTORY, "{\"running\":[[]", ",[\"a.0.0.0\",1,\"\",0,5]", 1000, "]}", true },
+    { PLAT_JSON_INVENTORY, "{\"running\":[0", ",{}", 70000, "]}", false },
+    { PLAT_JSON_INVENTORY, "", "", 0, "", false },
+  };
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+    GrBuf text = { 0 };
+    gr_buf_append_str (&text, gr_str_from_c (cases[i].head));
+    for (int u = 0; u < cases[i].units; u++)
+      gr_buf_append_str (&text, gr_str_from_c (cases[i].unit));
+    gr_buf_append_str (&text, gr_str_from_c (cases[i].tail));
+    json_t *body = plat_json_load (gr_buf_str (&text), cases[i].kind);
+    if ((body != NULL) != cases[i].ok)
+      fail_msg ("case %zu should be %s", i, cases[i].ok ? "accepted" : "refused");
+    json_decref (body);
+    gr_buf_clear (&text);
+  }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (documents_are_bounded_before_they_are_parsed),
     cmocka_unit_test (submissions_are_decoded_or_refused_by_field),
     cmocka_unit_test (malformed_bodies_are_refused),
     cmocka_unit_test (task_names_round_trip),
