triage: plan of the jobs that meet their deadlines together

When more work waits than the cell can end in time, an order by least slack makes nearly all jobs a little late. The plan takes the jobs by deadline and leaves out the one with the least worth for its remaining work where they do not fit (Moore and Hodgson), in the scarcest dimension, after what higher priorities and runs take.

--- /dev/null
+++ b/tests/test_triage.c
@@ -0,0 +1,220 @@
+/* The plan under overload. The cases guard against: work being wasted on jobs that end late, jobs
+   with little left being given up, jobs changing sides with each plan, and a lower priority being
+   promised room that a higher one takes. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "dag/triage.h"
+
+#define JOBS_MAX 8
+#define NOW_MS 1000000
+#define GENERATED 300
+#define GENERATED_JOBS 10
+
+/* Times are relative to NOW_MS; the capacity is 1 unless the case sets it, so that work is the time
+   that the whole cell needs for it. */
+typedef struct {
+  double work;
+  int64_t due, hard_due; /* hard_due 0: three times due */
+  double worth;          /* 0: 1 */
+  int32_t priority;
+  bool beyond_share, left_out;
+  TriageVerdict best;
+  double memory;
+} Job;
+
+typedef struct {
+  const char *name;
+  Job jobs[JOBS_MAX];
+  const char *verdicts; /* of each job: o objective, h hard deadline only, - neither */
+  double run_demand;    /* a run, of priority run_priority */
+  int64_t run_ends;
+  int32_t run_priority;
+  double rate; /* of priority 0 */
+  double memory;
+} Case;
+
+static TriageJob
+to_job (const Job *job)
+{
+  return (TriageJob){ .work.v[GR_RES_CPU_MILLI] = job->work,
+                      .work.v[GR_RES_MEMORY_MB] = job->memory,
+                      .due_at = NOW_MS + job->due,
+                      .hard_due_at = NOW_MS + (job->hard_due ? job->hard_due : 3 * job->due),
+                      .worth = job->worth > 0 ? job->worth : 1,
+                      .priority = job->priority,
+                      .beyond_share = job->beyond_share,
+                      .left_out = job->left_out,
+                      .best = job->best };
+}
+
+static void
+plans_by_deadline_worth_and_work (void **state)
+{
+  (void) state;
+  static const Case cases[] = {
+    { "all fit", { { 10, 10 }, { 10, 20 }, { 10, 30 } }, "ooo" },
+    { "the largest goes", { { 30, 40 }, { 10, 40 }, { 10, 45 } }, "hoo" },
+    { "worth outweighs work", { { 30, 40, 0, 9 }, { 10, 40 }, { 10, 45 } }, "ooh" },
+    { "little is left of a job", { { 1, 40, 0, 1 }, { 39, 40, 0, 3 }, { 39, 41, 0, 3 } }, "ooh" },
+    { "the earlier of two large ones goes", { { 2, 10 }, { 9, 10 }, { 8, 11 } }, "oho" },
+    { "room made by a large job is used again",
+      { { 4, 10, 0, 1 }, { 10, 12, 0, 3 }, { 6, 13, 0, 6 } },
+      "oho" },
+    { "no room before the hard deadline", { { 10, 10, 12 }, { 10, 10, 12 } }, "o-" },
+    { "nothing left to place", { { 0, 1, 2 }, { 10, 10 } }, "oo" },
+    { "the path is too long", { { 1, 100, 0, 1, 0, 0, 0, TRIAGE_HARD }, { 99, 100 } }, "ho" },
+    { "both are too late",
+      { { 1, 100, 0, 1, 0, 0, 0, TRIAGE_NONE }, { 1, 100, 0, 1, 0, 0, 0, TRIAGE_HARD } },
+      "-h" },
+    { "higher priority first", { { 10, 20, 0, 9, 1 }, { 15, 20 } }, "ho" },
+    { "within the share first", { { 10, 20, 0, 9, 0, true }, { 15, 20, 0, 1, 3 } }, "ho" },
+    { "all of the share comes before the others",
+      { { 10, 30, 0, 1, 0, true }, { 15, 20 }, { 15, 20, 50 } },
+      "hoh" },
+    { "what was left out needs room to spare", { { 10, 11, 0, 1, 0, 0, true } }, "h" },
+    { "it returns once there is", { { 10, 13, 0, 1, 0, 0, true } }, "o" },
+    { "it does not take the place of an equal",
+      { { 10, 11, 0, 1, 0, 0, true }, { 10, 11 } },
+      "ho" },
+    { "a run takes room until it ends",
+      { { 10, 14 }, { 2, 15 } },
+      "ho",
+      .run_demand = 1,
+      .run_ends = 5 },
+    { "a run takes no more than it needs", { { 10, 15 } }, "o", .run_demand = 1, .run_ends = 5 },
+    { "work to come of a higher priority takes room",
+      { { 10, 15, 0, 1, 1 }, { 5, 15, 0, 1, 1 } },
+      "ho",
+      .rate = 0.5 },
+    { "and none from its own priority", { { 10, 15 }, { 5, 15 } }, "oo", .rate = 0.5 },
+    { "runs of a higher priority are part of its rate",
+      { { 10, 20, 0, 1, 1 } },
+      "o",
+      .run_demand = 0.5,
+      .run_ends = 10,
+      .rate = 0.5 },
+    { "memory is scarcer than cpu",
+      { { 9, 10, 0, 1, 0, 0, 0, 0, 10 }, { 1, 10, 0, 1, 0, 0, 0, 0, 50 } },
+      "oh",
+      .memory = 5 },
+  };
+  for (size_t c = 0; c < sizeof cases / sizeof cases[0]; c++) {
+    const Case *test = &cases[c];
+    size_t count = strlen (test->verdicts);
+    TriageJob jobs[JOBS_MAX];
+    for (size_t i = 0; i < count; i++)
+      jobs[i] = to_job (&test->jobs[i]);
+    TriageRun run = { .demand.v[GR_RES_CPU_MILLI] = test->run_demand,
+                      .ends_at = NOW_MS + test->run_ends,
+                      .priority = test->run_priority };
+    TriageRate rate = { .demand.v[GR_RES_CPU_MILLI] = test->rate };
+    TriageCell cell = { .now_ms = NOW_MS,
+                        .capacity.v = { [GR_RES_CPU_MILLI] = 1, [GR_RES_MEMORY_MB] = test->memory },
+                        .runs = &run,
+                        .run_count = test->run_demand > 0,
+                        .rates = &rate,
+                        .rate_count = 1 };
+    triage_plan (&cell, jobs, count);
+    for (size_t i = 0; i < count; i++) {
+      if ("oh-"[jobs[i].verdict] != test->verdicts[i])
+        fail_msg ("%s: job %zu gets %c", test->name, i, "oh-"[jobs[i].verdict]);
+    }
+  }
+}
+
+static uint64_t random_state;
+
+static int64_t
+draw (int64_t below)
+{
+  random_state = random_state * 6364136223846793005U + 1442695040888963407U;
+  return (int64_t) (random_state >> 33) % below;
+}
+
+static int
+compare_due (const void *a, const void *b)
+{
+  const TriageJob *x = a, *y = b;
+  return x->due_at < y->due_at ? -1 : x->due_at > y->due_at;
+}
+
+/* True if the chosen jobs, sorted by due_at, fit one after the other. */
+static bool
+fits (const TriageJob *jobs, size_t count, unsigned chosen)
+{
+  double work = 0;
+  for (size_t i = 0; i < count; i++) {
+    if (!(chosen >> i & 1))
+      continue;
+    work += jobs[i].work.v[GR_RES_CPU_MILLI];
+    if (work > (double) (jobs[i].due_at - NOW_MS))
+      return false;
+  }
+  return true;
+}
+
+/* For jobs of equal worth the algorithm keeps as many as any choice does. */
+static void
+keeps_the_most_jobs (void **state)
+{
+  (void) state;
+  for (random_state = 1; random_state <= GENERATED; random_state++) {
+    uint64_t seed = random_state;
+    TriageJob jobs[GENERATED_JOBS];
+    size_t count = (size_t) draw (GENERATED_JOBS) + 1;
+    for (size_t i = 0; i < count; i++)
+      jobs[i] = to_job (&(Job){ .work = (double) draw (30) + 1, .due = draw (100) + 1 });
+    qsort (jobs, count, sizeof *jobs, compare_due);
+    int best = 0;
+    for (unsigned chosen = 0; chosen < 1U << count; chosen++) {
+      int size = __builtin_popcount (chosen);
+      if (size > best && fits (jobs, count, chosen))
+        best = size;
+    }
+    TriageCell cell = { .now_ms = NOW_MS, .capacity.v[GR_RES_CPU_MILLI] = 1 };
+    triage_plan (&cell, jobs, count);
+    unsigned kept = 0;
+    for (size_t i = 0; i < count; i++)
+      kept |= jobs[i].verdict == TRIAGE_OBJECTIVE ? 1U << i : 0;
+    if (!fits (jobs, count, kept) || __builtin_popcount (kept) != best)
+      fail_msg ("seed %llu: %d kept, %d fit", (unsigned long long) seed, __builtin_popcount (kept),
+                best);
+    random_state = seed;
+  }
+}
+
+static void
+an_end_is_bounded_by_path_and_work (void **state)
+{
+  (void) state;
+  static const struct {
+    double capacity, ahead, work;
+    int64_t path, end;
+  } cases[] = {
+    { 10, 0, 0, 5, NOW_MS + 5 }, { 10, 100, 50, 5, NOW_MS + 15 }, { 10, 100, 50, 20, NOW_MS + 20 },
+    { 0, 0, 0, 5, NOW_MS + 5 },  { 0, 0, 1, 5, INT64_MAX },       { 1e-9, 1e9, 1, 5, INT64_MAX },
+  };
+  for (size_t c = 0; c < sizeof cases / sizeof cases[0]; c++)
+    assert_int_equal (triage_earliest_end (NOW_MS, cases[c].capacity, cases[c].ahead, cases[c].work,
+                                           cases[c].path),
+                      cases[c].end);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (plans_by_deadline_worth_and_work),
+    cmocka_unit_test (keeps_the_most_jobs),
+    cmocka_unit_test (an_end_is_bounded_by_path_and_work),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
