dag: jobs that cannot meet their objectives under overload come after the others

Jobs that it leaves out rank as if their deadline had passed. Submissions of accounts that would miss their hard deadline even if they came next in their class are refused with a Retry-After.

--- a/src/dag/dag.c
+++ b/src/dag/dag.c
@@ -55,6 +55,7 @@
   gr_hash_clear (dag->queue_stats, free);
   gr_hash_clear (dag->clients, free);
   dag_pace_clear (dag);
+  dag_triage_clear (dag);
   dag_cmds_reset (dag);
   gr_list_clear (&dag->cmds);
   gr_list_clear (&dag->advise_names);
@@ -72,6 +73,7 @@
   dag_timetable_loaded (dag, now_ms);
   for (DagJob *job = dag->jobs; job; job = job->hh.next) {
     if (dag_job_is_open (job)) {
+      dag_triage_note_job (dag, job);
       dag_queue_ready_steps (dag, job);
       continue;
     }
--- a/src/dag/dag.h
+++ b/src/dag/dag.h
@@ -305,7 +305,8 @@
   DAG_SUBMIT_PENDING,  /* answered by DAG_CMD_ACCEPTED */
   DAG_SUBMIT_KNOWN,    /* already stored */
   DAG_SUBMIT_NO_QUEUE, /* no such queue is configured */
-  DAG_SUBMIT_OVERLOAD, /* refused: the job would end long after its objective; never returned yet */
+  DAG_SUBMIT_OVERLOAD, /* refused, and the id stays unknown: with the work that comes before it, the
+                          job would miss its hard deadline; only for jobs of an account */
   DAG_SUBMIT_INVALID
 } DagSubmitResult;
 
@@ -335,7 +336,8 @@
   int64_t unix_offset_ms; /* Unix time minus local time; stored times are Unix times */
   GrMetrics *metrics;     /* borrowed for the life of the DagState; may be NULL */
   GrLog log;
-  bool quiet; /* write no log lines; for benchmarks and tests */
+  bool quiet;     /* write no log lines; for benchmarks and tests */
+  bool no_triage; /* order by deadlines alone under overload; for comparisons in tests */
   /* Test-only: faulty variants that the property tests must detect. */
   bool broken_start_before_store;
   bool broken_restart_before_lapse;
--- a/src/dag/dag_job.c
+++ b/src/dag/dag_job.c
@@ -396,6 +396,12 @@
   if (!dag_check_job_spec (spec, err))
     return DAG_SUBMIT_INVALID;
   job = dag_job_create (dag, spec, queue, now_ms);
+  if (!dag_triage_admits (dag, job, false, now_ms, retry_after_ms)) {
+    dag->open_jobs--;
+    dag_job_free (dag, job);
+    return DAG_SUBMIT_OVERLOAD;
+  }
+  dag_triage_note_job (dag, job);
   gr_list_push (&job->submit_calls, call);
   dag_job_mark_dirty (dag, job);
   dag_queue_ready_steps (dag, job);
--- a/src/dag/dag_place.c
+++ b/src/dag/dag_place.c
@@ -312,9 +312,21 @@
 deadline_class (const DagStep *step, int64_t now_ms)
 {
   int64_t done_at = now_ms + step->critical_path_ms;
-  if (done_at <= step->job->objective_at)
-    return DEADLINE_MET;
-  return done_at <= step->job->hard_deadline_at ? DEADLINE_SOFT_MISSED : DEADLINE_HARD_MISSED;
+  if (done_at > step->job->hard_deadline_at)
+    return DEADLINE_HARD_MISSED;
+  DagDeadlineClass class = done_at <= step->job->objective_at ? DEADLINE_MET : DEADLINE_SOFT_MISSED;
+  if (step->spec.long_running)
+    return class;
+  /* Under overload, jobs that are left out rank as if their deadlines had passed. */
+  switch (step->job->verdict) {
+  case TRIAGE_OBJECTIVE:
+    return class;
+  case TRIAGE_HARD:
+    return DEADLINE_SOFT_MISSED;
+  case TRIAGE_NONE:
+    return DEADLINE_HARD_MISSED;
+  }
+  return class;
 }
 
 static void
@@ -390,6 +402,7 @@
   drop_placed_steps (dag);
   if (dag->ready.count == 0 || dag->target_list.count == 0)
     return;
+  dag_triage_update (dag, now_ms);
   sort_ready_steps (dag, now_ms);
   DagCandidate *candidates = gr_calloc (dag->target_list.count, sizeof *candidates);
   int64_t budget = advice_budget (dag, now_ms);
--- a/src/dag/dag_priv.h
+++ b/src/dag/dag_priv.h
@@ -6,6 +6,7 @@
 #include "base/gr_backoff.h"
 #include "base/gr_hash_priv.h"
 #include "dag/dag.h"
+#include "dag/triage.h"
 
 /* Longest checkpoint name that is kept; longer ones are ignored. */
 #define DAG_CHECKPOINT_MAX GR_NAME_MAX
@@ -157,6 +158,8 @@
   int64_t accepted_at;
   int64_t objective_at;
   int64_t hard_deadline_at; /* completion is worth less after objective_at, nothing after this */
+  TriageVerdict verdict;    /* of the newest plan; TRIAGE_OBJECTIVE unless the cell is overloaded */
+  int64_t triage_mark;      /* scratch: newest DagState.triage.mark in which it was collected */
   int64_t ended_at;
   uint64_t serial;                /* unique within a DagState, in order of creation */
   GR_LIST (int64_t) submit_calls; /* calls to answer once the job is stored */
@@ -292,9 +295,41 @@
   /* Starts, and crashes that they are expected to have caused, decayed up to counted_at. */
   double starts, crashes;
   int64_t counted_at;
-  bool crash_prone; /* its starts crash too many targets */
+  bool crash_prone;       /* its starts crash too many targets */
+  double mean_work;       /* of its jobs, in cpu times ms of their estimates */
+  TriageAmount usage;     /* what its runs reserve, as a moving average */
+  TriageAmount usage_now; /* scratch */
 };
 
+/* Waiting work of one rank in the newest plan, in TriageResult.dim. */
+typedef struct {
+  int32_t priority;
+  bool beyond_share;
+  TriageVerdict verdict;
+  double work;
+} DagBacklog;
+
+/* Load of the targets of one service. */
+typedef struct {
+  GrName service;
+  double packing;      /* share of the capacity that runs can use, as a moving average */
+  TriageResult result; /* of the newest plan; zero while the cell has room */
+  GR_LIST (DagBacklog) backlogs;
+  bool judged;     /* some job of the service may have a verdict other than TRIAGE_OBJECTIVE */
+  bool overloaded; /* as logged */
+  int64_t overloaded_since;
+  int64_t overloaded_at; /* newest plan that left jobs out */
+  size_t left_out_most;  /* since then */
+  int64_t refused;       /* since then */
+} DagLoad;
+
+/* State of dag_triage.c. */
+typedef struct {
+  int64_t planned_at;
+  int64_t mark;
+  GR_LIST (DagLoad *) loads;
+} DagTriage;
+
 /* A client account. It is freed when it is no longer configured and its last job is freed. */
 struct DagClient {
   DagAccount policy;
@@ -335,6 +370,7 @@
   /* Share of silent targets among those that nothing else explains (dag_risk.c). */
   double silent_share;
   int64_t silent_share_until; /* when it is outdated */
+  DagTriage triage;
 };
 
 /* Runs of one step that would be lost together with a target, its rack or its zone. */
@@ -628,6 +664,19 @@
 /* Stores the candidates in out, in order of preference, and returns their number. */
 size_t dag_list_candidates (DagState *dag, DagStep *step, DagCandidate *out, int64_t now_ms);
 
+/* dag_triage.c */
+/* Plans which jobs can meet their deadlines, if the cell lacks room and the last plan is not too
+   recent. To be called before the steps of a placement pass are sorted. */
+void dag_triage_update (DagState *dag, int64_t now_ms);
+/* A job was accepted or loaded. */
+void dag_triage_note_job (DagState *dag, const DagJob *job);
+/* False if the job, which is not accepted yet, would miss its hard deadline even if it came next in
+   its class; *retry_after_ms is set then. Applies to jobs of accounts only. Jobs within the share
+   of their account are admitted while jobs beyond a share wait. */
+bool dag_triage_admits (DagState *dag, const DagJob *job, bool beyond_share, int64_t now_ms,
+                        int64_t *retry_after_ms);
+void dag_triage_clear (DagState *dag);
+
 /* dag_place.c */
 /* Key of the step, unique within a DagState. */
 uint64_t dag_step_key (const DagStep *step);
