dag: jobs left out by the plan rank between those in time and those too late

The forecast is gone, and a job that is left out still precedes those that have missed their objective for certain.

--- a/src/dag/dag_place.c
+++ b/src/dag/dag_place.c
@@ -1,9 +1,10 @@
 /* Placement: assigns waiting tasks to targets.
 
    Long-running steps come first: they hold their room for long, and work that ends frees some again
-   soon. Steps whose job can still meet its objective are placed first, then those whose job can
-   meet its hard deadline, then the rest. Within each group the order is by priority, then by the
-   latest start time that meets the objective, earliest first. Gang scheduling is all or nothing.
+   soon. Steps whose job can still meet its objective are placed first, then, under overload, those
+   that dag_triage.c leaves out so that the others can, then those whose job can meet its hard
+   deadline, then the rest. Within each group the order is by priority, then by the latest start
+   time that meets the objective, earliest first. Gang scheduling is all or nothing.
    The first gangs that do not fit reserve targets, so that later, smaller steps do not starve them.
  */
 #include <stdlib.h>
@@ -317,12 +318,13 @@
   DagDeadlineClass class = done_at <= step->job->objective_at ? DEADLINE_MET : DEADLINE_SOFT_MISSED;
   if (step->spec.long_running)
     return class;
-  /* Under overload, jobs that are left out rank as if their deadlines had passed. */
+  /* Under overload, jobs that are left out come after those that are not, but before those that are
+     too late for certain: the plan rests on estimates. */
   switch (step->job->verdict) {
   case TRIAGE_OBJECTIVE:
     return class;
   case TRIAGE_HARD:
-    return DEADLINE_SOFT_MISSED;
+    return class == DEADLINE_MET ? DEADLINE_LEFT_OUT : class;
   case TRIAGE_NONE:
     return DEADLINE_HARD_MISSED;
   }
--- a/src/dag/dag_priv.h
+++ b/src/dag/dag_priv.h
@@ -92,6 +92,7 @@
 /* Which deadline of its job a step that starts now can meet. */
 typedef enum {
   DEADLINE_MET,         /* meets the objective */
+  DEADLINE_LEFT_OUT,    /* could meet it alone, but not all jobs can together */
   DEADLINE_SOFT_MISSED, /* meets only the hard deadline; completion is worth less */
   DEADLINE_HARD_MISSED  /* meets neither; completion is worth nothing */
 } DagDeadlineClass;
@@ -295,10 +296,8 @@
   /* Starts, and crashes that they are expected to have caused, decayed up to counted_at. */
   double starts, crashes;
   int64_t counted_at;
-  bool crash_prone;       /* its starts crash too many targets */
-  double mean_work;       /* of its jobs, in cpu times ms of their estimates */
-  TriageAmount usage;     /* what its runs reserve, as a moving average */
-  TriageAmount usage_now; /* scratch */
+  bool crash_prone; /* its starts crash too many targets */
+  double mean_work; /* of its jobs, in cpu times ms of their estimates */
 };
 
 /* Waiting work of one rank in the newest plan, in TriageResult.dim. */
--- a/src/dag/dag_triage.c
+++ b/src/dag/dag_triage.c
@@ -1,9 +1,8 @@
 /* Overload: fills the triage plan from the state of the scheduler, and admission of jobs.
 
-   The plan is made only while more work waits than free room, at most every PLAN_INTERVAL_MS. Then
-   jobs that are left out rank in deadline_class() of dag_place.c as if they had missed their
-   deadline already. Nothing is stored: a new leader plans anew before its first placement. */
-#include <math.h>
+   The plan is made only while more work waits than free room, at most every PLAN_INTERVAL_MS. Its
+   verdicts go into deadline_class() of dag_place.c. Nothing is stored: a new leader plans anew
+   before its first placement. */
 #include <stdlib.h>
 
 #include "dag/dag_priv.h"
@@ -14,9 +13,6 @@
 #define WORTH_FIXED 0.3
 /* Weight of one job in the mean work of its queue. */
 #define MEAN_WORK_WEIGHT 0.05
-/* Time constant of the average capacity that a queue takes: about the time in which bulk work is
-   due, so that a short burst of another queue does not count as its usual rate. */
-#define USAGE_AVERAGE_MS 4000.0
 /* Weight of one plan in the share of the capacity that runs can use while work waits, and the least
    share that is believed. */
 #define PACKING_WEIGHT 0.06
@@ -36,7 +32,6 @@
   GR_LIST (TriageRun) runs;
   GR_LIST (TriageJob) jobs;
   GR_LIST (DagJob *) of; /* the job of each entry */
-  GR_LIST (TriageRate) rates;
 } Plan;
 
 /* Expected run time of a task of the step. */
@@ -151,27 +146,6 @@
   return now_ms + (expected - worked > least ? expected - worked : least);
 }
 
-/* Updates the average use of each queue. */
-static void
-sample_usage (DagState *dag, int64_t now_ms)
-{
-  DagQueueStats *stats;
-  for (stats = dag->queue_stats; stats; stats = stats->hh.next)
-    stats->usage_now = (TriageAmount){ 0 };
-  for (size_t i = 0; i < dag->target_list.count; i++) {
-    for (const DagTask *task = dag->target_list.items[i]->runs; task; task = task->target_next) {
-      GrRes demand = dag_reserved_demand (&task->step->spec);
-      if (!task->step->spec.long_running)
-        add_amount (&task->step->job->stats->usage_now, &demand, 1);
-    }
-  }
-  double weight = 1 - exp (-(double) (now_ms - dag->triage.planned_at) / USAGE_AVERAGE_MS);
-  for (stats = dag->queue_stats; stats; stats = stats->hh.next) {
-    for (int d = 0; d < GR_RES_COUNT; d++)
-      stats->usage.v[d] += weight * (stats->usage_now.v[d] - stats->usage.v[d]);
-  }
-}
-
 /* Adds the capacity and the use of the targets of the service, and what waits for them. */
 static void
 measure (DagState *dag, Plan *plan, int64_t now_ms)
@@ -244,7 +218,7 @@
       if (usable && task->step->spec.long_running) {
         add_amount (&plan->capacity, &demand, -1);
       } else if (usable) {
-        TriageRun run = { .ends_at = expected_end (task, now_ms), .priority = job->queue.priority };
+        TriageRun run = { .ends_at = expected_end (task, now_ms) };
         add_amount (&run.demand, &demand, 1);
         gr_list_push (&plan->runs, run);
       }
@@ -256,12 +230,6 @@
     if (step->spec.long_running && gr_name_equal (&step->job->queue.service, &plan->load->service))
       add_amount (&plan->capacity, &demand, -step->waiting);
   }
-  for (size_t i = 0; i < dag->queues.count; i++) {
-    const DagQueue *queue = &dag->queues.items[i];
-    if (gr_name_equal (&queue->service, &plan->load->service))
-      gr_list_push (&plan->rates,
-                    (TriageRate){ queue->priority, dag_queue_stats (dag, &queue->name)->usage });
-  }
 }
 
 /* Runs never use all of the capacity: what is free on a target may fit no waiting task. */
@@ -325,9 +293,7 @@
   TriageCell cell = { .now_ms = now_ms,
                       .capacity = plan->capacity,
                       .runs = plan->runs.items,
-                      .run_count = plan->runs.count,
-                      .rates = plan->rates.items,
-                      .rate_count = plan->rates.count };
+                      .run_count = plan->runs.count };
   load->result = triage_plan (&cell, plan->jobs.items, plan->jobs.count);
   gr_list_reset (&load->backlogs);
   for (size_t i = 0; i < plan->jobs.count; i++) {
@@ -382,7 +348,6 @@
   gr_list_clear (&plan.runs);
   gr_list_clear (&plan.jobs);
   gr_list_clear (&plan.of);
-  gr_list_clear (&plan.rates);
 }
 
 static void
@@ -406,7 +371,6 @@
     return;
   if (dag->triage.planned_at > 0 && now_ms - dag->triage.planned_at < PLAN_INTERVAL_MS)
     return;
-  sample_usage (dag, now_ms);
   dag->triage.planned_at = now_ms;
   for (size_t i = 0; i < dag->ready.count; i++)
     get_load (dag, &dag->ready.items[i]->job->queue.service);
--- a/src/dag/triage.c
+++ b/src/dag/triage.c
@@ -35,9 +35,9 @@
   TriageJob *jobs;
   GrResDim dim;
   double capacity;
-  TriageRun *runs;         /* sorted by ends_at */
-  RunSum *higher, *others; /* runs of a higher priority than the group, and the other ones */
-  double ahead;            /* work that is served before the group */
+  TriageRun *runs; /* sorted by ends_at */
+  RunSum *sums;
+  double ahead; /* work that is served before the group */
   Entry *entries;
   size_t *heap; /* kept entries, the least density first */
   size_t heap_count;
@@ -88,52 +88,32 @@
   return best;
 }
 
-/* Splits the runs into those of a higher priority and the others. */
 static void
-split_runs (Planner *planner, int32_t priority)
+sum_runs (Planner *planner)
 {
-  const TriageCell *cell = planner->cell;
-  RunSum higher = { 0 }, others = { 0 };
-  for (size_t i = 0; i < cell->run_count; i++) {
-    RunSum *sum = planner->runs[i].priority < priority ? &higher : &others;
-    planner->higher[i] = higher;
-    planner->others[i] = others;
+  RunSum sum = { 0 };
+  for (size_t i = 0; i < planner->cell->run_count; i++) {
+    planner->sums[i] = sum;
     double demand = planner->runs[i].demand.v[planner->dim];
-    sum->work += demand * (double) remaining_ms (cell, &planner->runs[i]);
-    sum->demand += demand;
+    sum.work += demand * (double) remaining_ms (planner->cell, &planner->runs[i]);
+    sum.demand += demand;
   }
-  planner->higher[cell->run_count] = higher;
-  planner->others[cell->run_count] = others;
+  planner->sums[planner->cell->run_count] = sum;
 }
 
-/* Work that the runs do until the time; ended is the number of runs that end before. */
+/* Work that the runs do within that time; ended is the number of runs that end before. */
 static double
-run_work (const Planner *planner, const RunSum *sums, size_t ended, int64_t passed_ms)
+run_work (const Planner *planner, size_t ended, int64_t passed_ms)
 {
-  const RunSum *all = &sums[planner->cell->run_count], *done = &sums[ended];
+  const RunSum *all = &planner->sums[planner->cell->run_count], *done = &planner->sums[ended];
   return done->work + (all->demand - done->demand) * (double) passed_ms;
 }
 
-/* Capacity that jobs of a higher priority will go on to take. */
-static double
-higher_rate (const Planner *planner, int32_t priority)
-{
-  double rate = 0;
-  for (size_t i = 0; i < planner->cell->rate_count; i++) {
-    if (planner->cell->rates[i].priority < priority)
-      rate += planner->cell->rates[i].demand.v[planner->dim];
-  }
-  return rate;
-}
-
-/* Sets the room of the entries, which are sorted by due_at. Jobs of a higher priority do what runs
-   and waits of them and, from now on, at least their usual rate. */
+/* Sets the room of the entries, which are sorted by due_at. */
 static void
-set_room (Planner *planner, size_t count, int32_t priority)
+set_room (Planner *planner, size_t count)
 {
   const TriageCell *cell = planner->cell;
-  split_runs (planner, priority);
-  double rate = higher_rate (planner, priority);
   size_t ended = 0;
   double before = -INFINITY;
   for (size_t i = 0; i < count; i++) {
@@ -141,11 +121,8 @@
     while (ended < cell->run_count && planner->runs[ended].ends_at <= entry->due_at)
       ended++;
     int64_t passed_ms = entry->due_at > cell->now_ms ? entry->due_at - cell->now_ms : 0;
-    double higher = run_work (planner, planner->higher, ended, passed_ms);
-    if (higher < rate * (double) passed_ms)
-      higher = rate * (double) passed_ms;
-    double room = planner->capacity * (double) passed_ms - planner->ahead - higher
-                  - run_work (planner, planner->others, ended, passed_ms);
+    double room = planner->capacity * (double) passed_ms - planner->ahead
+                  - run_work (planner, ended, passed_ms);
     before = room > before ? room : before;
     entry->room = before;
   }
@@ -316,7 +293,7 @@
   if (entries == 0)
     return;
   qsort (planner->entries, entries, sizeof *planner->entries, compare_entries);
-  set_room (planner, entries, priority);
+  set_room (planner, entries);
   leave_out (planner, entries);
   keep_where_room (planner, entries);
   for (size_t i = 0; i < entries; i++) {
@@ -384,8 +361,7 @@
   planner.dim = choose_dimension (cell, jobs, count);
   planner.capacity = cell->capacity.v[planner.dim];
   planner.runs = gr_calloc (cell->run_count + 1, sizeof *planner.runs);
-  planner.higher = gr_calloc (cell->run_count + 1, sizeof *planner.higher);
-  planner.others = gr_calloc (cell->run_count + 1, sizeof *planner.others);
+  planner.sums = gr_calloc (cell->run_count + 1, sizeof *planner.sums);
   planner.entries = gr_calloc (room, sizeof *planner.entries);
   planner.heap = gr_calloc (2 * room, sizeof *planner.heap);
   planner.tree = gr_calloc (4 * room, sizeof *planner.tree);
@@ -393,6 +369,7 @@
   for (size_t i = 0; i < cell->run_count; i++)
     planner.runs[i] = cell->runs[i];
   qsort (planner.runs, cell->run_count, sizeof *planner.runs, compare_runs);
+  sum_runs (&planner);
   for (size_t i = 0; i < count; i++)
     jobs[i].verdict = TRIAGE_NONE;
   size_t priority_count = list_priorities (jobs, count, priorities);
@@ -405,8 +382,7 @@
   }
   TriageResult result = summarize (&planner, count);
   free (planner.runs);
-  free (planner.higher);
-  free (planner.others);
+  free (planner.sums);
   free (planner.entries);
   free (planner.heap);
   free (planner.tree);
--- a/src/dag/triage.h
+++ b/src/dag/triage.h
@@ -49,22 +49,13 @@
 typedef struct {
   TriageAmount demand;
   int64_t ends_at; /* expected */
-  int32_t priority;
 } TriageRun;
 
-/* Capacity that future jobs of a priority are expected to take. */
-typedef struct {
-  int32_t priority;
-  TriageAmount demand;
-} TriageRate;
-
 typedef struct {
   int64_t now_ms;
   TriageAmount capacity; /* without what long-running tasks take */
   const TriageRun *runs;
   size_t run_count;
-  const TriageRate *rates;
-  size_t rate_count;
 } TriageCell;
 
 typedef struct {
