triage: a job that only runs keep from its objective is not left out

At half load a short job was left out because the runs were expected to end too late for it, which helps no other job. Such a job keeps its place unless it was left out before.

--- a/src/dag/triage.c
+++ b/src/dag/triage.c
@@ -109,7 +109,7 @@
   return done->work + (all->demand - done->demand) * (double) passed_ms;
 }
 
-/* Sets the room of the entries, which are sorted by due_at. */
+/* Sets the room of the entries, which are sorted by due_at, and excepts some from the choice. */
 static void
 set_room (Planner *planner, size_t count)
 {
@@ -121,10 +121,18 @@
     while (ended < cell->run_count && planner->runs[ended].ends_at <= entry->due_at)
       ended++;
     int64_t passed_ms = entry->due_at > cell->now_ms ? entry->due_at - cell->now_ms : 0;
-    double room = planner->capacity * (double) passed_ms - planner->ahead
-                  - run_work (planner, ended, passed_ms);
+    double idle = planner->capacity * (double) passed_ms;
+    double running = run_work (planner, ended, passed_ms);
+    double room = idle - planner->ahead - running;
     before = room > before ? room : before;
     entry->room = before;
+    /* Only the runs are in its way, and when they end is not known exactly: to leave it out would
+       help no other job. */
+    if (!planner->jobs[entry->job].left_out && entry->work <= idle
+        && entry->work > idle - running) {
+      entry->work = 0;
+      entry->density = INFINITY;
+    }
   }
 }
 
