--- a/src/dag/dag_runtime.c
+++ b/src/dag/dag_runtime.c
@@ -180,7 +180,7 @@
     if (!fastest || target->speed.mean > fastest->speed.mean)
       fastest = target;
   }
-  if (dag->classes.count > 1)
+  if (slowest && fastest && dag->classes.count > 1)
     DAG_LOG (dag, GR_EV_SPEEDS, "classes=%zu slowest=%.*s lowest=%.2f fastest=%.*s highest=%.2f",
              dag->classes.count, GR_NAME_ARG (slowest->info.id),
              learn_speed_factor (&slowest->speed), GR_NAME_ARG (fastest->info.id),
--- a/src/dag/dag_speed.c
+++ b/src/dag/dag_speed.c
@@ -11,7 +11,7 @@
    short work ended in time less often in a full cell, with a larger share wide steps did in one
    with room (tests/test_dag_speed.c at 1 to 1.4 times its load). */
 #define SPARE_SHARE 0.3
-/* Most targets that have left and whose speed is remembered. */
+/* Most targets that have left and whose speed is remembered; then all of them are forgotten. */
 #define KNOWN_SPEEDS_MAX 2000
 /* Weight of one start in the moving average DagState.start_delay_ms. */
 #define START_DELAY_WEIGHT 0.02
@@ -29,11 +29,8 @@
   DagKnownSpeed *known = NULL;
   HASH_FIND (hh, dag->known_speeds, id->data, id->len, known);
   if (!known) {
-    if (HASH_COUNT (dag->known_speeds) >= KNOWN_SPEEDS_MAX) {
-      DagKnownSpeed *oldest = dag->known_speeds;
-      HASH_DEL (dag->known_speeds, oldest);
-      free (oldest);
-    }
+    if (HASH_COUNT (dag->known_speeds) >= KNOWN_SPEEDS_MAX)
+      dag_speed_clear (dag);
     known = gr_calloc (1, sizeof *known);
     known->id = *id;
     HASH_ADD_KEYPTR (hh, dag->known_speeds, known->id.data, known->id.len, known);
@@ -96,7 +93,9 @@
 measured_run_ms (const DagTask *task, int64_t now_ms)
 {
   const DagTarget *target = task->target;
-  if (!task->timed || task->pace != 100 || is_misplaced (task))
+  /* Ends during a silence are reported when it is over. */
+  if (!task->timed || target->silent_at >= task->work_at || task->pace != 100
+      || is_misplaced (task))
     return 0;
   int64_t run_ms = task->work_clock_ms > 0 && target->clock_ms > task->work_clock_ms
                        ? target->clock_ms - task->work_clock_ms
--- a/src/learn/learn_runtime.c
+++ b/src/learn/learn_runtime.c
@@ -84,6 +84,7 @@
 static double
 error_quantile (const LearnRuntime *model, double share)
 {
+  int middle = LEARN_ERROR_BINS / 2;
   double total = 0, sum = 0;
   for (int i = 0; i < LEARN_ERROR_BINS; i++)
     total += model->errors[i];
@@ -91,7 +92,7 @@
     double next = sum + model->errors[i];
     if (model->errors[i] > 0 && next >= share * total) {
       double part = (share * total - sum) / model->errors[i];
-      return ((double) (i - LEARN_ERROR_BINS / 2) - 0.5 + part) / BINS_PER_UNIT;
+      return ((double) i - (double) middle - 0.5 + part) / BINS_PER_UNIT;
     }
     sum = next;
   }
@@ -120,9 +121,9 @@
 static void
 add_error (LearnRuntime *model, double error, double weight)
 {
-  double middle = LEARN_ERROR_BINS / 2;
+  int middle = LEARN_ERROR_BINS / 2;
   double bin = clip (round (error * BINS_PER_UNIT), middle);
-  model->errors[(int) (bin + middle)] += weight;
+  model->errors[(int) bin + middle] += weight;
 }
 
 static void
--- a/src/learn/learn_speed.c
+++ b/src/learn/learn_speed.c
@@ -10,7 +10,7 @@
 #define PRIOR_VARIANCE 0.25
 /* A value that is not observed has lost most of its weight after this time, so that a target that
    was slow for a while is tried again. */
-#define FADE_MS 300000.0
+#define FADE_MS 1200000.0
 /* Run times of one step are taken to differ by a fifth until some have been compared. */
 #define NOISE_INITIAL 0.04
 #define NOISE_MIN 0.01
@@ -30,8 +30,9 @@
 #define CLASS_SEPARATION 3.0
 /* Smaller differences (log 1.1) are below what the objective of a job allows for. */
 #define CLASS_MIN_DIFFERENCE 0.095
-/* Targets above this variance do not shape the classes. */
-#define CLASS_MAX_VARIANCE 0.01
+/* Targets above this variance do not shape the classes, and do not count for the mean. */
+#define CLASS_MAX_VARIANCE 0.03
+#define ANCHOR_MAX_VARIANCE 0.1
 
 void
 learn_noise_init (LearnNoise *noise)
@@ -219,22 +220,36 @@
   return x->mean < y->mean ? -1 : x->mean > y->mean;
 }
 
-/* Moves the values that are well known to the front, and their mean to 0. Returns their number. */
-static size_t
+/* Shifts the values of which something is known so that their mean is 0. Only well known ones would
+   be those of targets that get much work, which need not be typical. */
+static void
 centre (LearnSpeed **speeds, size_t count)
+{
+  double sum = 0, known = 0;
+  for (size_t i = 0; i < count; i++) {
+    if (speeds[i]->variance > ANCHOR_MAX_VARIANCE)
+      continue;
+    sum += speeds[i]->mean;
+    known++;
+  }
+  for (size_t i = 0; i < count; i++) {
+    if (speeds[i]->variance <= ANCHOR_MAX_VARIANCE)
+      speeds[i]->mean -= sum / known;
+  }
+}
+
+/* Moves the values that are well known to the front and returns their number. */
+static size_t
+take_known (LearnSpeed **speeds, size_t count)
 {
   size_t known = 0;
-  double sum = 0;
   for (size_t i = 0; i < count; i++) {
     LearnSpeed *speed = speeds[i];
     if (speed->variance > CLASS_MAX_VARIANCE)
       continue;
-    sum += speed->mean;
     speeds[i] = speeds[known];
     speeds[known++] = speed;
   }
-  for (size_t i = 0; i < known; i++)
-    speeds[i]->mean -= sum / (double) known;
   return known;
 }
 
@@ -303,14 +318,15 @@
 learn_speed_classify (LearnSpeed **speeds, size_t count, LearnClasses *classes)
 {
   Range ranges[LEARN_SPEED_CLASSES_MAX];
-  size_t known = centre (speeds, count);
+  centre (speeds, count);
+  size_t known = take_known (speeds, count);
   *classes = (LearnClasses){ .count = 1, .factor = { 1 } };
   if (known > 1) {
     /* NOLINTNEXTLINE(bugprone-sizeof-expression): a list of pointers */
     qsort (speeds, known, sizeof *speeds, compare_speeds);
     classes->count = split_classes (speeds, known, ranges);
   }
-  for (size_t c = 0; c < classes->count && known > 1; c++)
+  for (size_t c = 0; c < classes->count && classes->count > 1; c++)
     classes->factor[c] = exp (mean_of (speeds, ranges[c]));
   for (size_t i = 0; i < count; i++) {
     double factor = learn_speed_factor (speeds[i]);
