dag: the plan is also dropped when nothing waits any more

The plan was updated in placement passes only, so that verdicts, metrics and admission kept the last overload once no step was left to place. It is updated with each tick now, and not at all while nothing waits and nothing is left of an overload. The targets of the load test report true progress: their figure repeated itself every 970 ms, and runs were stopped as stalled.

--- a/src/dag/dag.c
+++ b/src/dag/dag.c
@@ -246,6 +246,7 @@
   dag_avail_tick (dag, now_ms);
   if (dag->ready.count > 0 && now_ms - dag->placed_at >= PLACEMENT_RETRY_MS)
     dag->place_wanted = true;
+  dag_triage_update (dag, now_ms);
   dag_place (dag, now_ms);
   drop_expired_jobs (dag, now_ms);
 }
--- a/src/dag/dag_place.c
+++ b/src/dag/dag_place.c
@@ -404,7 +404,6 @@
   drop_placed_steps (dag);
   if (dag->ready.count == 0 || dag->target_list.count == 0)
     return;
-  dag_triage_update (dag, now_ms);
   sort_ready_steps (dag, now_ms);
   DagCandidate *candidates = gr_calloc (dag->target_list.count, sizeof *candidates);
   int64_t budget = advice_budget (dag, now_ms);
--- a/src/dag/dag_priv.h
+++ b/src/dag/dag_priv.h
@@ -665,7 +665,7 @@
 
 /* dag_triage.c */
 /* Plans which jobs can meet their deadlines, if the cell lacks room and the last plan is not too
-   recent. To be called before the steps of a placement pass are sorted. */
+   recent. To be called before each placement pass. */
 void dag_triage_update (DagState *dag, int64_t now_ms);
 /* A job was accepted or loaded. */
 void dag_triage_note_job (DagState *dag, const DagJob *job);
--- a/src/dag/dag_triage.c
+++ b/src/dag/dag_triage.c
@@ -161,7 +161,8 @@
   for (size_t i = 0; i < dag->ready.count; i++) {
     const DagStep *step = dag->ready.items[i];
     GrRes demand = dag_reserved_demand (&step->spec);
-    if (gr_name_equal (&step->job->queue.service, service) && !step->spec.long_running)
+    if (gr_name_equal (&step->job->queue.service, service) && !step->spec.long_running
+        && dag_step_is_ready (step))
       add_amount (&plan->wanted, &demand, step->waiting);
   }
 }
@@ -364,10 +365,22 @@
   gr_metric_set (dag->options.metrics, GR_METRIC_OVERLOADED, overloaded);
 }
 
+/* True if nothing waits and nothing is left of an earlier overload. */
+static bool
+is_calm (const DagState *dag)
+{
+  for (size_t i = 0; i < dag->triage.loads.count; i++) {
+    if (dag->triage.loads.items[i]->judged || dag->triage.loads.items[i]->overloaded
+        || dag->triage.loads.items[i]->result.capacity > 0)
+      return false;
+  }
+  return dag->ready.count == 0;
+}
+
 void
 dag_triage_update (DagState *dag, int64_t now_ms)
 {
-  if (dag->options.no_triage)
+  if (dag->options.no_triage || is_calm (dag))
     return;
   if (dag->triage.planned_at > 0 && now_ms - dag->triage.planned_at < PLAN_INTERVAL_MS)
     return;
--- a/tests/load_world.h
+++ b/tests/load_world.h
@@ -53,7 +53,7 @@
 
 typedef struct {
   DagTaskRef task;
-  int64_t run, ends_at;
+  int64_t run, started_at, ends_at;
 } LoadRun;
 
 typedef struct {
@@ -79,6 +79,7 @@
   GR_LIST (LoadAdvice) advice;
   GR_LIST (LoadJob) jobs;
   LoadTarget *targets;
+  GrMetrics *metrics;
   uint64_t random_state;
   size_t submitted, open;
   uint64_t starts; /* hash of all starts in their order */
@@ -155,11 +156,13 @@
 load_new (const LoadOptions *options)
 {
   LoadWorld world = { .options = *options, .random_state = options->seed };
+  world.metrics = gr_calloc (1, sizeof *world.metrics);
   DagOptions dag_options = { .lease_ms = LEASE_MS,
                              .lease_max_ms = 2 * LEASE_MS,
                              .stop_timeout_ms = 200,
                              .status_keep_ms = 60000,
                              .quiet = !getenv ("LOAD_TRACE"),
+                             .metrics = world.metrics,
                              .no_triage = options->no_triage };
   world.fixture = (Fixture){ dag_new (&dag_options, NULL), LOAD_START_MS, 0 };
   DagQueue queues[LOAD_KINDS_MAX];
@@ -201,7 +204,7 @@
   const LoadJob *job = load_job (world, &ref->job);
   assert_true (target->run_count < LOAD_RUNS_MAX);
   target->runs[target->run_count++]
-      = (LoadRun){ *ref, cmd->u.start.run,
+      = (LoadRun){ *ref, cmd->u.start.run, world->fixture.now_ms,
                    world->fixture.now_ms + (int64_t) job->run_ms[ref->step][ref->index] };
   uint64_t start = (uint64_t) (job - world->jobs.items) << 32 | ref->step << 16 | ref->index;
   world->starts = (world->starts ^ start ^ (uint64_t) world->fixture.now_ms << 20) * 1099511628211U;
@@ -214,11 +217,15 @@
 {
   LoadTarget *target = &world->targets[number];
   DagRunReport reports[LOAD_RUNS_MAX];
-  for (int r = 0; r < target->run_count; r++)
-    reports[r] = (DagRunReport){ .task = target->runs[r].task,
-                                 .run = target->runs[r].run,
-                                 .percent = (int32_t) (world->fixture.now_ms / 10 % 97),
-                                 .usage = -1 };
+  for (int r = 0; r < target->run_count; r++) {
+    const LoadRun *run = &target->runs[r];
+    int64_t worked = world->fixture.now_ms - run->started_at;
+    reports[r]
+        = (DagRunReport){ .task = run->task,
+                          .run = run->run,
+                          .percent = (int32_t) (worked * 99 / (run->ends_at - run->started_at + 1)),
+                          .usage = -1 };
+  }
   DagInventory inventory = { .incarnation = 1,
                              .clock_ms = world->fixture.now_ms,
                              .running = reports,
@@ -443,4 +450,5 @@
   gr_list_clear (&world->advice);
   gr_list_clear (&world->jobs);
   free (world->targets);
+  free (world->metrics);
 }
--- a/tests/test_dag_overload.c
+++ b/tests/test_dag_overload.c
@@ -78,6 +78,16 @@
   return options;
 }
 
+/* Nothing of an overload is left some seconds after the last job has ended. */
+static void
+check_calm (LoadWorld *world)
+{
+  for (int i = 0; i < 300; i++)
+    dag_tick (world->fixture.dag, world->fixture.now_ms += LOAD_STEP_MS);
+  assert_int_equal (world->metrics->values[GR_METRIC_LEFT_OUT], 0);
+  assert_int_equal (world->metrics->values[GR_METRIC_OVERLOADED], 0);
+}
+
 static void
 triage_brings_more_jobs_into_aim (void **state)
 {
@@ -102,6 +112,7 @@
         LoadScore score = load_run (&world, UNTIL_MS);
         if (score.never > 0)
           fail_msg ("%s: %zu jobs never end", loads[l].name, score.never);
+        check_calm (&world);
         aim[triage] += (double) score.all_in_aim / (double) score.all / SEEDS;
         value[triage] += score.value / SEEDS;
         bound += load_bound (&world) / 2 / SEEDS;
