--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -295,6 +295,7 @@
   gr_metric_set (metrics, GR_METRIC_RUNNING, 0);
   gr_metric_set (metrics, GR_METRIC_QUEUED, 0);
   gr_metric_set (metrics, GR_METRIC_FREE_CPU, 0);
+  gr_metric_set (metrics, GR_METRIC_ACCOUNTS_AT_MAXIMUM, 0);
 }
 
 const CellConfig *
--- a/src/dag/dag_report.c
+++ b/src/dag/dag_report.c
@@ -57,13 +57,13 @@
   DAG_LOG (dag, GR_EV_STEP_WAITS,
            "id=%.*s step=%u gang=%d tasks=%d waiting=%d done=%d cpu=%d since_ms=%lld late=%d "
            "suspected=%d asked=%zu asks_open=%zu allowed=%zu valid=%zu room=%d room_expired=%d "
-           "room_idle=%d account=%.*s account_lacks=%s",
+           "room_idle=%d account=%.*s account_lacks=%s beyond_share=%d",
            GR_NAME_ARG (step->job->id), step->number, step->spec.gang, step->spec.count,
            step->waiting, step->done, step->spec.demand.v[GR_RES_CPU_MILLI],
            (long long) (now_ms - step->job->accepted_at), now_ms > step->job->hard_deadline_at,
            step->suspects, step->advised_targets.count, step->advice_calls.count,
            step->permits.count, valid, room, room_expired, room_idle, GR_NAME_ARG (account),
-           lack ? lack : "none");
+           lack ? lack : "none", step->job->beyond_share);
 }
 
 void
