dag: payloads count towards the bound of waiting work

A bound on tasks alone allowed 12,288 payloads of 256 KB. 2,048 bytes of payload now count as a further task, about what a task takes: 1,776 bytes in steps of three with 30 permits, measured. Seen to fail without either of the two counts.

--- a/src/dag/dag_share.c
+++ b/src/dag/dag_share.c
@@ -16,9 +16,11 @@
 #define MS_PER_S 1000.0
 /* A bucket holds what is refilled in this time, and at least one job. */
 #define BURST_S 1.0
-/* Waiting tasks of all accounts: a quarter of the smallest VM's 120 MB, at about 2.5 KB for each,
-   with its part of the job, the step and its permits. */
-#define WAITING_TASKS_MAX (30 * 1024 * 1024 / 2560)
+/* Waiting tasks of all accounts. In steps of three tasks with 30 permits each takes 1.8 KB, so all
+   take a fifth of the smallest VM's 120 MB. */
+#define WAITING_TASKS_MAX 12288
+/* So many bytes of the payload of an open job count as another waiting task. */
+#define PAYLOAD_BYTES_PER_TASK 2048
 /* Weight of the past in the rate at which tasks of an account leave the backlog. */
 #define DRAIN_MEMORY_MS 5000.0
 /* Longest Retry-After. The rate of the past tells little about later times. */
@@ -69,9 +71,9 @@
 static int64_t
 waiting_of (const DagJob *job)
 {
-  int64_t waiting = 0;
   if (!dag_job_is_open (job) || dag_has_timetable (job))
     return 0;
+  int64_t waiting = (int64_t) (job->payload_len / PAYLOAD_BYTES_PER_TASK);
   for (size_t s = 0; s < job->step_count; s++)
     waiting += job->steps[s].waiting;
   return waiting;
@@ -273,8 +275,10 @@
 static int64_t
 task_count (const DagJobSpec *spec)
 {
-  int64_t tasks = 0;
-  for (size_t s = 0; s < spec->step_count && spec->timetable.count == 0; s++)
+  if (spec->timetable.count > 0)
+    return 0;
+  int64_t tasks = (int64_t) (spec->payload.len / PAYLOAD_BYTES_PER_TASK);
+  for (size_t s = 0; s < spec->step_count; s++)
     tasks += spec->steps[s].count;
   return tasks;
 }
--- a/tests/test_dag_share.c
+++ b/tests/test_dag_share.c
@@ -340,6 +340,32 @@
   dag_free (fixture.dag);
 }
 
+/* Guards against memory that is filled by large payloads of few tasks: 256 KB count as 128 tasks.
+ */
+static void
+payloads_count_as_waiting (void **state)
+{
+  (void) state;
+  Fixture fixture = new_fixture (false, 0, 0);
+  set_accounts (&fixture, &(Account){ "a", 1, 0, 0 }, 1);
+  static char payload[256 * 1024];
+  DagStepSpec step = step_of (1, CPU, false);
+  DagSubmitResult result = DAG_SUBMIT_PENDING;
+  int accepted = 0;
+  for (; result == DAG_SUBMIT_PENDING && accepted < 200; accepted++) {
+    DagJobSpec spec = { .id = gr_name (numbered ("job", accepted)),
+                        .queue = gr_name ("q"),
+                        .account = gr_name ("a"),
+                        .payload = { payload, sizeof payload },
+                        .steps = &step,
+                        .step_count = 1 };
+    int64_t retry_ms;
+    result = dag_submit (fixture.dag, &spec, 1, fixture.now_ms, &retry_ms, NULL);
+  }
+  assert_int_equal (accepted - 1, 12288 / 129);
+  dag_free (fixture.dag);
+}
+
 /* Guards against work within the share that grows without bound while no other work can yield, and
    against a bound that stays after the work has gone. */
 static void
@@ -387,6 +413,7 @@
     cmocka_unit_test (one_pass_serves_accounts_in_turns),
     cmocka_unit_test (turns_of_a_pass_are_bounded),
     cmocka_unit_test (submissions_beyond_the_share_are_bounded),
+    cmocka_unit_test (payloads_count_as_waiting),
     cmocka_unit_test (submissions_within_the_share_yield_last),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
