--- a/src/learn/learn_speed.c
+++ b/src/learn/learn_speed.c
@@ -317,7 +317,7 @@
 void
 learn_speed_classify (LearnSpeed **speeds, size_t count, LearnClasses *classes)
 {
-  Range ranges[LEARN_SPEED_CLASSES_MAX];
+  Range ranges[LEARN_SPEED_CLASSES_MAX] = { { 0 } };
   centre (speeds, count);
   size_t known = take_known (speeds, count);
   *classes = (LearnClasses){ .count = 1, .factor = { 1 } };
