learn: smaller steady error of speeds

Three very long runs in a hundred kept the variance at twice what the memory allows. Equal targets give the same commands in 12 of 12 schedules.

--- a/src/learn/learn_speed.c
+++ b/src/learn/learn_speed.c
@@ -18,15 +18,19 @@
 /* Weight of one comparison in the moving average of the noise. */
 #define NOISE_WEIGHT 0.005
 /* The variance of a speed is at least that of the noise divided by this, so that about the newest
-   20 runs decide and a change of the speed is followed. */
-#define MEMORY_ENDS 20
+   50 runs decide and a change of the speed is followed. */
+#define MEMORY_ENDS 50
 /* Deviations count up to this multiple of their standard deviation: few runs take many times as
    long as others. */
 #define CLIP 2.5
+/* Factor of the variance after an unusual run. At 2, three very long runs in a hundred kept the
+   variance at twice what it is now. */
+#define UNUSUAL_GROWTH 1.5
 /* A restart may bring other hardware. */
 #define RESTART_VARIANCE 0.06
 /* Classes differ by at least this multiple of the standard deviation of the difference between two
-   of their members. Splitting equal targets by their errors gives 1.1. */
+   of their members. Splitting equal targets by their errors gives 1.1. At 2.5 one of
+   12 schedules of equal targets had two classes for a time. */
 #define CLASS_SEPARATION 3.0
 /* Smaller differences (log 1.1) are below what the objective of a job allows for. */
 #define CLASS_MIN_DIFFERENCE 0.095
@@ -163,7 +167,7 @@
   unusual |= fabs (deviation) > limit;
   double gain = speed->variance / variance;
   speed->mean -= gain * clip (deviation, limit);
-  speed->variance *= unusual ? 2 : 1 - gain;
+  speed->variance *= unusual ? UNUSUAL_GROWTH : 1 - gain;
   speed->variance = fmin (fmax (speed->variance, floor), PRIOR_VARIANCE);
 }
 
