--- a/src/dag/dag_advice.c
+++ b/src/dag/dag_advice.c
@@ -163,7 +163,7 @@
 }
 
 static void
-collect_candidates (DagState *dag, const DagStep *step, AdviceState *out, int64_t now_ms)
+collect_candidates (DagState *dag, DagStep *step, AdviceState *out, int64_t now_ms)
 {
   const DagQueue *queue = &step->job->queue;
   int64_t needed_until = now_ms + DAG_TICKET_MARGIN_MS;
--- a/src/dag/dag_priv.h
+++ b/src/dag/dag_priv.h
@@ -111,6 +111,14 @@
   uint64_t serial;  /* of the job */
 } DagStepOrder;
 
+/* Run times of the tasks of a step at the mean speed, kept for some placement passes. */
+typedef struct {
+  bool known;
+  int64_t known_at;
+  double expected, long_one,
+      long_all; /* dag_expected_run(), dag_long_run() of one task and of all */
+} DagStepRuns;
+
 struct DagStep {
   DagJob *job;
   DagStepOrder order; /* of the newest placement pass */
@@ -118,7 +126,8 @@
   DagStepSpec spec;
   int64_t critical_path_ms; /* expected time from the start of this step to the end of its job */
   int64_t after_ms;         /* the part of it after this step */
-  uint64_t work_kind;       /* dag_work_kind() of its queue and image */
+  DagStepRuns runs;
+  uint64_t work_kind; /* dag_work_kind() of its queue and image */
   DagTask *tasks;
   int32_t waiting;      /* tasks in TASK_WAITING */
   int32_t done;         /* tasks in TASK_DONE */
@@ -705,7 +714,7 @@
 /* Measures the room in the classes of speed, for a placement pass. */
 void dag_speed_measure_room (DagState *dag, int64_t now_ms);
 /* Order of the classes of speed for the step if it starts now. */
-void dag_speed_rank (const DagState *dag, const DagStep *step, int64_t now_ms, DagSpeedRank *out);
+void dag_speed_rank (const DagState *dag, DagStep *step, int64_t now_ms, DagSpeedRank *out);
 int32_t dag_speed_rank_of (const DagSpeedRank *rank, const DagTarget *target);
 
 /* dag_learn_codec.c */
--- a/src/dag/dag_speed.c
+++ b/src/dag/dag_speed.c
@@ -11,6 +11,8 @@
    short work ended in time less often in a full cell, with a larger share wide steps did in one
    with room (tests/test_dag_speed.c at 1 to 1.4 times its load). */
 #define SPARE_SHARE 0.3
+/* Expected run times of a waiting step are computed again after this time. */
+#define RUNS_KEPT_MS 500
 /* Most targets that have left and whose speed is remembered; then all of them are forgotten. */
 #define KNOWN_SPEEDS_MAX 2000
 /* Weight of one start in the moving average DagState.start_delay_ms. */
@@ -185,20 +187,35 @@
   return left_ms > 0 ? run_ms / (double) left_ms : INFINITY;
 }
 
-/* Speed at which this number of tasks of the step end within its time if they start now. An
-   objective that is out of reach even on the fastest targets must not occupy them: then the hard
-   deadline counts. */
+/* Computing them takes microseconds, and a pass visits hundreds of steps. */
+static void
+renew_runs (DagStep *step, int64_t now_ms)
+{
+  DagStepRuns *runs = &step->runs;
+  if (runs->known && now_ms - runs->known_at < RUNS_KEPT_MS)
+    return;
+  runs->known = true;
+  runs->known_at = now_ms;
+  runs->expected = dag_expected_run (step);
+  runs->long_one = dag_long_run (step, 1);
+  /* The members of a gang end together. */
+  runs->long_all = step->spec.gang ? runs->long_one : dag_long_run (step, step->spec.count);
+}
+
+/* Speed at which a run that takes long_ms at the mean speed ends within the time of the step if it
+   starts now. An objective that is out of reach even on the fastest targets must not occupy them:
+   then the hard deadline counts. */
 static double
-needed_speed (const DagState *dag, const DagStep *step, int32_t tasks, int64_t now_ms)
+needed_speed (const DagState *dag, const DagStep *step, double long_ms, int64_t now_ms)
 {
   const DagJob *job = step->job;
   /* The end of a run takes the way of its start: a message and a record. */
   int64_t ready_at = now_ms + 2 * (int64_t) dag->start_delay_ms + step->after_ms;
   double fastest = dag->classes.factor[dag->classes.count - 1];
   int64_t deadline = job->aim_at;
-  if (speed_for (dag_expected_run (step), deadline - ready_at) > fastest)
+  if (speed_for (step->runs.expected, deadline - ready_at) > fastest)
     deadline = job->hard_deadline_at;
-  double needed = speed_for (dag_long_run (step, tasks), deadline - ready_at);
+  double needed = speed_for (long_ms, deadline - ready_at);
   return deadline == job->hard_deadline_at && needed > fastest ? 0 : needed;
 }
 
@@ -230,16 +247,17 @@
 }
 
 void
-dag_speed_rank (const DagState *dag, const DagStep *step, int64_t now_ms, DagSpeedRank *out)
+dag_speed_rank (const DagState *dag, DagStep *step, int64_t now_ms, DagSpeedRank *out)
 {
   *out = (DagSpeedRank){ 0 };
   /* Long-running and best-effort tasks have no run time. */
   if (dag->classes.count < 2 || step->spec.long_running || step->spec.best_effort_cpu)
     return;
-  double needed = needed_speed (dag, step, 1, now_ms);
+  renew_runs (step, now_ms);
+  double needed = needed_speed (dag, step, step->runs.long_one, now_ms);
   /* The last of many tasks takes longer than one does. Where only that asks for faster targets, the
      step gets them while they have room to spare. */
-  double needed_by_all = needed_speed (dag, step, step->spec.gang ? 1 : step->spec.count, now_ms);
+  double needed_by_all = needed_speed (dag, step, step->runs.long_all, now_ms);
   if (dag->class_free[slowest_class (&dag->classes, needed_by_all)] >= SPARE_SHARE)
     needed = needed_by_all;
   learn_speed_rank (&dag->classes, needed, out->of_class);
