--- a/src/net/net_guard.c
+++ b/src/net/net_guard.c
@@ -38,6 +38,7 @@
   GR_LIST (NetGuardConn *) unhooked;
   NetBudgetCmds cmds;
   bool deciding;
+  bool full; /* a new connection waits */
   NetHttpServerStats stats;
 };
 
@@ -280,6 +281,19 @@
   guard->deciding = false;
 }
 
+static void
+make_room (NetGuard *guard)
+{
+  if (guard->deciding)
+    return;
+  guard->deciding = true;
+  gr_list_reset (&guard->cmds);
+  net_budget_make_room (guard->budget, now_ms (guard), &guard->cmds);
+  for (size_t i = 0; i < guard->cmds.count; i++)
+    carry_out (guard->cmds.items[i].user, guard->cmds.items[i].verb);
+  guard->deciding = false;
+}
+
 static void
 on_sweep (uv_timer_t *timer)
 {
@@ -291,6 +305,8 @@
       close_conn (conn);
   }
   decide (guard);
+  if (guard->full)
+    make_room (guard);
 }
 
 /* Replaces what h2o has set to be called when bytes arrive. */
@@ -463,16 +479,11 @@
 }
 
 void
-net_guard_make_room (NetGuard *guard)
+net_guard_set_full (NetGuard *guard, bool full)
 {
-  if (guard->deciding)
-    return;
-  guard->deciding = true;
-  gr_list_reset (&guard->cmds);
-  net_budget_make_room (guard->budget, now_ms (guard), &guard->cmds);
-  for (size_t i = 0; i < guard->cmds.count; i++)
-    carry_out (guard->cmds.items[i].user, guard->cmds.items[i].verb);
-  guard->deciding = false;
+  guard->full = full;
+  if (full)
+    make_room (guard);
 }
 
 NetHttpServerStats
--- a/src/net/net_guard.h
+++ b/src/net/net_guard.h
@@ -36,6 +36,7 @@
 void net_guard_reply (NetGuardConn *conn);
 /* h2o has released the request; the next one may follow. */
 void net_guard_request_end (NetGuardConn *conn);
-/* Closes a connection in favour of a new one, if there is one that may be closed. */
-void net_guard_make_room (NetGuard *guard);
+/* A new connection waits, or none does any more. While one waits, connections that may be closed
+   are closed in favour of it, one at a time. */
+void net_guard_set_full (NetGuard *guard, bool full);
 NetHttpServerStats net_guard_stats (const NetGuard *guard);
--- a/src/net/net_http.h
+++ b/src/net/net_http.h
@@ -19,6 +19,7 @@
                               closed; without one they wait in the listen backlog; default 4096 */
   int64_t memory_bytes;    /* for requests that are read or processed, see net_budget.h; at least
                               four of the largest fit; default 41943040 */
+  int64_t receive_buffer_bytes; /* of the system for each connection; default: that of the system */
   int64_t io_timeout_ms; /* slow senders of a request and readers of a reply are closed after this,
                             see net_budget.h for the lower limits of its parts; default 30000 */
   const char *kept_header; /* lower-case name of a header passed to the handler; may be NULL */
--- a/src/net/net_http_server.c
+++ b/src/net/net_http_server.c
@@ -328,6 +328,7 @@
   server->conn_count--;
   if (server->accept_pending && server->accepting) {
     server->accept_pending = false;
+    net_guard_set_full (server->guard, false);
     accept_one (server);
   }
   dispose_when_unused (server);
@@ -382,7 +383,7 @@
   /* Until uv_accept() is called, libuv holds this connection and accepts no others. */
   if (server->conn_count >= server->max_connections) {
     server->accept_pending = true;
-    net_guard_make_room (server->guard);
+    net_guard_set_full (server->guard, true);
     return;
   }
   accept_one (server);
@@ -490,6 +491,10 @@
   setup_h2o (server, options);
   server->guard = new_guard (server, options);
   int rc = uv_tcp_bind (&server->listener, (struct sockaddr *) &addr, 0);
+  int receive_bytes = (int) options->receive_buffer_bytes;
+  /* Accepted connections inherit it. */
+  if (rc == 0 && receive_bytes > 0)
+    rc = uv_recv_buffer_size ((uv_handle_t *) &server->listener, &receive_bytes);
   if (rc == 0)
     rc = uv_listen ((uv_stream_t *) &server->listener, BACKLOG, on_connection);
   if (rc != 0) {
