triage: accounts lose jobs by their work for their weight; no plan while most targets do not answer

Within a group the plan also took jobs by deadline alone, so one account could lose all of its jobs to another of the same weight. Change: the plan needs half of the listed capacity to be usable; worth for work falls with the work that the account has before the job, divided by its weight. The bound of waiting tasks is doubled: after a loss of power the backlog of a cell of 350 targets reached it, and accounts within their share were refused.

--- a/src/dag/dag_share.c
+++ b/src/dag/dag_share.c
@@ -17,8 +17,8 @@
 /* A bucket holds what is refilled in this time, and at least one job. */
 #define BURST_S 1.0
 /* Waiting tasks of all accounts. In steps of three tasks with 30 permits each takes 1.8 KB, so all
-   take a fifth of the smallest VM's 120 MB. */
-#define WAITING_TASKS_MAX 12288
+   take less than half of the smallest VM's 120 MB. */
+#define WAITING_TASKS_MAX 24576
 /* So many bytes of the payload of an open job count as another waiting task. */
 #define PAYLOAD_BYTES_PER_TASK 2048
 /* Weight of the past in the rate at which tasks of an account leave the backlog. */
--- a/src/dag/dag_triage.c
+++ b/src/dag/dag_triage.c
@@ -29,6 +29,7 @@
 typedef struct {
   DagLoad *load;
   TriageAmount capacity, used, wanted; /* wanted: by waiting tasks */
+  double listed_cpu;                   /* of the targets in the list, usable or not */
   GR_LIST (TriageRun) runs;
   GR_LIST (TriageJob) jobs;
   GR_LIST (DagJob *) of; /* the job of each entry */
@@ -138,7 +139,11 @@
   const GrName *service = &plan->load->service;
   for (size_t i = 0; i < dag->target_list.count; i++) {
     const DagTarget *target = dag->target_list.items[i];
-    if (!dag_target_usable (target, now_ms) || !gr_name_equal (&target->info.service, service))
+    if (!gr_name_equal (&target->info.service, service))
+      continue;
+    if (target->listed && !target->info.draining)
+      plan->listed_cpu += target->info.capacity.v[GR_RES_CPU_MILLI];
+    if (!dag_target_usable (target, now_ms))
       continue;
     add_amount (&plan->capacity, &target->info.capacity, 1);
     add_amount (&plan->used, &target->used, 1);
@@ -163,6 +168,14 @@
   return false;
 }
 
+/* False if most targets do not answer, as just after a takeover: what the cell can do in the next
+   seconds is not known then. */
+static bool
+knows_capacity (const Plan *plan)
+{
+  return 2 * plan->capacity.v[GR_RES_CPU_MILLI] >= plan->listed_cpu;
+}
+
 static void
 add_job (DagState *dag, Plan *plan, DagJob *job, int64_t now_ms)
 {
@@ -179,6 +192,8 @@
                       .best = best_verdict (job, now_ms),
                       .priority = job->queue.priority,
                       .beyond_share = job->beyond_share,
+                      .account = job->client ? gr_name_hash (&job->client->policy.name, 0) : 0,
+                      .weight = job->client ? dag_client_weight (job->client) : 1,
                       .left_out = job->verdict != TRIAGE_OBJECTIVE };
   gr_list_push (&plan->jobs, entry);
   gr_list_push (&plan->of, job); /* NOLINT(bugprone-sizeof-expression): a list of pointers */
@@ -326,7 +341,7 @@
 {
   Plan plan = { .load = load };
   measure (dag, &plan, now_ms);
-  if (lacks_room (&plan))
+  if (lacks_room (&plan) && knows_capacity (&plan))
     judge (dag, &plan, now_ms);
   else
     clear_verdicts (dag, load);
--- a/src/dag/triage.c
+++ b/src/dag/triage.c
@@ -299,6 +299,41 @@
   }
 }
 
+static int
+compare_accounts (const void *a, const void *b, void *user)
+{
+  const TriageJob *jobs = user;
+  const Entry *x = a, *y = b;
+  uint64_t x_account = jobs[x->job].account, y_account = jobs[y->job].account;
+  if (x_account != y_account)
+    return x_account < y_account ? -1 : 1;
+  if (x->density != y->density)
+    return x->density > y->density ? -1 : 1;
+  return compare_entries (a, b);
+}
+
+/* Divides the densities by the work that the account has up to the job, the densest first, and that
+   is divided by its weight. No effect if no job has an account. */
+static void
+share_between_accounts (Planner *planner, size_t count)
+{
+  bool any = false;
+  for (size_t i = 0; i < count; i++)
+    any |= planner->jobs[planner->entries[i].job].account != 0;
+  if (!any)
+    return;
+  qsort_r (planner->entries, count, sizeof *planner->entries, compare_accounts, planner->jobs);
+  double before = 0;
+  for (size_t i = 0; i < count; i++) {
+    Entry *entry = &planner->entries[i];
+    const TriageJob *job = &planner->jobs[entry->job];
+    if (i > 0 && planner->jobs[entry[-1].job].account != job->account)
+      before = 0;
+    before += entry->work / job->weight;
+    entry->density /= before;
+  }
+}
+
 /* Plans the jobs of one priority that may get this verdict, for the deadline that belongs to it. */
 static void
 plan_group (Planner *planner, size_t count, bool beyond_share, int32_t priority,
@@ -324,6 +359,7 @@
   }
   if (entries == 0)
     return;
+  share_between_accounts (planner, entries);
   qsort (planner->entries, entries, sizeof *planner->entries, compare_entries);
   set_room (planner, entries);
   leave_out (planner, entries);
--- a/src/dag/triage.h
+++ b/src/dag/triage.h
@@ -6,8 +6,10 @@
    The plan follows Moore and Hodgson: jobs are taken by their deadline, earliest first, and where
    the work so far does not fit before a deadline, the job with the least worth for its remaining
    work is left out. What was left out is then tried again, most worth for its work first, since a
-   large job may have made more room than was needed. Jobs that are left out are planned in the same
-   way for their hard deadlines, with the capacity that the others leave.
+   large job may have made more room than was needed. Among accounts the worth for work falls with
+   the work that an account has before the job, divided by its weight, so that the account with the
+   most work for its weight loses jobs first. Jobs that are left out are planned in the same way for
+   their hard deadlines, with the capacity that the others leave.
 
    Work is counted in one dimension, the one in which the cell has the most work for its capacity.
    It is treated as divisible. The functions are pure and need O(n log n) time. */
@@ -41,6 +43,8 @@
   TriageVerdict best;    /* the best that its critical path allows, however much room there is */
   int32_t priority;      /* 0 is the highest; jobs of higher priority are served first */
   bool beyond_share;     /* such jobs are served after all others */
+  uint64_t account;      /* jobs of one account have the same number; 0: no account */
+  double weight;         /* of the account */
   bool left_out;         /* in the plan before: it returns only if there is room to spare */
   TriageVerdict verdict; /* result */
 } TriageJob;
