--- a/tests/prop_dag_share.cc
+++ b/tests/prop_dag_share.cc
@@ -195,7 +195,8 @@
 }
 
 /* Guards against gangs and larger tasks of an account that wait under its maximum while its own
-   small tasks take all room that becomes free. They are most of the load, which fills the maximum. */
+   small tasks take all room that becomes free. They are most of the load, which fills the maximum.
+ */
 bool
 small_tasks_leave_room_under_the_maximum (const char *what, const DagStepSpec &step,
                                           int64_t interval_ms)
