tests: refused submissions in the simulated cell

A submission of an account may be refused under overload; its caller comes back when it was told to. The world checks that only jobs of accounts that were never accepted are refused, and that a refused job never starts.

--- a/tests/dag_world.hh
+++ b/tests/dag_world.hh
@@ -231,7 +231,9 @@
     int64_t call = ++next_call_;
     int64_t retry = 0;
     GrErr err = {};
-    switch (dag_submit (dag_, &spec, call, now_, &retry, &err)) {
+    DagSubmitResult result = dag_submit (dag_, &spec, call, now_, &retry, &err);
+    job.refused = result == DAG_SUBMIT_OVERLOAD;
+    switch (result) {
     case DAG_SUBMIT_PENDING:
       calls_[call] = index;
       break;
@@ -239,8 +241,13 @@
       if (job.accepted_at < 0)
         job.accepted_at = now_;
       break;
-    case DAG_SUBMIT_NO_QUEUE:
     case DAG_SUBMIT_OVERLOAD:
+      if (job.account.empty () || job.accepted_at >= 0 || retry <= 0)
+        report_violation ("job " + job.id + " was refused");
+      /* Its caller comes back when it was told to. */
+      schedule (now_ + retry, [this, index] { send_job (index); });
+      break;
+    case DAG_SUBMIT_NO_QUEUE:
     case DAG_SUBMIT_INVALID:
     case DAG_SUBMIT_FOREIGN:
       report_violation ("a valid job was refused: " + std::string (err.detail));
--- a/tests/dag_world_orders.hh
+++ b/tests/dag_world_orders.hh
@@ -217,6 +217,8 @@
     Job &job = job_of (start.task);
     if (job.cancel_answered_at >= 0 && sent_at > job.cancel_answered_at)
       report_violation ("start of " + name + " after its cancellation was answered");
+    if (job.refused)
+      report_violation ("start of " + name + ", whose submission was refused");
     const DagStepSpec &step = job.steps[start.task.step];
     Run run;
     run.name = name;
--- a/tests/dag_world_state.hh
+++ b/tests/dag_world_state.hh
@@ -183,6 +183,7 @@
     std::vector<DagStepSpec> steps;
     int64_t submitted_at = 0;
     int64_t accepted_at = -1;
+    bool refused = false; /* its newest submission was refused, and no other was accepted */
     bool cancelled = false;
     int64_t cancel_answered_at = -1; /* -1: not yet */
     bool always_fails = false;
