--- a/src/cfg/cfg.h
+++ b/src/cfg/cfg.h
@@ -98,6 +98,8 @@
 /* Both return NULL if the name is not configured. */
 const CfgTeam *cfg_team (const CfgTree *tree, const GrName *name);
 const CfgKind *cfg_kind (const CfgTree *tree, const GrName *name);
+size_t cfg_kind_count (const CfgTree *tree);
+const CfgKind *cfg_kind_at (const CfgTree *tree, size_t i);
 size_t cfg_work_count (const CfgTree *tree);
 const CfgWork *cfg_work_at (const CfgTree *tree, size_t i);
 /* Called with each key as "section.name.option", in the order of the keys. */
--- a/src/cfg/cfg_parse.c
+++ b/src/cfg/cfg_parse.c
@@ -334,6 +334,45 @@
   return complete;
 }
 
+static int
+compare_files (const void *a, const void *b)
+{
+  const CfgFile *const *x = a;
+  const CfgFile *const *y = b;
+  return gr_str_compare ((*x)->name, (*y)->name);
+}
+
+static int
+compare_assigns (const void *a, const void *b)
+{
+  const CfgAssign *x = a;
+  const CfgAssign *y = b;
+  int order = gr_name_compare (&x->key, &y->key);
+  if (order == 0)
+    order = (x->file > y->file) - (x->file < y->file);
+  if (order == 0)
+    order = (x->line > y->line) - (x->line < y->line);
+  return order;
+}
+
+const CfgFile **
+cfg_files_sorted (const CfgFile *files, size_t count)
+{
+  const CfgFile **sorted = gr_calloc (count + 1, sizeof (CfgFile *));
+  for (size_t i = 0; i < count; i++)
+    sorted[i] = &files[i];
+  if (count > 1)
+    qsort (sorted, count, sizeof (CfgFile *), compare_files);
+  return sorted;
+}
+
+void
+cfg_parsed_sort (CfgParsed *parsed)
+{
+  if (parsed->assigns.count > 1)
+    qsort (parsed->assigns.items, parsed->assigns.count, sizeof (CfgAssign), compare_assigns);
+}
+
 void
 cfg_parsed_clear (CfgParsed *parsed)
 {
--- a/src/cfg/cfg_tree.c
+++ b/src/cfg/cfg_tree.c
@@ -38,27 +38,6 @@
   CfgTree *tree;
 } Merge;
 
-static int
-compare_files (const void *a, const void *b)
-{
-  const CfgFile *const *x = a;
-  const CfgFile *const *y = b;
-  return gr_str_compare ((*x)->name, (*y)->name);
-}
-
-static int
-compare_assigns (const void *a, const void *b)
-{
-  const CfgAssign *x = a;
-  const CfgAssign *y = b;
-  int order = gr_name_compare (&x->key, &y->key);
-  if (order == 0)
-    order = (x->file > y->file) - (x->file < y->file);
-  if (order == 0)
-    order = (x->line > y->line) - (x->line < y->line);
-  return order;
-}
-
 static int
 compare_blocks (const void *a, const void *b)
 {
@@ -96,12 +75,10 @@
                      "the folder has %zu files; allowed are %d", count, FILES_MAX);
     return;
   }
-  merge->files = gr_calloc (count, sizeof (CfgFile *));
+  merge->files = cfg_files_sorted (files, count);
   merge->file_count = count;
-  for (size_t i = 0; i < count; i++)
+  for (size_t i = 0; merge->faults.given_order && i < count; i++)
     merge->files[i] = &files[i];
-  if (!merge->faults.given_order && count > 1)
-    qsort (merge->files, count, sizeof (CfgFile *), compare_files);
   for (size_t i = 0; i < count; i++) {
     const CfgFile *file = merge->files[i];
     if (!file_name_valid (file->name))
@@ -198,10 +175,9 @@
 resolve_values (Merge *merge)
 {
   /* Assignments refer to blocks by index; blocks must not be sorted before this. */
+  cfg_parsed_sort (&merge->parsed);
   CfgAssign *items = merge->parsed.assigns.items;
   size_t count = merge->parsed.assigns.count;
-  if (count > 1)
-    qsort (items, count, sizeof *items, compare_assigns);
   for (size_t first = 0; first < count;) {
     size_t end = first + 1;
     while (end < count && gr_name_equal (&items[end].key, &items[first].key))
@@ -460,6 +436,18 @@
   return bsearch (name, tree->kinds.items, tree->kinds.count, sizeof (CfgKind), compare_kind);
 }
 
+size_t
+cfg_kind_count (const CfgTree *tree)
+{
+  return tree->kinds.count;
+}
+
+const CfgKind *
+cfg_kind_at (const CfgTree *tree, size_t i)
+{
+  return &tree->kinds.items[i];
+}
+
 size_t
 cfg_work_count (const CfgTree *tree)
 {
