--- a/scripts/completion/gentianrelay.bash
+++ b/scripts/completion/gentianrelay.bash
@@ -9,7 +9,7 @@
     words="check show explain diff publish"
   else
     case "$first $second" in
-    "config check") words="--json --help" ;;
+    "config check") words="--token --timeout-ms --json --against --strict --help" ;;
     "config show") words="--server --token --timeout-ms --json --origin --help" ;;
     "config explain") words="--server --token --timeout-ms --json --help" ;;
     "config diff") words="--server --token --timeout-ms --json --help" ;;
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -22,6 +22,7 @@
   const char *kind;
   const char *policy;
   const char *payload;
+  const char *against; /* URL, folder or file; empty: no comparison */
   int64_t tasks;
   int64_t cpu_milli;
   int64_t memory_mb;
@@ -32,6 +33,7 @@
   int64_t timeout_ms; /* longest wait of the verb itself */
   bool json;
   bool origin;
+  bool strict;
   bool idempotent;
   bool exclusive;
   bool urgent;
--- a/src/cli/cli_config.c
+++ b/src/cli/cli_config.c
@@ -2,31 +2,12 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include <sys/stat.h>
+
+#include "cfg/cfg_lint.h"
 #include "cfg/cfg_table.h"
 #include "cli/cli_values.h"
-
-int
-cli_config_check (const CliSettings *settings, const char **words, int count)
-{
-  (void) count;
-  CliFolder folder;
-  int exit_code;
-  CfgTree *tree = cli_load_tree (settings, words[0], &folder, &exit_code);
-  if (!tree)
-    return exit_code;
-  json_t *values = cli_tree_values (tree);
-  if (settings->json) {
-    CfgProblems none = { 0 };
-    cli_print_problems (settings, &none);
-  } else {
-    printf ("%s: %zu files, %zu values, no problem\n", words[0], folder.files.count,
-            json_array_size (values));
-  }
-  json_decref (values);
-  cfg_tree_free (tree);
-  cli_folder_clear (&folder);
-  return GR_EXIT_OK;
-}
+#include "job/job.h"
 
 /* Returns {"values"} of a folder, or the response of the server if path is NULL. On failure prints
    the error, sets *exit_code and returns NULL. */
@@ -175,6 +156,9 @@
     json_object_set (change, "from", json_object_get (from, "value"));
   if (to)
     json_object_set (change, "to", json_object_get (to, "value"));
+  json_t *place = to ? to : from;
+  json_object_set (change, "file", json_object_get (place, "file"));
+  json_object_set (change, "line", json_object_get (place, "line"));
   json_array_append_new (changes, change);
 }
 
@@ -202,6 +186,28 @@
   return changes;
 }
 
+static void
+print_changes (json_t *changes, bool with_place)
+{
+  size_t i;
+  json_t *change;
+  json_array_foreach (changes, i, change)
+  {
+    const char *kind = cli_json_text (change, "change");
+    const char *key = cli_json_text (change, "key");
+    if (strcmp (kind, "changed") == 0)
+      printf ("~ %s: %s -> %s", key, cli_json_text (change, "from"), cli_json_text (change, "to"));
+    else if (strcmp (kind, "added") == 0)
+      printf ("+ %s = %s", key, cli_json_text (change, "to"));
+    else
+      printf ("- %s = %s", key, cli_json_text (change, "from"));
+    if (with_place)
+      printf ("  # %s:%lld", cli_json_text (change, "file"),
+              (long long) json_integer_value (json_object_get (change, "line")));
+    putchar ('\n');
+  }
+}
+
 int
 cli_config_diff (const CliSettings *settings, const char **words, int count)
 {
@@ -224,23 +230,147 @@
     cli_print_json (result, true);
     json_decref (result);
   } else {
-    size_t i;
-    json_t *change;
-    json_array_foreach (changes, i, change)
-    {
-      const char *kind = cli_json_text (change, "change");
-      const char *key = cli_json_text (change, "key");
-      if (strcmp (kind, "changed") == 0)
-        printf ("~ %s: %s -> %s\n", key, cli_json_text (change, "from"),
-                cli_json_text (change, "to"));
-      else if (strcmp (kind, "added") == 0)
-        printf ("+ %s = %s\n", key, cli_json_text (change, "to"));
-      else
-        printf ("- %s = %s\n", key, cli_json_text (change, "from"));
-    }
+    print_changes (changes, false);
   }
   json_decref (changes);
   json_decref (folder_config);
   json_decref (server_config);
   return differ ? GR_EXIT_FAILED : GR_EXIT_OK;
 }
+
+/* Returns the configuration that --against names, with its "values". On failure prints the error,
+   stores the exit code and returns NULL. */
+static json_t *
+load_against (const CliSettings *settings, int *exit_code)
+{
+  GrStr name = gr_str_from_c (settings->against);
+  CliSettings other = *settings;
+  struct stat info;
+  /* Problems of the other folder go to standard error, so that standard output is about FOLDER. */
+  other.json = false;
+  other.server = settings->against;
+  if (gr_str_starts_with (name, GR_STR ("http://"))
+      || gr_str_starts_with (name, GR_STR ("https://"))) {
+    json_t *config = cli_server_config (&other, exit_code);
+    /* GR_EXIT_FAILED is the exit code for warnings. */
+    *exit_code = GR_EXIT_UNAVAILABLE;
+    return config;
+  }
+  if (stat (settings->against, &info) == 0 && S_ISDIR (info.st_mode)) {
+    json_t *folder = load_config (&other, settings->against, exit_code);
+    if (!folder)
+      cli_fail (*exit_code, "invalid: against: '%s' cannot be compared", settings->against);
+    return folder;
+  }
+  json_error_t err;
+  json_t *config = json_load_file (settings->against, 0, &err);
+  if (!json_is_array (json_object_get (config, "values"))) {
+    *exit_code
+        = cli_fail (GR_EXIT_USAGE,
+                    "invalid: against: '%s': %s; allowed is a URL, a folder, or a file written by "
+                    "config show --json",
+                    settings->against, config ? "'values' is missing" : err.text);
+    json_decref (config);
+    return NULL;
+  }
+  return config;
+}
+
+static json_t *
+warning_json (const CfgWarning *warning)
+{
+  return json_pack ("{s:s, s:s%, s:I, s:s%, s:I, s:s%, s:s}", "code", cfg_lint_name (warning->code),
+                    "file", warning->file.data, (size_t) warning->file.len, "line",
+                    (json_int_t) warning->line, "other_file", warning->other_file.data,
+                    (size_t) warning->other_file.len, "other_line",
+                    (json_int_t) warning->other_line, "key", warning->key.data,
+                    (size_t) warning->key.len, "detail", warning->detail);
+}
+
+static void
+print_warning (const CfgWarning *warning)
+{
+  fprintf (stderr, "%.*s:%lld: warning: %s: ", GR_NAME_ARG (warning->file),
+           (long long) warning->line, cfg_lint_name (warning->code));
+  if (warning->key.len > 0)
+    fprintf (stderr, "%.*s: ", GR_NAME_ARG (warning->key));
+  fprintf (stderr, "%s", warning->detail);
+  if (warning->other_file.len > 0)
+    fprintf (stderr, " (%.*s:%lld)", GR_NAME_ARG (warning->other_file),
+             (long long) warning->other_line);
+  fputc ('\n', stderr);
+}
+
+static void
+print_check_json (const CfgWarnings *warnings, json_t *against, json_t *changes)
+{
+  json_t *list = json_array ();
+  for (size_t i = 0; i < warnings->count; i++)
+    json_array_append_new (list, warning_json (&warnings->items[i]));
+  json_t *result = json_pack ("{s:b, s:[], s:o}", "ok", 1, "problems", "warnings", list);
+  if (against) {
+    json_object_set (result, "version", json_object_get (against, "version"));
+    json_object_set (result, "changes", changes);
+  }
+  cli_print_json (result, true);
+  json_decref (result);
+}
+
+static void
+print_check_text (const CliSettings *settings, const char *path, size_t file_count,
+                  size_t value_count, const CfgWarnings *warnings, json_t *against, json_t *changes)
+{
+  for (size_t i = 0; i < warnings->count; i++)
+    print_warning (&warnings->items[i]);
+  printf ("%s: %zu files, %zu values, ", path, file_count, value_count);
+  if (warnings->count > 0)
+    printf ("no error, %zu warning%s\n", warnings->count, warnings->count == 1 ? "" : "s");
+  else
+    printf ("no problem\n");
+  if (!against)
+    return;
+  printf ("%zu differences from %s", json_array_size (changes), settings->against);
+  json_t *version = json_object_get (against, "version");
+  if (version)
+    printf (", version %lld", (long long) json_integer_value (version));
+  putchar ('\n');
+  print_changes (changes, true);
+}
+
+int
+cli_config_check (const CliSettings *settings, const char **words, int count)
+{
+  (void) count;
+  CliFolder folder;
+  int exit_code;
+  CfgTree *tree = cli_load_tree (settings, words[0], &folder, &exit_code);
+  if (!tree)
+    return exit_code;
+  json_t *values = cli_tree_values (tree);
+  json_t *against = NULL;
+  json_t *changes = NULL;
+  CfgWarnings warnings = { 0 };
+  if (settings->against[0]) {
+    against = load_against (settings, &exit_code);
+    if (!against)
+      goto done;
+    changes = compare_values (json_object_get (against, "values"), values);
+  }
+  CfgLintOptions options = { .job_tasks_max = JOB_TASKS_MAX };
+  cfg_lint (tree, folder.files.items, folder.files.count, &options, &warnings);
+  if (settings->json)
+    print_check_json (&warnings, against, changes);
+  else
+    print_check_text (settings, words[0], folder.files.count, json_array_size (values), &warnings,
+                      against, changes);
+  exit_code = settings->strict && warnings.count > 0 ? GR_EXIT_FAILED : GR_EXIT_OK;
+
+done:
+  gr_list_clear (&warnings);
+  json_decref (changes);
+  json_decref (against);
+  json_decref (values);
+  cfg_tree_free (tree);
+  cli_folder_clear (&folder);
+  return exit_code;
+}
--- a/src/cli/cli_verbs.c
+++ b/src/cli/cli_verbs.c
@@ -6,9 +6,11 @@
 #define CALL_OPTIONS "server token timeout-ms json"
 
 static const CliVerb verbs[] = {
-  { "config check", "FOLDER", "json", 1, 1,
-    "check a configuration folder and list every problem with its file and line",
-    "0: no problem; 2: problems", cli_config_check },
+  { "config check", "FOLDER", "against strict token timeout-ms json", 1, 1,
+    "check a configuration folder and list every error and warning with its file and line",
+    "0: no error; 1: warnings, with --strict; 2: errors, a publication would be refused; 3: the "
+    "server of --against cannot be reached or refuses the call",
+    cli_config_check },
   { "config show", "[FOLDER]", CONFIG_OPTIONS " origin", 0, 1,
     "print the values of a folder, or without FOLDER those in force at the server", NULL,
     cli_config_show },
@@ -53,6 +55,10 @@
   { "json", GR_OPT_FLAG, FIELD (json), NULL, NULL, 0, 0, "print JSON" },
   { "origin", GR_OPT_FLAG, FIELD (origin), NULL, NULL, 0, 0,
     "add file, line, author and reason to each value" },
+  { "against", GR_OPT_TEXT, FIELD (against), "URL|FOLDER|FILE", "", 0, 0,
+    "also list what differs from the version in force at a server, from a folder, or from a file "
+    "written by config show --json" },
+  { "strict", GR_OPT_FLAG, FIELD (strict), NULL, NULL, 0, 0, "exit with 1 if there are warnings" },
   { "author", GR_OPT_TEXT, FIELD (author), "NAME", NULL, 0, 0, "who publishes" },
   { "id", GR_OPT_TEXT, FIELD (id), "ID", "", 0, 0, "id to submit under; made up if empty" },
   { "team", GR_OPT_TEXT, FIELD (team), "TEAM", NULL, 0, 0, "team of the caller" },
--- a/tests/e2e_cli.sh
+++ b/tests/e2e_cli.sh
@@ -74,6 +74,20 @@
 expect "publish refuses a wrong folder" 2 "team.x.colour" \
   "$cli" config publish "$dir" --author=Ann --platform=http://127.0.0.1:1
 
+# Valid folders with warnings: they are not errors, and only --strict makes them fail.
+dir=$(folder warned)
+printf 'team x {\n  region = r\n  quota_slots = 2\n}\nlimit x { quota_slots = 3 }\n' > "$dir/a.conf"
+expect "warning" 0 "a.conf:5: warning: limit_above_quota: limit.x.quota_slots: 3 is above" \
+  "$cli" config check "$dir"
+expect "warning names the other line" 1 "(a.conf:3)" "$cli" config check "$dir" --strict
+expect "warning as JSON" 0 '"code": "limit_above_quota"' "$cli" config check "$dir" --json
+"$cli" config show "$dir" --json > "$work/earlier.json"
+sed -i 's/= 2/= 4/' "$dir/a.conf"
+expect "differences from a file" 0 "~ team.x.quota_slots: 2 -> 4  # a.conf:3" \
+  "$cli" config check "$dir" --against="$work/earlier.json"
+expect "no difference from itself" 0 "0 differences from" \
+  "$cli" config check "$dir" --against="$dir"
+
 # Exit codes and settings.
 expect "no verb" 2 "Usage:" "$cli"
 expect "version" 0 "gentianrelay " "$cli" --version
--- a/tests/test_cli.c
+++ b/tests/test_cli.c
@@ -7,6 +7,7 @@
 #include <stdint.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <cmocka.h>
@@ -370,6 +371,122 @@
   unsetenv ("GENTIANRELAY_SERVER");
 }
 
+/* Writes a folder with one file and returns its path, valid until the next call with this name. */
+static const char *
+write_folder (const char *base, const char *name, const char *text)
+{
+  static char path[256];
+  char file[300];
+  snprintf (path, sizeof path, "%s/%s", base, name);
+  mkdir (path, 0700);
+  snprintf (file, sizeof file, "%s/a.conf", path);
+  FILE *out = fopen (file, "w");
+  assert_non_null (out);
+  fputs (text, out);
+  fclose (out);
+  return path;
+}
+
+static void
+remove_folder (const char *base, const char *name)
+{
+  char path[300];
+  snprintf (path, sizeof path, "%s/%s/a.conf", base, name);
+  unlink (path);
+  snprintf (path, sizeof path, "%s/%s", base, name);
+  rmdir (path);
+}
+
+/* Guards against warnings that a script takes for a refusal, and against errors that --strict hides
+   or that a comparison replaces. */
+static void
+check_tells_errors_from_warnings (void **state)
+{
+  (void) state;
+  static const char warned[] = "team t { region = r\n quota_cpu_milli = 4 }\n"
+                               "batch b { team = t cpu_milli = 5 memory_mb = 1 }\n";
+  static const struct {
+    const char *text;
+    const char *options[3];
+    int exit_code;
+    const char *out;
+    const char *err;
+  } cases[] = {
+    { "cell { partitions = 3 }", { "--strict" }, 0, "1 files, 1 values, no problem\n", "" },
+    { warned,
+      { NULL },
+      0,
+      "no error, 1 warning\n",
+      "a.conf:3: warning: task_above_quota: batch.b.cpu_milli: a task needs cpu_milli 5; " },
+    { warned, { "--strict" }, 1, "no error, 1 warning\n", "(a.conf:2)\n" },
+    { warned, { "--strict", "--json" }, 1, "\"code\": \"task_above_quota\"", NULL },
+    { warned, { "--json" }, 0, "\"ok\": true", NULL },
+    { "cell { partitions = 0 }", { "--strict" }, 2, "", "a.conf:1: invalid: cell.partitions" },
+    { "cell { partitions = 0 }", { "--json" }, 2, "\"ok\": false", NULL },
+    { "cell { partitions = 0 }", { "--against=nowhere" }, 2, "", "a.conf:1: invalid" },
+    { warned, { "--against=nowhere" }, 2, "", "invalid: against: 'nowhere'" },
+    { warned, { "--against=tests/test_cli.c" }, 2, "", "invalid: against: 'tests/test_cli.c'" },
+    { warned, { "--against=http://127.0.0.1:1" }, 3, "", "unavailable" },
+    { "cell { partitions = 3 }",
+      { "--against=examples/agora" },
+      0,
+      "~ cell.partitions: 16 -> 3  # a.conf:1\n",
+      NULL },
+  };
+  char base[] = "/tmp/test_cli.XXXXXX";
+  assert_non_null (mkdtemp (base));
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+    const char *const *options = cases[i].options;
+    const char *args[] = { "config",
+                           "check",
+                           write_folder (base, "f", cases[i].text),
+                           options[0],
+                           options[0] ? options[1] : NULL,
+                           NULL };
+    expect (i, run (args), cases[i].exit_code, cases[i].out, cases[i].err);
+  }
+  remove_folder (base, "f");
+  rmdir (base);
+}
+
+/* Guards against a comparison with another version than the one in force, and against differences
+   without a place. */
+static void
+check_compares_with_the_version_in_force (void **state)
+{
+  (void) state;
+  CliStub *stub = cli_stub_start ();
+  CliStubLog log = { .earlier = 1 };
+  cli_stub_log (stub, &log);
+  char against[128];
+  snprintf (against, sizeof against, "--against=%s", cli_stub_url (stub));
+  static const struct {
+    const char *json;
+    const char *out[4];
+  } cases[] = {
+    { NULL,
+      { ", version 1\n", "~ team.sport.region: south -> attica  # 10-teams.conf:6\n",
+        "+ cell.partitions = 16  # 00-cell.conf:5\n",
+        "- team.other.region = south  # a.conf:2\n" } },
+    { "--json",
+      { "\"version\": 1", "\"change\": \"removed\"", "\"file\": \"00-cell.conf\"",
+        "\"warnings\": []" } },
+  };
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+    const char *args[] = { "config", "check", "examples/agora", against, cases[i].json, NULL };
+    Result result = run (args);
+    for (size_t k = 0; k < 4; k++) {
+      if (!strstr (result.out.data, cases[i].out[k]))
+        fail_msg ("case %zu: '%s' is missing in\n%s", i, cases[i].out[k], result.out.data);
+    }
+    expect (i, result, 0, NULL, "");
+  }
+  cli_stub_answer (stub, 401, "{\"error\":{\"code\":\"denied\",\"detail\":\"no token\"}}");
+  const char *refused[] = { "config", "check", "examples/agora", against, "--json", NULL };
+  expect (2, run (refused), 3, "", "denied: no token");
+  cli_stub_stop (stub);
+}
+
 int
 main (void)
 {
@@ -378,6 +495,8 @@
     cmocka_unit_test (requests_and_responses_match_the_api),
     cmocka_unit_test (publish_reports_the_verdict_of_the_log),
     cmocka_unit_test (diff_lists_added_removed_and_changed),
+    cmocka_unit_test (check_tells_errors_from_warnings),
+    cmocka_unit_test (check_compares_with_the_version_in_force),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/tests/test_docs.c
+++ b/tests/test_docs.c
@@ -1,4 +1,4 @@
-/* Guards against pages that no longer list what the code logs and measures. */
+/* Guards against pages that no longer list what the code logs, measures and warns of. */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -10,6 +10,7 @@
 
 #include "base/gr_log.h"
 #include "base/gr_metric.h"
+#include "cfg/cfg_lint.h"
 
 static GrBuf
 read_page (const char *path)
@@ -106,12 +107,26 @@
   gr_buf_clear (&page);
 }
 
+static void
+configuration_page_lists_every_warning (void **state)
+{
+  (void) state;
+  GrBuf page = read_page ("docs/configuration.md");
+  for (int i = 0; i < CFG_LINT_COUNT; i++) {
+    char start[128];
+    snprintf (start, sizeof start, "| `%s` |", cfg_lint_name ((CfgLintCode) i));
+    check_cells (&page, start, 2);
+  }
+  gr_buf_clear (&page);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (events_page_lists_every_event),
     cmocka_unit_test (metrics_page_lists_every_metric),
+    cmocka_unit_test (configuration_page_lists_every_warning),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
