--- a/tests/test_cfg_lint.c
+++ b/tests/test_cfg_lint.c
@@ -110,6 +110,10 @@
           TEAM "quota_cpu_milli = 1499 }\nteam u { region = r }\n"
                "service a { team = t tasks = 2" NEED "}\nservice b { team = u" NEED "}" } },
       "" },
+    { { { "a.conf",
+          TEAM "quota_cpu_milli = 1500 }\n"
+               "service a { team = t tasks = 2" NEED "}\nservice b { team = t" NEED "}" } },
+      "" },
     /* A kind is reported only if no team may send it. */
     { { { "a.conf", TEAM "quota_slots = 2 }\nteam u { region = r quota_cpu_milli = 5 }\n"
                          "kind k { slots = 3 cpu_milli = 6 }" } },
@@ -159,6 +163,9 @@
     { { { "a.conf", TEAM "}\nlimit t { quota_slots = 5 }" },
         { "b.conf", "replaces = {\"limit.t.quota_slots\"}\nlimit t { quota_slots = 6 }" } },
       "" },
+    { { { "a.conf", TEAM "}\nlimit t { quota_slots = 5 }" },
+        { "b.conf", "limit t { quota_slots = 5 quota_cpu_milli = 1 }" } },
+      "" },
     /* A priority compares teams. */
     { { { "a.conf", TEAM "\n priority = 5 }" } }, "a.conf:2 priority_alone team.t.priority\n" },
     { { { "a.conf", TEAM "priority = 5 }\nteam u { region = r }" } }, "" },
@@ -191,6 +198,11 @@
     { { { "a.conf", "cell { partitions = 3 queue_max = 9 }" },
         { "b.conf", "\nreplaces = {\"cell.partitions\"}\ncell { partitions = 3 }" } },
       "b.conf:2 replaces_same_value cell.partitions (a.conf:1)\n" },
+    /* The entry of another file does not count. */
+    { { { "a.conf", "cell { partitions = 3 max_attempts = 2 }" },
+        { "b.conf", "replaces = {\"cell.partitions\"}\ncell { partitions = 4 }" },
+        { "c.conf", "cell { partitions = 4 queue_max = 9 }" } },
+      "" },
   };
   CHECK (cases);
 }
