--- a/src/cell/cell_calls.c
+++ b/src/cell/cell_calls.c
@@ -86,17 +86,17 @@
     done (user, &answer);
 }
 
-/* A leader of the version before accounts gets the call without one: its jobs belong to nobody
-   then. Returns false while it is not known which version the leader has. */
+/* Removes the account from a call to a leader of a version before accounts; the job then belongs to
+   no account. Returns false while the capabilities of the leader are not known. */
 static bool
-fit_to_leader (Cell *cell, const GrName *leader, CellWireCall *call)
+adapt_to_leader (Cell *cell, const GrName *leader, CellWireCall *call)
 {
   if (call->account.len == 0)
     return true;
   const CellPeerState *state = cell_peer_state (cell, leader);
-  if (!(state->forms & CELL_WIRE_FORM_ACCOUNTS))
+  if (!(state->capabilities & CELL_WIRE_CAPABILITY_ACCOUNTS))
     call->account = (GrName){ 0 };
-  return state->forms_known;
+  return state->capabilities_known;
 }
 
 static void
@@ -125,7 +125,7 @@
     cell_leader_handle_call (cell->leader, &(GrName){ 0 }, call->id, &msg.u.call);
     return;
   }
-  call->sent = fit_to_leader (cell, &leader->member.vm.vm, &msg.u.call)
+  call->sent = adapt_to_leader (cell, &leader->member.vm.vm, &msg.u.call)
                && cell_send (cell, &leader->member.vm.vm, &msg);
   gr_metric_add (cell->options.metrics, GR_METRIC_CALLS_FORWARDED, call->sent);
 }
--- a/src/cell/cell_config.c
+++ b/src/cell/cell_config.c
@@ -78,7 +78,7 @@
 }
 
 bool
-cell_config_tells_account (const CellConfig *config, const GrName *queue, const GrName *account)
+cell_config_knows_account (const CellConfig *config, const GrName *queue, const GrName *account)
 {
   if (account->len > 0 || !config->keys)
     return account->len > 0;
--- a/src/cell/cell_config.h
+++ b/src/cell/cell_config.h
@@ -34,7 +34,7 @@
 /* Returns true if a VM with this configuration knows the account of each call to the queue: a call
    without one came by a public route. Otherwise it was not checked: no key is needed, or the VM
    that received it has an earlier configuration or version. */
-bool cell_config_tells_account (const CellConfig *config, const GrName *queue,
+bool cell_config_knows_account (const CellConfig *config, const GrName *queue,
                                 const GrName *account);
 /* Returns the queue of that name, or NULL. */
 const DagQueue *cell_config_queue (const CellConfig *config, const GrName *name);
--- a/src/cell/cell_leader.c
+++ b/src/cell/cell_leader.c
@@ -259,16 +259,16 @@
 }
 
 static bool
-tells_account (const CellLeader *leader, const CellWireCall *call)
+knows_account (const CellLeader *leader, const CellWireCall *call)
 {
-  return cell_config_tells_account (&leader->cell->config, &call->queue, &call->account);
+  return cell_config_knows_account (&leader->cell->config, &call->queue, &call->account);
 }
 
 /* True if the call is about a job of another account. */
 static bool
 is_foreign (const CellLeader *leader, const CellWireCall *call)
 {
-  return tells_account (leader, call) && dag_is_foreign (leader->dag, &call->job, &call->account);
+  return knows_account (leader, call) && dag_is_foreign (leader->dag, &call->job, &call->account);
 }
 
 /* Returns false if the job is certainly over and nothing has to be stored. */
@@ -278,7 +278,7 @@
   int64_t token = ++leader->next_token;
   int64_t now_ms = cell_leader_now (leader);
   DagState *dag = cell_leader_limited_dag (leader);
-  switch (tells_account (leader, call)
+  switch (knows_account (leader, call)
               ? dag_cancel_for (dag, &call->job, &call->account, token, now_ms)
               : dag_cancel (dag, &call->job, token, now_ms)) {
   case DAG_CANCEL_PENDING:
@@ -327,7 +327,7 @@
     cell_leader_answer (leader, from, id, answer);
     return;
   }
-  /* It learns no more than about a job that nobody submitted. */
+  /* The caller gets the same answer as for a job that nobody submitted, except to a submission. */
   bool foreign = call->verb != CELL_VERB_PENDING && is_foreign (leader, call);
   gr_metric_add (leader->cell->options.metrics, GR_METRIC_CALLS_FOREIGN, foreign);
   switch (call->verb) {
--- a/src/cell/cell_peer.c
+++ b/src/cell/cell_peer.c
@@ -152,17 +152,18 @@
 }
 
 static void
-handle_forms (Cell *cell, const GrName *vm, int64_t forms)
+handle_capabilities (Cell *cell, const GrName *vm, int64_t capabilities)
 {
   CellPeerState *state = cell_peer_state (cell, vm);
-  state->forms = forms;
-  state->forms_known = true;
+  state->capabilities = capabilities;
+  state->capabilities_known = true;
 }
 
 static void
-send_forms (Cell *cell, const GrName *vm)
+send_capabilities (Cell *cell, const GrName *vm)
 {
-  CellWireMsg msg = { .type = CELL_WIRE_FORMS, .u.forms = CELL_WIRE_FORM_ACCOUNTS };
+  CellWireMsg msg
+      = { .type = CELL_WIRE_CAPABILITIES, .u.capabilities = CELL_WIRE_CAPABILITY_ACCOUNTS };
   cell_send (cell, vm, &msg);
 }
 
@@ -195,11 +196,11 @@
     return;
   }
   switch (msg.type) {
-  case CELL_WIRE_FORMS:
-    handle_forms (cell, &peer->vm.vm, msg.u.forms);
+  case CELL_WIRE_CAPABILITIES:
+    handle_capabilities (cell, &peer->vm.vm, msg.u.capabilities);
     break;
   case CELL_WIRE_STATUS:
-    cell_peer_state (cell, &peer->vm.vm)->forms_known = true;
+    cell_peer_state (cell, &peer->vm.vm)->capabilities_known = true;
     handle_status (cell, &msg.u.status);
     break;
   case CELL_WIRE_CALL:
@@ -243,9 +244,9 @@
   Cell *cell = user;
   CellPeerState *state = cell_peer_state (cell, &peer->vm.vm);
   state->last_frame_at = cell_now (cell);
-  state->forms_known = false;
-  state->forms = 0;
-  send_forms (cell, &peer->vm.vm);
+  state->capabilities_known = false;
+  state->capabilities = 0;
+  send_capabilities (cell, &peer->vm.vm);
   send_status (cell, &peer->vm.vm);
   if (cell->leader)
     cell_leader_update_lanes (cell->leader);
--- a/src/cell/cell_priv.h
+++ b/src/cell/cell_priv.h
@@ -38,9 +38,10 @@
   int64_t last_frame_at; /* 0: none was received */
   int64_t missed_since;  /* since when this leader has had no link to it; 0: it has one */
   CellConfigPush push;
-  /* Of this link: a VM of the version before accounts sends heartbeats only. */
-  bool forms_known;
-  int64_t forms; /* see CELL_WIRE_FORMS */
+  /* Of this link. A VM of a version before accounts sends no capabilities: they count as none with
+     its first heartbeat. */
+  bool capabilities_known;
+  int64_t capabilities; /* see CELL_WIRE_CAPABILITIES */
 } CellPeerState;
 
 /* Added to the expected duration of an advice request. */
--- a/src/cell/cell_wire.c
+++ b/src/cell/cell_wire.c
@@ -118,9 +118,9 @@
     msgpack_pack_int64 (&packer, msg->u.term.incarnation);
     msgpack_pack_int64 (&packer, msg->u.term.boot_ms);
     return;
-  case CELL_WIRE_FORMS:
-    cell_wire_pack_head (&packer, CELL_WIRE_FORMS, 1);
-    msgpack_pack_int64 (&packer, msg->u.forms);
+  case CELL_WIRE_CAPABILITIES:
+    cell_wire_pack_head (&packer, CELL_WIRE_CAPABILITIES, 1);
+    msgpack_pack_int64 (&packer, msg->u.capabilities);
     return;
   }
 }
@@ -268,8 +268,8 @@
   case CELL_WIRE_TERM:
     ok = read_term (fields, size, &msg->u.term);
     break;
-  case CELL_WIRE_FORMS:
-    ok = size == 1 && gr_unpack_int (&fields[0], &msg->u.forms);
+  case CELL_WIRE_CAPABILITIES:
+    ok = size == 1 && gr_unpack_int (&fields[0], &msg->u.capabilities);
     break;
   default:
     break;
--- a/src/cell/cell_wire.h
+++ b/src/cell/cell_wire.h
@@ -14,7 +14,8 @@
   CELL_WIRE_ORDER_RESULT,   /* outcome of it */
   CELL_WIRE_TERM_CHECK,     /* the leader's question for the newest term that a VM has seen */
   CELL_WIRE_TERM,           /* answer to it */
-  CELL_WIRE_FORMS           /* which forms of messages a VM reads, before its first heartbeat */
+  CELL_WIRE_CAPABILITIES    /* optional message formats that a VM reads; sent before its first
+                               heartbeat */
 } CellWireType;
 
 typedef struct {
@@ -29,8 +30,8 @@
   GrName queue;
   GrName job;
   GrStr spec; /* dag_pack_job_spec() */
-  /* Empty: none; then the message has the form of the versions before accounts, which refuse the
-     other one. */
+  /* Empty: none; then the message has the format of the versions before accounts, which refuse the
+     one with an account. */
   GrName account;
 } CellWireCall;
 
@@ -77,8 +78,8 @@
   int64_t boot_ms;     /* time of the check on the leader's clock that counts while suspended */
 } CellWireTerm;
 
-/* Bit of CELL_WIRE_FORMS: calls with an account. */
-#define CELL_WIRE_FORM_ACCOUNTS 1
+/* Bit of CELL_WIRE_CAPABILITIES: calls with an account. */
+#define CELL_WIRE_CAPABILITY_ACCOUNTS 1
 
 typedef struct {
   CellWireType type;
@@ -91,8 +92,8 @@
     GrStr config; /* the document as published */
     CellWireOrder order;
     CellWireOrderResult order_result;
-    CellWireTerm term; /* CELL_WIRE_TERM_CHECK and CELL_WIRE_TERM */
-    int64_t forms;     /* bit set */
+    CellWireTerm term;    /* CELL_WIRE_TERM_CHECK and CELL_WIRE_TERM */
+    int64_t capabilities; /* bit set */
   } u;
   /* Memory of the lists in a decoded message; see cell_wire_clear(). */
   void *decoded_list;
--- a/tests/test_cell.c
+++ b/tests/test_cell.c
@@ -379,7 +379,7 @@
     { .type = CELL_WIRE_CONFIG, .u.config = { "doc", 3 } },
     { .type = CELL_WIRE_TERM_CHECK, .u.term = { 3, 7, 5000 } },
     { .type = CELL_WIRE_TERM, .u.term = { 4, 7, 5000 } },
-    { .type = CELL_WIRE_FORMS, .u.forms = CELL_WIRE_FORM_ACCOUNTS },
+    { .type = CELL_WIRE_CAPABILITIES, .u.capabilities = CELL_WIRE_CAPABILITY_ACCOUNTS },
     { .type = CELL_WIRE_ORDER,
       .u.order = { 6,
                    3,
@@ -505,7 +505,7 @@
     cell_config_add (&config, &host, GR_STR ("/o/"), &(DagQueue){ .name = gr_name ("open") });
     config.routes.items[1].is_public = true;
     GrName queue = gr_name (cases[i].queue), account = gr_name (cases[i].account);
-    if (cell_config_tells_account (&config, &queue, &account) != cases[i].told)
+    if (cell_config_knows_account (&config, &queue, &account) != cases[i].told)
       fail_msg ("case %zu", i);
     cell_config_clear (&config);
   }
--- a/tests/test_fuzz.c
+++ b/tests/test_fuzz.c
@@ -227,7 +227,7 @@
   GrName targets[2] = { gr_name ("t1"), gr_name ("t2") };
   CellWireMsg msgs[] = {
     { .type = CELL_WIRE_TERM_CHECK, .u.term = { 3, 7, 5000 } },
-    { .type = CELL_WIRE_FORMS, .u.forms = CELL_WIRE_FORM_ACCOUNTS },
+    { .type = CELL_WIRE_CAPABILITIES, .u.capabilities = CELL_WIRE_CAPABILITY_ACCOUNTS },
     { .type = CELL_WIRE_STATUS, .u.status = { { { gr_name ("a"), 7 }, .term = 3 }, 9 } },
     { .type = CELL_WIRE_CALL,
       .u.call = { 4, CELL_VERB_CANCEL, 9, gr_name ("q"), gr_name ("j"), { "x", 1 } } },
