--- a/soak/soak_clients.c
+++ b/soak/soak_clients.c
@@ -18,8 +18,8 @@
 #define CANCEL_PERCENT 4
 #define PROBE_MS 500
 /* With accounts: share of calls for accepted jobs that are made with the key of another account, or
-   with one that is not valid. */
-#define STRANGER_PERCENT 20
+   with an invalid one. */
+#define NON_OWNER_PERCENT 20
 
 typedef struct {
   SoakJob seen;
@@ -110,18 +110,18 @@
   return gr_name_format ("soak-key-%lld", (long long) account);
 }
 
-/* A stranger may learn that the job exists only if it submits the same id. */
+/* A caller that does not own the job may learn that it exists only by submitting the same id. */
 static void
-handle_stranger (const Call *call, int status)
+handle_non_owner (const Call *call, int status)
 {
-  bool truthful = call->caller == CALLER_UNKNOWN_KEY
+  bool expected = call->caller == CALLER_UNKNOWN_KEY
                       ? status == 401
                       : status == (call->kind == CALL_SUBMIT ? 409 : 410);
   bool no_answer = status == 0 || status == 429 || status >= 500;
-  if (truthful || no_answer)
+  if (expected || no_answer)
     return;
-  soak_note (call->clients->soak, "job %s: a stranger got %d at e%d", call->job->seen.id, status,
-             call->edge + 1);
+  soak_note (call->clients->soak, "job %s: a caller with another key got %d at e%d",
+             call->job->seen.id, status, call->edge + 1);
   call->job->seen.leaks++;
 }
 
@@ -134,7 +134,7 @@
   int64_t now = soak_now ();
   job->busy = false;
   if (call->caller != CALLER_OWNER) {
-    handle_stranger (call, answer->status);
+    handle_non_owner (call, answer->status);
     job->next_at = now + RETRY_MS;
     free (call);
     return;
@@ -302,9 +302,9 @@
   if (job->over || job->busy || now < job->next_at)
     return;
   int edge = choose_edge (clients);
-  bool stranger = job->accepted && clients->soak->settings.accounts > 1
-                  && soak_below (&clients->random, 100) < STRANGER_PERCENT;
-  if (stranger) {
+  bool non_owner = job->accepted && clients->soak->settings.accounts > 1
+                   && soak_below (&clients->random, 100) < NON_OWNER_PERCENT;
+  if (non_owner) {
     CallKind kind = (CallKind) soak_below (&clients->random, CALL_CANCEL + 1);
     Caller caller
         = soak_below (&clients->random, 3) == 0 ? CALLER_UNKNOWN_KEY : CALLER_OTHER_ACCOUNT;
