--- a/src/acct/acct_keys.h
+++ b/src/acct/acct_keys.h
@@ -1,8 +1,8 @@
 /* Keys of client accounts: which account a key belongs to.
 
-   Load answered: calls with unknown, withdrawn or foreign keys at the full rate of calls, on a VM
-   with 0.09 of a core. A lookup costs one SHA-256, one hash lookup and one comparison, whatever the
-   number of keys.
+   For calls with unknown or withdrawn keys, or keys of other accounts, at the full rate of calls on
+   a VM with 0.09 of a core: a lookup costs one SHA-256, one hash lookup and one comparison,
+   whatever the number of keys.
 
    The table holds digests only, never a key. It does no I/O and writes no log lines. */
 #pragma once
@@ -29,7 +29,7 @@
 /* Finds the account of a key. False for a key that is unknown or shared; then *account is not set.
    The time does not depend on how much of a stored digest equals that of the key. */
 bool acct_keys_find (const AcctKeys *keys, GrStr key, uint32_t *account);
-/* Number of different keys, with those that are shared. */
+/* Number of different keys, shared ones included. */
 size_t acct_keys_count (const AcctKeys *keys);
 
 #ifdef __cplusplus
