--- a/src/dag/triage.c
+++ b/src/dag/triage.c
@@ -5,9 +5,10 @@
 
 #include "base/gr_str.h"
 
-/* Jobs must not change sides with each error of an expected run time. The work of a job that was
-   left out before counts for this much more, and it returns only if this part of the room until its
-   deadline stays free: the errors of all jobs before it add up. */
+/* Hysteresis, so that errors of expected run times do not move jobs in and out of each plan: the
+   work of a job that the previous plan left out is increased by RETURN_MARGIN of it, and the job is
+   kept only if RETURN_ROOM of the room until its deadline stays free, as the errors of all jobs
+   before it add up. */
 #define RETURN_MARGIN 0.25
 #define RETURN_ROOM 0.05
 
@@ -111,13 +112,14 @@
   return done->work + (all->demand - done->demand) * (double) passed_ms;
 }
 
-/* Sets the room of the entries, which are sorted by due_at, and excepts some from the choice. */
+/* Sets the room of the entries, which are sorted by due_at. Entries that would fit but for the runs
+   get no work and the greatest density, unless the previous plan left them out. */
 static void
 set_room (Planner *planner, size_t count)
 {
   const TriageCell *cell = planner->cell;
   size_t ended = 0;
-  double before = -INFINITY;
+  double largest_room = -INFINITY;
   for (size_t i = 0; i < count; i++) {
     Entry *entry = &planner->entries[i];
     while (ended < cell->run_count && planner->runs[ended].ends_at <= entry->due_at)
@@ -126,10 +128,10 @@
     double idle = planner->capacity * (double) passed_ms;
     double running = run_work (planner, ended, passed_ms);
     double room = idle - planner->ahead - running;
-    before = room > before ? room : before;
-    entry->room = before;
-    /* Only the runs are in its way, and when they end is not known exactly: to leave it out would
-       help no other job. */
+    largest_room = room > largest_room ? room : largest_room;
+    entry->room = largest_room;
+    /* The ends of the runs are not known exactly, and leaving the entry out would help no other
+       job. */
     if (!planner->jobs[entry->job].left_out && entry->work <= idle
         && entry->work > idle - running) {
       entry->work = 0;
@@ -142,7 +144,7 @@
 heap_less (const Planner *planner, size_t a, size_t b)
 {
   const Entry *x = &planner->entries[planner->heap[a]], *y = &planner->entries[planner->heap[b]];
-  /* Of equals, the one that is due later goes: it is the newer one as a rule. */
+  /* Of equal densities, the later deadline is left out first: usually that of the newer job. */
   return x->density < y->density
          || (x->density == y->density && planner->heap[a] > planner->heap[b]);
 }
@@ -312,8 +314,8 @@
   return compare_entries (a, b);
 }
 
-/* Divides the densities by the work that the account has up to the job, the densest first, and that
-   is divided by its weight. No effect if no job has an account. */
+/* Divides the density of each entry by the work of its account up to and including the entry, the
+   densest first, over the weight of the account. No effect if no job has an account. */
 static void
 share_between_accounts (Planner *planner, size_t count)
 {
@@ -334,7 +336,7 @@
   }
 }
 
-/* Plans the jobs of one priority that may get this verdict, for the deadline that belongs to it. */
+/* Plans the jobs of one priority that may get this verdict, for the deadline of that verdict. */
 static void
 plan_group (Planner *planner, size_t count, bool beyond_share, int32_t priority,
             TriageVerdict verdict)
@@ -376,7 +378,8 @@
   }
 }
 
-/* Work of the jobs that have no verdict yet comes before that of jobs beyond their share. */
+/* Adds the work of jobs that meet no deadline to the work ahead: it still comes before that of jobs
+   beyond their share. */
 static void
 add_rest (Planner *planner, size_t count, bool beyond_share)
 {
--- a/src/dag/triage.h
+++ b/src/dag/triage.h
@@ -1,15 +1,16 @@
 /* Triage under overload: which jobs can still meet their deadlines together.
 
-   Load answered: for seconds more work arrives than the cell can end in time, or everything returns
-   at once after an outage. Ordered by least slack alone, nearly all jobs then end a little late.
+   For overload of some seconds: more work arrives than the cell can end in time, or all callers
+   return at once after an outage. If jobs were ordered by least slack alone, nearly all of them
+   would then end a little late.
 
-   The plan follows Moore and Hodgson: jobs are taken by their deadline, earliest first, and where
-   the work so far does not fit before a deadline, the job with the least worth for its remaining
-   work is left out. What was left out is then tried again, most worth for its work first, since a
-   large job may have made more room than was needed. Among accounts the worth for work falls with
-   the work that an account has before the job, divided by its weight, so that the account with the
-   most work for its weight loses jobs first. Jobs that are left out are planned in the same way for
-   their hard deadlines, with the capacity that the others leave.
+   The plan follows the algorithm of Moore and Hodgson: jobs are added by their deadline, earliest
+   first, and where the work so far does not fit before a deadline, the job with the least worth for
+   its remaining work is left out. What was left out is then tried again, most worth for its work
+   first, since a large job may have made more room than was needed. Among accounts the worth for
+   work falls with the work that an account has before the job, divided by its weight, so that the
+   account with the most work for its weight loses jobs first. Jobs that are left out are planned in
+   the same way for their hard deadlines, with the capacity that the others leave.
 
    Work is counted in one dimension, the one in which the cell has the most work for its capacity.
    It is treated as divisible. The functions are pure and need O(n log n) time. */
@@ -45,11 +46,11 @@
   bool beyond_share;     /* such jobs are served after all others */
   uint64_t account;      /* jobs of one account have the same number; 0: no account */
   double weight;         /* of the account */
-  bool left_out;         /* in the plan before: it returns only if there is room to spare */
+  bool left_out;         /* in the previous plan: it is kept only if there is room to spare */
   TriageVerdict verdict; /* result */
 } TriageJob;
 
-/* A run at work. */
+/* A run that is under way. */
 typedef struct {
   TriageAmount demand;
   int64_t ends_at; /* expected */
