--- a/src/learn/learn_speed.c
+++ b/src/learn/learn_speed.c
@@ -1,4 +1,4 @@
-/* Speeds of targets: filter, fading, and classes of like speed. */
+/* Speeds of targets: filter, fading, and classes of similar speed. */
 #include "learn/learn_speed.h"
 
 #include <math.h>
@@ -23,9 +23,9 @@
 /* Deviations count up to this multiple of their standard deviation: few runs take many times as
    long as others. */
 #define CLIP 2.5
-/* Factor of the variance after an unusual run. At 2, three very long runs in a hundred kept the
+/* Factor of the variance after an outlier. At 2, three very long runs in a hundred kept the
    variance at twice what it is now. */
-#define UNUSUAL_GROWTH 1.5
+#define OUTLIER_GROWTH 1.5
 /* A restart may bring other hardware. */
 #define RESTART_VARIANCE 0.06
 /* Classes differ by at least this multiple of the standard deviation of the difference between two
@@ -36,7 +36,7 @@
 #define CLASS_MIN_DIFFERENCE 0.095
 /* Targets above this variance, a standard deviation of about a tenth, do not shape the classes: at
    0.03 single targets of a cell of equal ones were classes of their own for some seconds. Those
-   above the second one do not count for the mean. */
+   above the second limit do not count for the mean. */
 #define CLASS_MAX_VARIANCE 0.008
 #define ANCHOR_MAX_VARIANCE 0.1
 
@@ -111,14 +111,14 @@
   return x < y ? -1 : x > y;
 }
 
-/* What the runs of a step have in common: the median of the work that they seem to have done by the
-   present speeds, and how far from it a usual run is. */
+/* Median of the work of the runs of a step, computed with the present speeds, and the deviation
+   from it above which a run is an outlier. */
 typedef struct {
   double median, limit;
-} Usual;
+} OutlierLimit;
 
-static Usual
-find_usual (const LearnRun *runs, size_t count, const LearnNoise *noise)
+static OutlierLimit
+find_outlier_limit (const LearnRun *runs, size_t count, const LearnNoise *noise)
 {
   double variance = noise->variance;
   double *work = malloc (count * sizeof *work);
@@ -131,7 +131,7 @@
   qsort (work, count, sizeof *work, compare_doubles);
   double median = (work[(count - 1) / 2] + work[count / 2]) / 2;
   free (work);
-  return (Usual){ median, CLIP * sqrt (variance) };
+  return (OutlierLimit){ median, CLIP * sqrt (variance) };
 }
 
 /* Adapts the noise to deviations of runs on one target from their mean. */
@@ -149,19 +149,19 @@
   learn_noise_check (noise);
 }
 
-/* Updates the speed of a target by the work that its runs seem to have done and by a reference. An
-   unusual run, which is slow by itself or shows that the speed has changed, makes the speed less
-   certain: the next ones decide. */
+/* Updates the speed of a target by the work of its runs, computed with the present speed, and by a
+   reference. An outlier is slow by itself or shows that the speed has changed; it makes the speed
+   less certain, so that the next runs decide which. */
 static void
-update_speed (LearnSpeed *speed, Estimate work, Estimate reference, bool unusual, double floor)
+update_speed (LearnSpeed *speed, Estimate work, Estimate reference, bool outlier, double floor)
 {
   double variance = speed->variance + work.variance + reference.variance;
   double limit = CLIP * sqrt (variance);
   double deviation = work.mean - reference.mean;
-  unusual |= fabs (deviation) > limit;
+  outlier |= fabs (deviation) > limit;
   double gain = speed->variance / variance;
   speed->mean -= gain * clip (deviation, limit);
-  speed->variance *= unusual ? UNUSUAL_GROWTH : 1 - gain;
+  speed->variance *= outlier ? OUTLIER_GROWTH : 1 - gain;
   speed->variance = fmin (fmax (speed->variance, floor), PRIOR_VARIANCE);
 }
 
@@ -180,20 +180,20 @@
     uncertainty += runs[i].speed->variance;
   }
   double run_variance = noise->variance;
-  Usual usual = find_usual (runs, count, noise);
+  OutlierLimit typical = find_outlier_limit (runs, count, noise);
   for (size_t i = 0; i < count; i++) {
-    work[i]
-        = usual.median + clip (runs[i].log_ms + runs[i].speed->mean - usual.median, usual.limit);
+    work[i] = typical.median
+              + clip (runs[i].log_ms + runs[i].speed->mean - typical.median, typical.limit);
     sum += work[i];
   }
   Estimate expected = { log (expected_ms < 1 ? 1 : expected_ms), log_variance };
   for (size_t from = 0, to; from < count; from = to) {
     LearnSpeed *speed = runs[from].speed;
     double own = 0;
-    size_t unusual = 0;
+    size_t outliers = 0;
     for (to = from; to < count && runs[to].speed == speed; to++) {
       own += work[to];
-      unusual += fabs (work[to] - usual.median) >= usual.limit;
+      outliers += fabs (work[to] - typical.median) >= typical.limit;
     }
     double n = (double) (to - from), others = (double) count - n;
     /* Runs on one target share the error of its speed. */
@@ -205,7 +205,7 @@
     uncertainty += n * speed->variance;
     update_noise (noise, &work[from], to - from, own / n);
     update_speed (speed, (Estimate){ own / n, run_variance / n }, reference,
-                  2 * unusual >= to - from, run_variance / MEMORY_ENDS);
+                  2 * outliers >= to - from, run_variance / MEMORY_ENDS);
   }
   free (work);
 }
@@ -217,8 +217,8 @@
   return x->mean < y->mean ? -1 : x->mean > y->mean;
 }
 
-/* Shifts the values of which something is known so that their mean is 0. Only well known ones would
-   be those of targets that get much work, which need not be typical. */
+/* Shifts the values below ANCHOR_MAX_VARIANCE so that their mean is 0. A lower limit would select
+   the targets that get much work, which need not be typical. */
 static void
 centre (LearnSpeed **speeds, size_t count)
 {
@@ -235,7 +235,7 @@
   }
 }
 
-/* Moves the values that are well known to the front and returns their number. */
+/* Moves the values up to CLASS_MAX_VARIANCE to the front and returns their number. */
 static size_t
 take_known (LearnSpeed **speeds, size_t count)
 {
--- a/src/learn/learn_speed.h
+++ b/src/learn/learn_speed.h
@@ -1,12 +1,12 @@
 /* Speeds of targets, learned from the run times of tasks.
 
-   Load that it answers: short work with tight objectives beside long work, on targets of unequal
-   speed, with estimates that are off by up to 90%.
+   Designed for short work with tight objectives beside long work, on targets of unequal speed, with
+   estimates that are off by up to 90%.
 
    The run time of a task is the work of its step divided by the speed of its target, apart from
-   noise. All quantities are natural logarithms. Tasks of one step do the same work, so those on
-   different targets compare these, whatever the estimate says. They are compared once all have
-   ended: those that end first would make the others look slow.
+   noise. All quantities are natural logarithms. Tasks of one step do the same work, so their run
+   times compare the targets, however wrong the estimate is. They are compared once all have ended:
+   compared earlier, those that end first would make the others look slow.
 
    Values belong to the caller. Pure: no I/O, no clock. */
 #pragma once
@@ -47,7 +47,7 @@
 } LearnClasses;
 
 void learn_noise_init (LearnNoise *noise);
-/* Moves a stored value into the range of possible ones. */
+/* Clamps a stored value to the valid range. */
 void learn_noise_check (LearnNoise *noise);
 /* Nothing is known of the target. */
 void learn_speed_init (LearnSpeed *speed, int64_t now_ms);
@@ -60,7 +60,7 @@
 
 /* All runs of a step have ended. expected_ms is the expected run time at the mean speed and
    log_variance the variance of the logarithm of its error: a weaker reference than the other runs.
-   Updates the speeds and the noise. Runs of one target follow one another. */
+   Updates the speeds and the noise. Runs of one target must be adjacent. */
 void learn_speed_observe (const LearnRun *runs, size_t count, double expected_ms,
                           double log_variance, LearnNoise *noise, int64_t now_ms);
 
