--- a/src/dag/dag_fair.c
+++ b/src/dag/dag_fair.c
@@ -1,11 +1,11 @@
-/* Which account is served next among steps that no earlier key of their order tells apart.
+/* Which account is served next among steps that are equal up to DagStepOrder.priority.
 
-   Answers the load of many small tasks of a large account beside gangs and wide steps of small
-   ones, on a cell that is full. The account whose weighted dominant share is the lowest is served
-   next: the largest of its shares of cpu, memory and accelerators of all targets, divided by its
-   weight. Its usage grows with each task that is placed, so that one pass does not give all free
-   room to an account that was the lowest when the pass began. Work without an account counts as
-   that of one account of weight 1. */
+   For a full cell on which a large account has many small tasks beside gangs and wide steps of
+   small accounts. The account whose weighted dominant share is the lowest is served next: the
+   largest of its shares of cpu, memory and accelerators of all targets, divided by its weight. Its
+   usage grows with each task that is placed, so that one pass does not give all free room to an
+   account that was the lowest when the pass began. Work without an account counts as that of one
+   account of weight 1. */
 #include "dag/dag_priv.h"
 
 static DagClient *
--- a/src/dag/dag_owner.c
+++ b/src/dag/dag_owner.c
@@ -7,7 +7,7 @@
 
 #include "dag/dag_priv.h"
 
-/* Deletions of left account records in one batch, which has to stay small. */
+/* Most account records without a job that one batch deletes; a batch has to stay small. */
 #define ORPHANS_MAX 4096
 /* "@" and the hash of the account, in hexadecimal. */
 #define CANCELLED_SUFFIX_LEN 17
@@ -87,7 +87,7 @@
   for (size_t n = 0; n < ORPHANS_MAX && dag->orphans.count > 0; n++) {
     GrName id = dag->orphans.items[--dag->orphans.count];
     const DagJob *job = dag_find_job (dag, &id);
-    /* The account record of a new job under the id replaces the one that was left. */
+    /* The account record of a new job under the id replaces the old record. */
     if (!job || !job->client)
       dag_pack_account_drop (&id, out);
   }
--- a/src/dag/dag_place.c
+++ b/src/dag/dag_place.c
@@ -7,7 +7,7 @@
    Within each group the order is by priority, then between accounts by dominant resource fairness,
    then by the latest start time that meets the objective, earliest first. Gang scheduling is all or
    nothing. The first gangs that do not fit reserve targets, so that later, smaller steps do not
-   starve them. So do the first steps of single tasks, while accounts that have more than their part,
+   starve them. So do the first steps of single tasks, while accounts with a larger weighted share,
    or work beyond a share, would take each gap before it is large enough. */
 #include <stdlib.h>
 
@@ -23,8 +23,8 @@
 #define ADVICE_BUDGET_FACTOR 3.0
 /* Shortest interval between two passes, since inputs come in bursts. */
 #define PASS_INTERVAL_MS 4
-/* Steps that are served once more in one pass, since accounts take turns. The next pass goes on. A
-   pass serves each step once anyway, some hundred under load. */
+/* Most repeated placements of steps in one pass, which arise because accounts take turns; the next
+   pass continues. Besides these a pass places each step once, some hundred under load. */
 #define TURNS_MAX 250
 
 static int64_t
@@ -444,11 +444,12 @@
   int reserving;            /* gangs that reserve targets */
   int reserving_steps;      /* other steps that do */
   bool beyond_share;        /* some step is beyond the share of its account */
-  int turns;                /* steps that are served once more */
+  int turns;                /* repeated placements, see TURNS_MAX */
 } Pass;
 
-/* Number of single tasks of the step for which targets may be reserved: its account has this number
-   less than the next one with waiting work, or work beyond a share waits too. */
+/* Number of single tasks of the step for which targets may be reserved: limit, by which its account
+   reaches the share of the next one with waiting work, or, with DAG_MAX_TASKS as the limit, all
+   that may start if work beyond a share waits too. */
 static int32_t
 reservable_tasks (const Pass *pass, const DagStep *step, int32_t limit, int64_t now_ms)
 {
