dag: names and comments of accounts, triage and run times

The caller's expectation of a run time is the baseline, stopped runs are censored observations, and dag_run_p95() does not read like a query about long-running steps. The answer to a refused start has a function of its own, and find_load() serves get_load(). No behaviour changes.

--- a/src/dag/dag_account.c
+++ b/src/dag/dag_account.c
@@ -1,14 +1,14 @@
 /* Client accounts: their policies, the jobs that belong to them and their maxima.
 
-   Answers the load of accounts that send more than they may run. The usage of an account is the sum
+   For accounts that submit more than they may run at once. The usage of an account is the sum
    of the demand of all its runs that may be alive, in this term or from an earlier one, so that no
    start brings it above the maximum in force. */
 #include <stdlib.h>
 
 #include "dag/dag_priv.h"
 
-/* An account counts as at its maximum until no step was held back for this time: between two waves
-   of a step there is room for a moment. */
+/* An account counts as at its maximum until no step was held back for this time: when some tasks of
+   a step end before the next ones start, there is room for a moment. */
 #define HELD_MS 1000
 
 DagClient *
@@ -71,7 +71,7 @@
     dag_share_refill (client, now_ms);
     client->policy = accounts->accounts[i];
     client->configured = true;
-    client->known = true;
+    client->has_policy = true;
   }
   HASH_ITER (hh, dag->clients, client, next)
   free_if_unused (dag, client);
@@ -159,8 +159,9 @@
       client->policy.maximum.v[GR_RES_MEMORY_MB], client->policy.maximum.v[GR_RES_ACCELERATORS]);
 }
 
-/* Smaller steps of the account would otherwise take all room that its runs leave, and a gang would
-   never start. Only a step that can fit under the maximum and is worth it gets room. */
+/* Keeps room under the maximum for the step: smaller steps of the account would otherwise take all
+   that its runs leave, and a gang would never start. No effect if the step cannot fit under the
+   maximum or its hard deadline has passed. */
 static void
 keep_room (DagClient *client, const DagStep *step, int64_t now_ms)
 {
--- a/src/dag/dag_job.c
+++ b/src/dag/dag_job.c
@@ -201,7 +201,8 @@
   double slack = job->queue.slack_factor > 0 ? job->queue.slack_factor : 1;
   double work = (double) set_critical_paths (job, 0);
   double chain = (double) set_critical_paths (job, expected_advice_ms (&job->queue));
-  job->aim_at = job->accepted_at + (int64_t) (work * slack) + job->queue.target_latency_ms;
+  job->objective_without_advice_at
+      = job->accepted_at + (int64_t) (work * slack) + job->queue.target_latency_ms;
   int64_t objective = (int64_t) (chain * slack) + job->queue.target_latency_ms;
   job->objective_at = job->accepted_at + objective;
   job->hard_deadline_at = job->accepted_at + HARD_DEADLINE_FACTOR * objective;
@@ -429,7 +430,7 @@
   job = dag_job_create (dag, spec, queue, now_ms);
   dag_share_decide (dag, job, now_ms);
   if (!dag_triage_admits (dag, job, job->beyond_share, now_ms, retry_after_ms)) {
-    dag_share_give_back (job);
+    dag_share_return_token (job);
     dag->open_jobs--;
     dag_job_free (dag, job);
     return DAG_SUBMIT_OVERLOAD;
@@ -465,7 +466,7 @@
     }
   }
   remove_from_dirty (dag, job);
-  dag_share_give_back (job);
+  dag_share_return_token (job);
   dag->open_jobs--;
   dag_job_free (dag, job);
   dag->place_wanted = true;
--- a/src/dag/dag_learn_codec.c
+++ b/src/dag/dag_learn_codec.c
@@ -1,9 +1,9 @@
 /* Encoding of what was learned about targets and run times, in MessagePack.
 
    Key "l", without an id: [format, [target, speed, deviation, ...], noise, [[kind, weight, x, y,
-   xx, xy, estimate error, given error, line error, in use, histogram of errors], ...]]. Numbers are
-   in thousandths; speeds are logarithms, see LearnSpeed and LearnRuntime. The histogram has a byte
-   for each bin, in parts of the highest. Earlier versions skip the record. */
+   xx, xy, estimate error, baseline error, line error, in use, histogram of errors], ...]]. Numbers
+   are in thousandths; speeds are logarithms, see LearnSpeed and LearnRuntime. The histogram has a
+   byte for each bin, in parts of the highest. Earlier versions skip the record. */
 #include <math.h>
 #include <stdlib.h>
 
@@ -17,7 +17,7 @@
 #define SCALE 1000.0
 /* Most targets in the record, which then stays under 150 KB with the longest ids. */
 #define TARGETS_MAX 2000
-/* Targets with a greater variance are left out: nothing to speak of is known. */
+/* Targets with a greater variance are left out: too little is known of them. */
 #define VARIANCE_MAX 0.1
 /* Largest absolute logarithm of a speed that is accepted. */
 #define SPEED_MAX 10.0
@@ -90,7 +90,7 @@
   pack_scaled (packer, model->xx);
   pack_scaled (packer, model->xy);
   pack_scaled (packer, model->estimate_error);
-  pack_scaled (packer, model->given_error);
+  pack_scaled (packer, model->baseline_error);
   pack_scaled (packer, model->line_error);
   gr_pack_bool (packer, model->in_use);
   gr_pack_bin (packer, (GrStr){ bins, sizeof bins });
@@ -159,7 +159,7 @@
   if (!gr_unpack_int (&f[0], &kind) || !read_scaled (&f[1], &model.weight)
       || !read_scaled (&f[2], &model.x) || !read_scaled (&f[3], &model.y)
       || !read_scaled (&f[4], &model.xx) || !read_scaled (&f[5], &model.xy)
-      || !read_scaled (&f[6], &model.estimate_error) || !read_scaled (&f[7], &model.given_error)
+      || !read_scaled (&f[6], &model.estimate_error) || !read_scaled (&f[7], &model.baseline_error)
       || !read_scaled (&f[8], &model.line_error) || !gr_unpack_bool (&f[9], &model.in_use)
       || !gr_unpack_bytes (&f[10], &bins) || bins.len != LEARN_ERROR_BINS)
     return false;
--- a/src/dag/dag_priv.h
+++ b/src/dag/dag_priv.h
@@ -51,10 +51,10 @@
   int64_t batch;                      /* batch that stores the assignment; 0: not taken yet */
   int64_t confirmed_at;               /* when the target confirmed the run */
   int64_t assigned_at;                /* when the run was assigned */
-  bool timed;                         /* the start of its work is known, and it is a usual run */
-  int64_t work_at, work_clock_ms;     /* that time, here and on the clock of the target */
-  uint32_t ran_on;                    /* DagTarget.serial of a usual run that is done; 0: none */
-  float log_run_ms;                   /* logarithm of its run time */
+  bool timed;                         /* work_at is known, and its run time will be typical */
+  int64_t work_at, work_clock_ms;     /* start of its work, here and on the clock of the target */
+  uint32_t ran_on;                    /* DagTarget.serial of a done run with log_run_ms; 0: none */
+  float log_run_ms;                   /* logarithm of the measured run time */
   int64_t confirmed_clock_ms;         /* clock of the target at that time; 0: not known */
   bool confirmed;                     /* the target has certainly started the run, in any term */
   int64_t survived_ms;                /* how long the run is known to have worked */
@@ -115,12 +115,12 @@
   uint64_t serial;  /* of the job */
 } DagStepOrder;
 
-/* Run times of the tasks of a step at the mean speed, kept for some placement passes. */
+/* Run times of the tasks of a step at the mean speed, cached across placement passes. */
 typedef struct {
   bool known;
   int64_t known_at;
-  double expected, long_one,
-      long_all; /* dag_expected_run(), dag_long_run() of one task and of all */
+  double expected;         /* dag_expected_run() */
+  double p95_one, p95_all; /* dag_run_p95() of one task and of all */
 } DagStepRuns;
 
 struct DagStep {
@@ -159,8 +159,8 @@
   DagQueue queue;       /* copy of the policy as last configured */
   DagQueueStats *stats; /* of the queue */
   DagClient *client;    /* account that sent it; NULL: none */
-  bool share_decided;   /* a token was taken for it, or there was none */
-  bool beyond_share;    /* there was none: it waits behind jobs within the share of their account */
+  bool share_decided;   /* beyond_share is final */
+  bool beyond_share;    /* no token was left: it waits behind jobs within their share */
   char *payload;
   size_t payload_len;
   DagStep *steps;
@@ -182,7 +182,7 @@
   bool dropped;             /* retention is over: the records are deleted, then the job is freed */
   int64_t accepted_at;
   int64_t objective_at;
-  int64_t aim_at;           /* the objective without the allowance for advice */
+  int64_t objective_without_advice_at; /* objective_at without the allowance for advice */
   int64_t hard_deadline_at; /* completion is worth less after objective_at, nothing after this */
   TriageVerdict verdict;    /* of the newest plan; TRIAGE_OBJECTIVE unless the cell is overloaded */
   int64_t triage_mark;      /* scratch: newest DagState.triage.mark in which it was collected */
@@ -345,7 +345,7 @@
   double mean_work; /* of its jobs, in cpu times ms of their estimates */
 };
 
-/* Waiting work of one rank in the newest plan, in TriageResult.dim. */
+/* Waiting work of the jobs of equal rank in the newest plan, in TriageResult.dim. */
 typedef struct {
   int32_t priority;
   bool beyond_share;
@@ -353,12 +353,12 @@
   double work;
 } DagBacklog;
 
-/* When a job of this kind last turned too late for its hard deadline while it waited. */
+/* When a waiting job of this rank last became too late for its hard deadline. */
 typedef struct {
   int32_t priority;
   bool beyond_share;
   int64_t at;
-} DagMissed;
+} DagDeadlineMiss;
 
 /* Load of the targets of one service. */
 typedef struct {
@@ -366,20 +366,20 @@
   double packing;      /* share of the capacity that runs can use, as a moving average */
   TriageResult result; /* of the newest plan; zero while the cell has room */
   GR_LIST (DagBacklog) backlogs;
-  GR_LIST (DagMissed) missed;
-  bool judged;     /* some job of the service may have a verdict other than TRIAGE_OBJECTIVE */
-  bool overloaded; /* as logged */
+  GR_LIST (DagDeadlineMiss) missed;
+  bool has_verdicts; /* some job of the service may have a verdict other than TRIAGE_OBJECTIVE */
+  bool overloaded;   /* as logged */
   int64_t overloaded_since;
   int64_t overloaded_at; /* newest plan that left jobs out */
   size_t left_out_most;  /* since then */
   int64_t refused;       /* since then */
-} DagLoad;
+} DagServiceLoad;
 
 /* State of dag_triage.c. */
 typedef struct {
   int64_t planned_at;
   int64_t mark;
-  GR_LIST (DagLoad *) loads;
+  GR_LIST (DagServiceLoad *) loads;
 } DagTriage;
 
 /* A client account. It is freed when it is no longer configured and its last job is freed. */
@@ -387,7 +387,7 @@
   DagAccount policy;
   UT_hash_handle hh;
   bool configured;
-  bool known;                 /* it was configured once, so that policy is its last one */
+  bool has_policy;            /* it was configured once; policy is the newest one */
   size_t jobs;                /* that exist, ended ones included */
   int64_t used[GR_RES_COUNT]; /* full demand of its runs on all targets */
   bool at_maximum;            /* its maximum holds back work, or did so lately */
@@ -411,7 +411,7 @@
   DagStep *fair_steps, *fair_last; /* steps still to be placed, linked by DagStep.fair_next */
 };
 
-/* Steps of a placement pass that no earlier key tells apart, by account. */
+/* Steps of a placement pass that are equal up to DagStepOrder.priority, by account. */
 typedef struct {
   int64_t pass;                   /* of capacity and of the usage of no_account */
   int64_t capacity[GR_RES_COUNT]; /* of all targets */
@@ -548,7 +548,8 @@
 DagClient *dag_client_ref (DagState *dag, const GrName *name);
 /* A job of the account is freed; client may be NULL. */
 void dag_client_unref (DagState *dag, DagClient *client);
-/* The account's usage grows by the run of the task, or shrinks. No effect without an account. */
+/* Adds the demand of the task to the usage of its account, or subtracts it. No effect without an
+   account. */
 void dag_client_attach (const DagTask *task);
 void dag_client_detach (const DagTask *task);
 /* Number of tasks of the step that may start under the maximum of its account; DAG_MAX_TASKS
@@ -564,7 +565,7 @@
 /* First dimension in which the account lacks room for a task of the step, or for the gang; NULL if
    there is none. */
 const char *dag_client_lack (const DagStep *step);
-/* Notes which accounts are no longer held back. */
+/* Notes which accounts are no longer held back by their maximum. */
 void dag_clients_tick (DagState *dag, int64_t now_ms);
 
 /* dag_share.c */
@@ -576,7 +577,7 @@
 void dag_step_add_waiting (DagStep *step, int32_t tasks);
 /* A waiting task of the step was assigned. */
 void dag_share_note_assigned (DagStep *step, int64_t now_ms);
-/* The waiting tasks of a new job count for its account, or no longer as the job ends. */
+/* Adds the waiting tasks of the job to those of its account, or subtracts them. */
 void dag_share_add_job (DagJob *job);
 void dag_share_remove_job (DagJob *job);
 /* False if the submission of an unknown id must be refused; then sets *retry_after_ms. */
@@ -584,8 +585,8 @@
                        int64_t *retry_after_ms);
 /* Decides once whether the job is within the share of its account. */
 void dag_share_decide (DagState *dag, DagJob *job, int64_t now_ms);
-/* The job is withdrawn. */
-void dag_share_give_back (DagJob *job);
+/* Returns the token of a job that is withdrawn or refused. */
+void dag_share_return_token (DagJob *job);
 /* All records are loaded: decides about the jobs in the order in which they were accepted. */
 void dag_share_loaded (DagState *dag, int64_t now_ms);
 
@@ -837,19 +838,20 @@
 uint64_t dag_work_kind (const GrName *queue, const GrName *image);
 /* Expected run time of a task of the step on a target of mean speed. */
 double dag_expected_run (const DagStep *step);
+/* The same in whole milliseconds. */
 int64_t dag_expected_run_ms (const DagStep *step);
-/* Variance of the logarithm of its error. */
+/* Variance of the logarithm of the run time against the expected one. */
 double dag_expected_run_variance (const DagStep *step);
-/* Run time that this number of tasks of the step together rarely exceed on targets of mean speed.
- */
-double dag_long_run (const DagStep *step, int32_t tasks);
+/* Run time that with a probability of 95% none of this number of tasks of the step exceeds on
+   targets of mean speed. */
+double dag_run_p95 (const DagStep *step, int32_t tasks);
 /* Run time by which the progress of a run on its target is judged. */
 double dag_stall_run (const DagTask *task);
-/* A usual run has ended as done after run_ms; the task is still on its target. */
+/* A run whose time was measured has ended as done; the task is still on its target. */
 void dag_runtime_note_end (DagState *dag, const DagTask *task, int64_t run_ms);
 /* A run was stopped or its lease has lapsed; the task is still on its target. */
-void dag_runtime_note_cut (DagState *dag, const DagTask *task);
-/* Computes the objectives of open jobs anew, also of those that have begun if begun is true. */
+void dag_runtime_note_interrupted (DagState *dag, const DagTask *task);
+/* Recomputes the objectives of open jobs, also of those that have begun if begun is true. */
 void dag_runtime_renew_objectives (DagState *dag, bool begun);
 /* Renews objectives of jobs that have not begun after a clear change, and writes the report. */
 void dag_runtime_tick (DagState *dag, int64_t now_ms);
@@ -863,7 +865,7 @@
 /* All tasks of the step are done. */
 void dag_speed_note_step (DagState *dag, DagStep *step, int64_t now_ms);
 void dag_speed_tick (DagState *dag, int64_t now_ms);
-/* Keeps the speed for a target that is not in the table, for when it appears. */
+/* Keeps the speed of a target that is not in the table until it is added. */
 void dag_speed_remember (DagState *dag, const GrName *id, const LearnSpeed *speed);
 /* Sets the speed of a target that was added to the table. */
 void dag_speed_recall (DagState *dag, DagTarget *target);
@@ -876,9 +878,9 @@
 
 /* dag_learn_codec.c */
 #define DAG_LEARN_KEY 'l'
-/* Plans a record of the learned values if they have clearly changed. */
+/* Schedules a record of the learned values if they have clearly changed. */
 void dag_learn_check_record (DagState *dag, int64_t now_ms);
-/* Appends the record if one is planned. */
+/* Appends the record if one is scheduled. */
 void dag_learn_pack (DagState *dag, DagRecords *out);
 /* Returns false if the record is damaged; then part of it may have been taken. */
 bool dag_learn_load (DagState *dag, GrStr value, int64_t now_ms);
@@ -895,8 +897,9 @@
 int32_t dag_fit_count_idle (const DagStep *step, const DagTarget *target);
 /* Stores the candidates in out, in order of preference, and returns their number. */
 size_t dag_list_candidates (DagState *dag, DagStep *step, DagCandidate *out, int64_t now_ms);
-/* Orders the candidates anew so that those of one class of speed come first, if these alone have
-   room for this number of tasks, in the rack if one is given. What goes before speed still does. */
+/* Reorders the candidates so that those of one class of speed come first, if these alone have room
+   for this number of tasks, in the rack if one is given. Criteria that precede speed in
+   dag_list_candidates() still do. */
 void dag_prefer_one_speed (DagCandidate *candidates, size_t count, const GrName *rack,
                            int32_t tasks);
 
--- a/src/dag/dag_run.c
+++ b/src/dag/dag_run.c
@@ -470,7 +470,7 @@
     return;
   case DAG_END_STOPPED:
   case DAG_END_LAPSED:
-    dag_runtime_note_cut (dag, task);
+    dag_runtime_note_interrupted (dag, task);
     dag_run_release (dag, task, now_ms);
     return;
   case DAG_END_BROKEN:
@@ -493,6 +493,40 @@
   finish_step_if_done (dag, task->step, now_ms);
 }
 
+/* Handles an answer other than DAG_ORDER_OK and DAG_ORDER_LOST to the only start order of a run.
+   Unless the run number is old, the target has not started the run. */
+static void
+handle_refused_start (DagState *dag, DagTask *task, DagOrderResult result, bool same_incarnation,
+                      int64_t now_ms)
+{
+  switch (result) {
+  case DAG_ORDER_OLD:
+    dag_run_stop_with_gang (dag, task, now_ms);
+    return;
+  case DAG_ORDER_REFUSED:
+    dag_target_avoid (dag, task->target, "starts refused", now_ms);
+    break;
+  case DAG_ORDER_NO_TICKET:
+    dag_advice_clear (task->step);
+    break;
+  case DAG_ORDER_GONE:
+    if (same_incarnation)
+      task->target->listed = false;
+    break;
+  case DAG_ORDER_OK:
+  case DAG_ORDER_LOST:
+  case DAG_ORDER_LATE:
+  case DAG_ORDER_NO_ROOM:
+  case DAG_ORDER_INVALID:
+  case DAG_ORDER_NOT_SENT:
+  case DAG_ORDER_FENCED:
+    break;
+  }
+  DagStep *step = task->step;
+  dag_run_release (dag, task, now_ms);
+  stop_gang (dag, step, now_ms);
+}
+
 void
 dag_handle_start_result (DagState *dag, const DagTaskRef *ref, int64_t run, DagOrderResult result,
                          int64_t clock_ms, int64_t now_ms)
@@ -545,32 +579,7 @@
     dag_run_stop_with_gang (dag, task, now_ms);
     return;
   }
-  switch (result) {
-  case DAG_ORDER_OLD:
-    dag_run_stop_with_gang (dag, task, now_ms);
-    return;
-  case DAG_ORDER_REFUSED:
-    dag_target_avoid (dag, target, "starts refused", now_ms);
-    break;
-  case DAG_ORDER_NO_TICKET:
-    dag_advice_clear (task->step);
-    break;
-  case DAG_ORDER_GONE:
-    if (same_incarnation)
-      target->listed = false;
-    break;
-  case DAG_ORDER_OK:
-  case DAG_ORDER_LOST:
-  case DAG_ORDER_LATE:
-  case DAG_ORDER_NO_ROOM:
-  case DAG_ORDER_INVALID:
-  case DAG_ORDER_NOT_SENT:
-  case DAG_ORDER_FENCED:
-    break;
-  }
-  DagStep *step = task->step;
-  dag_run_release (dag, task, now_ms);
-  stop_gang (dag, step, now_ms);
+  handle_refused_start (dag, task, result, same_incarnation, now_ms);
 }
 
 void
--- a/src/dag/dag_runtime.c
+++ b/src/dag/dag_runtime.c
@@ -1,15 +1,14 @@
-/* Expected run times of steps, learned from ended runs: what they are used for, and their report.
- */
+/* Expected run times of steps, learned from ended runs, and the report of run times and speeds. */
 #include <math.h>
 
 #include "dag/dag_priv.h"
 
-/* Run times are judged by the time that this share of the runs does not exceed. It leaves out the
-   few that take many times as long, which no target makes fast enough. */
-#define LONG_RUN_SHARE 0.95
+/* Placement and the detection of stalls assume the run time that this share of the runs does not
+   exceed. The few others take many times as long; no target is fast enough for them. */
+#define RUN_TIME_QUANTILE 0.95
 /* Variance of the logarithm of run times against an estimate that nothing is known about. */
 #define UNKNOWN_VARIANCE 1.0
-/* Objectives of waiting jobs are computed anew at this interval at most. */
+/* Least interval between two recomputations of the objectives of waiting jobs. */
 #define OBJECTIVES_INTERVAL_MS 2000
 /* Interval between reports. */
 #define REPORT_INTERVAL_MS 10000
@@ -24,9 +23,9 @@
   return kind >> 1;
 }
 
-/* Expected run time as the queue's moving average alone gives it. */
+/* Expected run time by the moving average of the queue, without the learned models. */
 static double
-given_run_ms (const DagStep *step)
+baseline_run_ms (const DagStep *step)
 {
   return step->job->stats->runtime_ratio * (double) step->spec.estimate_ms;
 }
@@ -44,7 +43,7 @@
 dag_expected_run (const DagStep *step)
 {
   return learn_runtime_expected (find_model (step), (double) step->spec.estimate_ms,
-                                 given_run_ms (step));
+                                 baseline_run_ms (step));
 }
 
 int64_t
@@ -65,13 +64,15 @@
 }
 
 double
-dag_long_run (const DagStep *step, int32_t tasks)
+dag_run_p95 (const DagStep *step, int32_t tasks)
 {
-  double quantile = learn_runtime_quantile (find_model (step), pow (LONG_RUN_SHARE, 1.0 / tasks));
+  double quantile
+      = learn_runtime_quantile (find_model (step), pow (RUN_TIME_QUANTILE, 1.0 / tasks));
   return dag_expected_run (step) * (quantile > 1 ? quantile : 1);
 }
 
-/* Speed of the target by its class: the least of many single values would be too low by chance. */
+/* Mean speed of the target's class. Its own value has errors, and the least of the values of many
+   targets would be too low by chance. */
 static double
 speed_of (const DagStep *step, const DagTarget *target)
 {
@@ -83,7 +84,7 @@
 {
   const DagStep *step = task->step;
   const LearnRuntime *model = find_model (step);
-  double run_ms = model && model->in_use ? dag_long_run (step, 1) : given_run_ms (step);
+  double run_ms = model && model->in_use ? dag_run_p95 (step, 1) : baseline_run_ms (step);
   return run_ms / speed_of (step, task->target);
 }
 
@@ -101,7 +102,8 @@
   return slowest;
 }
 
-/* Weight of one run: tasks of a step do the same work, so that they count as one together. */
+/* Weight of one run in the models: tasks of a step do the same work, so together they count as one
+   observation. */
 static double
 weight_of_run (const DagStep *step)
 {
@@ -127,24 +129,24 @@
 {
   const DagStep *step = task->step;
   DagQueueStats *stats = step->job->stats;
-  double estimate = (double) step->spec.estimate_ms, given = given_run_ms (step);
+  double estimate = (double) step->spec.estimate_ms, baseline = baseline_run_ms (step);
   double speed = speed_of_run (task), weight = weight_of_run (step);
   count_run (dag, stats, dag_expected_run (step) / speed, (double) run_ms);
   double work_ms = (double) run_ms * speed;
-  learn_runtime_observe (&dag->runtimes, stats->work_kind, estimate, given, work_ms, weight);
+  learn_runtime_observe (&dag->runtimes, stats->work_kind, estimate, baseline, work_ms, weight);
   if (step->work_kind != stats->work_kind)
-    learn_runtime_observe (&dag->runtimes, step->work_kind, estimate, given, work_ms, weight);
+    learn_runtime_observe (&dag->runtimes, step->work_kind, estimate, baseline, work_ms, weight);
 }
 
 void
-dag_runtime_note_cut (DagState *dag, const DagTask *task)
+dag_runtime_note_interrupted (DagState *dag, const DagTask *task)
 {
   const DagStep *step = task->step;
   if (!task->timed || task->survived_ms <= 0)
     return;
-  learn_runtime_observe_cut (&dag->runtimes, step->work_kind, (double) step->spec.estimate_ms,
-                             (double) task->survived_ms * speed_of_run (task),
-                             weight_of_run (step));
+  learn_runtime_observe_censored (&dag->runtimes, step->work_kind, (double) step->spec.estimate_ms,
+                                  (double) task->survived_ms * speed_of_run (task),
+                                  weight_of_run (step));
 }
 
 void
@@ -157,7 +159,7 @@
   dag->runtimes_used = dag->runtimes.changes;
 }
 
-/* The queues, and the fastest and slowest targets. */
+/* Logs the run times of the queues, and the fastest and slowest targets. */
 static void
 report (const DagState *dag)
 {
--- a/src/dag/dag_share.c
+++ b/src/dag/dag_share.c
@@ -1,8 +1,7 @@
 /* Which jobs of an account count as within its share, and which submissions are refused.
 
-   Answers the load of an account that sends several times its usual number of jobs: its jobs beyond
-   the share wait behind the jobs of others, and the work that waits stays within the memory of the
-   smallest VM.
+   For an account that sends several times its usual number of jobs: its jobs beyond the share wait
+   behind the jobs of others, and the work that waits stays within the memory of the smallest VM.
 
    Each account has a token bucket that is refilled with `weight` jobs a second. A job that finds a
    token is within the share for its whole life. Buckets are not stored: a new leader replays them
@@ -19,11 +18,12 @@
 /* Waiting tasks of all accounts. In steps of three tasks with 30 permits each takes 1.8 KB, so all
    take less than half of the smallest VM's 120 MB. */
 #define WAITING_TASKS_MAX 24576
-/* So many bytes of the payload of an open job count as another waiting task. */
+/* Each such number of payload bytes of an open job counts as one more waiting task. */
 #define PAYLOAD_BYTES_PER_TASK 2048
-/* Weight of the past in the rate at which tasks of an account leave the backlog. */
+/* Time constant of the moving average of the rate at which tasks of an account leave the backlog.
+ */
 #define DRAIN_MEMORY_MS 5000.0
-/* Longest Retry-After. The rate of the past tells little about later times. */
+/* Longest Retry-After. The past rate does not predict what happens later than this. */
 #define RETRY_MAX_MS 30000
 /* Retry-After of a refused submission while no task of the account leaves the backlog. */
 #define RETRY_UNKNOWN_MS 5000
@@ -135,7 +135,7 @@
 take_token (DagJob *job, int64_t now_ms)
 {
   DagClient *client = job->client;
-  if (!client->known)
+  if (!client->has_policy)
     return;
   prepare_bucket (client, now_ms);
   dag_share_remove_job (job);
@@ -162,7 +162,7 @@
 }
 
 void
-dag_share_give_back (DagJob *job)
+dag_share_return_token (DagJob *job)
 {
   DagClient *client = job->client;
   if (client && job->share_decided && !job->beyond_share)
@@ -209,7 +209,7 @@
   gr_list_clear (&jobs);
 }
 
-/* What counts against the bounds. */
+/* Sums over all accounts that the bounds are compared with. */
 typedef struct {
   int64_t waiting, waiting_beyond; /* tasks of all accounts */
   double drain_rate;               /* of all accounts */
@@ -287,7 +287,7 @@
 dag_share_admits (DagState *dag, const DagJobSpec *spec, int64_t now_ms, int64_t *retry_after_ms)
 {
   DagClient *client = dag_find_client (dag, &spec->account);
-  if (!client || !client->known)
+  if (!client || !client->has_policy)
     return true;
   prepare_bucket (client, now_ms);
   Backlog backlog = sum_backlog (dag, now_ms);
@@ -295,7 +295,7 @@
   int64_t waiting = client->waiting[false] + client->waiting[true];
   int64_t own = excess (waiting, tasks, account_bound (client, &backlog));
   int64_t cell = excess (backlog.waiting, tasks, WAITING_TASKS_MAX);
-  /* Work beyond a share makes room for work within one: it is what gets refused. */
+  /* While work beyond a share waits, only such work is refused for the bound of the cell. */
   int64_t cell_if_within = backlog.waiting_beyond == 0 ? cell : 0;
   bool within = client->tokens >= 1;
   if (within ? cell_if_within == 0 : own == 0 && cell == 0)
--- a/src/dag/dag_speed.c
+++ b/src/dag/dag_speed.c
@@ -1,19 +1,19 @@
-/* Learned speeds of targets: what ended runs tell about them, and the order of targets that follows
-   for a step. They only order choices. */
+/* Learned speeds of targets: how ended runs update them, and the order of targets for a step.
+   Speeds only order candidates; they never exclude one. */
 #include <math.h>
 #include <stdlib.h>
 
 #include "dag/dag_priv.h"
 
-/* Classes of speed are formed anew at this interval. */
+/* Interval at which the classes of speed are recomputed. */
 #define CLASSIFY_INTERVAL_MS 1000
 /* A class of speed has room to spare while at least this share of its cpu is free. Without the rule
-   short work ended in time less often in a full cell, with a larger share wide steps did in one
-   with room (tests/test_dag_speed.c at 1 to 1.4 times its load). */
+   short work ended in time less often in a full cell; with a larger share wide steps ended in time
+   less often in a cell with room (tests/test_dag_speed.c at 1 to 1.4 times its load). */
 #define SPARE_SHARE 0.3
-/* Expected run times of a waiting step are computed again after this time. */
+/* Expected run times of a waiting step are cached for this time. */
 #define RUNS_KEPT_MS 500
-/* Most targets that have left and whose speed is remembered; then all of them are forgotten. */
+/* Most targets that have left whose speed is kept; at the limit all of them are dropped. */
 #define KNOWN_SPEEDS_MAX 2000
 /* Weight of one start in the moving average DagState.start_delay_ms. */
 #define START_DELAY_WEIGHT 0.02
@@ -90,7 +90,7 @@
   return false;
 }
 
-/* How long the run has worked, 0 if that is not known or does not tell how long such runs take. */
+/* How long the run has worked; 0 if that is not known or not representative of such runs. */
 static int64_t
 measured_run_ms (const DagTask *task, int64_t now_ms)
 {
@@ -187,7 +187,8 @@
   return left_ms > 0 ? run_ms / (double) left_ms : INFINITY;
 }
 
-/* Computing them takes microseconds, and a pass visits hundreds of steps. */
+/* Recomputes the cached run times if they are old. Computing them takes microseconds, and a pass
+   visits hundreds of steps. */
 static void
 renew_runs (DagStep *step, int64_t now_ms)
 {
@@ -197,9 +198,9 @@
   runs->known = true;
   runs->known_at = now_ms;
   runs->expected = dag_expected_run (step);
-  runs->long_one = dag_long_run (step, 1);
+  runs->p95_one = dag_run_p95 (step, 1);
   /* The members of a gang end together. */
-  runs->long_all = step->spec.gang ? runs->long_one : dag_long_run (step, step->spec.count);
+  runs->p95_all = step->spec.gang ? runs->p95_one : dag_run_p95 (step, step->spec.count);
 }
 
 /* Speed at which a run that takes long_ms at the mean speed ends within the time of the step if it
@@ -209,10 +210,10 @@
 needed_speed (const DagState *dag, const DagStep *step, double long_ms, int64_t now_ms)
 {
   const DagJob *job = step->job;
-  /* The end of a run takes the way of its start: a message and a record. */
+  /* The report of the end takes as long as the start did: a message and a record each. */
   int64_t ready_at = now_ms + 2 * (int64_t) dag->start_delay_ms + step->after_ms;
   double fastest = dag->classes.factor[dag->classes.count - 1];
-  int64_t deadline = job->aim_at;
+  int64_t deadline = job->objective_without_advice_at;
   if (speed_for (step->runs.expected, deadline - ready_at) > fastest)
     deadline = job->hard_deadline_at;
   double needed = speed_for (long_ms, deadline - ready_at);
@@ -254,10 +255,10 @@
   if (dag->classes.count < 2 || step->spec.long_running || step->spec.best_effort_cpu)
     return;
   renew_runs (step, now_ms);
-  double needed = needed_speed (dag, step, step->runs.long_one, now_ms);
-  /* The last of many tasks takes longer than one does. Where only that asks for faster targets, the
-     step gets them while they have room to spare. */
-  double needed_by_all = needed_speed (dag, step, step->runs.long_all, now_ms);
+  double needed = needed_speed (dag, step, step->runs.p95_one, now_ms);
+  /* The last of many tasks to end takes longer than one task does. If only that calls for faster
+     targets, the step gets them while they have room to spare. */
+  double needed_by_all = needed_speed (dag, step, step->runs.p95_all, now_ms);
   if (dag->class_free[slowest_class (&dag->classes, needed_by_all)] >= SPARE_SHARE)
     needed = needed_by_all;
   learn_speed_rank (&dag->classes, needed, out->of_class);
--- a/src/dag/dag_triage.c
+++ b/src/dag/dag_triage.c
@@ -1,7 +1,7 @@
-/* Overload: fills the triage plan from the state of the scheduler, and admission of jobs.
+/* Overload: input of the triage plan from the state of the scheduler, and admission of jobs.
 
    The plan is made only while more work waits than free room, at most every PLAN_INTERVAL_MS. Its
-   verdicts go into deadline_class() of dag_place.c. Nothing is stored: a new leader plans anew
+   verdicts enter deadline_class() in dag_place.c. Nothing is stored: a new leader plans anew
    before its first placement. */
 #include <stdlib.h>
 
@@ -13,13 +13,14 @@
 #define WORTH_FIXED 0.3
 /* Weight of one job in the mean work of its queue. */
 #define MEAN_WORK_WEIGHT 0.05
-/* Weight of one plan in the share of the capacity that runs can use while work waits, and the least
-   share that is believed. */
+/* Weight of one plan in the moving average of the share of the capacity that runs use while work
+   waits, and the least value of that average. */
 #define PACKING_WEIGHT 0.06
 #define PACKING_MIN 0.5
-/* A run that takes longer than expected is taken to need another part of that time. */
+/* A run is expected to need at least this part of its expected run time from now on, however long
+   it has worked. */
 #define OVERDUE_PART 0.25
-/* Submissions are refused for this time after a job of their kind turned too late. */
+/* Submissions are refused for this time after a job of their rank became too late. */
 #define MISSED_MEMORY_MS 2000
 /* An overload has ended after this time without one. */
 #define CALM_MS 2000
@@ -27,14 +28,14 @@
 #define RETRY_MIN_MS 1000
 #define RETRY_MAX_MS 30000
 
-/* A plan for the targets of one service. */
+/* Input of the plan for the targets of one service. */
 typedef struct {
-  DagLoad *load;
+  DagServiceLoad *load;
   TriageAmount capacity, used, wanted; /* wanted: by waiting tasks */
   double listed_cpu;                   /* of the targets in the list, usable or not */
   GR_LIST (TriageRun) runs;
   GR_LIST (TriageJob) jobs;
-  GR_LIST (DagJob *) of; /* the job of each entry */
+  GR_LIST (DagJob *) dag_jobs; /* the job of each entry of jobs */
 } Plan;
 
 static void
@@ -100,14 +101,23 @@
   return done_at <= job->hard_deadline_at ? TRIAGE_HARD : TRIAGE_NONE;
 }
 
-static DagLoad *
-get_load (DagState *dag, const GrName *service)
+static DagServiceLoad *
+find_load (const DagState *dag, const GrName *service)
 {
   for (size_t i = 0; i < dag->triage.loads.count; i++) {
     if (gr_name_equal (&dag->triage.loads.items[i]->service, service))
       return dag->triage.loads.items[i];
   }
-  DagLoad *load = gr_calloc (1, sizeof *load);
+  return NULL;
+}
+
+static DagServiceLoad *
+get_load (DagState *dag, const GrName *service)
+{
+  DagServiceLoad *load = find_load (dag, service);
+  if (load)
+    return load;
+  load = gr_calloc (1, sizeof *load);
   load->service = *service;
   load->packing = 1;
   /* NOLINTNEXTLINE(bugprone-sizeof-expression): a list of pointers */
@@ -115,16 +125,6 @@
   return load;
 }
 
-static const DagLoad *
-find_load (const DagState *dag, const GrName *service)
-{
-  for (size_t i = 0; i < dag->triage.loads.count; i++) {
-    if (gr_name_equal (&dag->triage.loads.items[i]->service, service))
-      return dag->triage.loads.items[i];
-  }
-  return NULL;
-}
-
 static int64_t
 expected_end (const DagTask *task, int64_t now_ms)
 {
@@ -198,7 +198,7 @@
                       .weight = job->client ? dag_client_weight (job->client) : 1,
                       .left_out = job->verdict != TRIAGE_OBJECTIVE };
   gr_list_push (&plan->jobs, entry);
-  gr_list_push (&plan->of, job); /* NOLINT(bugprone-sizeof-expression): a list of pointers */
+  gr_list_push (&plan->dag_jobs, job); /* NOLINT(bugprone-sizeof-expression): a list of pointers */
 }
 
 /* Runs, and the jobs that have runs or steps that can be placed. All other open jobs wait for a
@@ -244,7 +244,7 @@
     if (plan->capacity.v[d] > 0 && plan->used.v[d] / plan->capacity.v[d] > share)
       share = plan->used.v[d] / plan->capacity.v[d];
   }
-  DagLoad *load = plan->load;
+  DagServiceLoad *load = plan->load;
   load->packing += PACKING_WEIGHT * (share - load->packing);
   if (load->packing < PACKING_MIN)
     load->packing = PACKING_MIN;
@@ -255,7 +255,7 @@
 }
 
 static void
-add_backlog (DagLoad *load, const DagJob *job, double work)
+add_backlog (DagServiceLoad *load, const DagJob *job, double work)
 {
   bool beyond_share = job->beyond_share;
   for (size_t i = 0; i < load->backlogs.count; i++) {
@@ -272,29 +272,29 @@
                                                .work = work });
 }
 
-static DagMissed *
-get_missed (DagLoad *load, const DagJob *job)
+static DagDeadlineMiss *
+get_missed (DagServiceLoad *load, const DagJob *job)
 {
   for (size_t i = 0; i < load->missed.count; i++) {
-    DagMissed *missed = &load->missed.items[i];
+    DagDeadlineMiss *missed = &load->missed.items[i];
     if (missed->priority == job->queue.priority && missed->beyond_share == job->beyond_share)
       return missed;
   }
-  gr_list_push (&load->missed, (DagMissed){ .priority = job->queue.priority,
-                                            .beyond_share = job->beyond_share,
-                                            .at = INT64_MIN / 2 });
+  gr_list_push (&load->missed, (DagDeadlineMiss){ .priority = job->queue.priority,
+                                                  .beyond_share = job->beyond_share,
+                                                  .at = INT64_MIN / 2 });
   return &load->missed.items[load->missed.count - 1];
 }
 
 static bool
-missed_lately (DagLoad *load, const DagJob *job, int64_t now_ms)
+missed_lately (DagServiceLoad *load, const DagJob *job, int64_t now_ms)
 {
   return now_ms - get_missed (load, job)->at < MISSED_MEMORY_MS;
 }
 
-/* Notes a job that has turned too late for its hard deadline since one of the last two plans. */
+/* Notes a job that has become too late for its hard deadline since one of the last two plans. */
 static void
-note_missed (DagLoad *load, const DagJob *job, int64_t now_ms)
+note_missed (DagServiceLoad *load, const DagJob *job, int64_t now_ms)
 {
   int64_t late_ms = now_ms + waiting_path_ms (job) - job->hard_deadline_at;
   if (!job->begun && late_ms > 0 && late_ms <= 2 * PLAN_INTERVAL_MS)
@@ -303,13 +303,13 @@
 
 /* Forgets the verdicts on the jobs of the service. */
 static void
-clear_verdicts (DagState *dag, DagLoad *load)
+clear_verdicts (DagState *dag, DagServiceLoad *load)
 {
   load->result = (TriageResult){ 0 };
   gr_list_reset (&load->backlogs);
-  if (!load->judged)
+  if (!load->has_verdicts)
     return;
-  load->judged = false;
+  load->has_verdicts = false;
   for (DagJob *job = dag->jobs; job; job = job->hh.next) {
     if (gr_name_equal (&job->queue.service, &load->service))
       job->verdict = TRIAGE_OBJECTIVE;
@@ -317,9 +317,9 @@
 }
 
 static void
-judge (DagState *dag, Plan *plan, int64_t now_ms)
+plan_jobs (DagState *dag, Plan *plan, int64_t now_ms)
 {
-  DagLoad *load = plan->load;
+  DagServiceLoad *load = plan->load;
   apply_packing (plan);
   collect (dag, plan, now_ms);
   TriageCell cell = { .now_ms = now_ms,
@@ -329,9 +329,9 @@
   load->result = triage_plan (&cell, plan->jobs.items, plan->jobs.count);
   gr_list_reset (&load->backlogs);
   for (size_t i = 0; i < plan->jobs.count; i++) {
-    DagJob *job = plan->of.items[i];
+    DagJob *job = plan->dag_jobs.items[i];
     job->verdict = plan->jobs.items[i].verdict;
-    load->judged |= job->verdict != TRIAGE_OBJECTIVE;
+    load->has_verdicts |= job->verdict != TRIAGE_OBJECTIVE;
     note_missed (load, job, now_ms);
     add_backlog (load, job, plan->jobs.items[i].work.v[load->result.dim]);
   }
@@ -339,7 +339,7 @@
 
 /* Logs the begin and the end of an overload. */
 static void
-note_overload (DagState *dag, DagLoad *load, int64_t now_ms)
+note_overload (DagState *dag, DagServiceLoad *load, int64_t now_ms)
 {
   const TriageResult *result = &load->result;
   if (result->left_out > 0) {
@@ -369,18 +369,18 @@
 }
 
 static void
-update_load (DagState *dag, DagLoad *load, int64_t now_ms)
+update_load (DagState *dag, DagServiceLoad *load, int64_t now_ms)
 {
   Plan plan = { .load = load };
   measure (dag, &plan, now_ms);
   if (lacks_room (&plan) && knows_capacity (&plan))
-    judge (dag, &plan, now_ms);
+    plan_jobs (dag, &plan, now_ms);
   else
     clear_verdicts (dag, load);
   note_overload (dag, load, now_ms);
   gr_list_clear (&plan.runs);
   gr_list_clear (&plan.jobs);
-  gr_list_clear (&plan.of);
+  gr_list_clear (&plan.dag_jobs);
 }
 
 static void
@@ -402,7 +402,7 @@
 is_calm (const DagState *dag)
 {
   for (size_t i = 0; i < dag->triage.loads.count; i++) {
-    if (dag->triage.loads.items[i]->judged || dag->triage.loads.items[i]->overloaded
+    if (dag->triage.loads.items[i]->has_verdicts || dag->triage.loads.items[i]->overloaded
         || dag->triage.loads.items[i]->result.capacity > 0)
       return false;
   }
@@ -443,14 +443,14 @@
   if (stats->mean_work <= 0)
     stats->mean_work = work;
   stats->mean_work += MEAN_WORK_WEIGHT * (work - stats->mean_work);
-  DagLoad *load = (DagLoad *) find_load (dag, &job->queue.service);
+  DagServiceLoad *load = find_load (dag, &job->queue.service);
   if (load && load->result.capacity > 0)
     add_backlog (load, job, waiting_work (job).v[load->result.dim]);
 }
 
 /* Work that is served before a job that comes next in its class. */
 static double
-work_ahead (const DagLoad *load, const DagJob *job, bool beyond_share)
+work_ahead (const DagServiceLoad *load, const DagJob *job, bool beyond_share)
 {
   double ahead = load->result.running;
   for (size_t i = 0; i < load->backlogs.count; i++) {
@@ -466,7 +466,7 @@
 }
 
 static bool
-waits_beyond_share (const DagLoad *load)
+waits_beyond_share (const DagServiceLoad *load)
 {
   for (size_t i = 0; i < load->backlogs.count; i++) {
     if (load->backlogs.items[i].beyond_share && load->backlogs.items[i].work > 0)
@@ -479,7 +479,7 @@
 dag_triage_admits (DagState *dag, const DagJob *job, bool beyond_share, int64_t now_ms,
                    int64_t *retry_after_ms)
 {
-  DagLoad *load = (DagLoad *) find_load (dag, &job->queue.service);
+  DagServiceLoad *load = find_load (dag, &job->queue.service);
   if (!dag->loaded || !job->client || dag_has_timetable (job) || !load || load->result.left_out == 0
       || load->result.capacity <= 0 || (!beyond_share && waits_beyond_share (load)))
     return true;
--- a/src/learn/learn_runtime.c
+++ b/src/learn/learn_runtime.c
@@ -4,7 +4,8 @@
 #include <math.h>
 #include <string.h>
 
-/* Weight of the observations that decide; older ones have faded. */
+/* Sum of the weights that the model approaches: an observation fades as newer ones of this total
+   weight arrive. */
 #define MEMORY_WEIGHT 100.0
 /* A model with less weight is not used. */
 #define MIN_WEIGHT 20.0
@@ -18,9 +19,9 @@
 /* The line is used once its squared error is below this share of that of the other predictions, and
    until it is above that error. */
 #define BETTER_SHARE 0.8
-/* A tenth off is as good as such predictions get. */
+/* Squared error of predictions that are off by a tenth. The line is not expected to be better. */
 #define OTHER_ERROR_MIN 0.01
-/* A change of predictions by this much (log 1.2) is reported. */
+/* Least change of predictions (log 1.2) that counts in LearnRuntimes.changes. */
 #define CLEAR_CHANGE 0.18
 #define BINS_PER_UNIT 10.0
 /* Largest logarithm that is predicted, or accepted in a stored value: beyond a year in ms. */
@@ -99,7 +100,7 @@
   return 0;
 }
 
-/* Standard deviation of the errors, as their middle two thirds show it. */
+/* Standard deviation of the errors, estimated from their middle two thirds. */
 static double
 spread (const LearnRuntime *model)
 {
@@ -138,7 +139,7 @@
   model->xy += weight * dx * (y - model->y);
 }
 
-/* Learns from a run time of which the prediction is off by error. */
+/* Updates the model by a run time that exceeds the prediction by error, in logarithms. */
 static void
 learn (LearnRuntime *model, double x, double error, double weight)
 {
@@ -158,16 +159,16 @@
 
 /* Decides by their errors whether the line is used. */
 static void
-compare (LearnRuntime *model, double line_error, double estimate_error, double given_error,
+compare (LearnRuntime *model, double line_error, double estimate_error, double baseline_error,
          double weight)
 {
   double share = weight / (model->weight < MIN_WEIGHT ? MIN_WEIGHT : model->weight);
   model->line_error += share * (squared (line_error) - model->line_error);
   model->estimate_error += share * (squared (estimate_error) - model->estimate_error);
-  model->given_error += share * (squared (given_error) - model->given_error);
+  model->baseline_error += share * (squared (baseline_error) - model->baseline_error);
   if (model->weight < MIN_WEIGHT)
     return;
-  double other = fmin (model->estimate_error, model->given_error);
+  double other = fmin (model->estimate_error, model->baseline_error);
   if (model->in_use)
     model->in_use = model->line_error <= other;
   else
@@ -179,17 +180,17 @@
 note_change (LearnRuntimes *table, LearnRuntime *model, bool was_in_use)
 {
   bool moved = model->in_use
-               && (fabs (model->y - model->noted_y) > CLEAR_CHANGE
-                   || fabs (slope (model) - model->noted_slope) > CLEAR_CHANGE);
+               && (fabs (model->y - model->reported_y) > CLEAR_CHANGE
+                   || fabs (slope (model) - model->reported_slope) > CLEAR_CHANGE);
   if (!moved && model->in_use == was_in_use)
     return;
   table->changes++;
-  model->noted_y = model->y;
-  model->noted_slope = slope (model);
+  model->reported_y = model->y;
+  model->reported_slope = slope (model);
 }
 
 void
-learn_runtime_observe (LearnRuntimes *table, uint64_t kind, double estimate_ms, double given_ms,
+learn_runtime_observe (LearnRuntimes *table, uint64_t kind, double estimate_ms, double baseline_ms,
                        double run_ms, double weight)
 {
   LearnRuntime *model = get_model (table, kind);
@@ -197,28 +198,28 @@
   double error = y - predict (model, x);
   bool was_in_use = model->in_use;
   model->used = ++table->observations;
-  compare (model, error, y - x, y - log_ms (given_ms), weight);
+  compare (model, error, y - x, y - log_ms (baseline_ms), weight);
   learn (model, x, error, weight);
   note_change (table, model, was_in_use);
 }
 
 void
-learn_runtime_observe_cut (LearnRuntimes *table, uint64_t kind, double estimate_ms, double run_ms,
-                           double weight)
+learn_runtime_observe_censored (LearnRuntimes *table, uint64_t kind, double estimate_ms,
+                                double run_ms, double weight)
 {
   LearnRuntime *model = get_model (table, kind);
   double x = log_ms (estimate_ms);
   double error = log_ms (run_ms) - predict (model, x);
   model->used = ++table->observations;
-  /* A bound below the prediction tells nothing. */
+  /* A lower bound that is below the prediction does not contradict it. */
   if (error > 0 && model->weight > 0)
     learn (model, x, error, weight);
 }
 
 double
-learn_runtime_expected (const LearnRuntime *model, double estimate_ms, double given_ms)
+learn_runtime_expected (const LearnRuntime *model, double estimate_ms, double baseline_ms)
 {
-  return model && model->in_use ? exp (predict (model, log_ms (estimate_ms))) : given_ms;
+  return model && model->in_use ? exp (predict (model, log_ms (estimate_ms))) : baseline_ms;
 }
 
 double
--- a/tests/prop_learn.cc
+++ b/tests/prop_learn.cc
@@ -95,7 +95,7 @@
     observe (runs, estimate, &noise, now);
     learn_runtime_observe (&table, random () % 3, estimate, estimate, std::exp (log_ms (random)),
                            1);
-    learn_runtime_observe_cut (&table, random () % 3, estimate, std::exp (log_ms (random)), 1);
+    learn_runtime_observe_censored (&table, random () % 3, estimate, std::exp (log_ms (random)), 1);
   }
   for (const LearnSpeed &speed : speeds)
     RC_ASSERT (std::isfinite (speed.mean) && speed.variance > 0 && speed.variance <= 0.25);
--- a/tests/test_dag_overload.c
+++ b/tests/test_dag_overload.c
@@ -188,9 +188,9 @@
 note_missed_jobs (Fixture *fixture)
 {
   for (size_t i = 0; i < fixture->dag->triage.loads.count; i++) {
-    DagLoad *load = fixture->dag->triage.loads.items[i];
+    DagServiceLoad *load = fixture->dag->triage.loads.items[i];
     for (int32_t priority = 0; priority <= 1; priority++)
-      gr_list_push (&load->missed, (DagMissed){ priority, false, fixture->now_ms });
+      gr_list_push (&load->missed, (DagDeadlineMiss){ priority, false, fixture->now_ms });
   }
 }
 
--- a/tests/test_learn.c
+++ b/tests/test_learn.c
@@ -196,7 +196,7 @@
   observe (&table, 150, 10, 0.9);
   assert_true (fabs (learn_runtime_expected (model, 1000, 1000) - 10000) < 3000);
   double before = learn_runtime_expected (model, 1000, 1000);
-  learn_runtime_observe_cut (&table, 1, 1000, 10, 1);
+  learn_runtime_observe_censored (&table, 1, 1000, 10, 1);
   assert_true (learn_runtime_expected (model, 1000, 1000) == before);
   static LearnRuntimes exact;
   observe (&exact, 200, 1, 0);
