--- a/src/net/net_budget.c
+++ b/src/net/net_budget.c
@@ -13,13 +13,13 @@
 #define DEFAULT_BODY_GRACE_MS 20000
 #define DEFAULT_BODY_MIN_BYTES_PER_S 4096
 #define DEFAULT_REPLY_MS 30000
-/* Without room for a few of the largest requests, one that stops short would hold up all others. */
+/* Without room for a few of the largest requests, one that stops short would block all others. */
 #define REQUESTS_MIN 4
-/* The rate of a request is that of the last whole window. */
+/* The rate of a request is measured over the last whole window. */
 #define WINDOW_MS 1000
 #define RATE_UNIT_BYTES 1024
-/* Once the total is spent, this part of it is left, so that not every read that follows has to look
-   for a request to close. */
+/* Once the total is exceeded, requests are closed down to this part of it, so that not every read
+   that follows has to look for a request to close. */
 #define AFTER_CUT_NUM 7
 #define AFTER_CUT_DEN 8
 
@@ -37,15 +37,16 @@
   void *user;
   NetBudgetPhase phase;
   int64_t held;
-  int64_t ahead;   /* will hold so much after the next read */
-  int64_t granted; /* may hold so much; 0: no grant */
-  int64_t phase_at, due_at, moved_at;
+  int64_t next_held; /* after the next read */
+  int64_t granted;   /* amount that it may hold; 0: no grant */
+  int64_t phase_at, due_at;
+  int64_t moved_at;                /* when bytes last arrived, or the phase or the wait ended */
   int64_t received;                /* in this phase */
   int64_t window_at, window_bytes; /* current window */
   int64_t rate;                    /* bytes in the last whole window */
   int64_t wait_since;
   bool waiting;
-  bool closed; /* a command to close it was given */
+  bool closed; /* a command to close it was issued */
   NetBudgetItem *prev, *next;
   NetBudgetItem *wait_prev, *wait_next;
 };
@@ -56,45 +57,45 @@
   NetBudgetItem *first_waiting, *last_waiting;
   size_t waiting;
   int64_t total;
-  size_t granted;     /* items with a grant */
-  int64_t resumed_at; /* last time that a request stopped waiting */
-  bool pressed;       /* requests above small_bytes need a grant */
+  size_t granted;      /* items with a grant */
+  int64_t resumed_at;  /* last time that a request stopped waiting */
+  bool under_pressure; /* requests above small_bytes need a grant */
   bool due;
   Address *addresses;
 };
 
 static int64_t
-or_default (int64_t value, int64_t fallback)
+value_or_default (int64_t value, int64_t fallback)
 {
   return value > 0 ? value : fallback;
 }
 
 static int64_t
-larger (int64_t a, int64_t b)
+max_of (int64_t a, int64_t b)
 {
   return a > b ? a : b;
 }
 
 static int64_t
-smaller (int64_t a, int64_t b)
+min_of (int64_t a, int64_t b)
 {
   return a < b ? a : b;
 }
 
 static int64_t
-cost (const NetBudgetItem *item)
+charged_bytes (const NetBudgetItem *item)
 {
-  return larger (item->held, item->granted);
+  return max_of (item->held, item->granted);
 }
 
 static void
 set_cost (NetBudgetItem *item, int64_t held, int64_t granted)
 {
-  int64_t before = cost (item);
+  int64_t before = charged_bytes (item);
   item->budget->granted += (granted > 0) - (item->granted > 0);
   item->held = held;
   item->granted = granted;
-  int64_t change = cost (item) - before;
+  int64_t change = charged_bytes (item) - before;
   item->budget->total += change;
   item->address->held += change;
   if (change < 0 && item->budget->waiting > 0)
@@ -147,20 +148,21 @@
   NetBudget *budget = gr_calloc (1, sizeof *budget);
   NetBudgetOptions *o = &budget->options;
   *o = *options;
-  o->request_bytes = or_default (o->request_bytes, DEFAULT_REQUEST_BYTES);
-  o->total_bytes
-      = larger (or_default (o->total_bytes, DEFAULT_TOTAL_BYTES), REQUESTS_MIN * o->request_bytes);
-  o->wait_bytes = or_default (o->wait_bytes, o->total_bytes / 2);
-  o->grant_bytes = or_default (o->grant_bytes, o->total_bytes / 4 * 3);
-  o->small_bytes = or_default (o->small_bytes, DEFAULT_SMALL_BYTES);
-  o->stall_ms = or_default (o->stall_ms, DEFAULT_STALL_MS);
-  o->wait_max_ms = or_default (o->wait_max_ms, DEFAULT_WAIT_MAX_MS);
-  o->idle_ms = or_default (o->idle_ms, NET_BUDGET_IDLE_MS);
-  o->head_ms = or_default (o->head_ms, NET_BUDGET_HEAD_MS);
-  o->body_ms = or_default (o->body_ms, DEFAULT_BODY_MS);
-  o->body_grace_ms = or_default (o->body_grace_ms, DEFAULT_BODY_GRACE_MS);
-  o->body_min_bytes_per_s = or_default (o->body_min_bytes_per_s, DEFAULT_BODY_MIN_BYTES_PER_S);
-  o->reply_ms = or_default (o->reply_ms, DEFAULT_REPLY_MS);
+  o->request_bytes = value_or_default (o->request_bytes, DEFAULT_REQUEST_BYTES);
+  o->total_bytes = max_of (value_or_default (o->total_bytes, DEFAULT_TOTAL_BYTES),
+                           REQUESTS_MIN * o->request_bytes);
+  o->wait_bytes = value_or_default (o->wait_bytes, o->total_bytes / 2);
+  o->grant_bytes = value_or_default (o->grant_bytes, o->total_bytes / 4 * 3);
+  o->small_bytes = value_or_default (o->small_bytes, DEFAULT_SMALL_BYTES);
+  o->stall_ms = value_or_default (o->stall_ms, DEFAULT_STALL_MS);
+  o->wait_max_ms = value_or_default (o->wait_max_ms, DEFAULT_WAIT_MAX_MS);
+  o->idle_ms = value_or_default (o->idle_ms, NET_BUDGET_IDLE_MS);
+  o->head_ms = value_or_default (o->head_ms, NET_BUDGET_HEAD_MS);
+  o->body_ms = value_or_default (o->body_ms, DEFAULT_BODY_MS);
+  o->body_grace_ms = value_or_default (o->body_grace_ms, DEFAULT_BODY_GRACE_MS);
+  o->body_min_bytes_per_s
+      = value_or_default (o->body_min_bytes_per_s, DEFAULT_BODY_MIN_BYTES_PER_S);
+  o->reply_ms = value_or_default (o->reply_ms, DEFAULT_REPLY_MS);
   return budget;
 }
 
@@ -182,8 +184,8 @@
     return item->phase_at + o->head_ms;
   case NET_PHASE_BODY:
     return item->phase_at
-           + smaller (o->body_ms,
-                      o->body_grace_ms + item->received * 1000 / o->body_min_bytes_per_s);
+           + min_of (o->body_ms,
+                     o->body_grace_ms + item->received * 1000 / o->body_min_bytes_per_s);
   case NET_PHASE_WORK:
     return INT64_MAX;
   case NET_PHASE_REPLY:
@@ -271,10 +273,10 @@
 try_grant (NetBudgetItem *item)
 {
   NetBudget *budget = item->budget;
-  int64_t request_bytes = larger (budget->options.request_bytes, item->held);
-  /* Without any grant nothing would become free. */
+  int64_t request_bytes = max_of (budget->options.request_bytes, item->held);
+  /* One grant is always given: without any, no request could be completed. */
   if (budget->granted > 0
-      && budget->total - cost (item) + request_bytes > budget->options.grant_bytes)
+      && budget->total - charged_bytes (item) + request_bytes > budget->options.grant_bytes)
     return false;
   set_cost (item, item->held, request_bytes);
   return true;
@@ -284,18 +286,18 @@
 needs_grant (const NetBudgetItem *item)
 {
   return is_unfinished (item) && !item->closed && !item->waiting && item->granted == 0
-         && item->ahead > item->budget->options.small_bytes;
+         && item->next_held > item->budget->options.small_bytes;
 }
 
 static void
 update_pressure (NetBudget *budget)
 {
-  if (!budget->pressed && budget->total > budget->options.wait_bytes) {
-    budget->pressed = true;
+  if (!budget->under_pressure && budget->total > budget->options.wait_bytes) {
+    budget->under_pressure = true;
     budget->due = true;
-  } else if (budget->pressed && budget->waiting == 0
+  } else if (budget->under_pressure && budget->waiting == 0
              && budget->total < budget->options.wait_bytes / AFTER_CUT_DEN * AFTER_CUT_NUM) {
-    budget->pressed = false;
+    budget->under_pressure = false;
   }
   if (budget->total > budget->options.total_bytes)
     budget->due = true;
@@ -317,10 +319,11 @@
   if (arrived > 0)
     item->moved_at = now_ms;
   item->due_at = deadline (item);
-  item->ahead = next;
+  item->next_held = next;
   set_cost (item, held, item->granted);
   update_pressure (budget);
-  if (!budget->pressed || !needs_grant (item) || (!budget->first_waiting && try_grant (item)))
+  if (!budget->under_pressure || !needs_grant (item)
+      || (!budget->first_waiting && try_grant (item)))
     return item->waiting;
   enqueue (item, now_ms);
   return true;
@@ -348,18 +351,20 @@
   gr_list_push (cmds, (NetBudgetCmd){ verb, item->user });
 }
 
+/* The request with the highest score is closed first: it holds the most for its rate, weighed by
+   what its client holds on all connections. */
 static int64_t
 score (const NetBudgetItem *item, int64_t now_ms)
 {
-  int64_t rate = larger (item->rate, item->window_bytes);
+  int64_t rate = max_of (item->rate, item->window_bytes);
   if (now_ms - item->moved_at >= item->budget->options.stall_ms)
     rate = 0;
   return item->held / (1 + rate / RATE_UNIT_BYTES) * (1 + item->address->held / RATE_UNIT_BYTES);
 }
 
 typedef struct {
-  int64_t min_held; /* only requests that hold so much */
-  int64_t still_ms; /* and have not moved for so long */
+  int64_t min_held;   /* only requests that hold so much */
+  int64_t stalled_ms; /* and from which nothing has arrived for so long */
 } Filter;
 
 static NetBudgetItem *
@@ -369,7 +374,7 @@
   int64_t worst_score = -1;
   for (NetBudgetItem *item = budget->items; item; item = item->next) {
     if (!is_unfinished (item) || item->closed || item->waiting || item->held < filter.min_held
-        || now_ms - item->moved_at < filter.still_ms)
+        || now_ms - item->moved_at < filter.stalled_ms)
       continue;
     int64_t value = score (item, now_ms);
     if (value > worst_score) {
@@ -380,9 +385,9 @@
   return worst;
 }
 
-/* To be closed because the total is spent. */
+/* The request to be closed next because the total is exceeded. */
 static NetBudgetItem *
-find_dispensable (const NetBudget *budget, int64_t now_ms)
+find_least_needed (const NetBudget *budget, int64_t now_ms)
 {
   NetBudgetItem *item = find_worst (budget, (Filter){ 1, budget->options.stall_ms }, now_ms);
   if (!item)
@@ -396,7 +401,7 @@
   while (budget->first_waiting && try_grant (budget->first_waiting)) {
     NetBudgetItem *item = budget->first_waiting;
     dequeue (item);
-    /* The deadline does not run while this side does not read. */
+    /* The deadline does not run while the server does not read. */
     item->phase_at += now_ms - item->wait_since;
     item->due_at = deadline (item);
     budget->resumed_at = now_ms;
@@ -414,8 +419,8 @@
       close_item (item, NET_BUDGET_DEADLINE, cmds);
   }
   update_pressure (budget);
-  for (NetBudgetItem *item = budget->items; budget->pressed && item; item = item->next) {
-    /* Those that do not move need not be stopped, and have no claim to finish before others. */
+  for (NetBudgetItem *item = budget->items; budget->under_pressure && item; item = item->next) {
+    /* Requests from which nothing arrives need neither be stopped nor granted before others. */
     if (!needs_grant (item) || now_ms - item->moved_at >= o->stall_ms
         || (!budget->first_waiting && try_grant (item)))
       continue;
@@ -430,14 +435,14 @@
     grant_waiting (budget, now_ms, cmds);
   }
   if (budget->first_waiting
-      && now_ms - larger (budget->first_waiting->wait_since, budget->resumed_at) >= o->wait_max_ms
+      && now_ms - max_of (budget->first_waiting->wait_since, budget->resumed_at) >= o->wait_max_ms
       && (worst = find_worst (budget, (Filter){ o->small_bytes, 0 }, now_ms))) {
     close_item (worst, NET_BUDGET_CUT, cmds);
     grant_waiting (budget, now_ms, cmds);
   }
   if (budget->total > o->total_bytes) {
     int64_t goal = o->total_bytes / AFTER_CUT_DEN * AFTER_CUT_NUM;
-    while (budget->total > goal && (worst = find_dispensable (budget, now_ms)))
+    while (budget->total > goal && (worst = find_least_needed (budget, now_ms)))
       close_item (worst, NET_BUDGET_CUT, cmds);
   }
   update_pressure (budget);
@@ -447,18 +452,18 @@
 void
 net_budget_make_room (NetBudget *budget, int64_t now_ms, NetBudgetCmds *cmds)
 {
-  NetBudgetItem *idle = NULL, *still = NULL;
-  int64_t still_since = now_ms - budget->options.stall_ms;
+  NetBudgetItem *idle = NULL, *stalled = NULL;
+  int64_t stalled_since = now_ms - budget->options.stall_ms;
   for (NetBudgetItem *item = budget->items; item; item = item->next) {
-    NetBudgetItem **longest = item->phase == NET_PHASE_IDLE ? &idle : &still;
+    NetBudgetItem **longest = item->phase == NET_PHASE_IDLE ? &idle : &stalled;
     if (item->closed || item->waiting || item->phase == NET_PHASE_WORK
-        || item->phase == NET_PHASE_REPLY || item->moved_at > still_since)
+        || item->phase == NET_PHASE_REPLY || item->moved_at > stalled_since)
       continue;
     if (!*longest || item->moved_at < (*longest)->moved_at)
       *longest = item;
   }
-  if (idle || still)
-    close_item (idle ? idle : still, NET_BUDGET_CUT, cmds);
+  if (idle || stalled)
+    close_item (idle ? idle : stalled, NET_BUDGET_CUT, cmds);
 }
 
 int64_t
--- a/src/net/net_budget.h
+++ b/src/net/net_budget.h
@@ -1,15 +1,16 @@
 /* Decides which connections of a server may hold memory for unfinished requests, which wait and
    which are closed. Pure: no I/O and no clock.
 
-   Load answered: many clients that send large bodies at once, whole or piece by piece, and stop
-   short of their end; many connections that are idle; senders and readers that are too slow.
+   Limits the load of many clients that send large bodies at once, whole or piece by piece, and stop
+   short of their end; of many idle connections; of senders and readers that are too slow.
 
-   Bytes are charged when they have arrived. Above wait_bytes, a request that would hold
-   more than small_bytes stops being read until it is granted the largest amount that a request can
-   hold, in order of arrival: whoever has a grant can finish, and what it holds becomes free. While
-   requests wait, those that do not move are closed, the ones that hold most and are slowest first,
-   where clients that hold much on other connections come before others. Above total_bytes, the
-   requests that do not move are closed, then those that began to wait last, then the others. A
+   Bytes are charged when they have arrived. Above wait_bytes, a request that would hold more than
+   small_bytes is not read on until it is granted the largest amount that a request can hold, in
+   order of arrival: a request with a grant can be completed, and what it holds is released. While
+   requests wait, those from which nothing arrives are closed, the ones that hold most and are
+   slowest first, where clients that hold much on other connections come before others. Above
+   total_bytes, the requests from which nothing arrives are closed, then those that began to wait
+   last, then the others. A
    complete request is never closed. */
 #pragma once
 
@@ -32,8 +33,8 @@
                             three quarters of total_bytes */
   int64_t small_bytes;   /* default 16384 */
   int64_t request_bytes; /* most that one request can hold; default 1048576 */
-  int64_t stall_ms;      /* closed if still for so long while others wait; default 1000 */
-  int64_t wait_max_ms;   /* after this without a grant, requests that move are closed
+  int64_t stall_ms; /* closed while others wait if nothing has arrived for so long; default 1000 */
+  int64_t wait_max_ms;   /* after this without a grant, requests whose bytes still arrive are closed
                                    too; default 3000 */
   int64_t idle_ms;       /* between requests; default 30000 */
   int64_t head_ms;       /* from the first byte to the end of the header; default 6000 */
@@ -72,7 +73,7 @@
 NetBudget *net_budget_new (const NetBudgetOptions *options);
 /* All items must have been removed. */
 void net_budget_free (NetBudget *budget);
-/* Begins in NET_PHASE_IDLE. The address is that of the client, without its port; at most
+/* The item begins in NET_PHASE_IDLE. The address is that of the client, without its port; at most
    GR_NAME_MAX bytes of it count. */
 NetBudgetItem *net_budget_add (NetBudget *budget, GrStr address, void *user, int64_t now_ms);
 void net_budget_remove (NetBudgetItem *item);
@@ -93,8 +94,8 @@
    commands. Call it periodically. */
 void net_budget_decide (NetBudget *budget, int64_t now_ms, NetBudgetCmds *cmds);
 /* Appends one command to close the connection that has been idle for longest, or else the request
-   that has not moved for longest, of those still for stall_ms; nothing if there is none. For new
-   connections when descriptors are short. */
+   from which nothing has arrived for longest; in both cases for stall_ms at least. Appends nothing
+   if there is none. Makes room for a new connection when descriptors are short. */
 void net_budget_make_room (NetBudget *budget, int64_t now_ms, NetBudgetCmds *cmds);
 /* Bytes charged, grants included. */
 int64_t net_budget_held (const NetBudget *budget);
--- a/src/net/net_guard.c
+++ b/src/net/net_guard.c
@@ -17,13 +17,13 @@
   h2o_socket_t *sock;
   uv_stream_t *stream;
   NetBudgetItem *item;
-  h2o_socket_cb h2o_read; /* what h2o has set to be called; NULL while it does not read */
+  h2o_socket_cb h2o_read; /* h2o's read callback, which on_conn_read() replaces and calls */
   NetHead head;
   bool paused;             /* reading is stopped by the budget */
   bool unhooked;           /* in the list of connections whose next request h2o may have begun */
   int64_t linger_until_ms; /* refused; closed then; 0: not refused */
   size_t lingered_bytes;
-  bool *gone; /* set when the connection is detached; NULL: nobody asks */
+  bool *detached; /* set to true by net_guard_detach(); may be NULL */
   NetGuardConn *prev, *next;
 };
 
@@ -79,12 +79,12 @@
   h2o_buffer_init (&conn->sock->input, &h2o_socket_buffer_prototype);
 }
 
-/* Ends the connection from any state in which h2o reads a request or this file does. */
+/* Closes the connection, in any state in which h2o or this file reads a request. */
 static void
 close_conn (NetGuardConn *conn)
 {
   bool reads = conn->paused || conn->sock->_cb.read == on_conn_read;
-  /* h2o does not expect the end of a connection that it writes to; the failing write tells it. */
+  /* h2o does not expect a read error while it writes; the failing write reports the end instead. */
   if (reads && !h2o_socket_is_writing (conn->sock))
     conn->h2o_read (conn->sock, h2o_socket_error_closed);
   else
@@ -106,8 +106,8 @@
   }
 }
 
-/* Answers a request that has not been read to its end and that no handler has seen: it has not
-   run. */
+/* Answers a request that has not been read to its end. No handler has seen it, so it has not been
+   executed. */
 static void
 refuse (NetGuardConn *conn, int status)
 {
@@ -146,9 +146,9 @@
     close_conn (conn);
 }
 
-/* Status with which the request is refused, judged by what has arrived; 0: none. */
+/* Returns the status with which to refuse the request for what has arrived of it; 0: none. */
 static int
-judge (NetGuardConn *conn)
+check_limits (NetGuardConn *conn)
 {
   const NetGuardOptions *options = &conn->guard->options;
   const h2o_buffer_t *input = conn->sock->input;
@@ -158,7 +158,7 @@
     return 431;
   if (conn->head.body_bytes > (int64_t) options->max_body_bytes)
     return 413;
-  /* Of a body whose length is not announced, as much has arrived as h2o has decoded. */
+  /* The length of the body is not announced: h2o's buffer holds the chunks that have arrived. */
   if (conn->head.has_body && conn->head.body_bytes < 0
       && input->size > conn->head.len + options->max_body_bytes + NET_GUARD_FRAMING_BYTES)
     return 413;
@@ -204,7 +204,7 @@
 static void
 on_conn_read (h2o_socket_t *sock, const char *err)
 {
-  bool gone = false;
+  bool detached = false;
   NetGuardConn *conn = *(NetGuardConn **) sock->on_close.data;
   if (err) {
     conn->h2o_read (sock, err);
@@ -215,23 +215,23 @@
     return;
   }
   size_t arrived = sock->bytes_read;
-  int status = arrived > 0 ? judge (conn) : 0;
+  int status = arrived > 0 ? check_limits (conn) : 0;
   if (status != 0) {
     count_refusal (conn->guard, status);
     refuse (conn, status);
     return;
   }
   enter_phase (conn);
-  conn->gone = &gone;
+  conn->detached = &detached;
   conn->h2o_read (sock, NULL);
-  if (gone)
+  if (detached)
     return;
-  conn->gone = NULL;
+  conn->detached = NULL;
   charge (conn, arrived);
 }
 
 static void
-carry_out (NetGuardConn *conn, NetBudgetVerb verb)
+apply_command (NetGuardConn *conn, NetBudgetVerb verb)
 {
   NetHttpServerStats *stats = &conn->guard->stats;
   bool idle = net_budget_phase (conn->item) == NET_PHASE_IDLE;
@@ -267,31 +267,32 @@
   }
 }
 
+typedef void (*Decision) (NetBudget *budget, int64_t now_ms, NetBudgetCmds *cmds);
+
 static void
-decide (NetGuard *guard)
+run_decision (NetGuard *guard, Decision decision)
 {
-  /* Closing a connection changes what is charged; the next pass sees it. */
+  /* Closing a connection changes what is charged; the next decision takes it into account. */
   if (guard->deciding)
     return;
   guard->deciding = true;
   gr_list_reset (&guard->cmds);
-  net_budget_decide (guard->budget, now_ms (guard), &guard->cmds);
+  decision (guard->budget, now_ms (guard), &guard->cmds);
   for (size_t i = 0; i < guard->cmds.count; i++)
-    carry_out (guard->cmds.items[i].user, guard->cmds.items[i].verb);
+    apply_command (guard->cmds.items[i].user, guard->cmds.items[i].verb);
   guard->deciding = false;
 }
 
+static void
+decide (NetGuard *guard)
+{
+  run_decision (guard, net_budget_decide);
+}
+
 static void
 make_room (NetGuard *guard)
 {
-  if (guard->deciding)
-    return;
-  guard->deciding = true;
-  gr_list_reset (&guard->cmds);
-  net_budget_make_room (guard->budget, now_ms (guard), &guard->cmds);
-  for (size_t i = 0; i < guard->cmds.count; i++)
-    carry_out (guard->cmds.items[i].user, guard->cmds.items[i].verb);
-  guard->deciding = false;
+  run_decision (guard, net_budget_make_room);
 }
 
 static void
@@ -309,7 +310,7 @@
     make_room (guard);
 }
 
-/* Replaces what h2o has set to be called when bytes arrive. */
+/* Replaces h2o's read callback. Returns false if h2o does not read. */
 static bool
 hook (NetGuardConn *conn)
 {
@@ -320,8 +321,8 @@
   return true;
 }
 
-/* Before the loop waits for input: h2o begins to read the next request when it has sent the reply
-   to the one before, without a call that would tell. */
+/* Runs before the loop waits for input. h2o begins to read the next request once it has sent the
+   reply to the one before, and no callback reports this. */
 static void
 on_prepare (uv_prepare_t *prepare)
 {
@@ -338,8 +339,8 @@
     gr_list_swap_remove (&guard->unhooked, i);
     if (busy)
       continue;
-    /* Bytes that had arrived with the request before. */
-    int status = conn->sock->input->size > 0 ? judge (conn) : 0;
+    /* Bytes of this request that arrived together with the one before. */
+    int status = conn->sock->input->size > 0 ? check_limits (conn) : 0;
     if (status != 0) {
       count_refusal (guard, status);
       refuse (conn, status);
@@ -425,8 +426,8 @@
 net_guard_detach (NetGuardConn *conn)
 {
   NetGuard *guard = conn->guard;
-  if (conn->gone)
-    *conn->gone = true;
+  if (conn->detached)
+    *conn->detached = true;
   for (size_t i = 0; conn->unhooked && i < guard->unhooked.count; i++) {
     if (guard->unhooked.items[i] == conn) {
       gr_list_swap_remove (&guard->unhooked, i);
--- a/src/net/net_guard.h
+++ b/src/net/net_guard.h
@@ -36,7 +36,7 @@
 void net_guard_reply (NetGuardConn *conn);
 /* h2o has released the request; the next one may follow. */
 void net_guard_request_end (NetGuardConn *conn);
-/* A new connection waits, or none does any more. While one waits, connections that may be closed
-   are closed in favour of it, one at a time. */
+/* Tells whether a new connection waits for a free one. While one waits, idle connections and
+   stalled requests are closed, one at a time. */
 void net_guard_set_full (NetGuard *guard, bool full);
 NetHttpServerStats net_guard_stats (const NetGuard *guard);
--- a/src/net/net_head.c
+++ b/src/net/net_head.c
@@ -63,7 +63,7 @@
 {
   if (head->len > 0)
     return true;
-  /* The end may have arrived in parts. */
+  /* The empty line may have arrived in parts. */
   head->len = header_end (bytes, head->scanned > 3 ? head->scanned - 3 : 0);
   head->scanned = bytes.len;
   if (head->len == 0)
--- a/src/net/net_head.h
+++ b/src/net/net_head.h
@@ -1,5 +1,6 @@
-/* Reads from the bytes of a request, while they arrive, what is needed to refuse it before its body
-   is read. Pure. It decides nothing about the meaning of a request: h2o parses it. */
+/* Finds the end of the header of a request and the announced size of its body while the bytes
+   arrive, so that the request can be refused before its body is read. Pure. h2o parses the request;
+   this is only for limits. */
 #pragma once
 
 #include "base/gr_str.h"
@@ -10,7 +11,7 @@
 
 /* Zero-initialised at the beginning of a request. */
 typedef struct {
-  size_t scanned;     /* bytes without the end of the header so far */
+  size_t scanned;     /* bytes that were searched for the end of the header */
   size_t len;         /* of the header with the empty line at its end; 0: not complete */
   bool has_body;      /* a length above 0 or chunked */
   int64_t body_bytes; /* announced; -1: none announced, or malformed */
--- a/src/net/net_http.h
+++ b/src/net/net_http.h
@@ -15,11 +15,11 @@
   const char *listen_host; /* IP address */
   int64_t listen_port;     /* 0 picks a free port */
   int64_t max_body_bytes;  /* larger bodies get 413 before they are read; default 1048576 */
-  int64_t max_connections; /* for further ones, a connection that has been still for a second is
+  int64_t max_connections; /* for further ones, a connection without traffic for a second is
                               closed; without one they wait in the listen backlog; default 4096 */
-  int64_t memory_bytes;    /* for requests that are read or processed, see net_budget.h; at least
-                              four of the largest fit; default 41943040 */
-  int64_t receive_buffer_bytes; /* of the system for each connection; default: that of the system */
+  int64_t memory_bytes;    /* for requests that are read or processed, see net_budget.h; raised to
+                              four of the largest requests; default 41943040 */
+  int64_t receive_buffer_bytes; /* of the kernel for each connection; default: that of the kernel */
   int64_t io_timeout_ms; /* slow senders of a request and readers of a reply are closed after this,
                             see net_budget.h for the lower limits of its parts; default 30000 */
   const char *kept_header; /* lower-case name of a header passed to the handler; may be NULL */
@@ -27,12 +27,12 @@
 
 typedef struct NetHttpServer NetHttpServer;
 
-/* What the limits did since the start, and what is in use. */
+/* Effects of the limits since the start, and what is in use now. */
 typedef struct {
   int64_t heads_refused;  /* 431 before the header was read */
   int64_t bodies_refused; /* 413 before the body was read */
   int64_t waited;         /* requests whose reading was stopped because of the budget */
-  int64_t cut;            /* unfinished requests and idle connections closed for others */
+  int64_t cut;            /* unfinished requests and idle connections closed in favour of others */
   int64_t late;           /* requests and replies that missed a deadline or the minimum rate */
   int64_t idle_closed;    /* connections without a request for too long */
   int64_t busy;           /* complete requests refused with 503 because the budget was spent */
@@ -91,7 +91,7 @@
 typedef struct {
   int64_t max_connections_per_host; /* default 64 */
   int64_t max_connections;          /* default 1024 */
-  int64_t max_answer_bytes;         /* of all calls under way; above it, the call with the largest
+  int64_t max_answer_bytes;         /* sum over all open calls; above it, the call with the largest
                                        answer fails; default: no limit */
 } NetHttpClientOptions;
 
--- a/src/net/net_http_client.c
+++ b/src/net/net_http_client.c
@@ -42,7 +42,7 @@
   size_t body_len;
   GrBuf answer;
   int64_t max_answer_bytes;
-  bool dropped; /* its answer was given up; it fails at its deadline, which is now */
+  bool dropped; /* the answer is too large; the call fails when its deadline timer runs */
   NetHttpDone done;
   void *user;
   bool sent; /* connected and about to write the request; it may have been received */
@@ -245,7 +245,7 @@
   call->client->too_large++;
   call->client->answer_bytes -= (int64_t) call->answer.len;
   gr_buf_clear (&call->answer);
-  /* libcurl must not lose a call from within its own callback. */
+  /* A transfer must not be removed from within a callback of libcurl. */
   uv_timer_start (&call->deadline, on_deadline, 0, 0);
 }
 
--- a/src/net/net_http_server.c
+++ b/src/net/net_http_server.c
@@ -10,14 +10,15 @@
 
 #define BACKLOG 1024
 #define DEFAULT_MAX_BODY_BYTES 1048576
-/* The guard refuses bodies above the limit; h2o has a limit of its own that is never met first. */
+/* The guard refuses bodies above the limit. h2o's own limit is higher, so that it does not apply
+   first: h2o closes without reading the rest, and the client may not see the answer. */
 #define BODY_READ_MARGIN_BYTES 1048576
 #define DEFAULT_MAX_CONNECTIONS 4096
 #define DEFAULT_IO_TIMEOUT_MS 30000
 /* Sum of header names and values; larger requests get 431. */
 #define MAX_HEADER_BYTES 16384
-/* Of the whole head as received: the sum above, the framing of 100 header lines, which is what h2o
-   takes, and the request line. */
+/* Whole header as received: the sum above, the framing of 100 header lines, which is the most that
+   h2o accepts, and the request line. */
 #define MAX_HEAD_BYTES 20480
 
 typedef struct HttpConn HttpConn;
@@ -417,7 +418,8 @@
   server->accept_ctx.hosts = server->config.hosts;
 }
 
-/* Most that one request can hold: h2o doubles its buffer, and the body is copied. */
+/* Returns the most memory that one request can hold: h2o doubles its buffer, and the request is
+   copied for processing. */
 static int64_t
 largest_request (size_t max_body_bytes)
 {
@@ -492,7 +494,7 @@
   server->guard = new_guard (server, options);
   int rc = uv_tcp_bind (&server->listener, (struct sockaddr *) &addr, 0);
   int receive_bytes = (int) options->receive_buffer_bytes;
-  /* Accepted connections inherit it. */
+  /* Accepted connections inherit the size. */
   if (rc == 0 && receive_bytes > 0)
     rc = uv_recv_buffer_size ((uv_handle_t *) &server->listener, &receive_bytes);
   if (rc == 0)
--- a/src/net/net_peer.c
+++ b/src/net/net_peer.c
@@ -21,7 +21,7 @@
 #define REDIAL_MIN_MS 100
 #define REDIAL_MAX_MS 1000
 /* Limit of accepted connections in the handshake; further ones are closed at once. All VMs of a
-   cell may connect at the same moment, and descriptors are few. */
+   cell may connect at the same moment, and a VM has few descriptors. */
 #define MAX_UNAUTHENTICATED 96
 
 typedef struct Link Link;
--- a/src/net/net_peer.h
+++ b/src/net/net_peer.h
@@ -15,8 +15,8 @@
 extern "C" {
 #endif
 
-/* Longest frame body in bytes; a longer one closes the link. During the handshake it is
-   NET_FRAME_HANDSHAKE_MAX: whoever connects has proved nothing. */
+/* Longest frame body in bytes; a longer one closes the link. During the handshake the
+   limit is NET_FRAME_HANDSHAKE_MAX, since the peer is not authenticated yet. */
 #define NET_FRAME_HANDSHAKE_MAX 4096
 #define NET_FRAME_MAX (4 * 1024 * 1024)
 
