--- a/src/cfg/cfg_lint.c
+++ b/src/cfg/cfg_lint.c
@@ -33,7 +33,7 @@
   CfgWarnings *out;
 } Lint;
 
-/* A value in force and where it stands. */
+/* A value in force and its place in the files. */
 typedef struct {
   GrName key;
   int64_t number; /* 0 for values that are no numbers */
@@ -186,8 +186,8 @@
   }
 }
 
-/* Services run all the time, so that a quota below their sum keeps some of them waiting for ever.
-   Not reported where one task is above the quota already. */
+/* Services run all the time, so if their sum is above the quota, some of them wait for ever. Not
+   reported if a single task is above the quota, which is a warning of its own. */
 static void
 check_services (Lint *lint, const CfgTeam *team, int d)
 {
--- a/src/cfg/cfg_lint.h
+++ b/src/cfg/cfg_lint.h
@@ -8,7 +8,8 @@
 extern "C" {
 #endif
 
-/* The names returned by cfg_lint_name() are part of the output of "config check"; they stay. */
+/* The names returned by cfg_lint_name() are part of the output of "config check" and must not
+   change. */
 typedef enum {
   CFG_LINT_TASK_ABOVE_QUOTA,      /* one task needs more than its team's quota */
   CFG_LINT_GANG_ABOVE_QUOTA,      /* the tasks of a gang together need more */
@@ -32,7 +33,7 @@
   CfgLintCode code;
   GrName file;
   int64_t line;      /* at least 1 */
-  GrName other_file; /* where the value stands that contradicts this one; empty if there is none */
+  GrName other_file; /* place of the value that contradicts this one; empty if there is none */
   int64_t other_line;
   GrName key; /* empty if the warning concerns a section or file */
   char detail[256];
@@ -49,7 +50,7 @@
    these files. The caller releases the list with gr_list_clear(). */
 void cfg_lint (const CfgTree *tree, const CfgFile *files, size_t count,
                const CfgLintOptions *options, CfgWarnings *out);
-/* For example "task_above_quota". */
+/* Returns the code as printed, for example "task_above_quota". */
 const char *cfg_lint_name (CfgLintCode code);
 
 #ifdef __cplusplus
--- a/src/cfg/cfg_parse.h
+++ b/src/cfg/cfg_parse.h
@@ -50,8 +50,8 @@
 void cfg_parsed_clear (CfgParsed *parsed);
 /* Returns the files in merge order, by their names. The caller frees the array. */
 const CfgFile **cfg_files_sorted (const CfgFile *files, size_t count);
-/* Sorts the assignments by key, then in merge order. Blocks stay, since assignments refer to them
-   by index. */
+/* Sorts the assignments by key, then in merge order. Blocks are not sorted, since assignments refer
+   to them by index. */
 void cfg_parsed_sort (CfgParsed *parsed);
 /* Appends a problem. The formatted detail states the refused value and the allowed ones. key may be
    NULL. */
--- a/src/cli/cli_config.c
+++ b/src/cli/cli_config.c
@@ -238,21 +238,21 @@
   return differ ? GR_EXIT_FAILED : GR_EXIT_OK;
 }
 
-/* Returns the configuration that --against names, with its "values". On failure prints the error,
-   stores the exit code and returns NULL. */
+/* Loads the configuration that --against names, an object with "values". On failure prints the
+   error, sets *exit_code and returns NULL. */
 static json_t *
 load_against (const CliSettings *settings, int *exit_code)
 {
   GrStr name = gr_str_from_c (settings->against);
   CliSettings other = *settings;
   struct stat info;
-  /* Problems of the other folder go to standard error, so that standard output is about FOLDER. */
+  /* Problems of the other folder go to standard error: standard output is only about FOLDER. */
   other.json = false;
   other.server = settings->against;
   if (gr_str_starts_with (name, GR_STR ("http://"))
       || gr_str_starts_with (name, GR_STR ("https://"))) {
     json_t *config = cli_server_config (&other, exit_code);
-    /* GR_EXIT_FAILED is the exit code for warnings. */
+    /* Not GR_EXIT_FAILED, which here means warnings. */
     *exit_code = GR_EXIT_UNAVAILABLE;
     return config;
   }
