--- a/tests/hostile/lib.bash
+++ b/tests/hostile/lib.bash
@@ -67,19 +67,14 @@
   [ "$status" = 503 ] || fail "$1: an ordinary request got status $status"
 }
 
-# run_case CASE COUNT: runs the clients against a daemon of its own and checks it while they are
-# still connected and after they have gone
-run_case () {
-  start_edge
-  mkfifo "$work/hold"
-  "$build/gr-hostile" "$base" "$1" "$2" <"$work/hold" >"$work/report" 2>&1 &
-  clients=$!
-  exec 9>"$work/hold"
+# finish_case CASE WHO: waits until gr-hostile has reported, checks the daemon while the connections are
+# open and after they have been closed, and stops both
+finish_case () {
   while kill -0 "$clients" 2>/dev/null && ! grep -q settled "$work/report"; do
     sleep 0.1
   done
   cat "$work/report"
-  grep -q settled "$work/report" || fail "$1: the clients ended early"
+  grep -q settled "$work/report" || fail "$1: the $2 ended early"
   check_edge "$1, connected"
   exec 9>&-
   wait "$clients"
@@ -89,6 +84,17 @@
   stop_edge
 }
 
+# run_case CASE COUNT: runs the clients against a daemon of its own and checks it while they are
+# still connected and after they have gone
+run_case () {
+  start_edge
+  mkfifo "$work/hold"
+  "$build/gr-hostile" "$base" "$1" "$2" <"$work/hold" >"$work/report" 2>&1 &
+  clients=$!
+  exec 9>"$work/hold"
+  finish_case "$1" clients
+}
+
 # run_service CASE: like run_case, but gr-hostile is the store of the daemon
 run_service () {
   mkfifo "$work/hold"
@@ -104,16 +110,5 @@
     exec 9>&-
   done
   start_edge
-  while kill -0 "$clients" 2>/dev/null && ! grep -q settled "$work/report"; do
-    sleep 0.1
-  done
-  cat "$work/report"
-  grep -q settled "$work/report" || fail "$1: the service ended early"
-  check_edge "$1, connected"
-  exec 9>&-
-  wait "$clients"
-  clients=
-  rm "$work/hold"
-  check_edge "$1, gone"
-  stop_edge
+  finish_case "$1" service
 }
--- a/tests/hostile/main.c
+++ b/tests/hostile/main.c
@@ -1,6 +1,7 @@
 /* gr-hostile: clients outside our control, for tests/e2e_hostile_*.sh. Opens COUNT connections to
-   127.0.0.1:PORT, sends what CASE says on each and reports once nothing has moved for a while. The
-   connections stay open until standard input ends. With serve-*, it is a service on PORT instead.
+   127.0.0.1:PORT, sends what CASE says on each and reports once there was no traffic for a while.
+   The connections stay open until standard input ends. With serve-*, it is a service on PORT
+   instead.
  */
 #include <arpa/inet.h>
 #include <errno.h>
@@ -15,13 +16,13 @@
 #include "base/gr_str.h"
 
 #define SETTLED_MS 2000
-/* The report comes after this at the latest, also if a peer reads without end. */
+/* Longest time until the report, also if the peer reads without end. */
 #define GIVE_UP_MS 20000
 #define WRITE_MAX 65536
 #define SERVE_CLIENTS 64
 #define SERVE_MS 6000
 
-/* What is sent is the head, then the unit as often as told, then the last bytes of it. */
+/* Each client sends the head, then the unit `units` times, then the first last_bytes of it. */
 typedef struct {
   const char *name;
   const char *head;
@@ -29,8 +30,8 @@
   size_t unit_bytes;
   size_t units;
   size_t last_bytes;
-  size_t piece;    /* most bytes of one write, in turn with the other connections */
-  bool keeps_deaf; /* never reads */
+  size_t piece;     /* most bytes of one write, in turn with the other connections */
+  bool never_reads; /* does not read the answers */
 } Case;
 
 #define POST "POST /q/0123456789abcdef HTTP/1.1\r\nhost: q.example\r\n"
@@ -49,7 +50,7 @@
   { "header", POST "x-header-of-a-client: ", NULL, 4096, 100, 0, WRITE_MAX, false },
   { "headers", POST, "x-header-of-a-client: 0123456789\r\n", 0, 100000, 0, WRITE_MAX, false },
   { "pipelined", "", GET, 0, 100000, 0, WRITE_MAX, false },
-  { "deaf", "", GET, 0, 100000, 0, WRITE_MAX, true },
+  { "unread", "", GET, 0, 100000, 0, WRITE_MAX, true },
   { "idle", "", NULL, 0, 0, 0, WRITE_MAX, false },
 };
 
@@ -90,23 +91,24 @@
 }
 
 static bool
-has_more (const Case *play, const char *unit, const Client *client)
+has_more (const Case *test_case, const char *unit, const Client *client)
 {
-  return client->sent < strlen (play->head) + play->units * strlen (unit) + play->last_bytes;
+  return client->sent
+         < strlen (test_case->head) + test_case->units * strlen (unit) + test_case->last_bytes;
 }
 
 /* Writes once. Returns true if something was sent or the connection closed. */
 static bool
-send_some (const Case *play, const char *unit, Client *client)
+send_some (const Case *test_case, const char *unit, Client *client)
 {
   static char out[WRITE_MAX];
-  size_t head_len = strlen (play->head);
+  size_t head_len = strlen (test_case->head);
   size_t unit_len = strlen (unit);
-  size_t total = head_len + play->units * unit_len + play->last_bytes;
-  size_t want = total - client->sent < play->piece ? total - client->sent : play->piece;
+  size_t total = head_len + test_case->units * unit_len + test_case->last_bytes;
+  size_t want = total - client->sent < test_case->piece ? total - client->sent : test_case->piece;
   for (size_t filled = 0; filled < want;) {
     size_t at = client->sent + filled;
-    const char *from = at < head_len ? play->head + at : unit + (at - head_len) % unit_len;
+    const char *from = at < head_len ? test_case->head + at : unit + (at - head_len) % unit_len;
     size_t len = at < head_len ? head_len - at : unit_len - (at - head_len) % unit_len;
     if (len > want - filled)
       len = want - filled;
@@ -158,7 +160,7 @@
 static void
 serve (const Answer *answer, int port)
 {
-  Case play = { .head = answer->head, .units = answer->units, .piece = WRITE_MAX };
+  Case test_case = { .head = answer->head, .units = answer->units, .piece = WRITE_MAX };
   Client clients[SERVE_CLIENTS];
   struct pollfd polls[SERVE_CLIENTS + 1];
   int on = 1;
@@ -184,7 +186,7 @@
       polls[i] = (struct pollfd){ .fd = clients[i].fd, .events = POLLIN };
       if (clients[i].fd < 0)
         spare = i;
-      else if (clients[i].answered && has_more (&play, answer->unit, &clients[i]))
+      else if (clients[i].answered && has_more (&test_case, answer->unit, &clients[i]))
         polls[i].events = POLLOUT;
     }
     polls[SERVE_CLIENTS]
@@ -192,7 +194,7 @@
     poll (polls, SERVE_CLIENTS + 1, 100);
     for (size_t i = 0; i < SERVE_CLIENTS; i++) {
       if (polls[i].fd >= 0 && (polls[i].revents & POLLOUT))
-        send_some (&play, answer->unit, &clients[i]);
+        send_some (&test_case, answer->unit, &clients[i]);
       else if (polls[i].fd >= 0 && polls[i].revents)
         read_some (&clients[i]);
     }
@@ -208,7 +210,7 @@
 /* --- Clients --- */
 
 static void
-play_until_settled (const Case *play, const char *unit, Client *clients, size_t count)
+run_until_settled (const Case *test_case, const char *unit, Client *clients, size_t count)
 {
   struct pollfd *polls = gr_calloc (count, sizeof *polls);
   int64_t began_at = now_ms ();
@@ -216,9 +218,9 @@
   while (now_ms () - moved_at < SETTLED_MS && now_ms () - began_at < GIVE_UP_MS) {
     for (size_t i = 0; i < count; i++) {
       polls[i] = (struct pollfd){ .fd = clients[i].fd };
-      if (!play->keeps_deaf)
+      if (!test_case->never_reads)
         polls[i].events |= POLLIN;
-      if (clients[i].fd >= 0 && has_more (play, unit, &clients[i]))
+      if (clients[i].fd >= 0 && has_more (test_case, unit, &clients[i]))
         polls[i].events |= POLLOUT;
     }
     if (poll (polls, count, 100) <= 0)
@@ -228,7 +230,7 @@
       if (polls[i].fd >= 0 && (polls[i].revents & (POLLIN | POLLHUP | POLLERR)))
         moved = read_some (&clients[i]);
       if (clients[i].fd >= 0 && (polls[i].revents & POLLOUT))
-        moved = send_some (play, unit, &clients[i]) || moved;
+        moved = send_some (test_case, unit, &clients[i]) || moved;
       if (moved)
         moved_at = now_ms ();
     }
@@ -239,10 +241,10 @@
 int
 main (int argc, char **argv)
 {
-  const Case *play = NULL;
+  const Case *test_case = NULL;
   for (size_t i = 0; argc == 4 && i < sizeof cases / sizeof cases[0]; i++) {
     if (strcmp (cases[i].name, argv[2]) == 0)
-      play = &cases[i];
+      test_case = &cases[i];
   }
   for (size_t i = 0; argc == 4 && i < sizeof answers / sizeof answers[0]; i++) {
     if (strcmp (answers[i].name, argv[2]) == 0) {
@@ -250,28 +252,29 @@
       return 0;
     }
   }
-  if (!play) {
+  if (!test_case) {
     fprintf (stderr, "usage: gr-hostile PORT CASE COUNT\n");
     return 2;
   }
   size_t count = (size_t) atoi (argv[3]);
   Client *clients = gr_calloc (count, sizeof *clients);
-  char *filler = gr_calloc (play->unit_bytes + 1, 1);
-  memset (filler, 'x', play->unit_bytes);
-  const char *unit = play->unit ? play->unit : filler;
+  char *filler = gr_calloc (test_case->unit_bytes + 1, 1);
+  memset (filler, 'x', test_case->unit_bytes);
+  const char *unit = test_case->unit ? test_case->unit : filler;
   for (size_t i = 0; i < count; i++) {
     if (!open_client (&clients[i], atoi (argv[1]))) {
       fprintf (stderr, "gr-hostile: %zu sockets opened: %s\n", i, strerror (errno));
       return 1;
     }
   }
-  play_until_settled (play, unit, clients, count);
+  run_until_settled (test_case, unit, clients, count);
   size_t open = 0, answered = 0;
   for (size_t i = 0; i < count; i++) {
     open += clients[i].fd >= 0;
     answered += clients[i].answered;
   }
-  printf ("settled case=%s clients=%zu open=%zu answered=%zu\n", play->name, count, open, answered);
+  printf ("settled case=%s clients=%zu open=%zu answered=%zu\n", test_case->name, count, open,
+          answered);
   fflush (stdout);
   char rest;
   while (read (STDIN_FILENO, &rest, 1) > 0) {
