--- a/tests/load_world.h
+++ b/tests/load_world.h
@@ -1,13 +1,14 @@
 /* A cell under load for tests of the order of steps: targets that run every task for its true time,
    jobs whose estimates are wrong, a peak of one kind of jobs. Orders, records and ends take no
-   time; time passes in steps of LOAD_STEP_MS. All random draws are made before, so two runs of the
-   same options see the same jobs. */
+   time; time passes in steps of LOAD_STEP_MS. All random numbers are drawn before the run, so two
+   runs of the same options see the same jobs. */
 #pragma once
 
 #include <math.h>
 #include <string.h>
 
 #include "dag_fixture.h"
+#include "random_unit.h"
 
 #define LOAD_STEP_MS 10
 #define LOAD_KINDS_MAX 3
@@ -86,15 +87,14 @@
 } LoadWorld;
 
 typedef struct {
-  size_t jobs[LOAD_KINDS_MAX], in_aim[LOAD_KINDS_MAX], all, all_in_aim, never;
+  size_t jobs[LOAD_KINDS_MAX], within_objective[LOAD_KINDS_MAX], all, all_within_objective, never;
   double value; /* share of the worth of all jobs, a fifth for an end within three objectives */
 } LoadScore;
 
 static double
 load_draw (LoadWorld *world)
 {
-  world->random_state = world->random_state * 6364136223846793005U + 1442695040888963407U;
-  return (double) (world->random_state >> 11) / (double) (1ULL << 53);
+  return random_unit (&world->random_state);
 }
 
 static void
@@ -385,15 +385,15 @@
   for (size_t i = 0; i < world->jobs.count; i++) {
     const LoadJob *job = &world->jobs.items[i];
     double job_worth = 0.3 + 0.7 * job->work * (double) score.jobs[job->kind] / mean[job->kind];
-    bool in_aim = job->ended_at > 0 && job->ended_at <= job->objective_at;
+    bool within_objective = job->ended_at > 0 && job->ended_at <= job->objective_at;
     bool in_time = job->ended_at > 0
                    && job->ended_at - job->arrives_at <= 3 * (job->objective_at - job->arrives_at);
     score.all++;
-    score.all_in_aim += in_aim;
-    score.in_aim[job->kind] += in_aim;
+    score.all_within_objective += within_objective;
+    score.within_objective[job->kind] += within_objective;
     score.never += job->ended_at == 0;
     worth += job_worth;
-    score.value += in_aim ? job_worth : in_time ? job_worth / 5 : 0;
+    score.value += within_objective ? job_worth : in_time ? job_worth / 5 : 0;
   }
   score.value /= worth;
   return score;
@@ -422,7 +422,7 @@
   return excess;
 }
 
-/* Share of the jobs in aim that no schedule exceeds. */
+/* Upper bound of the share of the jobs that any schedule can end within their objectives. */
 static double
 load_bound (const LoadWorld *world)
 {
--- a/tests/prop_dag_share.cc
+++ b/tests/prop_dag_share.cc
@@ -43,8 +43,8 @@
 constexpr int kTargets = 4;
 constexpr int32_t kCpu = 16000, kMemory = 32000;
 
-/* An account that starts a task was not above another that waits with tasks that would have fit in
-   its place. */
+/* Guards against an account that starts a task although another one waits with a lower weighted
+   share and with tasks that would have fit in its place. */
 bool
 shares_differ_by_one_task ()
 {
@@ -138,7 +138,7 @@
   return longest;
 }
 
-/* The objectives of gangs and of wide steps in the users' cells. */
+/* The objective of a gang or of a wide step in the users' cells. */
 int64_t
 objective_of (const DagStepSpec &step)
 {
@@ -222,7 +222,7 @@
                                       step_of (20, 6000, 100, 1000, true), 400, 100);
   ok &= small_tasks_do_not_crowd_out ("wide steps of a small account",
                                       step_of (20, 6000, 100, 1000, false), 400, 100);
-  /* Twice the cell, which work within the share gets. */
+  /* Twice the capacity of the cell; as work within the share it comes first. */
   ok &= small_tasks_do_not_crowd_out ("wide steps beside work beyond a share",
                                       step_of (80, 6000, 100, 1000, false), 1, 1);
   ok &= small_tasks_leave_room_under_the_maximum ("gangs under the maximum of their account",
--- a/tests/prop_learn.cc
+++ b/tests/prop_learn.cc
@@ -29,7 +29,7 @@
 
 /* Observes steps of tasks on random targets; fast ones work ratio times as fast. */
 std::vector<LearnSpeed>
-play (double ratio, double noise, uint32_t seed, LearnClasses *classes)
+observe_steps (double ratio, double noise, uint32_t seed, LearnClasses *classes)
 {
   std::mt19937 random (seed);
   std::normal_distribution<double> normal (0, noise);
@@ -66,7 +66,7 @@
 {
   LearnClasses classes;
   double ratio = *rc::gen::inRange (180, 400) / 100.0;
-  auto speeds = play (ratio, 0.15, seed, &classes);
+  auto speeds = observe_steps (ratio, 0.15, seed, &classes);
   for (int fast = 0; fast < 3; fast++) {
     for (int slow = 3; slow < TARGETS; slow++)
       RC_ASSERT (speeds[(size_t) fast].mean > speeds[(size_t) slow].mean);
--- a/tests/test_dag_overload.c
+++ b/tests/test_dag_overload.c
@@ -58,7 +58,7 @@
   double peak;
   int64_t peak_ms, held_ms;
   bool alone; /* the kind of the peak makes up all of the load */
-  bool gains; /* triage must bring more worth, which is what the plan maximises */
+  bool gains; /* triage must increase the worth, which the plan maximises */
   double stragglers;
 } Load;
 
@@ -79,7 +79,7 @@
   return options;
 }
 
-/* Nothing of an overload is left some seconds after the last job has ended. */
+/* No overload is reported any more some seconds after the last job has ended. */
 static void
 check_calm (LoadWorld *world)
 {
@@ -89,8 +89,10 @@
   assert_int_equal (world->metrics->values[GR_METRIC_OVERLOADED], 0);
 }
 
+/* Guards against fewer jobs within their objective with triage than without it, against less worth
+   where triage has something to gain, and against jobs that never end. */
 static void
-triage_brings_more_jobs_into_aim (void **state)
+triage_brings_more_jobs_within_their_objectives (void **state)
 {
   (void) state;
   static const Load loads[] = {
@@ -105,7 +107,7 @@
     { "20 s of all jobs return at once", BULK, 1, 0, .held_ms = 20000 },
   };
   for (size_t l = 0; l < sizeof loads / sizeof loads[0]; l++) {
-    double aim[2] = { 0 }, value[2] = { 0 }, bound = 0;
+    double within_objective[2] = { 0 }, value[2] = { 0 }, bound = 0;
     for (int seed = 1; seed <= SEEDS; seed++) {
       for (int triage = 0; triage < 2; triage++) {
         LoadOptions options = load_options (&loads[l], seed, !triage);
@@ -114,23 +116,25 @@
         if (score.never > 0)
           fail_msg ("%s: %zu jobs never end", loads[l].name, score.never);
         check_calm (&world);
-        aim[triage] += (double) score.all_in_aim / (double) score.all / SEEDS;
+        within_objective[triage]
+            += (double) score.all_within_objective / (double) score.all / SEEDS;
         value[triage] += score.value / SEEDS;
         bound += load_bound (&world) / 2 / SEEDS;
         load_free (&world);
       }
     }
     print_message (
-        "%s: in aim %.3f without triage, %.3f with it, bound %.3f; worth %.3f and %.3f\n",
-        loads[l].name, aim[0], aim[1], bound, value[0], value[1]);
-    if (aim[1] < aim[0] - TOLERANCE)
-      fail_msg ("%s: %.3f of the jobs in aim, %.3f without triage", loads[l].name, aim[1], aim[0]);
+        "%s: within objective %.3f without triage, %.3f with it, bound %.3f; worth %.3f and %.3f\n",
+        loads[l].name, within_objective[0], within_objective[1], bound, value[0], value[1]);
+    if (within_objective[1] < within_objective[0] - TOLERANCE)
+      fail_msg ("%s: %.3f of the jobs within their objective, %.3f without triage", loads[l].name,
+                within_objective[1], within_objective[0]);
     if (loads[l].gains && value[1] <= value[0])
       fail_msg ("%s: worth %.4f, %.4f without triage", loads[l].name, value[1], value[0]);
   }
 }
 
-/* Cells that are full at times, but have time for all jobs. */
+/* Guards against another order where the cell is full at times, but has time for all jobs. */
 static void
 without_overload_all_starts_are_the_same (void **state)
 {
@@ -183,7 +187,7 @@
   return fixture;
 }
 
-/* A job of each priority has just turned too late for its hard deadline. */
+/* Notes that a job of each priority has just become too late for its hard deadline. */
 static void
 note_missed_jobs (Fixture *fixture)
 {
@@ -195,8 +199,7 @@
 }
 
 /* Guards against refusals where the job could end in time, where work of its kind still does, of
-   jobs that are known, and of jobs without an account, whose callers are never told to come back.
- */
+   jobs that are known, and of jobs without an account, which are never refused. */
 static void
 refuses_only_jobs_that_cannot_end_in_time (void **state)
 {
@@ -246,7 +249,7 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (triage_brings_more_jobs_into_aim),
+    cmocka_unit_test (triage_brings_more_jobs_within_their_objectives),
     cmocka_unit_test (without_overload_all_starts_are_the_same),
     cmocka_unit_test (refuses_only_jobs_that_cannot_end_in_time),
   };
--- a/tests/test_dag_speed.c
+++ b/tests/test_dag_speed.c
@@ -4,6 +4,7 @@
 
 #include "dag/dag_priv.h"
 #include "dag_fixture.h"
+#include "random_unit.h"
 
 #define TARGETS 70
 #define FAST_EVERY 3 /* every third target works at 1.7, the others at 0.7 */
@@ -59,12 +60,12 @@
   int64_t next_end;
 } SimTarget;
 
-/* A command on its way; named are the targets of a call for advice. */
+/* A command that has been sent and not delivered yet. */
 typedef struct {
   int64_t due;
   DagCmd cmd;
-  GrName *named;
-} Mail;
+  GrName *advised; /* targets of a call for advice; else NULL */
+} SentCmd;
 
 typedef struct {
   DagState *dag;
@@ -76,16 +77,15 @@
   int64_t batch, stored_at;
   SimTarget targets[TARGETS];
   GR_LIST (SimJob) jobs;
-  GR_LIST (Mail) mail;
-  size_t ended[KINDS], in_aim[KINDS], on_fast;
+  GR_LIST (SentCmd) sent;
+  size_t ended[KINDS], within_objective[KINDS], on_fast;
   size_t starts;
 } Sim;
 
 static double
 draw (Sim *sim)
 {
-  sim->random = sim->random * 6364136223846793005u + 1442695040888963407u;
-  return (double) (sim->random >> 11) / 9007199254740992.0;
+  return random_unit (&sim->random);
 }
 
 static void
@@ -147,12 +147,12 @@
 
 /* Half of the targets are allowed. */
 static void
-answer_advice (Sim *sim, const DagCmd *cmd, const GrName *named)
+answer_advice (Sim *sim, const DagCmd *cmd, const GrName *advised)
 {
   GR_LIST (DagAllowed) allowed = { 0 };
   for (size_t i = 0; i < cmd->u.advise.count; i++) {
     if (draw (sim) < 0.5)
-      gr_list_push (&allowed, (DagAllowed){ .target = named[i], .ticket = "t" });
+      gr_list_push (&allowed, (DagAllowed){ .target = advised[i], .ticket = "t" });
   }
   dag_handle_advice (sim->dag, &cmd->u.advise.job, cmd->u.advise.step, cmd->u.advise.token, true,
                      allowed.items, allowed.count, 0, sim->now);
@@ -160,15 +160,15 @@
 }
 
 static void
-deliver (Sim *sim, const Mail *mail)
+deliver (Sim *sim, const SentCmd *sent)
 {
-  const DagCmd *cmd = &mail->cmd;
+  const DagCmd *cmd = &sent->cmd;
   SimTarget *target
       = &sim->targets[cmd->type == DAG_CMD_ADVISE ? 0 : number_of (&cmd->target.target)];
   if (cmd->type == DAG_CMD_START) {
     begin_run (sim, cmd, target);
   } else if (cmd->type == DAG_CMD_ADVISE) {
-    answer_advice (sim, cmd, mail->named);
+    answer_advice (sim, cmd, sent->advised);
   } else if (cmd->type == DAG_CMD_STOP) {
     for (size_t i = target->runs.count; i-- > 0;) {
       if (gr_name_equal (&target->runs.items[i].task.job, &cmd->u.stop.task.job)
@@ -223,19 +223,20 @@
 {
   const DagCmds *cmds = dag_cmds (sim->dag);
   for (size_t i = 0; i < cmds->count; i++) {
-    Mail mail = { .due = sim->now + LINK_MS, .cmd = cmds->items[i] };
-    sim->cmds = sim->cmds * 31 + gr_name_hash (&mail.cmd.target.target, (uint64_t) sim->now)
-                + (uint64_t) mail.cmd.type;
-    if (mail.cmd.type == DAG_CMD_ACCEPTED)
+    SentCmd sent = { .due = sim->now + LINK_MS, .cmd = cmds->items[i] };
+    sim->cmds = sim->cmds * 31 + gr_name_hash (&sent.cmd.target.target, (uint64_t) sim->now)
+                + (uint64_t) sent.cmd.type;
+    if (sent.cmd.type == DAG_CMD_ACCEPTED)
       continue;
-    if (mail.cmd.type == DAG_CMD_ADVISE) {
-      for (size_t n = 0; n < mail.cmd.u.advise.count; n++)
-        sim->cmds = sim->cmds * 31 + gr_name_hash (&mail.cmd.u.advise.targets[n], n);
-      mail.named = gr_calloc (mail.cmd.u.advise.count, sizeof *mail.named);
-      memcpy (mail.named, mail.cmd.u.advise.targets, mail.cmd.u.advise.count * sizeof *mail.named);
-      mail.due = sim->now + mail.cmd.u.advise.expected_ms;
+    if (sent.cmd.type == DAG_CMD_ADVISE) {
+      for (size_t n = 0; n < sent.cmd.u.advise.count; n++)
+        sim->cmds = sim->cmds * 31 + gr_name_hash (&sent.cmd.u.advise.targets[n], n);
+      sent.advised = gr_calloc (sent.cmd.u.advise.count, sizeof *sent.advised);
+      memcpy (sent.advised, sent.cmd.u.advise.targets,
+              sent.cmd.u.advise.count * sizeof *sent.advised);
+      sent.due = sim->now + sent.cmd.u.advise.expected_ms;
     }
-    gr_list_push (&sim->mail, mail);
+    gr_list_push (&sim->sent, sent);
   }
   dag_cmds_reset (sim->dag);
 }
@@ -243,17 +244,17 @@
 static void
 deliver_due (Sim *sim)
 {
-  size_t kept = 0, count = sim->mail.count;
+  size_t kept = 0, count = sim->sent.count;
   for (size_t i = 0; i < count; i++) {
-    Mail mail = sim->mail.items[i];
-    if (mail.due > sim->now) {
-      sim->mail.items[kept++] = mail;
+    SentCmd sent = sim->sent.items[i];
+    if (sent.due > sim->now) {
+      sim->sent.items[kept++] = sent;
       continue;
     }
-    deliver (sim, &mail);
-    free (mail.named);
+    deliver (sim, &sent);
+    free (sent.advised);
   }
-  sim->mail.count = kept;
+  sim->sent.count = kept;
 }
 
 /* Counts jobs that have ended; those that are late by then are counted when they end. */
@@ -266,7 +267,7 @@
       continue;
     if (sim->now > WARM_UP_MS) {
       sim->ended[job->kind]++;
-      sim->in_aim[job->kind] += sim->now <= job->due_at;
+      sim->within_objective[job->kind] += sim->now <= job->due_at;
     }
     gr_list_swap_remove (&sim->jobs, i);
   }
@@ -319,7 +320,7 @@
 /* Share of the jobs of each kind that end within their objective, and of the tasks of short jobs
    that start on fast targets. */
 typedef struct {
-  double in_aim[KINDS], on_fast;
+  double within_objective[KINDS], on_fast;
   uint64_t cmds;
 } Outcome;
 
@@ -367,9 +368,9 @@
     gr_list_clear (&sim->targets[t].ends);
     gr_list_clear (&sim->targets[t].holds);
   }
-  for (size_t i = 0; i < sim->mail.count; i++)
-    free (sim->mail.items[i].named);
-  gr_list_clear (&sim->mail);
+  for (size_t i = 0; i < sim->sent.count; i++)
+    free (sim->sent.items[i].advised);
+  gr_list_clear (&sim->sent);
   gr_list_clear (&sim->jobs);
   dag_free (sim->dag);
   free (sim);
@@ -385,7 +386,7 @@
   for (size_t k = 0; k < KINDS; k++) {
     for (size_t i = 0; i < sim->jobs.count; i++)
       sim->ended[k] += sim->jobs.items[i].kind == k && sim->jobs.items[i].due_at < sim->now;
-    outcome.in_aim[k] = (double) sim->in_aim[k] / (double) sim->ended[k];
+    outcome.within_objective[k] = (double) sim->within_objective[k] / (double) sim->ended[k];
   }
   outcome.on_fast = (double) sim->on_fast / (double) sim->starts;
   outcome.cmds = sim->cmds;
@@ -405,16 +406,17 @@
       Outcome outcome = run_sim (k, false, seed);
       means[k].on_fast += outcome.on_fast / SEEDS;
       for (size_t q = 0; q < KINDS; q++)
-        means[k].in_aim[q] += outcome.in_aim[q] / SEEDS;
+        means[k].within_objective[q] += outcome.within_objective[q] / SEEDS;
     }
-    const double *in_aim = means[k].in_aim;
-    print_message ("%-8s checks on fast %.3f, in aim: checks %.3f rollouts %.3f "
+    const double *within_objective = means[k].within_objective;
+    print_message ("%-8s checks on fast %.3f, within objective: checks %.3f rollouts %.3f "
                    "reconciliation %.3f\n",
-                   names[k], means[k].on_fast, in_aim[0], in_aim[1], in_aim[2]);
+                   names[k], means[k].on_fast, within_objective[0], within_objective[1],
+                   within_objective[2]);
   }
-  double without = means[WITHOUT_SPEEDS].in_aim[0];
-  double gap = means[ORACLE].in_aim[0] - without;
-  double closed = means[LEARNED].in_aim[0] - without;
+  double without = means[WITHOUT_SPEEDS].within_objective[0];
+  double gap = means[ORACLE].within_objective[0] - without;
+  double closed = means[LEARNED].within_objective[0] - without;
   print_message ("share of the gap closed: %.2f\n", closed / gap);
   assert_true (gap > 0);
   /* The target is three quarters of the gap to full knowledge. */
--- a/tests/test_docs.c
+++ b/tests/test_docs.c
@@ -107,6 +107,7 @@
   gr_buf_clear (&page);
 }
 
+/* Guards against warnings of `config check` that no page explains. */
 static void
 configuration_page_lists_every_warning (void **state)
 {
--- a/tests/test_fuzz.c
+++ b/tests/test_fuzz.c
@@ -583,6 +583,8 @@
     assert_true (key.len > 0 && key.len < input.len);
 }
 
+/* Guards against malformed configuration documents and authorization headers that end a VM, or that
+   give an account a weight or a maximum out of range. */
 static void
 cell_configurations_and_keys (void **state)
 {
--- a/tests/test_learn.c
+++ b/tests/test_learn.c
@@ -9,22 +9,22 @@
 
 #include "learn/learn_runtime.h"
 #include "learn/learn_speed.h"
+#include "random_unit.h"
 
 #define TARGETS 12
 #define TASKS 6
 
-static uint64_t state_of_random = 1;
+static uint64_t random_state = 1;
 
 static double
 draw (void)
 {
-  state_of_random = state_of_random * 6364136223846793005u + 1442695040888963407u;
-  return (double) (state_of_random >> 11) / 9007199254740992.0;
+  return random_unit (&random_state);
 }
 
 /* Run time of a task: 15% noise, and three in a hundred take seven times as long. */
 static double
-run_of (double work_ms, double speed)
+draw_run_ms (double work_ms, double speed)
 {
   double noise = exp (0.52 * (draw () + draw () - 1));
   return work_ms * noise * (draw () < 0.03 ? 7 : 1) / speed;
@@ -49,14 +49,14 @@
 
 /* Steps of TASKS tasks on neighbouring targets, with useless estimates. */
 static void
-play (Cell *cell, int steps, double (*speed_of) (int target, int step))
+observe_steps (Cell *cell, int steps, double (*speed_of) (int target, int step))
 {
   for (int s = 0; s < steps; s++) {
     LearnRun runs[TASKS];
     double work_ms = 300 + 3000 * draw ();
     for (int i = 0; i < TASKS; i++) {
       int t = (s * 5 + i) % TARGETS;
-      runs[i] = (LearnRun){ &cell->speeds[t], log (run_of (work_ms, speed_of (t, s))) };
+      runs[i] = (LearnRun){ &cell->speeds[t], log (draw_run_ms (work_ms, speed_of (t, s))) };
     }
     cell->now_ms += 100;
     learn_speed_observe (runs, TASKS, work_ms * (0.1 + 1.8 * draw ()), 1, &cell->noise,
@@ -103,31 +103,31 @@
   (void) state;
   Cell cell = new_cell ();
   /* 20 ends for each target. */
-  play (&cell, 20 * TARGETS / TASKS, two_speeds);
+  observe_steps (&cell, 20 * TARGETS / TASKS, two_speeds);
   assert_int_equal (cell.classes.count, 2);
   for (int t = 0; t < TARGETS; t++)
     assert_int_equal (cell.speeds[t].speed_class, t % 3 == 0);
   double ratio = cell.classes.factor[1] / cell.classes.factor[0];
   assert_true (fabs (log (ratio / (1.7 / 0.7))) < 0.1);
   cell = new_cell ();
-  play (&cell, 400, equal_speeds);
+  observe_steps (&cell, 400, equal_speeds);
   assert_int_equal (cell.classes.count, 1);
   assert_true (cell.classes.factor[0] == 1);
 }
 
-/* Guards against values that stay wrong, or that spoil those of other targets, after a target has
-   reported ends early or has changed its speed again and again. */
+/* Guards against values that stay wrong, or that make those of other targets wrong, after a target
+   has reported ends early or has changed its speed again and again. */
 static void
-wrong_teachers_are_forgotten (void **state)
+misleading_runs_are_forgotten (void **state)
 {
   (void) state;
-  double (*const teachers[]) (int, int) = { first_ends_early, first_alternates };
+  double (*const misleading[]) (int, int) = { first_ends_early, first_alternates };
   for (size_t i = 0; i < 2; i++) {
     Cell cell = new_cell ();
-    play (&cell, 100, teachers[i]);
+    observe_steps (&cell, 100, misleading[i]);
     for (int t = 1; t < TARGETS; t++)
       assert_int_equal (cell.speeds[t].speed_class, cell.speeds[1].speed_class);
-    play (&cell, 100, equal_speeds);
+    observe_steps (&cell, 100, equal_speeds);
     assert_int_equal (cell.classes.count, 1);
   }
 }
@@ -138,7 +138,7 @@
 {
   (void) state;
   Cell cell = new_cell ();
-  play (&cell, 100, two_speeds);
+  observe_steps (&cell, 100, two_speeds);
   double variance = cell.speeds[0].variance;
   learn_speed_restart (&cell.speeds[0], cell.now_ms);
   assert_true (cell.speeds[0].variance > variance);
@@ -174,7 +174,7 @@
     double work = 1000 * factor;
     double estimate = 1000 * (1 + error * (2 * draw () - 1));
     for (int i = 0; i < 3; i++)
-      learn_runtime_observe (table, 1, estimate, estimate, run_of (work, 1), 1.0 / 3);
+      learn_runtime_observe (table, 1, estimate, estimate, draw_run_ms (work, 1), 1.0 / 3);
   }
 }
 
@@ -224,7 +224,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (speeds_are_told_apart),
-    cmocka_unit_test (wrong_teachers_are_forgotten),
+    cmocka_unit_test (misleading_runs_are_forgotten),
     cmocka_unit_test (idle_targets_return_to_the_mean),
     cmocka_unit_test (targets_are_ranked_by_need),
     cmocka_unit_test (run_times_are_learned),
--- a/tests/test_net_budget.c
+++ b/tests/test_net_budget.c
@@ -1,5 +1,5 @@
-/* Memory budget and early reading of request heads. Guards against a process that is ended by
-   requests that never finish, and against limits that close the requests of honest clients. */
+/* Memory budget and early reading of request headers. Guards against a process that runs out of
+   memory because of requests that never end, and against limits that close ordinary requests. */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -16,8 +16,8 @@
 static const NetBudgetOptions options
     = { .total_bytes = 1000 * KB, .small_bytes = 10 * KB, .request_bytes = 100 * KB };
 
-/* What the commands of one decision are for a list of requests: one letter each, 'w'ait, 'r'esume,
-   'c'ut, 'd'eadline, '-' none. */
+/* Expected commands of one decision for a list of requests, one letter each: 'w'ait, 'r'esume,
+   'c'ut, 'd'eadline, '-' none, ' ' any. */
 typedef struct {
   const char *name;
   struct {
@@ -29,6 +29,8 @@
   const char *expected;
 } Case;
 
+/* Guards against stalled requests that keep memory for which others wait, and against decisions
+   that close requests that are complete, still receive bytes, or are within their deadline. */
 static void
 decisions_follow_phase_size_and_progress (void **state)
 {
@@ -37,17 +39,17 @@
     { "nothing waits below the budget",
       { { "a", NET_PHASE_BODY, 90, 0 }, { "a", NET_PHASE_BODY, 90, 5000 } },
       "--" },
-    { "above half, large requests wait but those that fit",
+    { "above half, large requests wait unless they can be granted",
       { { "a", NET_PHASE_BODY, 400, 0 },
         { "a", NET_PHASE_BODY, 200, 0 },
         { "a", NET_PHASE_HEAD, 9, 0 } },
       "--- " },
-    { "above the total, the request that does not move is closed",
+    { "above the total, the stalled request is closed",
       { { "a", NET_PHASE_BODY, 400, 0 },
         { "a", NET_PHASE_BODY, 300, 2000 },
         { "a", NET_PHASE_BODY, 400, 0 } },
       " c " },
-    { "of those that do not move, the one that holds most; one that waited goes on",
+    { "of stalled requests, the one that holds most; one that waited goes on",
       { { "a", NET_PHASE_BODY, 300, 2000 },
         { "a", NET_PHASE_BODY, 400, 2000 },
         { "a", NET_PHASE_BODY, 350, 2000 } },
@@ -70,7 +72,7 @@
         { "a", NET_PHASE_WORK, 1, 90000 },
         { "a", NET_PHASE_REPLY, 1, 30000 } },
       "-d-d-d" },
-    { "a body that does not move, and one at the minimum rate",
+    { "a stalled body, and one at the minimum rate",
       { { "a", NET_PHASE_BODY, 0, 20000 },
         { "a", NET_PHASE_BODY, 30, 20000 },
         { "a", NET_PHASE_BODY, 90, 30000 } },
@@ -106,8 +108,7 @@
   }
 }
 
-/* Requests of one size arrive in pieces, in a seeded order; some senders stop short of the end. The
-   honest ones must all be completed and the total must hold. */
+/* Requests of one size that arrive in pieces, in a seeded order. */
 enum {
   REQUESTS = 24, /* before their first grant, they hold a quarter of the total */
   PIECE = 8 * KB,
@@ -121,7 +122,7 @@
 } Sender;
 
 static void
-carry_out (NetBudget *budget, int64_t now)
+apply_decision (NetBudget *budget, int64_t now)
 {
   NetBudgetCmds cmds = { 0 };
   net_budget_decide (budget, now, &cmds);
@@ -131,15 +132,17 @@
     sender->closed
         = cmds.items[i].verb == NET_BUDGET_CUT || cmds.items[i].verb == NET_BUDGET_DEADLINE;
     if (sender->closed && !sender->stops_short)
-      fail_msg ("an honest request was closed by verb %d at %lld after %lld bytes, %lld held",
+      fail_msg ("an ordinary request was closed by verb %d at %lld after %lld bytes, %lld held",
                 cmds.items[i].verb, (long long) now, (long long) sender->received,
                 (long long) net_budget_held (budget));
   }
   gr_list_clear (&cmds);
 }
 
+/* Guards against a deadlock of waiting requests and against closing requests that would be
+   completed while other senders stop short of the end, and against a total above the budget. */
 static void
-honest_requests_are_completed_beside_those_that_stop (void **state)
+ordinary_requests_are_completed_beside_stalled_ones (void **state)
 {
   (void) state;
   for (unsigned seed = 1; seed <= 200; seed++) {
@@ -147,20 +150,20 @@
     Sender senders[REQUESTS] = { 0 };
     int64_t now = 1000;
     srandom (seed);
-    size_t honest = 0, completed = 0;
+    size_t ordinary = 0, completed = 0;
     for (size_t i = 0; i < REQUESTS; i++) {
       senders[i].stops_short = (unsigned) random () % 24 < seed % 24;
-      honest += !senders[i].stops_short;
+      ordinary += !senders[i].stops_short;
       senders[i].item = net_budget_add (budget, GR_STR ("a"), &senders[i], now);
       net_budget_enter (senders[i].item, NET_PHASE_BODY, now);
     }
-    for (int step = 0; step < 60000 && completed < honest; step++) {
+    for (int step = 0; step < 60000 && completed < ordinary; step++) {
       Sender *sender = &senders[(size_t) random () % REQUESTS];
       int64_t limit = sender->stops_short ? BODY - PIECE : BODY;
       if (step % 2 == 0)
         now++;
       if (step % 200 == 0 || net_budget_is_due (budget))
-        carry_out (budget, now);
+        apply_decision (budget, now);
       if (sender->paused || sender->closed || sender->done || sender->received == limit)
         continue;
       sender->received += PIECE;
@@ -178,13 +181,15 @@
       }
       assert_true (net_budget_held (budget) <= options.total_bytes + options.request_bytes);
     }
-    assert_int_equal (completed, honest);
+    assert_int_equal (completed, ordinary);
     for (size_t i = 0; i < REQUESTS; i++)
       net_budget_remove (senders[i].item);
     net_budget_free (budget);
   }
 }
 
+/* Guards against new connections that are kept out by idle ones, and against closing connections
+   whose request is being processed or answered. */
 static void
 room_is_made_by_the_connection_that_was_idle_longest (void **state)
 {
@@ -218,6 +223,7 @@
   }
 }
 
+/* Guards against a header or an announced length that is missed because it arrives in pieces. */
 static void
 heads_are_read_however_they_arrive (void **state)
 {
@@ -257,7 +263,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (decisions_follow_phase_size_and_progress),
-    cmocka_unit_test (honest_requests_are_completed_beside_those_that_stop),
+    cmocka_unit_test (ordinary_requests_are_completed_beside_stalled_ones),
     cmocka_unit_test (room_is_made_by_the_connection_that_was_idle_longest),
     cmocka_unit_test (heads_are_read_however_they_arrive),
   };
--- a/tests/test_plat.c
+++ b/tests/test_plat.c
@@ -363,6 +363,8 @@
   }
 }
 
+/* Guards against a valid header that is refused, and against an empty key or one of another scheme
+   that is taken as a key. */
 static void
 keys_are_taken_from_their_header (void **state)
 {
@@ -383,8 +385,8 @@
   }
 }
 
-/* Guards against a few bytes of text that take a hundred times as much once they are parsed, and
-   against bounds that refuse valid documents. */
+/* Guards against short text that takes a hundred times its length once it is parsed, and against
+   bounds that refuse valid documents. */
 static void
 documents_are_bounded_before_they_are_parsed (void **state)
 {
--- a/tests/test_triage.c
+++ b/tests/test_triage.c
@@ -1,6 +1,6 @@
-/* The plan under overload. The cases guard against: work being wasted on jobs that end late, jobs
-   with little left being given up, jobs changing sides with each plan, and a lower priority being
-   promised room that a higher one takes. */
+/* The plan under overload. The cases guard against capacity spent on jobs that end late, against
+   jobs with little work left being left out, against verdicts that alternate from plan to plan, and
+   against room for a lower priority that a higher one takes. */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -57,6 +57,7 @@
                       .best = job->best };
 }
 
+/* Guards against each of the faults that the head of this file names. */
 static void
 plans_by_deadline_worth_and_work (void **state)
 {
@@ -173,7 +174,8 @@
   return true;
 }
 
-/* For jobs of equal worth the algorithm keeps as many as any choice does. */
+/* Guards against a plan that keeps fewer jobs of equal worth than fit: it must keep as many as the
+   best of all choices. */
 static void
 keeps_the_most_jobs (void **state)
 {
@@ -231,17 +233,20 @@
   return returned;
 }
 
-/* Not one job in ten comes back in the 25 s of 100 plans. */
+/* Guards against verdicts that alternate because expected run times are inexact: fewer than one job
+   in ten may come back in the 25 s of 100 plans. */
 static void
 errors_of_the_estimates_bring_no_job_back (void **state)
 {
   (void) state;
   for (uint64_t seed = 1; seed <= 20; seed++) {
     if (count_returns (seed) >= 3)
-      fail_msg ("seed %llu: jobs change sides", (unsigned long long) seed);
+      fail_msg ("seed %llu: verdicts alternate", (unsigned long long) seed);
   }
 }
 
+/* Guards against an estimated end before the critical path or the work allows it, and against an
+   overflow with little capacity. */
 static void
 an_end_is_bounded_by_path_and_work (void **state)
 {
