dag, cell: gauges and counters of overload and shares

Cause: a VM that lost the lead kept the last values of gentianrelay_left_out and gentianrelay_overloaded, and submissions that admission refused were counted and logged as accepted beyond the share (found by reading). Change: VMs that do not lead set both gauges to 0; jobs beyond the share are counted once they are accepted. Measured: test_dag_share, test_dag_overload, test_dag_timetable and test_cell pass.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -298,6 +298,8 @@
   gr_metric_set (metrics, GR_METRIC_QUEUED, 0);
   gr_metric_set (metrics, GR_METRIC_FREE_CPU, 0);
   gr_metric_set (metrics, GR_METRIC_ACCOUNTS_AT_MAXIMUM, 0);
+  gr_metric_set (metrics, GR_METRIC_LEFT_OUT, 0);
+  gr_metric_set (metrics, GR_METRIC_OVERLOADED, 0);
 }
 
 const CellConfig *
--- a/src/dag/dag_job.c
+++ b/src/dag/dag_job.c
@@ -428,13 +428,14 @@
   if (!dag_share_admits (dag, spec, now_ms, retry_after_ms))
     return DAG_SUBMIT_OVERLOAD;
   job = dag_job_create (dag, spec, queue, now_ms);
-  dag_share_decide (dag, job, now_ms);
+  dag_share_decide (job, now_ms);
   if (!dag_triage_admits (dag, job, job->beyond_share, now_ms, retry_after_ms)) {
     dag_share_return_token (job);
     dag->open_jobs--;
     dag_job_free (dag, job);
     return DAG_SUBMIT_OVERLOAD;
   }
+  dag_share_note_accepted (dag, job, now_ms);
   dag_triage_note_job (dag, job);
   gr_list_push (&job->submit_calls, call);
   dag_job_mark_dirty (dag, job);
--- a/src/dag/dag_priv.h
+++ b/src/dag/dag_priv.h
@@ -583,8 +583,11 @@
 /* False if the submission of an unknown id must be refused; then sets *retry_after_ms. */
 bool dag_share_admits (DagState *dag, const DagJobSpec *spec, int64_t now_ms,
                        int64_t *retry_after_ms);
-/* Decides once whether the job is within the share of its account. */
-void dag_share_decide (DagState *dag, DagJob *job, int64_t now_ms);
+/* Decides once whether the job is within the share of its account. False if it has no account or
+   was decided before. */
+bool dag_share_decide (DagJob *job, int64_t now_ms);
+/* Counts and logs a job beyond the share that was accepted after that decision. */
+void dag_share_note_accepted (DagState *dag, const DagJob *job, int64_t now_ms);
 /* Returns the token of a job that is withdrawn or refused. */
 void dag_share_return_token (DagJob *job);
 /* All records are loaded: decides about the jobs in the order in which they were accepted. */
--- a/src/dag/dag_share.c
+++ b/src/dag/dag_share.c
@@ -146,14 +146,21 @@
   dag_share_add_job (job);
 }
 
-void
-dag_share_decide (DagState *dag, DagJob *job, int64_t now_ms)
+bool
+dag_share_decide (DagJob *job, int64_t now_ms)
 {
   DagClient *client = job->client;
   if (!client || job->share_decided)
-    return;
+    return false;
   take_token (job, now_ms);
-  if (!job->beyond_share)
+  return true;
+}
+
+void
+dag_share_note_accepted (DagState *dag, const DagJob *job, int64_t now_ms)
+{
+  DagClient *client = job->client;
+  if (!client || !job->beyond_share)
     return;
   dag_count (dag, GR_METRIC_JOBS_BEYOND_SHARE, 1);
   if (client->beyond_at == 0 || now_ms - client->beyond_at >= LOG_INTERVAL_MS)
--- a/src/dag/dag_timetable.c
+++ b/src/dag/dag_timetable.c
@@ -177,7 +177,8 @@
     if (is_done (job, number))
       continue;
     DagJob *occurrence = dag_timetable_occurrence (dag, job, number);
-    dag_share_decide (dag, occurrence, now_ms);
+    if (dag_share_decide (occurrence, now_ms))
+      dag_share_note_accepted (dag, occurrence, now_ms);
     dag_queue_ready_steps (dag, occurrence);
     dag_count (dag, GR_METRIC_OCCURRENCES, 1);
   }
