--- a/src/net/net_peer.c
+++ b/src/net/net_peer.c
@@ -20,9 +20,9 @@
 #define KEEPALIVE_S 5
 #define REDIAL_MIN_MS 100
 #define REDIAL_MAX_MS 1000
-/* Limit of accepted connections in the handshake; further ones are closed at once. All VMs of a
-   cell may connect at the same moment, and a VM has few descriptors. */
-#define MAX_UNAUTHENTICATED 96
+/* Limit of accepted connections in the handshake; further ones are closed at once. After a loss of
+   power all VMs of a cell, some hundred, connect to the electors at the same moment. */
+#define MAX_UNAUTHENTICATED 512
 
 typedef struct Link Link;
 typedef struct Peer Peer;
