--- a/src/dag/dag_priv.h
+++ b/src/dag/dag_priv.h
@@ -378,6 +378,7 @@
 /* State of dag_triage.c. */
 typedef struct {
   int64_t planned_at;
+  size_t planned_items; /* jobs and runs in the newest plan */
   int64_t mark;
   GR_LIST (DagServiceLoad *) loads;
 } DagTriage;
--- a/src/dag/dag_triage.c
+++ b/src/dag/dag_triage.c
@@ -8,6 +8,9 @@
 #include "dag/dag_priv.h"
 
 #define PLAN_INTERVAL_MS 250
+/* A plan of many jobs and runs is made less often, so that planning leaves the processor time of
+   the leader to starts and holds. */
+#define PLAN_ITEMS_PER_MS 10
 /* Worth of a job: this part is the same for all jobs of a queue, the rest is in proportion to the
    work of the job over the mean of its queue. */
 #define WORTH_FIXED 0.3
@@ -327,6 +330,7 @@
                       .runs = plan->runs.items,
                       .run_count = plan->runs.count };
   load->result = triage_plan (&cell, plan->jobs.items, plan->jobs.count);
+  dag->triage.planned_items += plan->jobs.count + plan->runs.count;
   gr_list_reset (&load->backlogs);
   for (size_t i = 0; i < plan->jobs.count; i++) {
     DagJob *job = plan->dag_jobs.items[i];
@@ -414,9 +418,13 @@
 {
   if (dag->options.no_triage || is_calm (dag))
     return;
-  if (dag->triage.planned_at > 0 && now_ms - dag->triage.planned_at < PLAN_INTERVAL_MS)
+  int64_t interval_ms = (int64_t) dag->triage.planned_items / PLAN_ITEMS_PER_MS;
+  if (interval_ms < PLAN_INTERVAL_MS)
+    interval_ms = PLAN_INTERVAL_MS;
+  if (dag->triage.planned_at > 0 && now_ms - dag->triage.planned_at < interval_ms)
     return;
   dag->triage.planned_at = now_ms;
+  dag->triage.planned_items = 0;
   for (size_t i = 0; i < dag->ready.count; i++)
     get_load (dag, &dag->ready.items[i]->job->queue.service);
   for (size_t i = 0; i < dag->triage.loads.count; i++)
