--- a/src/dag/dag.h
+++ b/src/dag/dag.h
@@ -305,8 +305,8 @@
   DAG_SUBMIT_PENDING,  /* answered by DAG_CMD_ACCEPTED */
   DAG_SUBMIT_KNOWN,    /* already stored */
   DAG_SUBMIT_NO_QUEUE, /* no such queue is configured */
-  DAG_SUBMIT_OVERLOAD, /* refused, never runs: too much work of its account, or of all, waits, or the
-                          job would miss its hard deadline; only for jobs of an account */
+  DAG_SUBMIT_OVERLOAD, /* refused, never runs: too much work of its account, or of all, waits, or
+                          the job would miss its hard deadline; only for jobs of an account */
   DAG_SUBMIT_INVALID,
   DAG_SUBMIT_FOREIGN /* the id belongs to a job of another account; nothing was changed */
 } DagSubmitResult;
