triage: admission reads the share mark from the job

Cause: dag_triage_admits() took a flag that always was that of the job it also took. Change: the parameter is gone, here and in work_ahead(). No decision changes. Measured: test_dag_overload, test_triage, test_dag_share, test_dag and test_docs pass; formatter and linter clean.

--- a/src/dag/dag_job.c
+++ b/src/dag/dag_job.c
@@ -429,7 +429,7 @@
     return DAG_SUBMIT_OVERLOAD;
   job = dag_job_create (dag, spec, queue, now_ms);
   dag_share_decide (job, now_ms);
-  if (!dag_triage_admits (dag, job, job->beyond_share, now_ms, retry_after_ms)) {
+  if (!dag_triage_admits (dag, job, now_ms, retry_after_ms)) {
     dag_share_return_token (job);
     dag->open_jobs--;
     dag_job_free (dag, job);
--- a/src/dag/dag_priv.h
+++ b/src/dag/dag_priv.h
@@ -916,8 +916,7 @@
 /* False if the job, which is not accepted yet, would miss its hard deadline even if it came next in
    its class; *retry_after_ms is set then. Applies to jobs of accounts only. Jobs within the share
    of their account are admitted while jobs beyond a share wait. */
-bool dag_triage_admits (DagState *dag, const DagJob *job, bool beyond_share, int64_t now_ms,
-                        int64_t *retry_after_ms);
+bool dag_triage_admits (DagState *dag, const DagJob *job, int64_t now_ms, int64_t *retry_after_ms);
 void dag_triage_clear (DagState *dag);
 
 /* dag_place.c */
--- a/src/dag/dag_triage.c
+++ b/src/dag/dag_triage.c
@@ -458,13 +458,13 @@
 
 /* Work that is served before a job that comes next in its class. */
 static double
-work_ahead (const DagServiceLoad *load, const DagJob *job, bool beyond_share)
+work_ahead (const DagServiceLoad *load, const DagJob *job)
 {
   double ahead = load->result.running;
   for (size_t i = 0; i < load->backlogs.count; i++) {
     const DagBacklog *backlog = &load->backlogs.items[i];
-    if (backlog->beyond_share != beyond_share) {
-      ahead += beyond_share ? backlog->work : 0;
+    if (backlog->beyond_share != job->beyond_share) {
+      ahead += job->beyond_share ? backlog->work : 0;
       continue;
     }
     if (backlog->verdict == TRIAGE_OBJECTIVE && backlog->priority < job->queue.priority)
@@ -484,16 +484,14 @@
 }
 
 bool
-dag_triage_admits (DagState *dag, const DagJob *job, bool beyond_share, int64_t now_ms,
-                   int64_t *retry_after_ms)
+dag_triage_admits (DagState *dag, const DagJob *job, int64_t now_ms, int64_t *retry_after_ms)
 {
   DagServiceLoad *load = find_load (dag, &job->queue.service);
   if (!dag->loaded || !job->client || dag_has_timetable (job) || !load || load->result.left_out == 0
-      || load->result.capacity <= 0 || (!beyond_share && waits_beyond_share (load)))
+      || load->result.capacity <= 0 || (!job->beyond_share && waits_beyond_share (load)))
     return true;
-  int64_t end
-      = triage_earliest_end (now_ms, load->result.capacity, work_ahead (load, job, beyond_share),
-                             waiting_work (job).v[load->result.dim], waiting_path_ms (job));
+  int64_t end = triage_earliest_end (now_ms, load->result.capacity, work_ahead (load, job),
+                                     waiting_work (job).v[load->result.dim], waiting_path_ms (job));
   /* The work ahead alone says too little: small tasks start in gaps that larger ones leave. */
   if (end <= job->hard_deadline_at || !missed_lately (load, job, now_ms))
     return true;
