tests: clients outside our control in a working cell

The crowds and bounds of the tests against such clients, before the product changes.

Until now their daemon had no store, and the ordinary request that they check was refused. Now the cell is that of gr-edge-soak without faults: an ordinary job has to be accepted by each VM, run and be shown as completed. The crowds and bounds of e2e_hostile_bodies and e2e_hostile_streams are the same; their requests now name a route that exists. New: clients that send whole requests of legal size, one test a case (tests/hostile_case.sh), with VMs of 32 MB; the leader or the store standing still; takeovers, also by a VM with less memory; gentianrelayd.

--- a/soak/main.c
+++ b/soak/main.c
@@ -28,6 +28,12 @@
        "number of client accounts; 0: calls need no key"),
   OPT ("faults", GR_OPT_TEXT, faults, "LIST", "all", 0, 0,
        "kinds of faults, separated by commas; all or none"),
+  OPT ("interval-ms", GR_OPT_INT, interval_ms, "MS", "200", 0, 60000,
+       "time between two jobs; 0: none are handed in"),
+  OPT ("edge-options", GR_OPT_TEXT, edge_options, "TEXT", "--cpu-share=0.25", 0, 0,
+       "further options of the edges, separated by spaces"),
+  OPT ("first-options", GR_OPT_TEXT, first_options, "TEXT", "", 0, 0,
+       "those of the first edge; empty: as the others"),
   OPT ("logs", GR_OPT_TEXT, logs, "DIR", ".", 0, 0, "folder for the logs"),
 };
 
@@ -135,6 +141,8 @@
   soak->events = fopen (path, "w");
   if (!soak->events)
     soak_die ("%s cannot be written", path);
+  /* Scripts read along. */
+  setvbuf (soak->events, NULL, _IOLBF, BUFSIZ);
   soak->loop = uv_default_loop ();
   soak->began_at = soak_now ();
   soak_note (soak, "seed=%lld unix=%lld", (long long) soak->settings.seed,
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -31,8 +31,8 @@
 typedef struct SoakCheck SoakCheck;
 
 typedef struct {
-  const char *edge, *logs, *faults;
-  int64_t seed, seconds, edges, targets, accounts;
+  const char *edge, *logs, *faults, *edge_options, *first_options;
+  int64_t seed, seconds, edges, targets, accounts, interval_ms;
 } SoakSettings;
 
 typedef struct {
--- a/soak/soak_clients.c
+++ b/soak/soak_clients.c
@@ -10,7 +10,6 @@
 #define FIRST_AT_MS 3500
 /* No job is handed in so late in the run. */
 #define LAST_MS 15000
-#define INTERVAL_MS 200
 #define ANSWER_TIMEOUT_MS 3000
 #define RETRY_MS 400
 #define POLL_MS 500
@@ -328,9 +327,11 @@
 {
   int64_t now = soak_now ();
   int64_t since = now - clients->soak->began_at;
-  if (since >= FIRST_AT_MS && since < clients->soak->settings.seconds * 1000 - LAST_MS
-      && now >= clients->next_job_at && clients->count < JOBS_MAX) {
-    clients->next_job_at = now + INTERVAL_MS;
+  int64_t interval_ms = clients->soak->settings.interval_ms;
+  if (interval_ms > 0 && since >= FIRST_AT_MS
+      && since < clients->soak->settings.seconds * 1000 - LAST_MS && now >= clients->next_job_at
+      && clients->count < JOBS_MAX) {
+    clients->next_job_at = now + interval_ms;
     add_job (clients);
   }
   for (int i = 0; i < clients->count; i++)
--- a/soak/soak_procs.c
+++ b/soak/soak_procs.c
@@ -19,7 +19,7 @@
 #define STORE_GRACE_MS 2000
 #define CLOCK_SLOW_PPM 20000
 #define FIRST_LIFE_AGE_MS 600000
-#define ARGS_MAX 24
+#define ARGS_MAX 32
 
 typedef enum {
   PORT_FRONT,
@@ -116,6 +116,18 @@
   proc->paused_until = 0;
 }
 
+/* Appends the options in the text, which are separated by spaces. */
+static void
+add_options (const char *text, GrBuf *texts, int *count)
+{
+  while (*text && *count < ARGS_MAX) {
+    size_t len = strcspn (text, " ");
+    if (len > 0)
+      gr_buf_append (&texts[(*count)++], text, len);
+    text += len + (text[len] == ' ');
+  }
+}
+
 static void
 start_edge (Proc *proc)
 {
@@ -134,11 +146,12 @@
   gr_buf_printf (&texts[count++], "--peer-host=127.0.0.1");
   gr_buf_printf (&texts[count++], "--peer-port=%d", ports[PORT_PEER]);
   gr_buf_printf (&texts[count++], "--store=127.0.0.1:%d", soak_store_port (soak->store, number));
-  gr_buf_printf (&texts[count++], "--cpu-share=0.25");
   gr_buf_printf (&texts[count++], "--lease-max-ms=10000");
   gr_buf_printf (&texts[count++], "--stop-timeout-ms=200");
   gr_buf_printf (&texts[count++], "--status-keep-s=120");
   gr_buf_printf (&texts[count++], "--grace-s=6");
+  bool differs = number == 0 && soak->settings.first_options[0] != '\0';
+  add_options (differs ? soak->settings.first_options : soak->settings.edge_options, texts, &count);
   for (int i = 3; i < count; i++)
     args[i] = texts[i].data;
   char path[512];
@@ -154,7 +167,7 @@
   for (int i = 3; i < count; i++)
     gr_buf_clear (&texts[i]);
   soak_paths_set_port (soak->paths, proc->end, ports[PORT_PEER]);
-  soak_note (soak, "e%d starts", number + 1);
+  soak_note (soak, "e%d starts pid %d port %d", number + 1, proc->process.pid, ports[PORT_FRONT]);
 }
 
 static void
--- a/tests/e2e_hostile_bodies.sh
+++ b/tests/e2e_hostile_bodies.sh
@@ -3,7 +3,8 @@
 # once, most of which never end, and bodies far over the limit, announced or just sent.
 set -u
 build=${1:?usage: e2e_hostile_bodies.sh BUILD_FOLDER}
-. "$(dirname "$0")/hostile/lib.bash"
+. "$(dirname "$0")/hostile/cell.bash"
+cell_vms=1
 run_case whole 400
 run_case short 600
 run_case pieces 600
--- a/tests/e2e_hostile_streams.sh
+++ b/tests/e2e_hostile_streams.sh
@@ -3,7 +3,8 @@
 # headers without end, pipelined requests, answers that nobody reads, connections without a request.
 set -u
 build=${1:?usage: e2e_hostile_streams.sh BUILD_FOLDER}
-. "$(dirname "$0")/hostile/lib.bash"
+. "$(dirname "$0")/hostile/cell.bash"
+cell_vms=1
 run_case bytes 100
 run_case header 400
 run_case headers 400
--- a/tests/hostile/lib.bash
+++ b/tests/hostile/lib.bash
@@ -1,4 +1,4 @@
-# Sourced by tests/e2e_hostile_*.sh: a daemon without a store, clients of gr-hostile and the checks.
+# Sourced by tests/e2e_hostile_answers.sh: a daemon whose store is gr-hostile, and the checks.
 # The bounds are those of the smallest VM of docs/accounts-and-load.md: 120 MB and 3,075 descriptors.
 MEMORY_MAX_KB=122880
 DESCRIPTORS_MAX=3075
@@ -84,18 +84,7 @@
   stop_edge
 }
 
-# run_case CASE COUNT: runs the clients against a daemon of its own and checks it while they are
-# still connected and after they have gone
-run_case () {
-  start_edge
-  mkfifo "$work/hold"
-  "$build/gr-hostile" "$base" "$1" "$2" <"$work/hold" >"$work/report" 2>&1 &
-  clients=$!
-  exec 9>"$work/hold"
-  finish_case "$1" clients
-}
-
-# run_service CASE: like run_case, but gr-hostile is the store of the daemon
+# run_service CASE: checks a daemon whose store is gr-hostile while the service answers and after it has gone
 run_service () {
   mkfifo "$work/hold"
   for attempt in $(seq 20); do
--- a/tests/hostile/main.c
+++ b/tests/hostile/main.c
@@ -1,7 +1,7 @@
 /* gr-hostile: clients outside our control, for tests/e2e_hostile_*.sh. Opens COUNT connections to
    127.0.0.1:PORT, sends what CASE says on each and reports once there was no traffic for a while.
    The connections stay open until standard input ends. With serve-*, it is a service on PORT
-   instead.
+   instead. More arguments select the clients of jobs.c.
  */
 #include <arpa/inet.h>
 #include <errno.h>
@@ -14,6 +14,7 @@
 #include <unistd.h>
 
 #include "base/gr_str.h"
+#include "hostile.h"
 
 #define SETTLED_MS 2000
 /* Longest time until the report, also if the peer reads without end. */
@@ -34,8 +35,8 @@
   bool never_reads; /* does not read the answers */
 } Case;
 
-#define POST "POST /q/0123456789abcdef HTTP/1.1\r\nhost: q.example\r\n"
-#define GET "GET /q/0123456789abcdef HTTP/1.1\r\nhost: q.example\r\n\r\n"
+#define POST "POST /jobs/0123456789abcdef HTTP/1.1\r\nhost: q.example\r\n"
+#define GET "GET /jobs/0123456789abcdef HTTP/1.1\r\nhost: q.example\r\n\r\n"
 #define CHUNKED POST "transfer-encoding: chunked\r\n\r\n"
 
 static const Case cases[] = {
@@ -242,6 +243,10 @@
 main (int argc, char **argv)
 {
   const Case *test_case = NULL;
+  if (argc == 4 && strcmp (argv[2], "over") == 0)
+    return hostile_over_main (argc - 1, argv + 1);
+  if (argc > 4)
+    return hostile_jobs_main (argc - 1, argv + 1);
   for (size_t i = 0; argc == 4 && i < sizeof cases / sizeof cases[0]; i++) {
     if (strcmp (cases[i].name, argv[2]) == 0)
       test_case = &cases[i];
@@ -253,7 +258,7 @@
     }
   }
   if (!test_case) {
-    fprintf (stderr, "usage: gr-hostile PORT CASE COUNT\n");
+    fprintf (stderr, "usage: gr-hostile PORT CASE COUNT | PORTS CASE CLIENTS EACH [FILE]\n");
     return 2;
   }
   size_t count = (size_t) atoi (argv[3]);
