dag: tasks that wait and were never assigned have no state

What callers saw: a VM ended for lack of memory, and each one that took over from it, after some hundred jobs of 3,000 tasks, which take 90 bytes to send. Cause: each task had a state of 432 bytes from the acceptance of its job on. Change: the state of a task exists from its first assignment until it is done (dag_tasks.c); what waits is a range of indexes in its step. Tasks are assigned for the first time in the order of their indexes, as before, so a task below the range without a state is done. The records are the same. Of the measured run times of one step, 512 at most are kept.

--- a/src/dag/dag.c
+++ b/src/dag/dag.c
@@ -52,6 +52,7 @@
     return;
   while (dag->jobs)
     dag_job_free (dag, dag->jobs);
+  dag_tasks_free_done (dag);
   gr_hash_clear (dag->targets, dag_target_free);
   gr_hash_clear (dag->queue_stats, free);
   gr_hash_clear (dag->clients, free);
@@ -89,8 +90,9 @@
     }
     /* An ended job must not keep runs. */
     for (size_t s = 0; s < job->step_count; s++) {
-      for (int32_t i = 0; i < job->steps[s].spec.count; i++)
-        dag_run_stop (dag, &job->steps[s].tasks[i], now_ms);
+      const DagStep *step = &job->steps[s];
+      for (size_t i = 0; i < step->tasks.count; i++)
+        dag_run_stop (dag, step->tasks.items[i], now_ms);
     }
   }
   dag->place_wanted = true;
@@ -101,8 +103,9 @@
 mark_assignments (DagJob *job, int64_t batch)
 {
   for (size_t s = 0; s < job->step_count; s++) {
-    for (int32_t i = 0; i < job->steps[s].spec.count; i++) {
-      DagTask *task = &job->steps[s].tasks[i];
+    const DagStep *step = &job->steps[s];
+    for (size_t i = 0; i < step->tasks.count; i++) {
+      DagTask *task = step->tasks.items[i];
       if (task->state == TASK_ASSIGNED && task->batch == 0)
         task->batch = batch;
     }
@@ -177,8 +180,9 @@
     job->stored_state = job->batch_state;
   answer_calls (dag, job);
   for (size_t s = 0; s < job->step_count; s++) {
-    for (int32_t i = 0; i < job->steps[s].spec.count; i++) {
-      DagTask *task = &job->steps[s].tasks[i];
+    const DagStep *step = &job->steps[s];
+    for (size_t i = 0; i < step->tasks.count; i++) {
+      DagTask *task = step->tasks.items[i];
       if (task->state == TASK_ASSIGNED && task->batch == batch)
         dag_run_start (dag, task, now_ms);
     }
@@ -250,6 +254,7 @@
 void
 dag_tick (DagState *dag, int64_t now_ms)
 {
+  dag_tasks_free_done (dag);
   if (!dag->loaded || dag->deposed)
     return;
   dag_targets_tick (dag, now_ms);
--- a/src/dag/dag_avail.c
+++ b/src/dag/dag_avail.c
@@ -35,10 +35,10 @@
   const DagStep *step = task->step;
   if (!step->spec.long_running || !is_available (task) || dag->options.broken_interrupt_unchecked)
     return true;
-  int32_t unavailable = 0;
-  for (int32_t i = 0; i < step->spec.count; i++)
-    unavailable += !is_available (&step->tasks[i]);
-  return unavailable < max_unavailable (&step->spec);
+  int32_t available = 0;
+  for (size_t i = 0; i < step->tasks.count; i++)
+    available += is_available (step->tasks.items[i]);
+  return step->spec.count - available < max_unavailable (&step->spec);
 }
 
 void
--- a/src/dag/dag_candidate.c
+++ b/src/dag/dag_candidate.c
@@ -15,8 +15,8 @@
 runs_of_step (const DagStep *step, const DagTarget *target)
 {
   int32_t count = 0;
-  for (int32_t i = 0; i < step->spec.count; i++)
-    count += step->tasks[i].target == target;
+  for (size_t i = 0; i < step->tasks.count; i++)
+    count += step->tasks.items[i]->target == target;
   return count;
 }
 
--- a/src/dag/dag_codec.c
+++ b/src/dag/dag_codec.c
@@ -32,6 +32,9 @@
 #define TIMETABLE_FIELDS 3
 #define PROGRESS_FIELDS 5
 #define CALL_SPEC_FIELDS 4
+/* A task without fields. */
+#define TASK_UNTOUCHED 0
+#define TASK_IS_DONE 1
 #define TASK_FIELDS 6
 #define TASK_CRASH_FIELDS 3
 #define POLICY_FIELDS 10
@@ -159,12 +162,8 @@
 static void
 pack_task (msgpack_packer *packer, DagTask *task)
 {
-  if (task->state == TASK_DONE) {
-    msgpack_pack_int (packer, 1);
-    return;
-  }
   if (task->state == TASK_WAITING && task->run == 0) {
-    msgpack_pack_int (packer, 0);
+    msgpack_pack_int (packer, TASK_UNTOUCHED);
     return;
   }
   /* Earlier versions know only the other fields, so a task without crashes keeps their form. */
@@ -188,6 +187,20 @@
   gr_pack_bool (packer, task->suspected);
 }
 
+static void
+pack_tasks (msgpack_packer *packer, const DagStep *step)
+{
+  size_t next = 0; /* in step->tasks */
+  msgpack_pack_array (packer, (size_t) step->spec.count);
+  for (int32_t i = 0; i < step->spec.count; i++) {
+    bool has_state = next < step->tasks.count && step->tasks.items[next]->index == (uint32_t) i;
+    if (has_state)
+      pack_task (packer, step->tasks.items[next++]);
+    else
+      msgpack_pack_int (packer, i < step->untouched_from ? TASK_IS_DONE : TASK_UNTOUCHED);
+  }
+}
+
 void
 dag_pack_progress (const DagState *dag, const DagJob *job, GrBuf *out)
 {
@@ -207,12 +220,8 @@
     return;
   }
   msgpack_pack_array (&packer, job->step_count);
-  for (size_t s = 0; s < job->step_count; s++) {
-    const DagStep *step = &job->steps[s];
-    msgpack_pack_array (&packer, (size_t) step->spec.count);
-    for (int32_t i = 0; i < step->spec.count; i++)
-      pack_task (&packer, &step->tasks[i]);
-  }
+  for (size_t s = 0; s < job->step_count; s++)
+    pack_tasks (&packer, &job->steps[s]);
 }
 
 /* Larger numbers are rejected as corrupt: they would overflow sums of times and counts. */
@@ -396,18 +405,25 @@
   return true;
 }
 
+/* Loads the state of the task with that index, which no earlier call has reached. */
 static bool
-load_task (DagState *dag, const msgpack_object *object, DagTask *task)
+load_task (DagState *dag, const msgpack_object *object, DagStep *step, int32_t index)
 {
   int64_t value;
-  if (gr_unpack_int (object, &value)) {
-    if (value == 1) {
-      task->state = TASK_DONE;
-      task->step->waiting--;
-      task->step->done++;
-    }
+  bool has_state = !gr_unpack_int (object, &value);
+  if (index < step->untouched_from)
+    return false;
+  if (!has_state && value != TASK_IS_DONE)
+    return true;
+  while (step->untouched_from < index)
+    dag_step_touch (step);
+  if (!has_state) {
+    dag_step_skip_done (step);
+    step->waiting--;
+    step->done++;
     return true;
   }
+  DagTask *task = dag_step_touch (step);
   bool crashed = gr_unpack_is_array (object, TASK_FIELDS + TASK_CRASH_FIELDS);
   if (!crashed && !gr_unpack_is_array (object, TASK_FIELDS))
     return false;
@@ -452,7 +468,7 @@
     if (!gr_unpack_is_array (tasks, (uint32_t) step->spec.count))
       return false;
     for (int32_t i = 0; i < step->spec.count; i++) {
-      if (!load_task (dag, &tasks->via.array.ptr[i], &step->tasks[i]))
+      if (!load_task (dag, &tasks->via.array.ptr[i], step, i))
         return false;
     }
     if (step->done == step->spec.count)
--- a/src/dag/dag_job.c
+++ b/src/dag/dag_job.c
@@ -91,8 +91,9 @@
 dag_job_has_runs (const DagJob *job)
 {
   for (size_t s = 0; s < job->step_count; s++) {
-    for (int32_t i = 0; i < job->steps[s].spec.count; i++) {
-      if (job->steps[s].tasks[i].target)
+    const DagStep *step = &job->steps[s];
+    for (size_t i = 0; i < step->tasks.count; i++) {
+      if (step->tasks.items[i]->target)
         return true;
     }
   }
@@ -154,10 +155,9 @@
 dag_find_task (const DagState *dag, const DagTaskRef *ref)
 {
   DagJob *job = dag_find_task_job (dag, &ref->job);
-  if (!job || ref->step >= job->step_count
-      || ref->index >= (uint32_t) job->steps[ref->step].spec.count)
+  if (!job || ref->step >= job->step_count)
     return NULL;
-  return &job->steps[ref->step].tasks[ref->index];
+  return dag_step_find_task (&job->steps[ref->step], ref->index);
 }
 
 DagTaskRef
@@ -230,11 +230,6 @@
     step->spec = spec->steps[s];
     step->work_kind = dag_work_kind (&queue->name, &step->spec.image);
     step->waiting = step->spec.count;
-    step->tasks = gr_calloc ((size_t) step->spec.count, sizeof *step->tasks);
-    for (int32_t i = 0; i < step->spec.count; i++) {
-      step->tasks[i].step = step;
-      step->tasks[i].index = (uint32_t) i;
-    }
   }
   job->timetable = spec->timetable;
   if (dag_has_timetable (job))
@@ -282,7 +277,8 @@
     DagStep *step = &job->steps[s];
     dag_advice_clear (step);
     gr_list_clear (&step->failed_on);
-    free (step->tasks);
+    gr_list_clear (&step->measured);
+    dag_step_clear_tasks (step);
   }
   free (job->steps);
   free (job->payload);
@@ -315,8 +311,8 @@
   for (size_t s = 0; s < job->step_count; s++) {
     DagStep *step = &job->steps[s];
     dag_advice_clear (step);
-    for (int32_t i = 0; i < step->spec.count; i++)
-      dag_run_stop (dag, &step->tasks[i], now_ms);
+    for (size_t i = 0; i < step->tasks.count; i++)
+      dag_run_stop (dag, step->tasks.items[i], now_ms);
   }
   DAG_LOG (dag, GR_EV_ENDED, "id=%.*s queue=%.*s state=%s after_ms=%lld", GR_NAME_ARG (job->id),
            GR_NAME_ARG (job->queue.name), dag_job_state_name (state),
@@ -460,10 +456,11 @@
   if (!job || job->stored || job->spec_written || job->cancel_calls.count > 0)
     return false;
   for (size_t s = 0; s < job->step_count; s++) {
-    for (int32_t i = 0; i < job->steps[s].spec.count; i++) {
+    const DagStep *step = &job->steps[s];
+    for (size_t i = 0; i < step->tasks.count; i++) {
       /* No start was sent without a record; an assignment only reserves resources. */
-      if (job->steps[s].tasks[i].target)
-        dag_target_detach (&job->steps[s].tasks[i]);
+      if (step->tasks.items[i]->target)
+        dag_target_detach (step->tasks.items[i]);
     }
   }
   remove_from_dirty (dag, job);
--- a/src/dag/dag_place.c
+++ b/src/dag/dag_place.c
@@ -33,19 +33,23 @@
   return (task->step->spec.gang ? task->step->run : task->run) + 1;
 }
 
-/* Next waiting task from index *at on that may start now, either suspected or not; NULL if there is
-   none, or no room for one under the maximum of the account. Advances *at. */
+/* Next waiting task that may start now, either suspected or not, from position *at of step->tasks
+   on and then of the untouched ones; NULL if there is none, or no room for one under the maximum of
+   the account. Advances *at. */
 static DagTask *
-next_waiting (DagStep *step, bool suspected, int32_t *at, int64_t now_ms)
+next_waiting (DagStep *step, bool suspected, size_t *at, int64_t now_ms)
 {
   if (dag_client_room (step) == 0)
     return NULL;
-  while (*at < step->spec.count) {
-    DagTask *task = &step->tasks[(*at)++];
+  while (*at < step->tasks.count) {
+    DagTask *task = step->tasks.items[(*at)++];
     if (task->state == TASK_WAITING && task->suspected == suspected && now_ms >= task->restart_at)
       return task;
   }
-  return NULL;
+  if (suspected || dag_step_untouched (step) == 0)
+    return NULL;
+  (*at)++;
+  return dag_step_touch (step);
 }
 
 static void
@@ -59,7 +63,7 @@
 place_suspects (DagState *dag, DagStep *step, DagCandidate *candidates, size_t count, int32_t limit,
                 int64_t now_ms)
 {
-  int32_t at = 0;
+  size_t at = 0;
   DagTask *task;
   while (limit-- > 0 && (task = next_waiting (step, true, &at, now_ms)) != NULL) {
     DagCandidate *chosen = dag_trial_choose (step, candidates, count, now_ms);
@@ -76,7 +80,7 @@
 place_single_tasks (DagState *dag, DagStep *step, const DagCandidate *candidates, size_t count,
                     int32_t limit, int64_t now_ms)
 {
-  int32_t at = 0;
+  size_t at = 0;
   for (size_t i = 0; i < count; i++) {
     for (int32_t n = 0; n < candidates[i].fits && !candidates[i].closed; n++) {
       DagTask *task = limit-- > 0 ? next_waiting (step, false, &at, now_ms) : NULL;
@@ -138,15 +142,15 @@
 place_spread (DagState *dag, DagStep *step, DagCandidate *candidates, size_t count, int32_t limit,
               int64_t now_ms)
 {
-  for (int32_t i = 0; i < step->spec.count; i++) {
-    if (step->tasks[i].target)
-      expose (candidates, count, step->tasks[i].target);
+  for (size_t i = 0; i < step->tasks.count; i++) {
+    if (step->tasks.items[i]->target)
+      expose (candidates, count, step->tasks.items[i]->target);
   }
-  int32_t at = 0;
-  DagTask *task;
-  while (limit-- > 0 && (task = next_waiting (step, false, &at, now_ms)) != NULL) {
-    DagCandidate *chosen = choose_spread (candidates, count);
-    if (!chosen)
+  size_t at = 0;
+  DagCandidate *chosen;
+  while (limit-- > 0 && (chosen = choose_spread (candidates, count)) != NULL) {
+    DagTask *task = next_waiting (step, false, &at, now_ms);
+    if (!task)
       return;
     chosen->fits--;
     assign (dag, task, chosen, next_run (task));
@@ -189,7 +193,7 @@
 choose_trials (DagState *dag, DagStep *step, DagCandidate *candidates, size_t count,
                DagCandidate **chosen, int32_t *chosen_count, int64_t now_ms)
 {
-  int32_t at = 0;
+  size_t at = 0;
   while (next_waiting (step, true, &at, now_ms)) {
     DagCandidate *candidate = dag_trial_choose (step, candidates, count, now_ms);
     if (!candidate) {
@@ -208,7 +212,7 @@
 place_members (DagState *dag, DagStep *step, const DagCandidate *candidates, size_t count,
                const GrName *rack, int64_t run, int64_t now_ms)
 {
-  int32_t at = 0;
+  size_t at = 0;
   for (size_t i = 0; i < count; i++) {
     if (candidates[i].closed || (rack && !gr_name_equal (&candidates[i].target->info.rack, rack)))
       continue;
@@ -235,7 +239,7 @@
     const GrName *rack
         = step->spec.one_rack ? choose_rack (step->waiting - trials, candidates, count) : NULL;
     int64_t run = step->run + 1;
-    int32_t at = 0;
+    size_t at = 0;
     for (int32_t i = 0; i < trials; i++)
       assign (dag, next_waiting (step, true, &at, now_ms), chosen[i], run);
     /* The slowest member decides when the gang ends. */
--- a/src/dag/dag_priv.h
+++ b/src/dag/dag_priv.h
@@ -53,8 +53,6 @@
   int64_t assigned_at;                /* when the run was assigned */
   bool timed;                         /* work_at is known, and its run time will be typical */
   int64_t work_at, work_clock_ms;     /* start of its work, here and on the clock of the target */
-  uint32_t ran_on;                    /* DagTarget.serial of a done run with log_run_ms; 0: none */
-  float log_run_ms;                   /* logarithm of the measured run time */
   int64_t confirmed_clock_ms;         /* clock of the target at that time; 0: not known */
   bool confirmed;                     /* the target has certainly started the run, in any term */
   int64_t survived_ms;                /* how long the run is known to have worked */
@@ -83,6 +81,12 @@
   int64_t ticket_until; /* when the ticket expires; 0: no ticket needed */
 };
 
+/* A run that has ended as done, and whose time was measured. */
+typedef struct {
+  uint32_t target;  /* DagTarget.serial */
+  float log_run_ms; /* logarithm of the run time */
+} DagMeasuredRun;
+
 /* A target that advice allows for a step, and the ticket for starts on it. */
 typedef struct {
   DagTarget *target;
@@ -132,10 +136,12 @@
   int64_t critical_path_ms; /* expected time from the start of this step to the end of its job */
   int64_t after_ms;         /* the part of it after this step */
   DagStepRuns runs;
-  uint64_t work_kind; /* dag_work_kind() of its queue and image */
-  DagTask *tasks;
-  int32_t waiting;      /* tasks in TASK_WAITING */
-  int32_t done;         /* tasks in TASK_DONE */
+  uint64_t work_kind;                /* dag_work_kind() of its queue and image */
+  GR_LIST (DagTask *) tasks;         /* those with a state, by index (dag_tasks.c) */
+  int32_t untouched_from;            /* tasks from this index on wait and have no state */
+  GR_LIST (DagMeasuredRun) measured; /* of done tasks; cleared when all are done */
+  int32_t waiting;                   /* untouched tasks and those in TASK_WAITING */
+  int32_t done;
   int32_t suspects;     /* suspected tasks */
   bool queued;          /* in dag->ready */
   int64_t run;          /* newest run number of all tasks; a gang starts with the next one */
@@ -439,10 +445,11 @@
   GR_LIST (DagTarget *) target_list; /* all targets, for scans */
   GR_LIST (GrName *) advise_names;   /* arrays that advise commands point to, freed on reset */
   DagCmds cmds;
-  DagJob *dirty;      /* changed since their last record, linked by dirty_next */
-  DagJob *batch_jobs; /* in the batch in flight, linked by batch_next */
-  int64_t batch;      /* number of the newest batch taken */
-  bool batch_open;    /* that batch is in flight */
+  DagJob *dirty;       /* changed since their last record, linked by dirty_next */
+  DagJob *batch_jobs;  /* in the batch in flight, linked by batch_next */
+  DagTask *done_tasks; /* to be freed by the next tick, linked by target_next */
+  int64_t batch;       /* number of the newest batch taken */
+  bool batch_open;     /* that batch is in flight */
   int64_t next_token;
   uint64_t next_job_serial;
   uint32_t next_target_serial;
@@ -541,6 +548,21 @@
 /* Removes the advice about the target from all steps, before it is freed or after its restart. */
 void dag_drop_target_refs (DagState *dag, const DagTarget *target);
 
+/* dag_tasks.c */
+/* State of the task; NULL if it is done or was never assigned. */
+DagTask *dag_step_find_task (const DagStep *step, uint32_t index);
+/* Number of tasks that wait and have no state. */
+int32_t dag_step_untouched (const DagStep *step);
+/* Creates the state of the first untouched task. There must be one. */
+DagTask *dag_step_touch (DagStep *step);
+/* The first untouched task is known to be done. */
+void dag_step_skip_done (DagStep *step);
+/* The task is done and has no run: its state is freed by the next tick. */
+void dag_step_finish_task (DagState *dag, DagTask *task);
+/* Frees the states of done tasks. Callers must not hold any. */
+void dag_tasks_free_done (DagState *dag);
+void dag_step_clear_tasks (DagStep *step);
+
 /* dag_account.c */
 /* NULL if it is not configured and has no jobs. */
 DagClient *dag_find_client (const DagState *dag, const GrName *name);
--- a/src/dag/dag_run.c
+++ b/src/dag/dag_run.c
@@ -144,8 +144,8 @@
   if (!step->spec.gang)
     return;
   step->gang_stop_at = 0;
-  for (int32_t i = 0; i < step->spec.count; i++)
-    dag_run_stop (dag, &step->tasks[i], now_ms);
+  for (size_t i = 0; i < step->tasks.count; i++)
+    dag_run_stop (dag, step->tasks.items[i], now_ms);
 }
 
 /* True if the target can still hold all that is assigned to it, as far as the task needs it. */
@@ -341,7 +341,7 @@
     dag_target_detach (task);
   else
     dag_step_add_waiting (step, -1);
-  task->state = TASK_DONE;
+  dag_step_finish_task (dag, task);
   step->done++;
   dag->place_wanted = true;
 }
@@ -379,10 +379,10 @@
     return;
   }
   int64_t run = task->run;
-  for (int32_t i = 0; i < step->spec.count; i++) {
+  for (size_t i = step->tasks.count; i-- > 0;) {
     /* The other members end on their own. A target that still lists one counts it as an unknown run
        and gets no new work until it is gone. */
-    DagTask *member = &step->tasks[i];
+    DagTask *member = step->tasks.items[i];
     if (member == task || member->run == run)
       mark_task_done (dag, member);
   }
@@ -427,8 +427,8 @@
   if (step->failed_run >= task->run)
     return;
   step->failed_run = task->run;
-  for (int32_t i = 0; i < step->spec.count; i++)
-    step->tasks[i].failures++;
+  for (size_t i = 0; i < step->tasks.count; i++)
+    step->tasks.items[i]->failures++;
 }
 
 static void
--- a/src/dag/dag_runtime.c
+++ b/src/dag/dag_runtime.c
@@ -94,8 +94,8 @@
 {
   const DagStep *step = task->step;
   double slowest = speed_of (step, task->target);
-  for (int32_t i = 0; step->spec.gang && i < step->spec.count; i++) {
-    const DagTarget *target = step->tasks[i].target;
+  for (size_t i = 0; step->spec.gang && i < step->tasks.count; i++) {
+    const DagTarget *target = step->tasks.items[i]->target;
     if (target)
       slowest = fmin (slowest, speed_of (step, target));
   }
--- a/src/dag/dag_speed.c
+++ b/src/dag/dag_speed.c
@@ -15,6 +15,8 @@
 #define RUNS_KEPT_MS 500
 /* Most targets that have left whose speed is kept; at the limit all of them are dropped. */
 #define KNOWN_SPEEDS_MAX 2000
+/* Most runs of one step that are compared. */
+#define MEASURED_RUNS_MAX 512
 /* Weight of one start in the moving average DagState.start_delay_ms. */
 #define START_DELAY_WEIGHT 0.02
 
@@ -82,8 +84,8 @@
   const GrName *rack = &task->target->info.rack;
   if (step->spec.near_rack.len > 0 && !gr_name_equal (&step->spec.near_rack, rack))
     return true;
-  for (int32_t i = 0; step->spec.one_rack && i < step->spec.count; i++) {
-    const DagTarget *other = step->tasks[i].target;
+  for (size_t i = 0; step->spec.one_rack && i < step->tasks.count; i++) {
+    const DagTarget *other = step->tasks.items[i]->target;
     if (other && !gr_name_equal (&other->info.rack, rack))
       return true;
   }
@@ -118,34 +120,29 @@
 static int
 compare_runs (const void *a, const void *b)
 {
-  const DagTask *x = *(DagTask *const *) a, *y = *(DagTask *const *) b;
-  return x->ran_on < y->ran_on ? -1 : x->ran_on > y->ran_on;
+  const DagMeasuredRun *x = a, *y = b;
+  return x->target < y->target ? -1 : x->target > y->target;
 }
 
 void
 dag_speed_note_step (DagState *dag, DagStep *step, int64_t now_ms)
 {
-  size_t count = 0, known = 0;
-  /* NOLINTNEXTLINE(bugprone-sizeof-expression): a list of pointers */
-  DagTask **tasks = gr_calloc ((size_t) step->spec.count, sizeof *tasks);
-  LearnRun *runs = gr_calloc ((size_t) step->spec.count, sizeof *runs);
-  for (int32_t i = 0; i < step->spec.count; i++) {
-    if (step->tasks[i].ran_on > 0)
-      tasks[count++] = &step->tasks[i];
-  }
-  /* NOLINTNEXTLINE(bugprone-sizeof-expression): a list of pointers */
-  qsort (tasks, count, sizeof *tasks, compare_runs);
+  size_t count = step->measured.count, known = 0;
+  LearnRun *runs = gr_calloc (count + 1, sizeof *runs);
+  if (count > 0)
+    qsort (step->measured.items, count, sizeof *step->measured.items, compare_runs);
   DagTarget *target = NULL;
   for (size_t i = 0; i < count; i++) {
-    if (i == 0 || tasks[i]->ran_on != tasks[i - 1]->ran_on)
-      target = find_by_serial (dag, tasks[i]->ran_on);
+    const DagMeasuredRun *run = &step->measured.items[i];
+    if (i == 0 || run->target != run[-1].target)
+      target = find_by_serial (dag, run->target);
     if (target)
-      runs[known++] = (LearnRun){ &target->speed, tasks[i]->log_run_ms };
+      runs[known++] = (LearnRun){ &target->speed, run->log_run_ms };
   }
   learn_speed_observe (runs, known, dag_expected_run (step), dag_expected_run_variance (step),
                        &dag->noise, now_ms);
-  free (tasks);
   free (runs);
+  gr_list_clear (&step->measured);
 }
 
 void
@@ -158,8 +155,9 @@
   /* The members of a gang end together, at the speed of the slowest. */
   if (task->step->spec.gang)
     return;
-  task->ran_on = task->target->serial;
-  task->log_run_ms = (float) log ((double) run_ms);
+  DagMeasuredRun run = { task->target->serial, (float) log ((double) run_ms) };
+  if (task->step->measured.count < MEASURED_RUNS_MAX)
+    gr_list_push (&task->step->measured, run);
 }
 
 void
--- a/tests/test_dag_speed.c
+++ b/tests/test_dag_speed.c
@@ -130,8 +130,8 @@
         * (draw (sim) < 0.03 ? 7 : 1);
   const DagStep *step = dag_find_job (sim->dag, &job->id)->steps;
   /* A gang ends together, at the speed of its slowest member. */
-  for (int32_t i = 0; step->spec.gang && i < step->spec.count; i++) {
-    const DagTarget *other = step->tasks[i].target;
+  for (size_t i = 0; step->spec.gang && i < step->tasks.count; i++) {
+    const DagTarget *other = step->tasks.items[i]->target;
     speed = fmin (speed, other ? sim->targets[number_of (&other->info.id)].speed : speed);
     noise = 1;
   }
