review: case 8, a cancelled job runs on; the former case 8 is case 10

Seen: a process that was killed and is back acknowledges the cancelling of jobs that run, and their tasks run on. Rule: UNASKED. Disruptions: node_kill, with one lost answer of the store. Code at fault: as in case 6, ids of forwarded calls that begin at 1 in each process.

--- a/review/world2/world2.h
+++ b/review/world2/world2.h
@@ -88,6 +88,8 @@
 W2Target *w2_target_new (World *world, int number, const char *kind);
 /* Number of starts of tasks of the job, by all executors. */
 int w2_target_starts (const World *world, const char *job);
+/* True if a task of the job runs on an executor. */
+bool w2_target_works_on (const World *world, const char *job);
 
 /* --- Processes of the system (world2_edge.c) --- */
 
--- a/review/world2/world2_main.c
+++ b/review/world2/world2_main.c
@@ -131,9 +131,10 @@
 } Round;
 
 /* A young process of the system is killed while its first calls wait for the store, whose answer to
-   one append is lost. Clients go on calling once it is back. */
+   one append is lost. Clients go on calling once it is back: they submit jobs, or cancel those of
+   the round. */
 static void
-play_round (World *world, Round *round, int number, int edge)
+play_round (World *world, Round *round, int number, int edge, bool cancels)
 {
   char id[20];
   int64_t began_at = w2_now ();
@@ -154,7 +155,8 @@
   while (round->later_count < LATER && w2_now () < began_at + 700) {
     int i = round->later_count++;
     make_id (id, 2 * number + 1, i);
-    w2_call (&round->later[i], world, edge, "POST", HOST, PREFIX, id, one_task);
+    w2_call (&round->later[i], world, edge, cancels ? "DELETE" : "POST", HOST, PREFIX, id,
+             cancels ? "" : one_task);
     w2_run (world, 5);
   }
   wait_answered (world, round->earlier, EARLIER);
@@ -188,7 +190,7 @@
   int next = 0;
   for (int r = 0; r < ROUNDS; r++, next++) {
     next += next == leader;
-    play_round (world, &rounds[r], r, next);
+    play_round (world, &rounds[r], r, next, false);
   }
   w2_note (world, "the traffic ends; answers of the store that were lost: %d of %d",
            w2_store_lost (world->store), w2_store_calls (world->store));
@@ -212,6 +214,57 @@
   return lost > 0;
 }
 
+/* --- Case 8 --- */
+
+#define CANCEL_ROUNDS 6
+/* contactMs, cancel_ms, stopTimeoutMs and a second more. */
+#define CANCELLED_MS (4000 + 3000 + W2_STOP_TIMEOUT_MS + 1000)
+
+static int
+run_cancel_ids (World *world)
+{
+  static Round rounds[CANCEL_ROUNDS];
+  static W2Call submitted[CANCEL_ROUNDS * LATER];
+  static const char long_task[] = "{\"spec\":\"ms=40000\",\"steps\":[{\"count\":1,\"cpu\":1000,"
+                                  "\"memMb\":256,\"estimateMs\":40000}]}";
+  int acknowledged = 0, broken = 0;
+  char id[20];
+  start_world (world, CANCEL_ROUNDS + 1, "0.5", 8, "a");
+  int leader = w2_edge_leader (world);
+  for (int i = 0; i < CANCEL_ROUNDS * LATER; i++) {
+    make_id (id, 2 * (i / LATER) + 1, i % LATER);
+    w2_call (&submitted[i], world, leader < 0 ? 0 : leader, "POST", HOST, PREFIX, id, long_task);
+    w2_run (world, 10);
+  }
+  wait_answered (world, submitted, CANCEL_ROUNDS * LATER);
+  w2_run (world, 3000);
+  int next = 0;
+  for (int r = 0; r < CANCEL_ROUNDS; r++, next++) {
+    next += next == leader;
+    play_round (world, &rounds[r], r, next, true);
+  }
+  w2_note (world, "the traffic ends; answers of the store that were lost: %d of %d",
+           w2_store_lost (world->store), w2_store_calls (world->store));
+  w2_run (world, CANCELLED_MS);
+  for (int r = 0; r < CANCEL_ROUNDS; r++) {
+    for (int i = 0; i < rounds[r].later_count; i++) {
+      const W2Call *call = &rounds[r].later[i];
+      if (call->status / 100 != 2)
+        continue;
+      acknowledged++;
+      if (!w2_target_works_on (world, call->id))
+        continue;
+      broken++;
+      w2_note (world, "UNASKED: the cancelling of %s was acknowledged by %s, and its task runs on",
+               call->id, world->edges[call->edge].name);
+    }
+  }
+  w2_note (world,
+           "cancels acknowledged by processes that were back: %d; of these without effect: %d",
+           acknowledged, broken);
+  return broken > 0;
+}
+
 /* --- Case 7 --- */
 
 /* A host name of 75 characters; those of the domain name system have up to 253. */
@@ -284,7 +337,7 @@
   return accepted * 4 >= JOBS && served * 4 < ASKED;
 }
 
-/* --- Case 8 --- */
+/* --- Case 10 --- */
 
 #define CALLS 48
 #define HALF_CLOSED_EVERY 4
@@ -368,6 +421,7 @@
   const char *name;
   int (*run) (World *world);
 } cases[] = { { "call-ids", run_call_ids },
+              { "cancel-ids", run_cancel_ids },
               { "half-closed", run_half_closed },
               { "long-host", run_long_host },
               { "long-label", run_long_label } };
--- a/review/world2/world2_target.c
+++ b/review/world2/world2_target.c
@@ -362,3 +362,16 @@
   }
   return count;
 }
+
+bool
+w2_target_works_on (const World *world, const char *job)
+{
+  for (int t = 0; t < world->target_count; t++) {
+    const W2Target *target = world->targets[t];
+    for (size_t i = 0; i < target->runs.count; i++) {
+      if (strncmp (target->runs.items[i].task, job, strlen (job)) == 0)
+        return true;
+    }
+  }
+  return false;
+}
