cell: an answer names the process whose call it answers

A VM was killed while calls that it had forwarded waited for the store, and was back when the leader answered them.

Cause: the id of a forwarded call began at 1 in each process, and the leader answers by the name of the VM and this id. The new process took the answers for those to its own first calls. The kind of an answer was not compared with the call either: "accepted" answered a cancellation.

Change: ids hold a part that is drawn at the start of the process (gr_ids), and other answers are dropped, counted and logged. Tokens of advice and inventories now begin at the term, as those of orders did. gentianrelayd takes its ids of forwarded calls and sync queries from the same module.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -3,6 +3,7 @@
 
 #include <stdlib.h>
 
+#include "base/gr_random.h"
 #include "cell/cell_priv.h"
 
 /* While this VM leads or has open calls. */
@@ -268,6 +269,7 @@
   LdrOptions ldr_options = { .self = options->self, .log = options->log };
   ldr_options.log.component = "election";
   cell->ldr = ldr_new (&ldr_options);
+  gr_ids_init (&cell->call_ids, &options->self.vm, gr_random ());
   cell->leader_served_at = cell_now (cell);
   uv_timer_init (loop, &cell->timer);
   cell->timer.data = cell;
--- a/src/cell/cell_calls.c
+++ b/src/cell/cell_calls.c
@@ -135,7 +135,7 @@
 {
   CellOpenCall *call = gr_calloc (1, sizeof *call);
   int64_t now_ms = cell_now (cell);
-  uint64_t id = ++cell->next_call;
+  uint64_t id = (uint64_t) gr_ids_next (&cell->call_ids);
   gr_metric_add (cell->options.metrics, GR_METRIC_CALLS, 1);
   call->id = id;
   call->verb = request->verb;
@@ -191,12 +191,54 @@
     remove_call (cell, call);
 }
 
+/* Kinds of answers that a leader gives to a call, besides those that it gives to any. */
+static bool
+verb_allows (CellVerb verb, CellAnswerKind kind)
+{
+  switch (kind) {
+  case CELL_ANSWER_ACCEPTED:
+  case CELL_ANSWER_FOREIGN:
+    return verb == CELL_VERB_SUBMIT;
+  case CELL_ANSWER_CANCELLED:
+    return verb == CELL_VERB_CANCEL;
+  case CELL_ANSWER_STATE:
+    return verb == CELL_VERB_STATUS;
+  case CELL_ANSWER_PENDING:
+    return verb == CELL_VERB_PENDING;
+  case CELL_ANSWER_NO_JOB:
+    return verb == CELL_VERB_STATUS || verb == CELL_VERB_CANCEL;
+  case CELL_ANSWER_NO_QUEUE:
+  case CELL_ANSWER_INVALID:
+  case CELL_ANSWER_REFUSED:
+  case CELL_ANSWER_UNKNOWN:
+  case CELL_ANSWER_NOT_LEADER:
+    return true;
+  }
+  return false;
+}
+
+static void
+drop_answer (Cell *cell, uint64_t id, const CellAnswer *answer, const char *reason)
+{
+  gr_metric_add (cell->options.metrics, GR_METRIC_ANSWERS_DROPPED, 1);
+  gr_log (&cell->log, GR_EV_ANSWER_DROPPED, "call=%llu answer=%s reason=%s",
+          (unsigned long long) id, answer_name (answer->kind), reason);
+}
+
 void
 cell_calls_handle_answer (Cell *cell, uint64_t id, const CellAnswer *answer)
 {
+  if (!gr_ids_is_own (&cell->call_ids, (int64_t) id)) {
+    drop_answer (cell, id, answer, "earlier-process");
+    return;
+  }
   CellOpenCall *call = find_call (cell, id);
   if (!call)
     return;
+  if (!verb_allows (call->verb, answer->kind)) {
+    drop_answer (cell, id, answer, verb_name (call->verb));
+    return;
+  }
   if (answer->kind == CELL_ANSWER_NOT_LEADER) {
     call->sent = false;
     call->maybe_applied |= answer->value != 0;
--- a/src/cell/cell_leader.c
+++ b/src/cell/cell_leader.c
@@ -10,6 +10,14 @@
 /* Links that come and go update the lanes at once; this is for those that were missed. */
 #define LANES_INTERVAL_MS 500
 #define NS_PER_US 1000
+/* Tokens of a term; its number stands above them. */
+#define TOKEN_BITS 32
+
+int64_t
+cell_leader_first_token (const CellLeader *leader)
+{
+  return leader->term << TOKEN_BITS;
+}
 
 int64_t
 cell_leader_now (const CellLeader *leader)
@@ -481,6 +489,7 @@
     .status_keep_ms = options->status_keep_ms,
     .former_leases_lapse_at_ms = INT64_MAX, /* set once the store has taken the term */
     .unix_offset_ms = unix_ms - now_ms,
+    .first_token = cell_leader_first_token (leader),
     .metrics = options->metrics,
     .log = options->log,
   };
--- a/src/cell/cell_leader_priv.h
+++ b/src/cell/cell_leader_priv.h
@@ -70,6 +70,8 @@
 };
 
 /* cell_leader.c */
+/* Tokens that other VMs send back are higher; each term has its own. */
+int64_t cell_leader_first_token (const CellLeader *leader);
 int64_t cell_leader_now (const CellLeader *leader);
 /* Drops the reference that an open call to the platform holds; each callback calls it before it
    uses the leader. Returns true if the leadership has ended since the call: the leader may be freed
--- a/src/cell/cell_orders.c
+++ b/src/cell/cell_orders.c
@@ -68,8 +68,7 @@
   CellOrders *orders = gr_calloc (1, sizeof *orders);
   orders->leader = leader;
   orders->relays = cell_relays_new ();
-  /* Unlike those of an earlier term of this VM, whose results may still arrive. */
-  orders->next_token = leader->term << 32;
+  orders->next_token = cell_leader_first_token (leader);
   return orders;
 }
 
--- a/src/cell/cell_priv.h
+++ b/src/cell/cell_priv.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/gr_hash_priv.h"
+#include "base/gr_ids.h"
 #include "cell/cell.h"
 #include "cell/cell_follow.h"
 #include "cell/cell_lanes.h"
@@ -81,8 +82,8 @@
   /* Orders that arrive before may have waited while this VM did not run. */
   int64_t orders_late_until_boot_ms;
   CellOpenCall *calls;
-  int64_t leader_served_at;   /* when there was last a live leader that accepts calls */
-  uint64_t next_call;         /* id of the last call */
+  int64_t leader_served_at; /* when there was last a live leader that accepts calls */
+  GrIds call_ids;
   int64_t heartbeat_at;       /* next ones to the electors */
   int64_t other_heartbeat_at; /* next ones to the other VMs */
   int64_t tick_at;            /* when the timer is due; INT64_MAX: it is not set */
@@ -104,6 +105,8 @@
 
 /* cell_calls.c: calls that this VM received from clients. */
 void cell_calls_tick (Cell *cell);
+/* Drops and counts answers to calls of an earlier process of this VM, and answers of a kind that
+   the call does not have. */
 void cell_calls_handle_answer (Cell *cell, uint64_t id, const CellAnswer *answer);
 /* Marks all calls that were sent for a retry, after the leader or the link to it was lost. */
 void cell_calls_resend (Cell *cell);
--- a/src/dag/dag.c
+++ b/src/dag/dag.c
@@ -28,6 +28,7 @@
   }
   DagState *dag = gr_calloc (1, sizeof *dag);
   dag->options = *options;
+  dag->next_token = options->first_token;
   dag->lease_limit_ms = INT64_MAX;
   dag_speed_init (dag);
   return dag;
--- a/src/dag/dag.h
+++ b/src/dag/dag.h
@@ -336,7 +336,10 @@
      the leases of targets that have not answered in this term. */
   int64_t former_leases_lapse_at_ms;
   int64_t unix_offset_ms; /* Unix time minus local time; stored times are Unix times */
-  GrMetrics *metrics;     /* borrowed for the life of the DagState; may be NULL */
+  /* Tokens in commands are higher. Peers may still answer commands of an earlier term, so each term
+     needs tokens of its own. */
+  int64_t first_token;
+  GrMetrics *metrics; /* borrowed for the life of the DagState; may be NULL */
   GrLog log;
   bool quiet;     /* write no log lines; for benchmarks and tests */
   bool no_triage; /* order by deadlines alone under overload; for comparisons in tests */
--- a/src/node/node_ctx.c
+++ b/src/node/node_ctx.c
@@ -1,6 +1,5 @@
 #include "node/node_ctx.h"
 
-#include <openssl/rand.h>
 #include <stdlib.h>
 #include <time.h>
 #include <unistd.h>
@@ -47,15 +46,6 @@
   exit (GR_EXIT_FAILED);
 }
 
-uint64_t
-node_random (void)
-{
-  uint64_t value = 0;
-  if (RAND_bytes ((unsigned char *) &value, sizeof value) != 1)
-    value = uv_hrtime () * 0x9E3779B97F4A7C15ULL;
-  return value;
-}
-
 NetHttpClient *
 node_http_client (const Node *node, int64_t per_host, int64_t total)
 {
--- a/src/node/node_ctx.h
+++ b/src/node/node_ctx.h
@@ -45,8 +45,6 @@
 int64_t node_unix_from_local (const Node *node, int64_t local_ms);
 /* Log context with the id of this VM. component must stay valid as long as the context. */
 GrLog node_log_context (const Node *node, const char *component);
-/* Random 64 bits, for choices that need not be reproducible. */
-uint64_t node_random (void);
 /* Replaces this process by exec of the same program with the same arguments, which starts as a new
    incarnation. Does not return; exits with GR_EXIT_FAILED if exec fails. */
 void node_restart (const Node *node);
--- a/src/node/node_parts.c
+++ b/src/node/node_parts.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "base/gr_random.h"
 #include "node/node_config.h"
 #include "node/node_list.h"
 #include "node/node_own.h"
@@ -199,7 +200,7 @@
   GrErr err = { 0 };
   JobOptions options = { .parts = node_own_parts (node),
                          .max_attempts = cell->max_attempts,
-                         .seed = node_random (),
+                         .seed = gr_random (),
                          .unix_offset_ms = node_unix () - node_now (node) };
   job_options_defaults (&options);
   GrName name = gr_name_format ("jobs-%.*s", GR_NAME_ARG (node->region));
@@ -426,6 +427,7 @@
 {
   NodeParts *parts = gr_calloc (1, sizeof *parts);
   parts->node = node;
+  gr_ids_init (&parts->sync_ids, &node->self, gr_random ());
   parts->log = node_log_context (node, "jobs");
   parts->why = node_why_new ();
   uv_timer_init (node->loop, &parts->timer);
--- a/src/node/node_parts_priv.h
+++ b/src/node/node_parts_priv.h
@@ -3,6 +3,7 @@
 
 #include <uthash.h>
 
+#include "base/gr_ids.h"
 #include "job/job.h"
 #include "node/node_parts.h"
 
@@ -38,8 +39,8 @@
   struct NodeWhy *why;
   int32_t count; /* partitions of the region; 0 until the configuration is loaded */
   NodePart *items;
-  NodeSync *syncs;           /* queries that are not answered in full */
-  int64_t last_sync_id;      /* 0 before the first query */
+  NodeSync *syncs; /* queries that are not answered in full */
+  GrIds sync_ids;
   GR_LIST (JobMsg) deferred; /* results for the next tick; a step must not run inside a step */
   uv_timer_t timer;
   int64_t active_next_ms;
--- a/src/node/node_place.c
+++ b/src/node/node_place.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <uthash.h>
 
+#include "base/gr_random.h"
 #include "node/node_own.h"
 #include "node/node_peers.h"
 #include "node/node_targets.h"
@@ -133,8 +134,8 @@
     best = self;
     snprintf (reason, reason_size, "own groups have room");
   } else if (others.count > 0) {
-    Scheduler *one = others.items[node_random () % others.count];
-    Scheduler *two = others.items[node_random () % others.count];
+    Scheduler *one = others.items[gr_random () % others.count];
+    Scheduler *two = others.items[gr_random () % others.count];
     best = better (two, one, demand) ? two : one;
     snprintf (reason, reason_size, "better of two at random, expected wait %lld ms",
               (long long) best->load.short_wait_ms);
--- a/src/node/node_route.c
+++ b/src/node/node_route.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <uthash.h>
 
+#include "base/gr_ids.h"
+#include "base/gr_random.h"
 #include "node/node_own.h"
 #include "node/node_parts.h"
 #include "node/node_peers.h"
@@ -44,7 +46,7 @@
   Node *node;
   GrLog log;
   Call *table;
-  int64_t last_id;
+  GrIds ids;
   GR_LIST (int64_t) unsent; /* submitted calls to be sent in the next iteration of the loop */
   uv_timer_t unsent_timer;
   uv_timer_t timer;
@@ -114,7 +116,7 @@
   size_t count = node_peers_up (node, &call->body.region, up, PEERS_MAX);
   if (count == 0)
     return false;
-  *peer = up[node_random () % count];
+  *peer = up[gr_random () % count];
   return true;
 }
 
@@ -154,7 +156,7 @@
 add_call (NodeRoute *route, const NodeCallBody *body)
 {
   Call *call = gr_calloc (1, sizeof *call);
-  call->id = ++route->last_id;
+  call->id = gr_ids_next (&route->ids);
   call->body = *body;
   call->payload = gr_str_dup (body->spec.payload);
   call->body.spec.payload.data = call->payload;
@@ -340,6 +342,7 @@
 {
   NodeRoute *route = gr_calloc (1, sizeof *route);
   route->node = node;
+  gr_ids_init (&route->ids, &node->self, gr_random ());
   route->log = node_log_context (node, "route");
   uv_timer_init (node->loop, &route->unsent_timer);
   uv_timer_init (node->loop, &route->timer);
--- a/src/node/node_stream.c
+++ b/src/node/node_stream.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 
 #include "base/gr_pack.h"
+#include "base/gr_random.h"
 
 /* The appends of all entry VMs to all streams together stay below this rate. */
 #define APPENDS_PER_S 200
@@ -256,7 +257,7 @@
 node_stream_new (Node *node, const char *name, int64_t poll_ms, const NodeStreamEvents *events,
                  void *user, GrErr *err)
 {
-  LgsOptions options = { .self = node->self, .stream = gr_name (name), .seed = node_random () };
+  LgsOptions options = { .self = node->self, .stream = gr_name (name), .seed = gr_random () };
   lgs_options_defaults (&options);
   NodeStream *stream = gr_calloc (1, sizeof *stream);
   stream->node = node;
--- a/src/node/node_sync.c
+++ b/src/node/node_sync.c
@@ -26,7 +26,7 @@
 add_sync (NodeParts *parts, int32_t part)
 {
   NodeSync *sync = gr_calloc (1, sizeof *sync);
-  sync->id = ++parts->last_sync_id;
+  sync->id = gr_ids_next (&parts->sync_ids);
   sync->part = part;
   HASH_ADD (hh, parts->syncs, id, sizeof sync->id, sync);
   return sync;
--- a/src/node/node_tasks.c
+++ b/src/node/node_tasks.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "base/gr_random.h"
 #include "node/node_config.h"
 #include "node/node_own.h"
 #include "node/node_peers.h"
@@ -593,7 +594,7 @@
   tasks->log = node_log_context (node, "sched");
   SchOptions options = { 0 };
   sch_options_defaults (&options);
-  options.seed = node_random ();
+  options.seed = gr_random ();
   tasks->sch = sch_new (&options, err);
   if (!tasks->sch) {
     free (tasks);
--- a/tests/dag_fixture.h
+++ b/tests/dag_fixture.h
@@ -37,13 +37,15 @@
   return info;
 }
 
+/* Of a scheduler whose tokens are higher than first_token. */
 HELPER Fixture
-new_fixture (bool advised, double advice_ms, double per_target_ms)
+new_fixture_of_term (int64_t first_token, bool advised, double advice_ms, double per_target_ms)
 {
   DagOptions options = { .lease_ms = LEASE_MS,
                          .lease_max_ms = 2 * LEASE_MS,
                          .stop_timeout_ms = 200,
                          .status_keep_ms = 60000,
+                         .first_token = first_token,
                          .quiet = true };
   Fixture fixture = { dag_new (&options, NULL), 100000, 0 };
   DagQueue queue = { .name = gr_name ("q"),
@@ -61,6 +63,12 @@
   return fixture;
 }
 
+HELPER Fixture
+new_fixture (bool advised, double advice_ms, double per_target_ms)
+{
+  return new_fixture_of_term (0, advised, advice_ms, per_target_ms);
+}
+
 /* Answers all pending holds with an empty inventory, or not at all; drops the other commands.
    Returns the number of holds that renewed a lease. */
 HELPER int
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -10,6 +10,7 @@
 
 #include <cmocka.h>
 
+#include "base/gr_ids.h"
 #include "base/gr_log.h"
 #include "base/gr_metric.h"
 #include "base/gr_opt.h"
@@ -52,6 +53,36 @@
   assert_int_equal (name.len, 0);
 }
 
+/* Guards against answers to a process that has ended, which its successor takes for its own: the
+   ids of two processes never meet, also if they start in the same ms or after a clock was set
+   back. */
+static void
+ids_name_their_process (void **state)
+{
+  (void) state;
+  static const struct {
+    const char *vm;
+    int64_t incarnation;
+    uint64_t random;
+  } starts[] = { { "vm", 1, 0 }, { "vm", 2, 0 }, { "vm", 1, 7 }, { "vm2", 1, 0 } };
+  enum {
+    STARTS = sizeof starts / sizeof starts[0]
+  };
+  GrIds ids[STARTS];
+  for (size_t i = 0; i < STARTS; i++) {
+    GrVmRef vm = { gr_name (starts[i].vm), starts[i].incarnation };
+    gr_ids_init (&ids[i], &vm, starts[i].random);
+  }
+  for (int round = 0; round < 3; round++) {
+    for (size_t i = 0; i < STARTS; i++) {
+      int64_t id = gr_ids_next (&ids[i]);
+      assert_true (id > 0);
+      for (size_t k = 0; k < STARTS; k++)
+        assert_int_equal (gr_ids_is_own (&ids[k], id), i == k);
+    }
+  }
+}
+
 static void
 error_names_round_trip (void **state)
 {
@@ -196,6 +227,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (int64_parsing_rejects_malformed_text),
     cmocka_unit_test (names_reject_text_that_does_not_fit),
+    cmocka_unit_test (ids_name_their_process),
     cmocka_unit_test (error_names_round_trip),
     cmocka_unit_test (options_are_checked_and_flags_override_the_environment),
     cmocka_unit_test (event_numbers_are_unique),
--- a/tests/test_dag.c
+++ b/tests/test_dag.c
@@ -64,6 +64,81 @@
   }
 }
 
+/* Finds the pending command of the type; there must be one. */
+static DagCmd
+pending_cmd (const Fixture *fixture, DagCmdType type)
+{
+  const DagCmds *cmds = dag_cmds (fixture->dag);
+  for (size_t i = 0; i < cmds->count; i++) {
+    if (cmds->items[i].type == type)
+      return cmds->items[i];
+  }
+  fail_msg ("no command of type %d", (int) type);
+  return (DagCmd){ 0 };
+}
+
+/* Delivers the answer to the command: its target may run the step, or runs nothing. */
+static void
+answer_cmd (Fixture *fixture, const DagCmd *cmd)
+{
+  DagAllowed allowed = { gr_name ("t0"), "ticket" };
+  DagInventory inventory = { .incarnation = 1, .clock_ms = fixture->now_ms };
+  if (cmd->type == DAG_CMD_HOLD)
+    dag_handle_hold_result (fixture->dag, &cmd->target.target, cmd->u.hold.token, DAG_ORDER_OK,
+                            &inventory, fixture->now_ms);
+  else
+    dag_handle_advice (fixture->dag, &cmd->u.advise.job, cmd->u.advise.step, cmd->u.advise.token,
+                       true, &allowed, 1, 0, fixture->now_ms);
+}
+
+/* A target, and a step that waits for it; with_inventory: the target has answered. */
+static Fixture
+fixture_of_term (int64_t term, bool with_inventory)
+{
+  Fixture fixture = new_fixture_of_term (term << 32, true, 10, 0);
+  DagTargetInfo info = target_info (0);
+  DagStepSpec step = step_of (1, 1000, false);
+  GrErr err = { 0 };
+  dag_target_seen (fixture.dag, &info, fixture.now_ms);
+  if (with_inventory)
+    answer_holds (&fixture, true);
+  submit (&fixture, &step, 1, &err);
+  dag_tick (fixture.dag, fixture.now_ms);
+  return fixture;
+}
+
+/* Guards against advice and inventories of a former term: the VMs that fetched them for a leader
+   live on, and the next leader on its VM, which counts its tokens anew, asked for something else
+   under the same token. */
+static void
+answers_to_an_earlier_term_are_ignored (void **state)
+{
+  (void) state;
+  static const struct {
+    const char *name;
+    DagCmdType type;
+  } cases[] = { { "advice", DAG_CMD_ADVISE }, { "inventory", DAG_CMD_HOLD } };
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+    bool advice = cases[i].type == DAG_CMD_ADVISE;
+    Fixture former = fixture_of_term (1, advice);
+    Fixture present = fixture_of_term (2, advice);
+    DagCmd stale = pending_cmd (&former, cases[i].type);
+    DagCmd cmd = pending_cmd (&present, cases[i].type);
+    for (int answers = 0; answers < 2; answers++) {
+      answer_cmd (&present, answers == 0 ? &stale : &cmd);
+      present.now_ms += 100;
+      dag_tick (present.dag, present.now_ms);
+      store (&present);
+      size_t taken = advice ? count_cmds (&present, DAG_CMD_START)
+                            : dag_counts (present.dag, present.now_ms).usable_targets;
+      if (taken != (size_t) answers)
+        fail_msg ("%s, answer %d: taken %zu", cases[i].name, answers, taken);
+    }
+    dag_free (former.dag);
+    dag_free (present.dag);
+  }
+}
+
 /* An answer of the simulated advice service that is not delivered yet. */
 typedef struct {
   int64_t due;
@@ -573,6 +648,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (invalid_submissions_are_refused),
     cmocka_unit_test (first_call_for_advice_names_enough_targets),
+    cmocka_unit_test (answers_to_an_earlier_term_are_ignored),
     cmocka_unit_test (wide_gangs_get_advice_on_enough_targets),
     cmocka_unit_test (gang_starts_on_targets_that_it_did_not_reserve),
     cmocka_unit_test (starts_leave_before_their_ticket_expires),
