platform: names of any length are told apart

Cause: names are kept in 63 bytes, and the platform sets no such limit. Readers refused longer names, or left them empty without looking at the result; ids, zones and regions of VMs were cut.

Change: a name that is only compared is replaced by gr_name_key() where it is decoded: the text itself up to 63 bytes, else a digest of it (docs/design/long-names.md).

--- a/src/cell/cell_config.c
+++ b/src/cell/cell_config.c
@@ -2,6 +2,8 @@
 
 #include <stdlib.h>
 
+#include "base/gr_name_key.h"
+
 /* A VM that reaches the store has read a new configuration within this time. */
 #define STORE_READ_MS 1500
 /* Between two copies sent to one VM: the first may still be in transit on a slow link. */
@@ -53,10 +55,10 @@
   const char *colon = host.len > 0 ? memchr (host.data, ':', host.len) : NULL;
   if (colon)
     host.len = (size_t) (colon - host.data);
+  GrName key = gr_name_key (host);
   for (size_t i = 0; i < config->routes.count; i++) {
     const CellRoute *route = &config->routes.items[i];
-    if (!gr_str_equal (gr_name_str (&route->host), host)
-        || !gr_str_starts_with (path, route->prefix))
+    if (!gr_name_equal (&route->host, &key) || !gr_str_starts_with (path, route->prefix))
       continue;
     if (!best || route->prefix.len > best->prefix.len)
       best = route;
--- a/src/cell/cell_config.h
+++ b/src/cell/cell_config.h
@@ -6,7 +6,7 @@
 #include "dag/dag.h"
 
 typedef struct {
-  GrName host;    /* of the call, without a port */
+  GrName host;    /* of the call, without a port; gr_name_key() of it */
   GrStr prefix;   /* of the path; owned */
   size_t queue;   /* index into queues */
   bool is_public; /* its calls need no key */
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -13,6 +13,7 @@
 #include "base/gr_ids.h"
 #include "base/gr_log.h"
 #include "base/gr_metric.h"
+#include "base/gr_name_key.h"
 #include "base/gr_opt.h"
 
 static void
@@ -53,6 +54,35 @@
   assert_int_equal (name.len, 0);
 }
 
+/* Guards against two names that are taken for one, and against a short name that is given as the
+   key of a long one. */
+static void
+name_keys_tell_texts_apart (void **state)
+{
+  (void) state;
+#define SIXTY "123456789012345678901234567890123456789012345678901234567890"
+  static const char *const texts[]
+      = { "", "a", SIXTY "123", SIXTY "124", SIXTY "1234", SIXTY "1235", SIXTY SIXTY "1",
+          SIXTY SIXTY "2",
+          /* What SIXTY "1234" is replaced by. */
+          "sha224:3b30d90aba8ac407502cacf45be78b8be31f8ade1d314f5b810c830e", "sha224:", "sha224" };
+  enum {
+    TEXTS = sizeof texts / sizeof texts[0]
+  };
+  GrName keys[TEXTS];
+  for (size_t i = 0; i < TEXTS; i++) {
+    GrStr text = gr_str_from_c (texts[i]);
+    keys[i] = gr_name_key (text);
+    for (size_t k = 0; k < i; k++)
+      assert_false (gr_name_equal (&keys[k], &keys[i]));
+    GrName again = gr_name_key (text);
+    assert_true (gr_name_equal (&keys[i], &again));
+    bool kept = text.len <= GR_NAME_MAX && strncmp (texts[i], "sha224:", 7) != 0;
+    assert_int_equal (gr_str_equal (gr_name_str (&keys[i]), text), kept);
+  }
+  assert_true (gr_str_equal (gr_name_str (&keys[4]), gr_str_from_c (texts[8])));
+}
+
 /* Guards against answers to a process that has ended, which its successor takes for its own: the
    ids of two processes never meet, also if they start in the same ms or after a clock was set
    back. */
@@ -227,6 +257,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (int64_parsing_rejects_malformed_text),
     cmocka_unit_test (names_reject_text_that_does_not_fit),
+    cmocka_unit_test (name_keys_tell_texts_apart),
     cmocka_unit_test (ids_name_their_process),
     cmocka_unit_test (error_names_round_trip),
     cmocka_unit_test (options_are_checked_and_flags_override_the_environment),
