--- a/tests/test_plat.c
+++ b/tests/test_plat.c
@@ -557,6 +557,47 @@
   assert_int_equal (failed, 0);
 }
 
+/* Guards against a cell without any route after all its processes have started again: a process
+   that runs goes on with the document before one that it refuses, but one that starts has none. */
+static void
+a_route_that_cannot_be_read_leaves_the_others (void **state)
+{
+  (void) state;
+  static const char *const routes[] = {
+    "{\"host\":\"h\",\"service\":\"s\"}",
+    "{\"name\":\"\",\"host\":\"h\",\"service\":\"s\"}",
+    "{\"name\":7,\"host\":\"h\",\"service\":\"s\"}",
+    "{\"name\":\"n\",\"host\":null,\"service\":\"s\"}",
+    "{\"name\":\"n\",\"host\":\"\",\"service\":\"s\"}",
+    "{\"name\":\"n\",\"host\":\"h\"}",
+    "{\"name\":\"n\",\"host\":\"h\",\"service\":[\"s\"]}",
+    "{}",
+    "[]",
+    "null",
+    "\"n\"",
+    "7",
+  };
+  for (size_t i = 0; i < sizeof routes / sizeof routes[0]; i++) {
+    CellConfig config = { 0 };
+    GrErr err = { 0 };
+    GrBuf text = { 0 };
+    gr_buf_printf (&text,
+                   "{\"version\":5,\"routes\":["
+                   "{\"name\":\"a\",\"host\":\"h\",\"pathPrefix\":\"/a/\",\"service\":\"s\"},%s,"
+                   "{\"name\":\"b\",\"host\":\"h\",\"pathPrefix\":\"/b/\",\"service\":\"s\"}]}",
+                   routes[i]);
+    if (!plat_decode_config (NULL, gr_buf_str (&text), &config, &err))
+      fail_msg ("%s: %s", routes[i], err.detail);
+    assert_int_equal (config.version, 5);
+    assert_int_equal (config.routes.count, 2);
+    assert_int_equal (config.queues.count, 2);
+    assert_non_null (cell_config_find (&config, GR_STR ("h"), GR_STR ("/a/1")));
+    assert_non_null (cell_config_find (&config, GR_STR ("h"), GR_STR ("/b/1")));
+    gr_buf_clear (&text);
+    cell_config_clear (&config);
+  }
+}
+
 /* Guards against ids that are shortened: they are sent back to their target as they are. */
 static void
 ids_of_targets_are_whole_or_refused (void **state)
@@ -597,6 +638,7 @@
     cmocka_unit_test (a_list_of_accounts_of_another_type_is_refused),
     cmocka_unit_test (keys_are_taken_from_their_header),
     cmocka_unit_test (names_of_any_length_are_told_apart),
+    cmocka_unit_test (a_route_that_cannot_be_read_leaves_the_others),
     cmocka_unit_test (ids_of_targets_are_whole_or_refused),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
