--- a/src/base/gr_opt.c
+++ b/src/base/gr_opt.c
@@ -64,6 +64,15 @@
   return NULL;
 }
 
+/* Returns NULL if the variable is not set or empty: deploy tools set those for which they have no
+   value to the empty text. */
+static const char *
+variable_value (const char *variable)
+{
+  const char *text = getenv (variable);
+  return text && *text ? text : NULL;
+}
+
 static bool
 resolve_setting (const GrOptSpec *spec, void *arg, void *settings, GrErr *err)
 {
@@ -71,7 +80,7 @@
   env_name (spec->name, variable, sizeof variable);
   const char *text = flag_value (spec, arg);
   if (!text)
-    text = getenv (variable);
+    text = variable_value (variable);
   if (!text)
     text = spec->type == GR_OPT_FLAG && !spec->def ? "0" : spec->def;
   if (!text)
--- a/src/base/gr_opt.h
+++ b/src/base/gr_opt.h
@@ -1,5 +1,6 @@
 /* Settings of a program from flags and environment variables, checked against one table. A flag has
-   precedence over its environment variable, which has precedence over the default. */
+   precedence over its environment variable, which has precedence over the default. A variable that
+   is empty counts as not set. */
 #pragma once
 
 #include "base/gr_err.h"
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -151,6 +151,7 @@
     { { "p", "--vm-id=a", NULL }, "81", true, GR_ERR_NONE, "", 81 },
     { { "p", "--vm-id=a", "--port=82" }, "81", true, GR_ERR_NONE, "", 82 },
     { { "p", "--vm-id=a", "--port=0" }, NULL, false, GR_ERR_INVALID, "port", 0 },
+    { { "p", "--vm-id=a", NULL }, "", true, GR_ERR_NONE, "", 80 },
     { { "p", "--vm-id=a", NULL }, "x", false, GR_ERR_INVALID, "port", 0 },
     { { "p", NULL }, NULL, false, GR_ERR_MISSING, "vm-id", 0 },
     { { "p", "--vm-id=a", "--nope" }, NULL, false, GR_ERR_UNKNOWN_FIELD, "arguments", 0 },
