net: a client that half-closes gets no false answer

Cause: the end of the sending side is taken as the end of the connection, and the reply that ends the exchange towards h2o was written though it could be read.

Change: the connection is shut down first, as it was for aborted exchanges; one function does both.

--- a/src/net/net_http_server.c
+++ b/src/net/net_http_server.c
@@ -167,6 +167,14 @@
   send_reply (exchange, 503, (GrStr){ 0 }, (GrStr){ 0 });
 }
 
+static void
+close_and_abandon (NetHttpExchange *exchange)
+{
+  /* After the shutdown, the reply that ends the exchange cannot be sent. */
+  shutdown (h2o_socket_get_fd (exchange->conn->sock), SHUT_RDWR);
+  abandon (exchange);
+}
+
 /* Detects a closed connection while a request is processed; h2o itself does not read then. */
 static void
 on_read_while_waiting (h2o_socket_t *sock, const char *err)
@@ -178,7 +186,9 @@
     return;
   }
   if (err) {
-    abandon (exchange);
+    /* A client that has only closed its sending side would read the reply, which says that the
+       request has not run: that is not known here. */
+    close_and_abandon (exchange);
     return;
   }
   /* Bytes of a pipelined request stay in the socket's buffer for h2o. No more are read. */
@@ -579,10 +589,8 @@
 {
   if (exchange->ended)
     return;
-  /* After the shutdown, the reply that ends the exchange cannot be sent. */
-  shutdown (h2o_socket_get_fd (exchange->conn->sock), SHUT_RDWR);
   exchange->close_func = NULL;
-  abandon (exchange);
+  close_and_abandon (exchange);
 }
 
 void
--- a/tests/test_net.c
+++ b/tests/test_net.c
@@ -722,6 +722,41 @@
   fixture_close (&fixture);
 }
 
+/* Guards against "not run" for a call that runs: a client sends its whole request, closes its
+   sending side and reads on. The server cannot tell it from one that has left, so the call is
+   dropped; it may have been passed on before. */
+static void
+half_closed_clients_get_no_false_answer (void **state)
+{
+  (void) state;
+  static const struct {
+    const char *name, *request;
+  } cases[] = {
+    { "with a body", "POST /hold HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx" },
+    { "without one", "GET /hold HTTP/1.1\r\nHost: h\r\n\r\n" },
+    { "the last one on its connection",
+      "DELETE /hold HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n" },
+    { "HTTP/1.0", "POST /hold HTTP/1.0\r\nContent-Length: 1\r\n\r\nx" },
+  };
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+    Fixture fixture;
+    fixture_open (&fixture, &loopback);
+    RawConnection raw;
+    raw_open (&raw, &fixture, gr_str_from_c (cases[i].request));
+    while (!fixture.held)
+      uv_run (&fixture.loop, UV_RUN_ONCE);
+    uv_shutdown_t shutdown;
+    uv_shutdown (&shutdown, (uv_stream_t *) &raw.tcp, NULL);
+    while (!raw.ended)
+      uv_run (&fixture.loop, UV_RUN_ONCE);
+    assert_int_equal (fixture.closed, 1);
+    if (raw.received.len > 0)
+      fail_msg ("%s: answered %s", cases[i].name, raw.received.data);
+    gr_buf_clear (&raw.received);
+    fixture_close (&fixture);
+  }
+}
+
 /* Longer than any delay of the loop in this test. */
 #define BLOCKED_MS 300
 
@@ -840,6 +875,7 @@
     cmocka_unit_test (stopping_server_still_replies_to_open_exchanges),
     cmocka_unit_test (query_numbers_fall_back_when_malformed),
     cmocka_unit_test (addresses_that_cannot_be_bound_return_typed_errors),
+    cmocka_unit_test (half_closed_clients_get_no_false_answer),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
