base: the result of gr_name_set must be used

Change: the compiler refuses an ignored result. gr_name_cut() takes text that is known to fit or is only shown. A checkpoint that is too long is logged when its run ends; the one before it is kept, as before.

--- a/soak/soak_store.c
+++ b/soak/soak_store.c
@@ -272,7 +272,6 @@
 decode_key (GrStr text)
 {
   GrBuf buf = { 0 };
-  GrName key = { 0 };
   for (size_t i = 0; i < text.len; i++) {
     unsigned value = (unsigned char) text.data[i];
     char hex[3] = "";
@@ -284,7 +283,7 @@
     char byte = (char) value;
     gr_buf_append (&buf, &byte, 1);
   }
-  gr_name_set (&key, gr_buf_str (&buf));
+  GrName key = gr_name_cut (gr_buf_str (&buf));
   gr_buf_clear (&buf);
   return key;
 }
--- a/src/base/gr_str.c
+++ b/src/base/gr_str.c
@@ -66,14 +66,20 @@
 }
 
 GrName
-gr_name (const char *text)
+gr_name_cut (GrStr s)
 {
-  GrName name;
-  size_t len = strlen (text);
-  gr_name_set (&name, (GrStr){ text, len > GR_NAME_MAX ? GR_NAME_MAX : len });
+  GrName name = { .len = (uint8_t) (s.len < GR_NAME_MAX ? s.len : GR_NAME_MAX) };
+  if (name.len > 0)
+    memcpy (name.data, s.data, name.len);
   return name;
 }
 
+GrName
+gr_name (const char *text)
+{
+  return gr_name_cut (gr_str_from_c (text));
+}
+
 GrName
 gr_name_format (const char *format, ...)
 {
--- a/src/base/gr_str.h
+++ b/src/base/gr_str.h
@@ -41,7 +41,9 @@
 bool gr_str_to_int64 (GrStr s, int64_t *value);
 
 /* False, leaving *name empty, if the string does not fit into GR_NAME_MAX bytes. */
-bool gr_name_set (GrName *name, GrStr s);
+bool gr_name_set (GrName *name, GrStr s) __attribute__ ((warn_unused_result));
+/* Name from the first GR_NAME_MAX bytes, for text that is known to fit or is only shown. */
+GrName gr_name_cut (GrStr s);
 /* Name from a C string that is known to fit; longer text is truncated. The same holds for
    gr_name_format(). */
 GrName gr_name (const char *text);
--- a/src/cfg/cfg_lint.c
+++ b/src/cfg/cfg_lint.c
@@ -55,7 +55,7 @@
              const char *format, ...)
 {
   CfgWarning warning = { .code = code, .line = line > 0 ? line : 1 };
-  gr_name_set (&warning.file, file);
+  warning.file = gr_name_cut (file);
   if (key)
     warning.key = *key;
   va_list args;
@@ -70,7 +70,7 @@
 static void
 set_other (CfgWarning *warning, GrStr file, int64_t line)
 {
-  gr_name_set (&warning->other_file, file);
+  warning->other_file = gr_name_cut (file);
   warning->other_line = line;
 }
 
--- a/src/cfg/cfg_parse.c
+++ b/src/cfg/cfg_parse.c
@@ -38,8 +38,7 @@
                  const char *format, ...)
 {
   CfgProblem problem = { .code = code, .line = line };
-  gr_name_set (&problem.file,
-               (GrStr){ file.data, file.len > GR_NAME_MAX ? GR_NAME_MAX : file.len });
+  problem.file = gr_name_cut (file);
   if (key)
     problem.key = *key;
   va_list args;
@@ -156,7 +155,7 @@
     return;
   }
   if (author)
-    gr_name_set (top ? &parse->file_author : &parse->section_author, text);
+    *(top ? &parse->file_author : &parse->section_author) = gr_name_cut (text);
   else
     set_reason (top ? &parse->file_reason : &parse->section_reason, value);
 }
@@ -215,7 +214,7 @@
                      "digits, '-' or '_'",
                      title, cfg_section (id)->name, CFG_TITLE_MAX);
   else if (title)
-    gr_name_set (&block.title, gr_str_from_c (title));
+    block.title = gr_name_cut (gr_str_from_c (title));
   for (size_t i = parse->first_assign; i < parse->out->assigns.count; i++) {
     CfgAssign *assign = &parse->out->assigns.items[i];
     assign->key = cfg_key (id, &block.title, assign->option->name);
--- a/src/cfg/cfg_publication.c
+++ b/src/cfg/cfg_publication.c
@@ -91,7 +91,7 @@
     return gr_err_set (err, GR_ERR_INVALID, "author",
                        "the author is not allowed; allowed is UTF-8 text of 1 to %d bytes",
                        GR_NAME_MAX);
-  gr_name_set (&out->author, author);
+  out->author = gr_name_cut (author);
   if (!read_number (&rest, "files", PUBLICATION_FILES_MAX, &count, err))
     return false;
   for (int64_t i = 0; i < count; i++) {
--- a/src/cfg/cfg_store.c
+++ b/src/cfg/cfg_store.c
@@ -154,7 +154,7 @@
   problem->line = origin->line;
   problem->other_file = other.file;
   problem->other_line = other.line;
-  gr_name_set (&problem->key, key);
+  problem->key = gr_name_cut (key);
 }
 
 /* Reports a key in which the refused publication and the version in force differ: the first one
--- a/src/cfg/cfg_table.c
+++ b/src/cfg/cfg_table.c
@@ -213,7 +213,7 @@
   int64_t number = 0;
   switch (option->type) {
   case CFG_TYPE_NAME:
-    gr_name_set ((GrName *) (void *) field, value);
+    *(GrName *) (void *) field = gr_name_cut (value);
     return;
   case CFG_TYPE_TEXT:
     *(GrStr *) (void *) field = value;
@@ -232,8 +232,8 @@
   case CFG_TYPE_DIGEST: {
     GrName *halves = (GrName *) (void *) field;
     size_t half = value.len / 2;
-    gr_name_set (&halves[0], (GrStr){ value.data, half });
-    gr_name_set (&halves[1], (GrStr){ value.data + half, value.len - half });
+    halves[0] = gr_name_cut ((GrStr){ value.data, half });
+    halves[1] = gr_name_cut ((GrStr){ value.data + half, value.len - half });
     return;
   }
   }
--- a/src/cfg/cfg_tree.c
+++ b/src/cfg/cfg_tree.c
@@ -127,7 +127,7 @@
                   "change whose file lists the key in 'replaces'",
       later->value, earlier->value, (long long) earlier->line);
   CfgProblem *problem = &merge->problems->items[merge->problems->count - 1];
-  gr_name_set (&problem->other_file, merge->files[earlier->file]->name);
+  problem->other_file = gr_name_cut (merge->files[earlier->file]->name);
   problem->other_line = earlier->line;
 }
 
@@ -162,7 +162,7 @@
   CfgOrigin origin = { .line = assign->line, .author = block->author };
   if (origin.author.len == 0)
     origin.author = merge->author;
-  gr_name_set (&origin.file, merge->files[assign->file]->name);
+  origin.file = gr_name_cut (merge->files[assign->file]->name);
   if (block->reason) {
     char *reason = gr_str_dup (gr_str_from_c (block->reason));
     gr_list_push (&merge->tree->texts, reason);
--- a/src/dag/dag_priv.h
+++ b/src/dag/dag_priv.h
@@ -10,9 +10,6 @@
 #include "learn/learn_runtime.h"
 #include "learn/learn_speed.h"
 
-/* Longest checkpoint name that is kept; longer ones are ignored. */
-#define DAG_CHECKPOINT_MAX GR_NAME_MAX
-
 typedef struct DagJob DagJob;
 typedef struct DagStep DagStep;
 typedef struct DagTask DagTask;
@@ -759,7 +756,7 @@
 GrRes dag_reserved_demand (const DagStepSpec *spec);
 /* Storage of the checkpoint of a task; members of a gang share one. */
 GrName *dag_checkpoint (DagTask *task);
-/* Stores the checkpoint; ignores empty ones and those above DAG_CHECKPOINT_MAX. */
+/* Stores the checkpoint; ignores empty ones and those that do not fit into a GrName. */
 void dag_keep_checkpoint (DagTask *task, GrStr checkpoint);
 /* Assigns the task to the target. The start is sent once the record is stored. */
 void dag_run_assign (DagState *dag, DagTask *task, DagTarget *target, int64_t run,
--- a/src/dag/dag_run.c
+++ b/src/dag/dag_run.c
@@ -39,8 +39,9 @@
 void
 dag_keep_checkpoint (DagTask *task, GrStr checkpoint)
 {
-  if (checkpoint.len > 0 && checkpoint.len <= DAG_CHECKPOINT_MAX)
-    gr_name_set (dag_checkpoint (task), checkpoint);
+  GrName kept;
+  if (checkpoint.len > 0 && gr_name_set (&kept, checkpoint))
+    *dag_checkpoint (task) = kept;
 }
 
 void
@@ -456,6 +457,9 @@
 {
   DagJob *job = task->step->job;
   mark_begun (dag, job, now_ms);
+  if (checkpoint.len > GR_NAME_MAX)
+    DAG_LOG (dag, GR_EV_BAD_INPUT, "id=%.*s step=%u index=%u checkpoint of %zu bytes is not kept",
+             GR_NAME_ARG (task->step->job->id), task->step->number, task->index, checkpoint.len);
   dag_keep_checkpoint (task, checkpoint);
   dag_job_mark_dirty (dag, job);
   if (!dag_job_is_open (job)) {
--- a/src/job/job_table.c
+++ b/src/job/job_table.c
@@ -83,9 +83,7 @@
     len--;
   if (len == 0)
     return id;
-  GrName job_id;
-  gr_name_set (&job_id, (GrStr){ task_id->data, len - 1 });
-  return job_id;
+  return gr_name_cut ((GrStr){ task_id->data, len - 1 });
 }
 
 Job *
--- a/src/load/main.c
+++ b/src/load/main.c
@@ -220,7 +220,7 @@
   int max = sizeof load->teams / sizeof load->teams[0];
   for (const char *at = load->options.teams; *at && load->team_count < max;) {
     size_t len = strcspn (at, ",");
-    gr_name_set (&load->teams[load->team_count++], (GrStr){ at, len });
+    load->teams[load->team_count++] = gr_name_cut ((GrStr){ at, len });
     at += len + (at[len] == ',');
   }
 }
--- a/src/net/net_budget.c
+++ b/src/net/net_budget.c
@@ -197,9 +197,8 @@
 static Address *
 address_of (NetBudget *budget, GrStr text)
 {
-  GrName name = { 0 };
+  GrName name = gr_name_cut (text);
   Address *address;
-  gr_name_set (&name, (GrStr){ text.data, text.len < GR_NAME_MAX ? text.len : GR_NAME_MAX });
   HASH_FIND (hh, budget->addresses, &name, sizeof name, address);
   if (!address) {
     address = gr_calloc (1, sizeof *address);
--- a/src/node/node_json.c
+++ b/src/node/node_json.c
@@ -40,7 +40,7 @@
     gr_err_set (err, GR_ERR_INVALID, name, "'%s' has %zu bytes; allowed are 1 to %zu", name, len,
                 max);
   else
-    gr_name_set (&out, (GrStr){ json_string_value (value), len });
+    out = gr_name_cut ((GrStr){ json_string_value (value), len });
   return out;
 }
 
--- a/src/standin/standin_call.c
+++ b/src/standin/standin_call.c
@@ -44,7 +44,7 @@
   StandinCall *call = gr_calloc (1, sizeof *call);
   call->standin = standin;
   call->exchange = exchange;
-  gr_name_set (&call->method, request->method);
+  call->method = gr_name_cut (request->method);
   gr_buf_append_str (&call->path, request->path);
   gr_buf_append_str (&call->query, request->query);
   gr_buf_append_str (&call->body, request->body);
--- a/src/standin/standin_list.c
+++ b/src/standin/standin_list.c
@@ -193,8 +193,9 @@
 standin_list_unregister (StandinList *list, StandinCall *call, GrStr id)
 {
   GrName name;
-  gr_name_set (&name, id);
-  standin_list_remove (list, &name, list->lag_ms);
+  /* No registration has an id that does not fit. */
+  if (gr_name_set (&name, id))
+    standin_list_remove (list, &name, list->lag_ms);
   standin_call_json (call, 200, json_object ());
 }
 
--- a/src/standin/standin_target_http.c
+++ b/src/standin/standin_target_http.c
@@ -441,7 +441,7 @@
   while (*at && count < sizeof regions / sizeof regions[0]) {
     size_t len = strcspn (at, ",");
     if (len > 0)
-      gr_name_set (&regions[count++], (GrStr){ at, len });
+      regions[count++] = gr_name_cut ((GrStr){ at, len });
     at += len + (at[len] == ',');
   }
   if (count == 0)
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -478,8 +478,8 @@
   SHA256 ((const unsigned char *) "secret", 6, digest);
   for (size_t i = 0; i < sizeof digest; i++)
     snprintf (hex + 2 * i, 3, "%02x", digest[i]);
-  gr_name_set (&team.token_sha256_a, (GrStr){ hex, 32 });
-  gr_name_set (&team.token_sha256_b, (GrStr){ hex + 32, 32 });
+  team.token_sha256_a = gr_name_cut ((GrStr){ hex, 32 });
+  team.token_sha256_b = gr_name_cut ((GrStr){ hex + 32, 32 });
   assert_true (node_auth_team (&team, GR_STR ("Bearer secret")));
   assert_false (node_auth_team (&team, GR_STR ("Bearer secre")));
   assert_false (node_auth_team (&team, GR_STR ("Bearer ")));
