soak: quick returns, targets that crash idle behind a cut, all processes killed after a configuration

New faults: quick-return kills an edge and brings it back within 130 ms, again and again, while the store loses answers and half of the calls go to that edge; idle-crash cuts off targets that have started a short run, and crashes them once they are idle; kill-all publishes a route with a drawn name and kills all edges. One job in forty needs a label that no target has. Names have 1, 63, 64, 75, 253 or 1,000 bytes.

--- a/soak/main.c
+++ b/soak/main.c
@@ -104,6 +104,13 @@
   return (int64_t) ((z ^ (z >> 31)) % (uint64_t) limit);
 }
 
+size_t
+soak_name_length (SoakRandom *random)
+{
+  static const size_t lengths[] = { 1, 63, 64, 75, 253, 1000 };
+  return lengths[soak_below (random, sizeof lengths / sizeof lengths[0])];
+}
+
 int
 soak_zone (int number)
 {
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -73,6 +73,8 @@
 int soak_store_port (const SoakStore *store, int edge);
 /* Writes a record of the platform; value "" drops the key. */
 void soak_store_write (SoakStore *store, const char *topic, const char *key, const char *value);
+/* Publishes the next version of the configuration, with one more route. */
+void soak_store_publish (SoakStore *store);
 /* Edge that wrote the newest election record; -1: none. */
 int soak_store_leader (const SoakStore *store);
 /* Edge that won this term; -1: unknown. */
@@ -123,6 +125,8 @@
 /* Whether reports of the target in this slot do not reach the store. */
 bool soak_faults_report_lost (const SoakFaults *faults, int slot);
 bool soak_faults_store_down (const SoakFaults *faults);
+/* Edge to which clients send every other call; -1: none. */
+int soak_faults_busy_edge (const SoakFaults *faults);
 void soak_faults_tick (SoakFaults *faults);
 
 /* --- Clients (soak_clients.c) --- */
@@ -142,8 +146,13 @@
   int leaks;      /* answers to callers with another key that tell of the job or change it */
   char state[16]; /* newest that was shown */
   int steps, counts[4];
+  bool hopeless; /* it needs a label that no target has */
 } SoakJob;
 
+/* Length of the names that clients and the operator draw: about the longest that a GrName holds, of
+   the domain name system, and beyond. */
+size_t soak_name_length (SoakRandom *random);
+
 const SoakJob *soak_clients_job (const SoakClients *clients, int number);
 const SoakJob *soak_clients_find (const SoakClients *clients, const char *task);
 
@@ -153,6 +162,11 @@
 /* A line that a target has written. */
 void soak_check_event (SoakCheck *check, int slot, const char *id, int64_t born, const char *line);
 void soak_check_crash (SoakCheck *check, int slot, const char *id, int64_t born, int64_t at);
+/* Slot of a target that has started a short run since the last call, with this or a higher number
+   of the run; -1: none. */
+int soak_check_next_start (SoakCheck *check, int first_run);
+/* Whether the target in the slot is known to run nothing. */
+bool soak_check_is_idle (const SoakCheck *check, int slot);
 /* Judges the whole run and prints the violations. Returns their number. */
 int soak_check_finish (SoakCheck *check);
 
--- a/soak/soak_check.c
+++ b/soak/soak_check.c
@@ -13,6 +13,8 @@
 /* A job that was handed in so long before the end should be over, unless its tasks are at work. */
 #define IDLE_MAX_MS 5000
 #define CRASHES_TO_GIVE_UP 2
+/* A run of this length ends behind a cut that begins with it. */
+#define SHORT_RUN_MS 1100
 
 typedef struct {
   char task[SOAK_NAME_SIZE], id[SOAK_NAME_SIZE], spec[SOAK_NAME_SIZE];
@@ -27,6 +29,7 @@
 
 struct SoakCheck {
   Soak *soak;
+  size_t starts_seen; /* by soak_check_next_start() */
   GR_LIST (Run) runs;
   int violations;
 };
@@ -39,6 +42,35 @@
   return check;
 }
 
+static bool
+is_short (const Run *run)
+{
+  long long duration;
+  return sscanf (run->spec, "ms=%lld", &duration) == 1 && duration <= SHORT_RUN_MS;
+}
+
+int
+soak_check_next_start (SoakCheck *check, int first_run)
+{
+  while (check->starts_seen < check->runs.count) {
+    const Run *run = &check->runs.items[check->starts_seen++];
+    if (run->run >= first_run && is_short (run) && run->ended_at == NOT_ENDED)
+      return run->slot;
+  }
+  return -1;
+}
+
+bool
+soak_check_is_idle (const SoakCheck *check, int slot)
+{
+  for (size_t i = 0; i < check->runs.count; i++) {
+    const Run *run = &check->runs.items[i];
+    if (run->slot == slot && run->ended_at == NOT_ENDED)
+      return false;
+  }
+  return true;
+}
+
 static Run *
 find_run (SoakCheck *check, const char *id, int64_t born, const char *task, int64_t number)
 {
@@ -165,6 +197,8 @@
       report (check, "UNASKED", "a job that no client sent", run->task, run, NULL);
       continue;
     }
+    if (job->hopeless)
+      report (check, "ROUTE", "started without the label that it needs", run->task, run, NULL);
     if (strcmp (job->spec, run->spec) != 0)
       report (check, "UNASKED", "another spec", run->task, run, NULL);
     if (job->accepted_at == 0 && job->unanswered == 0 && job->refused > 0)
@@ -301,7 +335,7 @@
   if (strcmp (job->state, "completed") == 0
       && !all_done (check, job, job->steps, job->completed_at))
     report (check, "MIXED", "shown as completed before its tasks were done", job->id, NULL, NULL);
-  if (job->accepted_at > 0 && job->cancel_sent_at == 0 && !final
+  if (job->accepted_at > 0 && job->cancel_sent_at == 0 && !final && !job->hopeless
       && !worked_lately (check, job, now - IDLE_MAX_MS) && has_room (check))
     report (check, "LOST", "not over at the end and not at work", job->id, NULL, NULL);
   if (check->violations > before)
--- a/soak/soak_clients.c
+++ b/soak/soak_clients.c
@@ -15,6 +15,8 @@
 #define POLL_MS 500
 #define TRIES_MAX 12
 #define CANCEL_PERCENT 4
+/* One job in so many needs a label that no target has. */
+#define HOPELESS_EVERY 40
 #define PROBE_MS 500
 /* With accounts: share of calls for accepted jobs that are made with the key of another account, or
    with an invalid one. */
@@ -176,6 +178,9 @@
 {
   int edges = (int) clients->soak->settings.edges;
   int edge = (int) soak_below (&clients->random, edges);
+  int busy = soak_faults_busy_edge (clients->soak->faults);
+  if (busy >= 0 && soak_below (&clients->random, 2) == 0)
+    return busy;
   for (int i = 0; i < edges; i++) {
     int found = (edge + i) % edges;
     if (clients->ready[found])
@@ -281,13 +286,19 @@
   snprintf (job->seen.spec, sizeof job->seen.spec, "ms=%lld fail=%lld", (long long) duration,
             (long long) failures);
   job->seen.steps = 1 + (int) (soak_below (random, 4) == 0);
+  SoakRandom labels = soak_random (clients->soak->settings.seed + clients->count, "labels");
+  job->seen.hopeless = soak_below (&labels, HOPELESS_EVERY) == 0;
+  int label_length = (int) soak_name_length (&labels);
   GrBuf body = { 0 };
   gr_buf_printf (&body, "{\"spec\":\"%s\",\"steps\":[", job->seen.spec);
   for (int i = 0; i < job->seen.steps; i++) {
     job->seen.counts[i] = 1 + (int) (soak_below (random, 3) == 0 ? soak_below (random, 5) : 0);
-    gr_buf_printf (&body, "%s{\"count\":%d,\"cpu\":%d,\"memMb\":256,\"estimateMs\":%lld%s}",
+    gr_buf_printf (&body, "%s{\"count\":%d,\"cpu\":%d,\"memMb\":256,\"estimateMs\":%lld%s",
                    i ? "," : "", job->seen.counts[i], 500 + (int) soak_below (random, 5) * 500,
                    (long long) duration, i ? ",\"dependsOn\":[0]" : "");
+    if (job->seen.hopeless)
+      gr_buf_printf (&body, ",\"requirements\":\"%0*d\"", label_length, 0);
+    gr_buf_append_str (&body, GR_STR ("}"));
   }
   gr_buf_append_str (&body, GR_STR ("]}"));
   job->body = body.data;
--- a/soak/soak_faults.c
+++ b/soak/soak_faults.c
@@ -35,6 +35,10 @@
   FAULT_LATE,           /* orders to a target arrive late */
   FAULT_ZONE,           /* a zone keeps its own edges and targets only */
   FAULT_LEADER_ZONE,    /* the same for the leader's zone */
+  FAULT_QUICK_RETURN, /* an edge is killed and back again and again, while calls wait for the store
+                       */
+  FAULT_IDLE_CRASH, /* targets of short runs are cut off, end them, and crash when they are idle */
+  FAULT_KILL_ALL,   /* all edges are killed right after a configuration was stored */
   FAULT_KIND_COUNT
 } FaultKind;
 
@@ -60,8 +64,32 @@
   [FAULT_LATE] = { "late", 500, 4000 },
   [FAULT_ZONE] = { "zone", 4000, 16000, true },
   [FAULT_LEADER_ZONE] = { "leader-zone", 6000, 14000, true },
+  [FAULT_QUICK_RETURN] = { "quick-return", 2500, 2500, true },
+  [FAULT_IDLE_CRASH] = { "idle-crash", 12000, 8000, true },
+  [FAULT_KILL_ALL] = { "kill-all", 300, 1200 },
 };
 
+/* Rounds of FAULT_QUICK_RETURN: the store loses its answers from the begin of a round on; the edge
+   is killed and back within that time, and the answers to repeated calls come after it. */
+#define ROUND_MS 700
+#define ROUND_LOSES_MS 450
+#define ROUND_KILL_MS 150
+#define ROUND_BACK_MS 280
+
+/* Cuts of FAULT_IDLE_CRASH: so many targets at a time, each right after a start. */
+#define CUTS_MAX 4
+#define CUT_MS 1700
+#define CUT_CRASH_MS 1400
+#define CUT_BACK_MS 1550
+/* Share of first runs whose target is cut; the next runs of the same task all meet one. */
+#define FIRST_RUN_PERCENT 25
+
+typedef struct {
+  int slot;
+  int64_t begins_at; /* 0: none */
+  bool crashed;
+} Cut;
+
 /* How a cut shows. */
 typedef enum {
   STYLE_SILENT,
@@ -80,10 +108,13 @@
   bool both, new_id;
   bool begun, active;
   int64_t late_ms;
+  int64_t killed_at; /* of FAULT_QUICK_RETURN: last time; 0: not yet */
+  Cut cuts[CUTS_MAX];
 } Fault;
 
 struct SoakFaults {
   Soak *soak;
+  SoakRandom random; /* of faults that depend on the run */
   Fault *faults;
   size_t count;
 };
@@ -150,6 +181,7 @@
       selected[count++] = (FaultKind) i;
   }
   SoakRandom random = soak_random (soak->settings.seed, "faults");
+  faults->random = soak_random (soak->settings.seed, "cuts");
   int64_t end = soak->settings.seconds * 1000 - CALM_MS;
   for (int64_t at = FIRST_AT_MS; count > 0 && at < end && faults->count < FAULTS_MAX;) {
     Fault fault = draw (soak, &random, selected[soak_below (&random, count)], soak->began_at + at);
@@ -164,6 +196,12 @@
   return faults;
 }
 
+static int64_t
+round_ms (const Fault *fault)
+{
+  return (soak_now () - fault->begins_at) % ROUND_MS;
+}
+
 static bool
 cuts_store (const Fault *fault, int edge)
 {
@@ -177,6 +215,8 @@
   case FAULT_STORE_OUT:
   case FAULT_LOST_ANSWERS:
     return true;
+  case FAULT_QUICK_RETURN:
+    return round_ms (fault) < ROUND_LOSES_MS;
   default:
     return false;
   }
@@ -189,7 +229,7 @@
     const Fault *fault = &faults->faults[i];
     if (!fault->active || !cuts_store (fault, edge))
       continue;
-    if (fault->kind == FAULT_LOST_ANSWERS)
+    if (fault->kind == FAULT_LOST_ANSWERS || fault->kind == FAULT_QUICK_RETURN)
       return SOAK_STORE_LOSES;
     if (fault->kind == FAULT_ZONE || fault->kind == FAULT_LEADER_ZONE)
       return SOAK_STORE_SILENT;
@@ -222,6 +262,16 @@
   mode->resets |= fault->style == STYLE_RESET;
 }
 
+static bool
+is_cut (const Fault *fault, int slot)
+{
+  for (int i = 0; i < CUTS_MAX; i++) {
+    if (fault->cuts[i].begins_at > 0 && fault->cuts[i].slot == slot)
+      return true;
+  }
+  return false;
+}
+
 static void
 add_mode (const Fault *fault, int edge, SoakEnd end, SoakPathMode *mode)
 {
@@ -245,6 +295,10 @@
     if (end.target && end.number % 2 == 0 && edge != fault->edge)
       mode->forward_silent = mode->back_silent = true;
     break;
+  case FAULT_IDLE_CRASH:
+    if (end.target && is_cut (fault, end.number))
+      mode->forward_silent = mode->back_silent = true;
+    break;
   case FAULT_LATE:
     if (end.target && named)
       mode->late_ms = fault->late_ms;
@@ -306,6 +360,8 @@
         || ((fault->kind == FAULT_CUT_STORE || fault->kind == FAULT_CUT_TARGET) && fault->both);
   if (of_leader && leader >= 0)
     fault->edge = leader;
+  if (fault->kind == FAULT_QUICK_RETURN && fault->edge == leader)
+    fault->edge = (leader + 1) % (int) soak->settings.edges;
   SoakEnd edge = { false, fault->edge };
   soak_note (soak, "fault %s edge=e%d zone=z%d other=e%d targets=t%02d+%d style=%d until %.3f",
              kinds[fault->kind].name, fault->edge + 1, soak_zone (fault->edge) + 1,
@@ -331,11 +387,72 @@
   case FAULT_KILL_TARGET:
     soak_procs_crash (soak->procs, (SoakEnd){ true, fault->target }, fault->ends_at, fault->new_id);
     break;
+  case FAULT_KILL_ALL:
+    soak_store_publish (soak->store);
+    for (int i = 0; i < soak->settings.edges; i++)
+      soak_procs_crash (soak->procs, (SoakEnd){ false, i }, fault->ends_at, false);
+    break;
   default:
     break;
   }
 }
 
+static void
+play_round (const SoakFaults *faults, Fault *fault)
+{
+  int64_t now = soak_now ();
+  int64_t round = round_ms (fault);
+  if (round < ROUND_KILL_MS || round >= ROUND_BACK_MS || now - fault->killed_at < ROUND_BACK_MS)
+    return;
+  fault->killed_at = now;
+  soak_procs_crash (faults->soak->procs, (SoakEnd){ false, fault->edge },
+                    now - round + ROUND_BACK_MS, false);
+}
+
+static void
+tick_cut (Soak *soak, Cut *cut)
+{
+  int64_t now = soak_now ();
+  if (!cut->crashed && now >= cut->begins_at + CUT_CRASH_MS
+      && soak_check_is_idle (soak->check, cut->slot)) {
+    cut->crashed = true;
+    soak_procs_crash (soak->procs, (SoakEnd){ true, cut->slot }, cut->begins_at + CUT_BACK_MS,
+                      false);
+  }
+  if (now >= cut->begins_at + CUT_MS)
+    *cut = (Cut){ 0 };
+}
+
+/* Cuts off targets that have just started a short run. */
+static void
+play_cuts (SoakFaults *faults, Fault *fault)
+{
+  for (int i = 0; i < CUTS_MAX; i++) {
+    Cut *cut = &fault->cuts[i];
+    if (cut->begins_at > 0) {
+      tick_cut (faults->soak, cut);
+      continue;
+    }
+    int first_run = soak_below (&faults->random, 100) < FIRST_RUN_PERCENT ? 1 : 2;
+    int slot = soak_check_next_start (faults->soak->check, first_run);
+    if (slot < 0 || is_cut (fault, slot))
+      continue;
+    soak_note (faults->soak, "t%02d is cut off", slot);
+    *cut = (Cut){ .slot = slot, .begins_at = soak_now () };
+  }
+}
+
+int
+soak_faults_busy_edge (const SoakFaults *faults)
+{
+  for (size_t i = 0; i < faults->count; i++) {
+    const Fault *fault = &faults->faults[i];
+    if (fault->active && fault->kind == FAULT_QUICK_RETURN)
+      return fault->edge;
+  }
+  return -1;
+}
+
 void
 soak_faults_tick (SoakFaults *faults)
 {
@@ -347,5 +464,9 @@
       begin (faults, fault);
     }
     fault->active = now >= fault->begins_at && now < fault->ends_at;
+    if (fault->active && fault->kind == FAULT_QUICK_RETURN)
+      play_round (faults, fault);
+    if (fault->active && fault->kind == FAULT_IDLE_CRASH)
+      play_cuts (faults, fault);
   }
 }
--- a/soak/soak_store.c
+++ b/soak/soak_store.c
@@ -62,7 +62,11 @@
   GrBuf body, query;
 };
 
+/* Of the configuration at the start. */
+#define FIRST_VERSION 7
+
 struct SoakStore {
+  int config_version;
   Soak *soak;
   SoakRandom random;
   Port ports[SOAK_EDGES_MAX];
@@ -450,16 +454,24 @@
   }
 }
 
-static void
-publish_config (SoakStore *store)
+void
+soak_store_publish (SoakStore *store)
 {
   GrBuf text = { 0 };
+  store->config_version++;
   gr_buf_printf (&text,
-                 "{\"version\":7,\"routes\":[{\"name\":\"r1\",\"host\":\"" SOAK_HOST
+                 "{\"version\":%d,\"routes\":[{\"name\":\"r1\",\"host\":\"" SOAK_HOST
                  "\",\"pathPrefix\":\"" SOAK_PREFIX "\",\"service\":\"svc\",\"priority\":0,"
-                 "\"maxAttempts\":%d,\"slackFactor\":2,\"targetLatencyMs\":2000}],"
-                 "\"services\":[{\"name\":\"svc\",\"rejectsOverload\":false}],\"limits\":{}",
-                 SOAK_MAX_ATTEMPTS);
+                 "\"maxAttempts\":%d,\"slackFactor\":2,\"targetLatencyMs\":2000}",
+                 store->config_version, SOAK_MAX_ATTEMPTS);
+  for (int i = FIRST_VERSION; i < store->config_version; i++) {
+    SoakRandom random = soak_random (store->soak->settings.seed + i, "routes");
+    int length = (int) soak_name_length (&random);
+    gr_buf_printf (&text, ",{\"name\":\"%0*d\",\"host\":\"%0*d\",\"service\":\"svc\"}", length, i,
+                   length, i);
+  }
+  gr_buf_printf (&text,
+                 "],\"services\":[{\"name\":\"svc\",\"rejectsOverload\":false}],\"limits\":{}");
   for (int64_t i = 0; i < store->soak->settings.accounts; i++) {
     GrName key = soak_key (i);
     gr_buf_printf (&text, "%s{\"name\":\"account%lld\",\"weight\":1,\"apiKeys\":[\"%.*s\"]}",
@@ -487,7 +499,8 @@
     if (!port->server)
       soak_die ("the store cannot listen: %s", err.detail);
   }
-  publish_config (store);
+  store->config_version = FIRST_VERSION - 1;
+  soak_store_publish (store);
   return store;
 }
 
