--- a/src/cell/cell_calls.c
+++ b/src/cell/cell_calls.c
@@ -191,7 +191,7 @@
     remove_call (cell, call);
 }
 
-/* Kinds of answers that a leader gives to a call, besides those that it gives to any. */
+/* True if a leader may give an answer of this kind to a call of this verb. */
 static bool
 verb_allows (CellVerb verb, CellAnswerKind kind)
 {
--- a/src/cell/cell_config.h
+++ b/src/cell/cell_config.h
@@ -6,7 +6,7 @@
 #include "dag/dag.h"
 
 typedef struct {
-  GrName host;    /* of the call, without a port; gr_name_key() of it */
+  GrName host;    /* gr_name_key() of the host of the call, without a port */
   GrStr prefix;   /* of the path; owned */
   size_t queue;   /* index into queues */
   bool is_public; /* its calls need no key */
--- a/src/dag/dag_codec.c
+++ b/src/dag/dag_codec.c
@@ -50,7 +50,8 @@
 #define TASK_FLAG_RUN_FAILED 0x10
 /* The target has certainly started the run. */
 #define TASK_FLAG_CONFIRMED 0x20
-/* Number of unseen crashes. The field of crashes contains them. */
+/* Crashes that were not seen. The field of crashes contains them, and earlier versions leave them
+   out again. */
 #define TASK_UNSEEN_SHIFT 8
 /* DagTask.crashes_in_start. The field of crashes does not contain them, so that earlier versions do
    not give up the task for them. */
