dag: the crash that leads to the verdict has to be seen too

Three targets had crashed under one task at work; its fourth run lapsed behind a cut, and the idle crash of that target, which counts as unseen, completed the number and was the verdict.

Change: the verdict needs a last crash that was seen, or closed the connection of the start. The number of unseen crashes has bits of its own in the record: with those of silent targets of earlier versions, such silence counted again.

--- a/src/dag/dag_codec.c
+++ b/src/dag/dag_codec.c
@@ -15,7 +15,7 @@
      number. A task is 1 if done, 0 if it waits and was never
      assigned, else [flags, run, failures, target, incarnation, checkpoint]; target is empty if the
      task has no run that may be alive. A task under which a target has crashed or that is suspected
-     has three more: crashes seen and unseen, crashes at once, suspected.
+     has three more: crashes that were seen, those at once, suspected.
 
    Key "l": see dag_learn_codec.c. */
 #include <stdlib.h>
@@ -50,9 +50,8 @@
 #define TASK_FLAG_RUN_FAILED 0x10
 /* The target has certainly started the run. */
 #define TASK_FLAG_CONFIRMED 0x20
-/* Crashes that were not seen. The field of crashes contains them, and earlier versions leave them
-   out again. */
-#define TASK_UNSEEN_SHIFT 8
+/* Earlier versions counted silent targets among the crashes; here is their number. */
+#define TASK_SILENT_SHIFT 8
 /* DagTask.crashes_in_start. The field of crashes does not contain them, so that earlier versions do
    not give up the task for them. */
 #define TASK_IN_START_SHIFT 16
@@ -60,6 +59,9 @@
 /* DagTask.sight. */
 #define TASK_SIGHT_SHIFT 24
 #define TASK_SIGHT_MAX 0x3
+/* Number of crashes that were not seen. The field of crashes does not contain them either. */
+#define TASK_UNSEEN_SHIFT 26
+#define TASK_UNSEEN_MAX 0x1f
 
 enum {
   FLAG_GANG = 1,
@@ -163,9 +165,9 @@
 }
 
 static int32_t
-limited_count (int32_t count)
+limited_count (int32_t count, int32_t max)
 {
-  return count < TASK_COUNT_MAX ? count : TASK_COUNT_MAX;
+  return count < max ? count : max;
 }
 
 static void
@@ -179,8 +181,9 @@
   bool crashed = task->crashes > 0 || task->suspected;
   msgpack_pack_array (packer, TASK_FIELDS + (crashed ? TASK_CRASH_FIELDS : 0));
   bool run_failed = task->step->spec.gang && task->run > 0 && task->run == task->step->failed_run;
-  int32_t in_start = limited_count (task->crashes_in_start);
-  int32_t unseen = limited_count (task->crashes - task->crashes_seen - task->crashes_in_start);
+  int32_t in_start = limited_count (task->crashes_in_start, TASK_COUNT_MAX);
+  int32_t unseen = limited_count (task->crashes - task->crashes_seen - task->crashes_in_start,
+                                  TASK_UNSEEN_MAX);
   msgpack_pack_int (
       packer, ((int) task->state & TASK_STATE_BITS) | (run_failed ? TASK_FLAG_RUN_FAILED : 0)
                   | (task->confirmed ? TASK_FLAG_CONFIRMED : 0) | (in_start << TASK_IN_START_SHIFT)
@@ -192,7 +195,7 @@
   gr_pack_name (packer, dag_checkpoint (task));
   if (!crashed)
     return;
-  msgpack_pack_int (packer, task->crashes_seen + unseen);
+  msgpack_pack_int (packer, task->crashes_seen);
   msgpack_pack_int (packer, task->crashes_at_once);
   gr_pack_bool (packer, task->suspected);
 }
@@ -447,8 +450,9 @@
       || !gr_unpack_int (&f[4], &incarnation) || !gr_unpack_name (&f[5], dag_checkpoint (task)))
     return false;
   task->failures = (int32_t) failures;
-  int32_t unseen = (int32_t) (flags >> TASK_UNSEEN_SHIFT & TASK_COUNT_MAX);
-  task->crashes_seen = task->crashes_seen > unseen ? task->crashes_seen - unseen : 0;
+  int32_t silent = (int32_t) (flags >> TASK_SILENT_SHIFT & TASK_COUNT_MAX);
+  int32_t unseen = (int32_t) (flags >> TASK_UNSEEN_SHIFT & TASK_UNSEEN_MAX);
+  task->crashes_seen = task->crashes_seen > silent ? task->crashes_seen - silent : 0;
   task->crashes_in_start = (int32_t) (flags >> TASK_IN_START_SHIFT & TASK_COUNT_MAX);
   task->crashes = task->crashes_seen + task->crashes_in_start + unseen;
   task->sight = (DagCrashSight) (flags >> TASK_SIGHT_SHIFT & TASK_SIGHT_MAX);
--- a/src/dag/dag_crash.c
+++ b/src/dag/dag_crash.c
@@ -17,9 +17,9 @@
 /* A run is ruled out as the cause of a crash once its target has lived for this long since the
    start. */
 #define CAUSE_WINDOW_MS 500
-/* A task is given up after this many crashes, if no other job can have caused the last one and so
-   many of them were seen: those before the first trial may not be. Crashes as soon as a run has
-   started are rarely a coincidence, so fewer of them are enough. */
+/* A task is given up after this many crashes, if the last one was seen, no other job can have
+   caused it, and so many of them were seen: those before the first trial may not be. Crashes as
+   soon as a run has started are rarely a coincidence, so fewer of them are enough. */
 #define GIVE_UP_CRASHES 3
 #define GIVE_UP_CRASHES_SEEN 2
 #define GIVE_UP_CRASHES_AT_ONCE 2
@@ -282,11 +282,12 @@
     return false;
   bool alone = dag_crash_may_be_cause (task) && task->step->job == only_cause;
   bool was_suspected = task->suspected;
+  DagCrashSight sight = sight_of (task);
   if (crash_counts (task))
-    count_crash (task, task->survived_ms, sight_of (task));
+    count_crash (task, task->survived_ms, sight);
   if (dag_crash_may_be_cause (task))
     dag_crash_set_suspected (task, true);
-  return alone && was_suspected && has_crashed_enough (task);
+  return alone && was_suspected && sight != CRASH_UNSEEN && has_crashed_enough (task);
 }
 
 /* Runs that were released when their leases had lapsed: the target has crashed after all. Their
