dag: what was seen of a crash that did not happen is taken back in the record

A connection may be closed without a crash, such as an idle one. What was seen of a run on trial was then stored, and taken back in memory only when its target answered. A later leader could have read it.

Change: the record is written again. No test shows the case: it needs a change of leader, a cut and an idle crash after it.

--- a/src/dag/dag_run.c
+++ b/src/dag/dag_run.c
@@ -258,7 +258,10 @@
 dag_run_note_alive (DagState *dag, DagTask *task, int64_t clock_ms, int64_t now_ms)
 {
   task->seen_at = now_ms;
-  task->sight = CRASH_UNSEEN;
+  if (task->sight != CRASH_UNSEEN) {
+    task->sight = CRASH_UNSEEN;
+    dag_job_mark_dirty (dag, task->step->job);
+  }
   task->confirmed = true;
   task->news_by = 0;
   if (task->confirmed_clock_ms == 0)
