cell: an empty listing is not sorted

The linter stopped at the soak's new check, which used a run after a function that may take none; the order is that of the other checks now.

Measured: test_cell_calls, clang-tidy of soak_check.c; both stages are rerun.

--- a/soak/soak_check.c
+++ b/soak/soak_check.c
@@ -197,8 +197,6 @@
       report (check, "UNASKED", "a job that no client sent", run->task, run, NULL);
       continue;
     }
-    if (job->hopeless)
-      report (check, "ROUTE", "started without the label that it needs", run->task, run, NULL);
     if (strcmp (job->spec, run->spec) != 0)
       report (check, "UNASKED", "another spec", run->task, run, NULL);
     if (job->accepted_at == 0 && job->unanswered == 0 && job->refused > 0)
@@ -207,6 +205,8 @@
       report (check, "TWICE", "started after the job was shown as completed", run->task, run, NULL);
     if (job->cancelled_at > 0 && run->started_at > job->cancelled_at + CANCEL_SLACK_MS)
       report (check, "UNASKED", "started after the job was cancelled", run->task, run, NULL);
+    if (job->hopeless)
+      report (check, "ROUTE", "started without the label that it needs", run->task, run, NULL);
   }
 }
 
--- a/src/cell/cell_follow.c
+++ b/src/cell/cell_follow.c
@@ -98,7 +98,8 @@
 finish_listing (CellFollow *follow)
 {
   if (follow->options.on_missing) {
-    qsort (follow->listed_keys.items, follow->listed_keys.count, sizeof (char *), compare_keys);
+    if (follow->listed_keys.count > 0)
+      qsort (follow->listed_keys.items, follow->listed_keys.count, sizeof (char *), compare_keys);
     for (size_t i = 0; i < follow->known_keys.count; i++) {
       char **key = &follow->known_keys.items[i];
       if (follow->listed_keys.count == 0
