dag: crash counts of a record cannot overflow

Change: a record with more than half of that range is refused, as one with a malformed field is. Evidence: test_fuzz under sanitizers fails before ("left shift of negative value -108").

--- a/src/dag/dag_codec.c
+++ b/src/dag/dag_codec.c
@@ -62,6 +62,8 @@
 /* Number of crashes that were not seen. The field of crashes does not contain them either. */
 #define TASK_UNSEEN_SHIFT 26
 #define TASK_UNSEEN_MAX 0x1f
+/* More than any task has; the sum of all kinds stays within an int32_t. */
+#define TASK_CRASHES_MAX (INT32_MAX / 2)
 
 enum {
   FLAG_GANG = 1,
@@ -409,7 +411,7 @@
 {
   int64_t crashes, at_once;
   bool suspected;
-  if (!read_int (&f[0], 0, INT32_MAX - TASK_COUNT_MAX - 1, &crashes)
+  if (!read_int (&f[0], 0, TASK_CRASHES_MAX, &crashes)
       || !read_int (&f[1], 0, INT32_MAX - 1, &at_once) || !gr_unpack_bool (&f[2], &suspected))
     return false;
   task->crashes_seen = (int32_t) crashes;
