dag: a task of a record takes its crash counts as a whole

A record whose crash fields are sound and a later field of the task is not left the count of seen crashes without the sum, and the number of unseen ones became negative when the job was written again.

Change: the fields are read first and set together, after all others were checked.

--- a/src/dag/dag_codec.c
+++ b/src/dag/dag_codec.c
@@ -406,18 +406,32 @@
   return true;
 }
 
+/* Crash fields of a record, see the format above. */
+typedef struct {
+  int64_t seen, at_once;
+  bool suspected;
+} CrashFields;
+
 static bool
-load_crashes (const msgpack_object *f, DagTask *task)
+read_crashes (const msgpack_object *f, CrashFields *fields)
 {
-  int64_t crashes, at_once;
-  bool suspected;
-  if (!read_int (&f[0], 0, TASK_CRASHES_MAX, &crashes)
-      || !read_int (&f[1], 0, INT32_MAX - 1, &at_once) || !gr_unpack_bool (&f[2], &suspected))
-    return false;
-  task->crashes_seen = (int32_t) crashes;
-  task->crashes_at_once = (int32_t) at_once;
-  dag_crash_set_suspected (task, suspected);
-  return true;
+  return read_int (&f[0], 0, TASK_CRASHES_MAX, &fields->seen)
+         && read_int (&f[1], 0, TASK_CRASHES_MAX, &fields->at_once)
+         && gr_unpack_bool (&f[2], &fields->suspected);
+}
+
+static void
+set_crashes (DagTask *task, const CrashFields *fields, int64_t flags)
+{
+  int32_t silent = (int32_t) (flags >> TASK_SILENT_SHIFT & TASK_COUNT_MAX);
+  int32_t unseen = (int32_t) (flags >> TASK_UNSEEN_SHIFT & TASK_UNSEEN_MAX);
+  int32_t seen = (int32_t) fields->seen;
+  task->crashes_seen = seen > silent ? seen - silent : 0;
+  task->crashes_in_start = (int32_t) (flags >> TASK_IN_START_SHIFT & TASK_COUNT_MAX);
+  task->crashes = task->crashes_seen + task->crashes_in_start + unseen;
+  task->crashes_at_once = (int32_t) fields->at_once;
+  task->sight = (DagCrashSight) (flags >> TASK_SIGHT_SHIFT & TASK_SIGHT_MAX);
+  dag_crash_set_suspected (task, fields->suspected);
 }
 
 /* Loads the state of the task with that index, which no earlier call has reached. */
@@ -443,7 +457,8 @@
   if (!crashed && !gr_unpack_is_array (object, TASK_FIELDS))
     return false;
   const msgpack_object *f = object->via.array.ptr;
-  if (crashed && !load_crashes (&f[TASK_FIELDS], task))
+  CrashFields crashes = { 0 };
+  if (crashed && !read_crashes (&f[TASK_FIELDS], &crashes))
     return false;
   int64_t flags, failures, incarnation;
   GrName target_id;
@@ -452,12 +467,7 @@
       || !gr_unpack_int (&f[4], &incarnation) || !gr_unpack_name (&f[5], dag_checkpoint (task)))
     return false;
   task->failures = (int32_t) failures;
-  int32_t silent = (int32_t) (flags >> TASK_SILENT_SHIFT & TASK_COUNT_MAX);
-  int32_t unseen = (int32_t) (flags >> TASK_UNSEEN_SHIFT & TASK_UNSEEN_MAX);
-  task->crashes_seen = task->crashes_seen > silent ? task->crashes_seen - silent : 0;
-  task->crashes_in_start = (int32_t) (flags >> TASK_IN_START_SHIFT & TASK_COUNT_MAX);
-  task->crashes = task->crashes_seen + task->crashes_in_start + unseen;
-  task->sight = (DagCrashSight) (flags >> TASK_SIGHT_SHIFT & TASK_SIGHT_MAX);
+  set_crashes (task, &crashes, flags);
   if (task->step->run < task->run)
     task->step->run = task->run;
   if ((flags & TASK_FLAG_RUN_FAILED) && task->step->failed_run < task->run)
