dag: one test for orders without an answer

Found in a last read: two results now mean that an order had no answer, and three places asked for both. They call dag_order_is_unanswered(). In the tests' small cell, three places asked whether a target answers; they call world_answers().

Not rerun: properties, end-to-end tests, sanitizers, linter.

--- a/src/cell/cell_orders.c
+++ b/src/cell/cell_orders.c
@@ -101,7 +101,7 @@
 measure (const Order *order, DagOrderResult result, int64_t now_ms)
 {
   CellFlow *flow = &order->path->flow;
-  if (result == DAG_ORDER_LOST || result == DAG_ORDER_CLOSED)
+  if (dag_order_is_unanswered (result))
     cell_flow_lost (flow, now_ms);
   else if (result == DAG_ORDER_NOT_SENT)
     cell_flow_not_sent (flow);
@@ -360,8 +360,7 @@
   if (!order)
     return;
   HASH_DEL (orders->relayed, order);
-  bool answered = result->result != DAG_ORDER_LOST && result->result != DAG_ORDER_CLOSED
-                  && result->result != DAG_ORDER_NOT_SENT;
+  bool answered = !dag_order_is_unanswered (result->result) && result->result != DAG_ORDER_NOT_SENT;
   note_relay_outcome (orders, vm, &order->target,
                       answered ? CELL_RELAY_ANSWERED : CELL_RELAY_TARGET_SILENT);
   Path *path = order->path;
--- a/src/dag/dag.h
+++ b/src/dag/dag.h
@@ -220,6 +220,13 @@
                           ended. A hold that found nobody listening has this result too */
 } DagOrderResult;
 
+/* True if the order had no answer and may have been carried out, or may be later. */
+static inline bool
+dag_order_is_unanswered (DagOrderResult result)
+{
+  return result == DAG_ORDER_LOST || result == DAG_ORDER_CLOSED;
+}
+
 /* A target that advice allows, with the ticket that the start has to carry. */
 typedef struct {
   GrName target;
--- a/src/dag/dag_pace.c
+++ b/src/dag/dag_pace.c
@@ -268,7 +268,7 @@
   /* After a failure the next inventory sends the limit again. */
   if (result == DAG_ORDER_OK)
     task->pace = percent;
-  else if (result == DAG_ORDER_LOST || result == DAG_ORDER_CLOSED)
+  else if (dag_order_is_unanswered (result))
     task->pace = -1;
 }
 
--- a/tests/crash_world.h
+++ b/tests/crash_world.h
@@ -33,7 +33,7 @@
   int number = world_find_target (world, &cmd->target.target);
   WorldTarget *target = number < 0 ? NULL : &world->targets[number];
   const DagTaskRef *ref = &cmd->u.start.task;
-  if (!target || target->up_at > 0 || world_is_cut (world, target)) {
+  if (!world_answers (world, target)) {
     dag_handle_start_result (world->dag, ref, cmd->u.start.run, result_of_missing (world, cmd), 0,
                              world->now);
     return;
@@ -90,7 +90,7 @@
   int number = world_find_target (world, &cmd->target.target);
   WorldTarget *target = number < 0 ? NULL : &world->targets[number];
   DagOrderResult result = DAG_ORDER_OK;
-  if (!target || target->up_at > 0 || world_is_cut (world, target))
+  if (!world_answers (world, target))
     result = result_of_missing (world, cmd);
   for (int r = 0; result == DAG_ORDER_OK && r < target->run_count; r++) {
     if (gr_name_equal (&target->runs[r].task.job, &cmd->u.stop.task.job)
@@ -141,7 +141,7 @@
 {
   int number = world_find_target (world, &cmd->target.target);
   WorldTarget *target = number < 0 ? NULL : &world->targets[number];
-  if (!target || target->up_at > 0 || world_is_cut (world, target)) {
+  if (!world_answers (world, target)) {
     dag_handle_hold_result (world->dag, &cmd->target.target, cmd->u.hold.token,
                             result_of_missing (world, cmd), NULL, world->now);
     return;
--- a/tests/crash_world_targets.h
+++ b/tests/crash_world_targets.h
@@ -258,6 +258,13 @@
   return world->now < target->cut_until;
 }
 
+/* target may be NULL. */
+WORLD_HELPER bool
+world_answers (const World *world, const WorldTarget *target)
+{
+  return target && target->up_at == 0 && !world_is_cut (world, target);
+}
+
 #define DEFAULT(field, value) ((field) = (field) ? (field) : (value))
 
 WORLD_HELPER World *
