--- a/review/world3/run.bash
+++ b/review/world3/run.bash
@@ -15,7 +15,10 @@
   --seconds="$seconds" --interval-ms="$interval_ms" --vms=9 --targets="${targets:-24}" \
   --edge="$edge" --logs="$logs" \
   --edge-options="--cpu-share=0.25 --advice=127.0.0.1:9" \
-  > "$logs/verdict.txt" 2>&1
+  > "$logs/verdict.txt" 2>&1 &
+pid=$!
+trap 'kill "$pid" 2> /dev/null; exit 2' INT TERM
+wait "$pid"
 code=$?
 {
   echo "# verdict, exit $code"
